--- /dev/null
+++ b/packages/aio/include/aio/server.h
@@ -0,0 +1,48 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_AIO_SERVER_H_HEADER_GUARD
+#define SEDGECART_AIO_SERVER_H_HEADER_GUARD
+
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace sedgecart
+{
+
+class ServerHandlerI;
+
+/// Accepts HTTP/1.1 connections on one loop and reads requests from them, one at a time each.
+class Server
+{
+public:
+	/// Binds and accepts.
+	/// @param _address "ip:port".
+	/// @remarks Throws std::exception when the address cannot be bound.
+	Server(boost::asio::io_context& _loop, const std::string& _address, ServerHandlerI& _handler);
+	~Server();
+
+	Server(const Server&) = delete;
+	Server& operator=(const Server&) = delete;
+
+	/// Closes every connection that is between requests. On the loop's thread.
+	void closeIdle();
+
+	/// @returns the port it listens on.
+	uint16_t port() const;
+
+	/// @returns connections that are open. On the loop's thread.
+	std::size_t connections() const;
+
+private:
+	class Impl;
+	std::shared_ptr<Impl> impl_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_AIO_SERVER_H_HEADER_GUARD
--- /dev/null
+++ b/packages/aio/src/clientconnection.cpp
@@ -0,0 +1,404 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <aio/clientconnection.h>
+
+#include "socketpump_p.h"
+
+#include <base/config.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <charconv>
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr Duration kKeptForever = Duration::fromMillis(24L * 3600 * 1000);
+
+/// @returns the endpoint of "ip:port"; port 0 if the text is not one.
+Tcp::endpoint endpointOf(const std::string& _address)
+{
+	const std::size_t colon = _address.rfind(':');
+	if (std::string::npos == colon)
+	{
+		return Tcp::endpoint();
+	}
+	uint16_t port = 0;
+	std::from_chars(_address.data() + colon + 1, _address.data() + _address.size(), port);
+	boost::system::error_code error;
+	const auto ip = asio::ip::make_address(_address.substr(0, colon), error);
+	return error ? Tcp::endpoint() : Tcp::endpoint(ip, port);
+}
+
+/// @returns the time of "timeout=N" in a Keep-Alive field.
+Duration keptTime(const HeaderList& _headers)
+{
+	const std::string* const value = _headers.find("Keep-Alive");
+	const std::size_t at = nullptr == value ? std::string::npos : value->find("timeout=");
+	if (std::string::npos == at)
+	{
+		return kKeptForever;
+	}
+	int64_t seconds = 0;
+	std::from_chars(value->data() + at + 8, value->data() + value->size(), seconds);
+	return Duration::fromMillis(seconds * 1000);
+}
+
+} // namespace
+
+class ClientConnection::Impl : public std::enable_shared_from_this<ClientConnection::Impl>
+{
+public:
+	Impl(asio::io_context& _loop, const std::string& _address)
+	    : pump_(Tcp::socket(_loop)),
+	      timer_(_loop),
+	      endpoint_(endpointOf(_address))
+	{
+	}
+
+	void exchange(std::string _request, ExchangeHandlerI& _handler, Duration _connectBound)
+	{
+		handler_ = &_handler;
+		reader_ = makeReader();
+		request_ = std::move(_request);
+		if (up_)
+		{
+			send();
+			return;
+		}
+		connect(_connectBound);
+	}
+
+	bool reusable() const
+	{
+		return up_ && nullptr == handler_ && keep_ && left_.empty() && 0 == pump_.kept();
+	}
+
+	Duration keptIdle() const
+	{
+		return kept_;
+	}
+
+	void onIdleEnd(std::function<void()> _call)
+	{
+		idleEnd_ = std::move(_call);
+	}
+
+	void close()
+	{
+		handler_ = nullptr;
+		idleEnd_ = nullptr;
+		up_ = false;
+		closed_ = true;
+		timer_.cancel();
+		pump_.close();
+	}
+
+private:
+	static std::unique_ptr<MessageReader> makeReader()
+	{
+		ReaderLimits limits;
+		limits.headerBytes = SEDGECART_CONFIG_ANSWER_HEADER_BYTES;
+		return std::make_unique<MessageReader>(MessageReader::Side::Response, limits);
+	}
+
+	void connect(Duration _bound)
+	{
+		const auto self = shared_from_this();
+		timer_.expires_after(std::chrono::microseconds(_bound.micros));
+		timer_.async_wait(
+		    [self](const boost::system::error_code& _error)
+		    {
+			    if (!_error && !self->up_)
+			    {
+				    self->fail(ExchangeBreak::NotConnected);
+			    }
+		    });
+		pump_.socket().async_connect(endpoint_,
+		                             [self](const boost::system::error_code& _error)
+		                             {
+			                             self->onConnected(_error);
+		                             });
+	}
+
+	void onConnected(const boost::system::error_code& _error)
+	{
+		if (closed_)
+		{
+			return;
+		}
+		timer_.cancel();
+		if (_error)
+		{
+			fail(ExchangeBreak::NotConnected);
+			return;
+		}
+		up_ = true;
+		pump_.prepare();
+		waitReadable();
+		send();
+	}
+
+	void send()
+	{
+		handler_->onSent();
+		const bool sound = pump_.write(request_);
+		request_.clear();
+		if (!sound)
+		{
+			fail(ExchangeBreak::Cut);
+			return;
+		}
+		flush();
+	}
+
+	void flush()
+	{
+		if (0 == pump_.kept())
+		{
+			return;
+		}
+		const auto self = shared_from_this();
+		pump_.waitWritable(
+		    [self](const boost::system::error_code& _error)
+		    {
+			    if (_error || self->closed_)
+			    {
+				    return;
+			    }
+			    if (!self->pump_.writeKept())
+			    {
+				    self->fail(ExchangeBreak::Cut);
+				    return;
+			    }
+			    self->flush();
+		    });
+	}
+
+	void waitReadable()
+	{
+		const auto self = shared_from_this();
+		pump_.waitReadable(
+		    [self](const boost::system::error_code& _error)
+		    {
+			    if (!_error && !self->closed_)
+			    {
+				    self->onReadable();
+			    }
+		    });
+	}
+
+	void onReadable()
+	{
+		std::string_view bytes;
+		SocketEnd::Enum end = SocketEnd::Orderly;
+		if (!pump_.readSome(bytes, end))
+		{
+			onEnd(end);
+			return;
+		}
+		if (!bytes.empty())
+		{
+			onBytes(bytes);
+		}
+		if (!closed_)
+		{
+			waitReadable();
+		}
+	}
+
+	void onBytes(std::string_view _bytes)
+	{
+		if (nullptr == handler_)
+		{
+			endIdle();
+			return;
+		}
+		if (left_.empty())
+		{
+			left_ = consume(_bytes);
+			return;
+		}
+		left_.append(_bytes);
+		const std::string all = std::move(left_);
+		left_ = consume(all);
+	}
+
+	/// Feeds the reader. @returns what it did not use.
+	std::string consume(std::string_view _bytes)
+	{
+		while (nullptr != handler_ && !_bytes.empty())
+		{
+			std::size_t used = 0;
+			const ReadState::Enum state = reader_->feed(_bytes, used);
+			_bytes.remove_prefix(used);
+			if (ReadState::More != state && ReadState::Done != state)
+			{
+				fail(ExchangeBreak::Garbled);
+				return std::string();
+			}
+			if (!passHead() || !passBody())
+			{
+				return std::string();
+			}
+			if (ReadState::Done == state)
+			{
+				onMessageDone(!_bytes.empty());
+			}
+			else if (0 == used)
+			{
+				break;
+			}
+		}
+		return std::string(_bytes);
+	}
+
+	/// @returns false if the connection was closed meanwhile.
+	bool passHead()
+	{
+		if (headPassed_ || !reader_->hasHead())
+		{
+			return true;
+		}
+		headPassed_ = true;
+		const MessageHead& head = reader_->head();
+		keep_ = head.keepAlive && !head.untilClose;
+		kept_ = keptTime(head.headers);
+		const uint16_t status = head.status;
+		const bool interim = 100 <= status && status < 200;
+		if (interim || HeadVerdict::Skip == handler_->onHead(reader_->head()))
+		{
+			skipping_ = true;
+		}
+		return !closed_;
+	}
+
+	/// @returns false if the connection was closed meanwhile.
+	bool passBody()
+	{
+		std::string body;
+		body.swap(reader_->body());
+		if (!body.empty() && !skipping_)
+		{
+			handler_->onBody(body);
+		}
+		return !closed_;
+	}
+
+	void onMessageDone(bool _surplus)
+	{
+		const bool skipped = skipping_;
+		headPassed_ = false;
+		skipping_ = false;
+		reader_ = makeReader();
+		if (skipped)
+		{
+			return;
+		}
+		// Bytes behind a whole answer belong to no request.
+		keep_ = keep_ && !_surplus;
+		ExchangeHandlerI* const handler = handler_;
+		handler_ = nullptr;
+		handler->onWhole();
+	}
+
+	void onEnd(SocketEnd::Enum _end)
+	{
+		up_ = false;
+		if (nullptr == handler_)
+		{
+			endIdle();
+			return;
+		}
+		const bool ends = SocketEnd::Orderly == _end && headPassed_ && !skipping_ && left_.empty();
+		if (ends && ReadState::Done == reader_->feedEnd())
+		{
+			ExchangeHandlerI* const handler = handler_;
+			close();
+			handler->onWhole();
+			return;
+		}
+		fail(ExchangeBreak::Cut);
+	}
+
+	void endIdle()
+	{
+		const std::function<void()> call = std::move(idleEnd_);
+		close();
+		if (call)
+		{
+			call();
+		}
+	}
+
+	void fail(ExchangeBreak::Enum _how)
+	{
+		ExchangeHandlerI* const handler = handler_;
+		close();
+		if (nullptr != handler)
+		{
+			handler->onBroken(_how);
+		}
+	}
+
+	SocketPump pump_;
+	asio::steady_timer timer_;
+	Tcp::endpoint endpoint_;
+	std::unique_ptr<MessageReader> reader_;
+	ExchangeHandlerI* handler_ = nullptr;
+	std::function<void()> idleEnd_;
+	std::string request_;
+	std::string left_; //!< Came, but is not yet enough for the reader.
+	Duration kept_ = kKeptForever;
+	bool up_ = false;
+	bool closed_ = false;
+	bool keep_ = true;
+	bool headPassed_ = false;
+	bool skipping_ = false;
+};
+
+ClientConnection::ClientConnection(asio::io_context& _loop, const std::string& _address)
+    : impl_(std::make_shared<Impl>(_loop, _address))
+{
+}
+
+ClientConnection::~ClientConnection()
+{
+	impl_->close();
+}
+
+void ClientConnection::exchange(std::string _request, ExchangeHandlerI& _handler, Duration _connectBound)
+{
+	const std::shared_ptr<Impl> held = impl_; // the handler may destroy this object
+	held->exchange(std::move(_request), _handler, _connectBound);
+}
+
+bool ClientConnection::reusable() const
+{
+	return impl_->reusable();
+}
+
+Duration ClientConnection::keptIdle() const
+{
+	return impl_->keptIdle();
+}
+
+void ClientConnection::onIdleEnd(std::function<void()> _call)
+{
+	impl_->onIdleEnd(std::move(_call));
+}
+
+void ClientConnection::close()
+{
+	impl_->close();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/aio/src/messagereader.cpp
@@ -0,0 +1,197 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <aio/messagereader.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace sedgecart
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+std::string_view view(beast::string_view _text)
+{
+	return std::string_view(_text.data(), _text.size());
+}
+
+ReadState::Enum stateOf(const beast::error_code& _error)
+{
+	if (http::error::need_more == _error)
+	{
+		return ReadState::More;
+	}
+	if (http::error::header_limit == _error)
+	{
+		return ReadState::HeaderTooLarge;
+	}
+	if (http::error::body_limit == _error)
+	{
+		return ReadState::BodyTooLarge;
+	}
+	return ReadState::Malformed;
+}
+
+} // namespace
+
+/// The same calls for both sides of an exchange.
+class MessageReader::Parser
+{
+public:
+	virtual ~Parser() = default;
+	virtual ReadState::Enum feed(std::string_view _bytes, std::size_t& _used) = 0;
+	virtual ReadState::Enum feedEnd() = 0;
+	virtual bool hasHead() const = 0;
+	virtual bool begun() const = 0;
+
+	MessageHead head_;
+	std::string body_;
+};
+
+template <bool isRequest>
+class MessageReader::BeastParser : public MessageReader::Parser, private http::basic_parser<isRequest>
+{
+public:
+	explicit BeastParser(const ReaderLimits& _limits)
+	{
+		this->eager(true);
+		this->header_limit(_limits.headerBytes);
+		this->body_limit(_limits.bodyBytes);
+	}
+
+	ReadState::Enum feed(std::string_view _bytes, std::size_t& _used) override
+	{
+		_used = 0;
+		if (_bytes.empty())
+		{
+			return this->is_done() ? ReadState::Done : ReadState::More;
+		}
+		beast::error_code error;
+		_used = this->put(boost::asio::const_buffer(_bytes.data(), _bytes.size()), error);
+		if (error)
+		{
+			return stateOf(error);
+		}
+		return this->is_done() ? ReadState::Done : ReadState::More;
+	}
+
+	ReadState::Enum feedEnd() override
+	{
+		if (!this->is_header_done())
+		{
+			return ReadState::Malformed;
+		}
+		beast::error_code error;
+		this->put_eof(error);
+		return !error && this->is_done() ? ReadState::Done : ReadState::Malformed;
+	}
+
+	bool hasHead() const override
+	{
+		return this->is_header_done();
+	}
+
+	bool begun() const override
+	{
+		return this->got_some();
+	}
+
+private:
+	void on_request_impl(http::verb, beast::string_view _method, beast::string_view _target, int,
+	                     beast::error_code&) override
+	{
+		head_.method = std::string(view(_method));
+		head_.target = std::string(view(_target));
+	}
+
+	void on_response_impl(int _status, beast::string_view, int, beast::error_code&) override
+	{
+		head_.status = static_cast<uint16_t>(_status);
+	}
+
+	void on_field_impl(http::field, beast::string_view _name, beast::string_view _value, beast::error_code&) override
+	{
+		head_.headers.add(view(_name), view(_value));
+	}
+
+	void on_header_impl(beast::error_code&) override
+	{
+		head_.keepAlive = this->keep_alive();
+		head_.untilClose = !isRequest && this->need_eof();
+	}
+
+	void on_body_init_impl(const boost::optional<uint64_t>&, beast::error_code&) override
+	{
+	}
+
+	std::size_t on_body_impl(beast::string_view _bytes, beast::error_code&) override
+	{
+		body_.append(_bytes.data(), _bytes.size());
+		return _bytes.size();
+	}
+
+	void on_chunk_header_impl(uint64_t, beast::string_view, beast::error_code&) override
+	{
+	}
+
+	std::size_t on_chunk_body_impl(uint64_t, beast::string_view _bytes, beast::error_code&) override
+	{
+		body_.append(_bytes.data(), _bytes.size());
+		return _bytes.size();
+	}
+
+	void on_finish_impl(beast::error_code&) override
+	{
+	}
+};
+
+MessageReader::MessageReader(Side::Enum _side, const ReaderLimits& _limits)
+{
+	if (Side::Request == _side)
+	{
+		parser_ = std::make_unique<BeastParser<true>>(_limits);
+	}
+	else
+	{
+		parser_ = std::make_unique<BeastParser<false>>(_limits);
+	}
+}
+
+MessageReader::~MessageReader() = default;
+
+ReadState::Enum MessageReader::feed(std::string_view _bytes, std::size_t& _used)
+{
+	return parser_->feed(_bytes, _used);
+}
+
+ReadState::Enum MessageReader::feedEnd()
+{
+	return parser_->feedEnd();
+}
+
+bool MessageReader::hasHead() const
+{
+	return parser_->hasHead();
+}
+
+bool MessageReader::begun() const
+{
+	return parser_->begun();
+}
+
+MessageHead& MessageReader::head()
+{
+	return parser_->head_;
+}
+
+std::string& MessageReader::body()
+{
+	return parser_->body_;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/aio/src/servedconnection.cpp
@@ -0,0 +1,344 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "servedconnection_p.h"
+
+#include "answertext_p.h"
+
+#include <base/config.h>
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr uint16_t kRequestTimeout = 408;
+
+} // namespace
+
+ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
+                                   std::function<void(ServedConnection*)> _onClosed)
+    : pump_(std::move(_socket)),
+      timer_(pump_.socket().get_executor()),
+      handler_(_handler),
+      onClosed_(std::move(_onClosed))
+{
+}
+
+void ServedConnection::begin()
+{
+	pump_.prepare();
+	becomeIdle();
+	waitReadable();
+}
+
+void ServedConnection::closeIfIdle()
+{
+	if (Phase::Idle == phase_ && waiting_.empty())
+	{
+		closeNow();
+	}
+}
+
+void ServedConnection::waitReadable()
+{
+	const auto self = shared_from_this();
+	pump_.waitReadable(
+	    [self](const boost::system::error_code& _error)
+	    {
+		    if (!_error && Phase::Closed != self->phase_)
+		    {
+			    self->onReadable();
+		    }
+	    });
+}
+
+void ServedConnection::onReadable()
+{
+	std::string_view bytes;
+	SocketEnd::Enum end = SocketEnd::Orderly;
+	if (!pump_.readSome(bytes, end))
+	{
+		onEnd();
+		return;
+	}
+	if (!bytes.empty())
+	{
+		onBytes(bytes);
+	}
+	const bool full = SEDGECART_CONFIG_PIPELINED_BYTES < waiting_.size() && Phase::Answering == phase_;
+	if (full)
+	{
+		abort(); // a caller that sends on while it waits is not read without end
+	}
+	if (Phase::Closed != phase_)
+	{
+		waitReadable();
+	}
+}
+
+void ServedConnection::onBytes(std::string_view _bytes)
+{
+	if (Phase::Lingering == phase_)
+	{
+		return;
+	}
+	waiting_.append(_bytes);
+	if (Phase::Answering != phase_)
+	{
+		consume();
+	}
+}
+
+void ServedConnection::consume()
+{
+	if (waiting_.empty())
+	{
+		return;
+	}
+	if (Phase::Idle == phase_)
+	{
+		phase_ = Phase::Reading;
+		reader_ = std::make_unique<MessageReader>(MessageReader::Side::Request, handler_.limits());
+		setTimer(handler_.readBound());
+	}
+	std::size_t used = 0;
+	const ReadState::Enum state = reader_->feed(waiting_, used);
+	waiting_.erase(0, used);
+	if (ReadState::Done == state)
+	{
+		onRequestDone();
+	}
+	else if (ReadState::More != state)
+	{
+		refuse(state);
+	}
+}
+
+void ServedConnection::onRequestDone()
+{
+	timer_.cancel();
+	phase_ = Phase::Answering;
+	ServerRequest request;
+	request.head = std::move(reader_->head());
+	request.body = std::move(reader_->body());
+	reader_.reset();
+	last_ = !request.head.keepAlive;
+	finished_ = false;
+	handler_.onRequest(shared_from_this(), std::move(request));
+}
+
+void ServedConnection::refuse(ReadState::Enum _why)
+{
+	refuseWith(handler_.onBadRequest(_why));
+}
+
+void ServedConnection::refuseWith(uint16_t _status)
+{
+	phase_ = Phase::Answering;
+	AnswerStart answer;
+	answer.status = _status;
+	answer.lastOnConnection = true;
+	start(answer, std::string_view());
+	finish();
+}
+
+void ServedConnection::start(const AnswerStart& _start, std::string_view _body)
+{
+	if (Phase::Answering != phase_)
+	{
+		return;
+	}
+	last_ = last_ || _start.lastOnConnection || handler_.closing();
+	noBody_ = _start.noBody;
+	chunked_ = BodyFraming::Chunked == _start.framing && !noBody_;
+	std::string text = answerText(_start, last_);
+	if (!noBody_)
+	{
+		appendBody(text, _body, chunked_);
+	}
+	write(text);
+}
+
+void ServedConnection::send(std::string_view _body)
+{
+	if (Phase::Answering != phase_ || noBody_ || _body.empty())
+	{
+		return;
+	}
+	if (!chunked_)
+	{
+		write(_body);
+		return;
+	}
+	std::string text;
+	appendBody(text, _body, true);
+	write(text);
+}
+
+void ServedConnection::finish()
+{
+	if (Phase::Answering != phase_)
+	{
+		return;
+	}
+	if (chunked_)
+	{
+		write(kLastChunk);
+	}
+	if (Phase::Answering != phase_)
+	{
+		return;
+	}
+	finished_ = true;
+	if (last_ || handler_.closing())
+	{
+		linger();
+		return;
+	}
+	becomeIdle();
+	if (waiting_.empty())
+	{
+		return;
+	}
+	// The next request is taken from the loop: its handler must not run within the end of this one.
+	const auto self = shared_from_this();
+	boost::asio::post(pump_.socket().get_executor(),
+	                  [self]
+	                  {
+		                  if (Phase::Idle == self->phase_)
+		                  {
+			                  self->consume();
+		                  }
+	                  });
+}
+
+void ServedConnection::abort()
+{
+	if (Phase::Closed == phase_)
+	{
+		return;
+	}
+	pump_.reset();
+	closeNow();
+}
+
+std::size_t ServedConnection::backlog() const
+{
+	return pump_.kept();
+}
+
+void ServedConnection::becomeIdle()
+{
+	phase_ = Phase::Idle;
+	setTimer(handler_.idleBound());
+}
+
+void ServedConnection::setTimer(Duration _bound)
+{
+	timer_.expires_after(std::chrono::microseconds(_bound.micros));
+	const std::weak_ptr<ServedConnection> weak = weak_from_this();
+	timer_.async_wait(
+	    [weak](const boost::system::error_code& _error)
+	    {
+		    const auto self = weak.lock();
+		    if (!_error && self)
+		    {
+			    self->onTimer();
+		    }
+	    });
+}
+
+void ServedConnection::onTimer()
+{
+	if (Phase::Reading == phase_)
+	{
+		refuseWith(kRequestTimeout);
+	}
+	else if (Phase::Idle == phase_ || Phase::Lingering == phase_)
+	{
+		closeNow();
+	}
+}
+
+void ServedConnection::onEnd()
+{
+	const bool waited = Phase::Answering == phase_;
+	const auto self = shared_from_this();
+	closeNow();
+	if (waited)
+	{
+		handler_.onCallerGone(*this);
+	}
+}
+
+void ServedConnection::write(std::string_view _bytes)
+{
+	if (!pump_.write(_bytes))
+	{
+		onEnd();
+		return;
+	}
+	flush();
+}
+
+void ServedConnection::flush()
+{
+	if (0 == pump_.kept() || flushing_)
+	{
+		return;
+	}
+	flushing_ = true;
+	const auto self = shared_from_this();
+	pump_.waitWritable(
+	    [self](const boost::system::error_code& _error)
+	    {
+		    self->flushing_ = false;
+		    if (_error || Phase::Closed == self->phase_)
+		    {
+			    return;
+		    }
+		    if (!self->pump_.writeKept())
+		    {
+			    self->onEnd();
+			    return;
+		    }
+		    self->flush();
+		    if (Phase::Lingering == self->phase_ && 0 == self->pump_.kept())
+		    {
+			    self->pump_.shutdownSend();
+		    }
+	    });
+}
+
+/// Closing with unread bytes resets the connection and may take the answer with it: first only the sending side is
+/// closed, and the caller gets some time to close its own.
+void ServedConnection::linger()
+{
+	phase_ = Phase::Lingering;
+	waiting_.clear();
+	if (0 == pump_.kept())
+	{
+		pump_.shutdownSend();
+	}
+	setTimer(Duration::fromMillis(SEDGECART_CONFIG_LINGER_MS));
+}
+
+void ServedConnection::closeNow()
+{
+	if (Phase::Closed == phase_)
+	{
+		return;
+	}
+	const auto self = shared_from_this();
+	phase_ = Phase::Closed;
+	timer_.cancel();
+	pump_.close();
+	onClosed_(this);
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/aio/src/servedconnection_p.h
@@ -0,0 +1,85 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_AIO_SERVEDCONNECTION_P_H_HEADER_GUARD
+#define SEDGECART_AIO_SERVEDCONNECTION_P_H_HEADER_GUARD
+
+#include "socketpump_p.h"
+
+#include <aio/serverconnection.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace sedgecart
+{
+
+/// A caller's connection that was accepted.
+class ServedConnection : public ServerConnection, public std::enable_shared_from_this<ServedConnection>
+{
+public:
+	/// @param _onClosed called once, when it is over.
+	ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
+	                 std::function<void(ServedConnection*)> _onClosed);
+
+	/// Begins to read the first request.
+	void begin();
+
+	/// Closes it if it is between requests.
+	void closeIfIdle();
+
+	void start(const AnswerStart& _start, std::string_view _body) override;
+	void send(std::string_view _body) override;
+	void finish() override;
+	void abort() override;
+	std::size_t backlog() const override;
+
+private:
+	/// What the connection does.
+	struct Phase
+	{
+		enum Enum
+		{
+			Idle,      //!< Between requests.
+			Reading,   //!< A request is coming.
+			Answering, //!< A request is with the handler.
+			Lingering, //!< The last answer is out; what still comes is read and thrown away.
+			Closed,
+
+			Count
+		};
+	};
+
+	void waitReadable();
+	void onReadable();
+	void onBytes(std::string_view _bytes);
+	void consume();
+	void onRequestDone();
+	void refuse(ReadState::Enum _why);
+	void refuseWith(uint16_t _status);
+	void becomeIdle();
+	void setTimer(Duration _bound);
+	void onTimer();
+	void onEnd();
+	void write(std::string_view _bytes);
+	void flush();
+	void linger();
+	void closeNow();
+
+	SocketPump pump_;
+	boost::asio::steady_timer timer_;
+	ServerHandlerI& handler_;
+	std::function<void(ServedConnection*)> onClosed_;
+	std::unique_ptr<MessageReader> reader_;
+	std::string waiting_; //!< Bytes that came and were not used yet.
+	Phase::Enum phase_ = Phase::Idle;
+	bool chunked_ = false;
+	bool noBody_ = false;
+	bool last_ = false; //!< The connection ends behind this answer.
+	bool flushing_ = false;
+	bool finished_ = false;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_AIO_SERVEDCONNECTION_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/aio/src/server.cpp
@@ -0,0 +1,156 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <aio/server.h>
+
+#include "servedconnection_p.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <charconv>
+#include <unordered_map>
+
+namespace sedgecart
+{
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace
+{
+
+/// Longest queue of connections that wait to be accepted: many callers come at once after a restart.
+constexpr int kAcceptQueue = 1024;
+
+/// @returns the endpoint to bind. @remarks Throws std::exception if the text is not "ip:port".
+Tcp::endpoint boundEndpoint(const std::string& _address)
+{
+	const std::size_t colon = _address.rfind(':');
+	if (std::string::npos == colon)
+	{
+		throw std::runtime_error("'" + _address + "' is not ip:port");
+	}
+	uint16_t port = 0;
+	const char* const end = _address.data() + _address.size();
+	const auto parsed = std::from_chars(_address.data() + colon + 1, end, port);
+	if (parsed.ptr != end)
+	{
+		throw std::runtime_error("'" + _address + "' is not ip:port");
+	}
+	return Tcp::endpoint(asio::ip::make_address(_address.substr(0, colon)), port);
+}
+
+} // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl>
+{
+public:
+	Impl(asio::io_context& _loop, const std::string& _address, ServerHandlerI& _handler)
+	    : loop_(_loop),
+	      acceptor_(_loop),
+	      handler_(_handler)
+	{
+		const Tcp::endpoint endpoint = boundEndpoint(_address);
+		acceptor_.open(endpoint.protocol());
+		acceptor_.set_option(asio::socket_base::reuse_address(true));
+		acceptor_.bind(endpoint);
+		acceptor_.listen(kAcceptQueue);
+	}
+
+	void accept()
+	{
+		const auto self = shared_from_this();
+		acceptor_.async_accept(
+		    [self](const boost::system::error_code& _error, Tcp::socket _socket)
+		    {
+			    if (asio::error::operation_aborted == _error)
+			    {
+				    return;
+			    }
+			    if (!_error)
+			    {
+				    self->add(std::move(_socket));
+			    }
+			    self->accept();
+		    });
+	}
+
+	void closeIdle()
+	{
+		const auto all = connections_;
+		for (const auto& row : all)
+		{
+			row.second->closeIfIdle();
+		}
+	}
+
+	void stop()
+	{
+		boost::system::error_code ignored; // nothing is left to do with the socket
+		acceptor_.close(ignored);
+		const auto all = connections_;
+		for (const auto& row : all)
+		{
+			row.second->abort();
+		}
+	}
+
+	std::size_t connections() const
+	{
+		return connections_.size();
+	}
+
+	uint16_t port() const
+	{
+		return acceptor_.local_endpoint().port();
+	}
+
+private:
+	void add(Tcp::socket _socket)
+	{
+		const std::weak_ptr<Impl> weak = weak_from_this();
+		const auto connection = std::make_shared<ServedConnection>(std::move(_socket), handler_,
+		                                                           [weak](ServedConnection* _closed)
+		                                                           {
+			                                                           if (const auto self = weak.lock())
+			                                                           {
+				                                                           self->connections_.erase(_closed);
+			                                                           }
+		                                                           });
+		connections_.emplace(connection.get(), connection);
+		connection->begin();
+	}
+
+	asio::io_context& loop_;
+	Tcp::acceptor acceptor_;
+	ServerHandlerI& handler_;
+	std::unordered_map<ServedConnection*, std::shared_ptr<ServedConnection>> connections_;
+};
+
+Server::Server(asio::io_context& _loop, const std::string& _address, ServerHandlerI& _handler)
+    : impl_(std::make_shared<Impl>(_loop, _address, _handler))
+{
+	impl_->accept();
+}
+
+Server::~Server()
+{
+	impl_->stop();
+}
+
+void Server::closeIdle()
+{
+	impl_->closeIdle();
+}
+
+uint16_t Server::port() const
+{
+	return impl_->port();
+}
+
+std::size_t Server::connections() const
+{
+	return impl_->connections();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/aio/src/socketpump.cpp
@@ -0,0 +1,112 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "socketpump_p.h"
+
+#include <base/config.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include <array>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace sedgecart
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Read space of a thread; what is left over of a message is copied to its connection.
+std::array<char, SEDGECART_CONFIG_SCRATCH_BYTES>& scratch()
+{
+	thread_local std::array<char, SEDGECART_CONFIG_SCRATCH_BYTES> bytes;
+	return bytes;
+}
+
+bool isWait(const boost::system::error_code& _error)
+{
+	return asio::error::would_block == _error || asio::error::try_again == _error;
+}
+
+} // namespace
+
+SocketPump::SocketPump(asio::ip::tcp::socket _socket) : socket_(std::move(_socket))
+{
+}
+
+void SocketPump::prepare()
+{
+	boost::system::error_code ignored; // a socket without these options still works
+	socket_.non_blocking(true, ignored);
+	socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+	const unsigned bound = SEDGECART_CONFIG_UNACKNOWLEDGED_MS;
+	setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+}
+
+bool SocketPump::readSome(std::string_view& _bytes, SocketEnd::Enum& _end)
+{
+	boost::system::error_code error;
+	auto& space = scratch();
+	const std::size_t size = socket_.read_some(asio::buffer(space), error);
+	_bytes = std::string_view(space.data(), size);
+	if (!error || isWait(error))
+	{
+		return true;
+	}
+	_end = asio::error::eof == error ? SocketEnd::Orderly : SocketEnd::Reset;
+	return false;
+}
+
+bool SocketPump::write(std::string_view _bytes)
+{
+	if (!kept_.empty())
+	{
+		kept_.append(_bytes);
+		return true;
+	}
+	boost::system::error_code error;
+	std::size_t done = 0;
+	while (done < _bytes.size() && !error)
+	{
+		done += socket_.write_some(asio::buffer(_bytes.data() + done, _bytes.size() - done), error);
+	}
+	if (error && !isWait(error))
+	{
+		return false;
+	}
+	kept_.assign(_bytes.substr(done));
+	return true;
+}
+
+bool SocketPump::writeKept()
+{
+	std::string rest;
+	rest.swap(kept_);
+	return write(rest);
+}
+
+void SocketPump::shutdownSend()
+{
+	boost::system::error_code ignored; // the peer may have closed first
+	socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void SocketPump::close()
+{
+	boost::system::error_code ignored; // nothing is left to do with the socket
+	socket_.close(ignored);
+}
+
+void SocketPump::reset()
+{
+	boost::system::error_code ignored; // nothing is left to do with the socket
+	socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+	socket_.close(ignored);
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/aio/src/socketpump_p.h
@@ -0,0 +1,87 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_AIO_SOCKETPUMP_P_H_HEADER_GUARD
+#define SEDGECART_AIO_SOCKETPUMP_P_H_HEADER_GUARD
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace sedgecart
+{
+
+/// How a connection ended.
+struct SocketEnd
+{
+	enum Enum
+	{
+		Orderly, //!< The peer closed its side.
+		Reset,   //!< It broke.
+
+		Count
+	};
+};
+
+/// Moves bytes of one non-blocking socket. A connection that waits holds no read buffer: it waits until the socket is
+/// readable and reads into the scratch space of its thread. A write goes out at once as far as the socket takes it.
+class SocketPump
+{
+public:
+	explicit SocketPump(boost::asio::ip::tcp::socket _socket);
+
+	/// Makes the socket ready for use: non-blocking, no delay, bounded time for unacknowledged bytes.
+	void prepare();
+
+	/// Waits until there is something to read, then calls. `_onReadable` must call `readSome` and wait again.
+	template <typename Handler> void waitReadable(Handler _onReadable)
+	{
+		socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, std::move(_onReadable));
+	}
+
+	/// Reads what is there, up to the scratch space.
+	/// @param _bytes set to what was read, valid until the next call on this thread.
+	/// @returns false if the connection ended, `_end` says how.
+	bool readSome(std::string_view& _bytes, SocketEnd::Enum& _end);
+
+	/// Writes what the socket takes and keeps the rest.
+	/// @returns false if the connection broke.
+	bool write(std::string_view _bytes);
+
+	/// Waits until the socket takes more.
+	template <typename Handler> void waitWritable(Handler _onWritable)
+	{
+		socket_.async_wait(boost::asio::ip::tcp::socket::wait_write, std::move(_onWritable));
+	}
+
+	/// Writes from what was kept. @returns false if the connection broke.
+	bool writeKept();
+
+	/// @returns bytes that the socket did not take yet.
+	std::size_t kept() const
+	{
+		return kept_.size();
+	}
+
+	/// Says that nothing more will be sent.
+	void shutdownSend();
+
+	void close();
+
+	/// Closes with a reset, so that the peer cannot take what it got for a whole answer.
+	void reset();
+
+	boost::asio::ip::tcp::socket& socket()
+	{
+		return socket_;
+	}
+
+private:
+	boost::asio::ip::tcp::socket socket_;
+	std::string kept_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_AIO_SOCKETPUMP_P_H_HEADER_GUARD
--- a/packages/base/include/base/config.h
+++ b/packages/base/include/base/config.h
@@ -192,4 +192,30 @@
 #define SEDGECART_CONFIG_CONNECT_MS 500
 #endif
 
+/// Read space of a thread of the event-driven request path, bytes. Holds some hundred events of a stream.
+#ifndef SEDGECART_CONFIG_SCRATCH_BYTES
+#define SEDGECART_CONFIG_SCRATCH_BYTES (64 * 1024)
+#endif
+
+/// Longest time that sent bytes may stay unacknowledged before a connection is taken as broken, milliseconds. Several
+/// retransmissions on a lossy link fit in.
+#ifndef SEDGECART_CONFIG_UNACKNOWLEDGED_MS
+#define SEDGECART_CONFIG_UNACKNOWLEDGED_MS 4000
+#endif
+
+/// Largest header of a target's answer, bytes.
+#ifndef SEDGECART_CONFIG_ANSWER_HEADER_BYTES
+#define SEDGECART_CONFIG_ANSWER_HEADER_BYTES (32 * 1024)
+#endif
+
+/// Bytes of a next request that are kept while one is answered.
+#ifndef SEDGECART_CONFIG_PIPELINED_BYTES
+#define SEDGECART_CONFIG_PIPELINED_BYTES (64 * 1024)
+#endif
+
+/// How long a caller gets to close its side after the last answer on a connection, milliseconds.
+#ifndef SEDGECART_CONFIG_LINGER_MS
+#define SEDGECART_CONFIG_LINGER_MS 1000
+#endif
+
 #endif // SEDGECART_BASE_CONFIG_H_HEADER_GUARD
--- /dev/null
+++ b/packages/base/include/base/runner.h
@@ -0,0 +1,66 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_BASE_RUNNER_H_HEADER_GUARD
+#define SEDGECART_BASE_RUNNER_H_HEADER_GUARD
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// Layers from `begin` up to, not including, `end`.
+struct LayerSpan
+{
+	uint32_t begin = 0;
+	uint32_t end = 0;
+
+	constexpr uint32_t size() const
+	{
+		return begin < end ? end - begin : 0;
+	}
+};
+
+constexpr bool operator==(LayerSpan _a, LayerSpan _b)
+{
+	return _a.begin == _b.begin && _a.end == _b.end;
+}
+
+constexpr bool operator!=(LayerSpan _a, LayerSpan _b)
+{
+	return !(_a == _b);
+}
+
+/// Identity of one start of a target. A restart has another one.
+struct InstanceId
+{
+	std::string text;
+};
+
+inline bool operator==(const InstanceId& _a, const InstanceId& _b)
+{
+	return _a.text == _b.text;
+}
+
+inline bool operator<(const InstanceId& _a, const InstanceId& _b)
+{
+	return _a.text < _b.text;
+}
+
+/// What a target says of itself in the registry.
+struct RunnerRecord
+{
+	InstanceId instance;
+	std::string service;
+	std::string address; //!< "ip:port".
+	std::string hall;
+	std::string card; //!< Kind of accelerator, empty for a plain service.
+	uint32_t slots = 0;
+	bool draining = false;
+	LayerSpan layers; //!< What it holds; empty until it has been given some.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_BASE_RUNNER_H_HEADER_GUARD
--- /dev/null
+++ b/packages/core/include/core/relaymachine.h
@@ -0,0 +1,180 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_CORE_RELAYMACHINE_H_HEADER_GUARD
+#define SEDGECART_CORE_RELAYMACHINE_H_HEADER_GUARD
+
+#include <base/desiredstate.h>
+#include <base/errorkind.h>
+#include <base/units.h>
+#include <core/eventsplitter.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sedgecart
+{
+
+/// What the decisions about one request need to know of it.
+struct RelayFacts
+{
+	RequestKind::Enum kind = RequestKind::AtMostOnce;
+	bool resumable = false;
+	uint32_t maxRuns = 1;                //!< Targets that it may run on.
+	std::optional<uint64_t> resumeAfter; //!< The caller continues a stream behind this event.
+};
+
+/// What came of trying to send.
+struct SendOutcome
+{
+	enum Enum
+	{
+		Begun,     //!< A target was chosen; its answer or failure follows.
+		NoTargets, //!< No live target, or no whole path.
+		NoRoom,    //!< There are targets, all are full.
+
+		Count
+	};
+};
+
+/// What a target's answer says before its body.
+struct RelayHead
+{
+	uint16_t status = 0;
+	bool notRun = false; //!< The target says that it did not run the request, and will not.
+};
+
+/// How a send failed.
+struct SendBreak
+{
+	enum Enum
+	{
+		NotSent, //!< Not a byte reached the target.
+		Broken,  //!< It may have run, wholly or in part.
+		Silent,  //!< Nothing came for too long; it may have run.
+
+		Count
+	};
+};
+
+/// What a RelayMachine has done for it. None of these calls back into the machine.
+class RelayActionsI
+{
+public:
+	virtual ~RelayActionsI() = default;
+
+	/// Chooses a target or path that this request has not failed on, and sends.
+	/// @param _resumeAfter the stream continues behind this event.
+	virtual SendOutcome::Enum send(std::optional<uint64_t> _resumeAfter) = 0;
+
+	/// Gives the send under way up, so that its target stops working on it.
+	virtual void cancelSend() = 0;
+
+	/// @returns true if the retry budget allows one more send; it is then paid for.
+	virtual bool payRepeat() = 0;
+
+	/// Passes on the head of the answer under way; pieces of the body follow.
+	virtual void passHead() = 0;
+
+	virtual void passBody(std::string_view _bytes) = 0;
+
+	/// The answer passed on in pieces is complete.
+	virtual void passEnd() = 0;
+
+	/// Passes on the answer that came last, with its whole body.
+	virtual void passWhole() = 0;
+
+	/// Answers with a failure of the router's own.
+	virtual void refuse(ErrorKind::Enum _kind) = 0;
+
+	/// Breaks off an answer that was begun.
+	virtual void breakOff() = 0;
+};
+
+/// Decides what becomes of one request, from its first send to its final answer. Pure: events go in, actions come out,
+/// so that any order of events can be tried. Holds these promises:
+/// - what is answered as not run was never begun by a target;
+/// - what may not be repeated is sent again only after a target said that it did not run it;
+/// - an answer that was begun ends as complete only with its last byte, and goes on only where it stopped.
+class RelayMachine
+{
+public:
+	RelayMachine(const RelayFacts& _facts, RelayActionsI& _actions);
+
+	/// Sends for the first time.
+	void begin();
+
+	/// Bytes of the request may have reached the target.
+	void onSent();
+
+	void onHead(const RelayHead& _head);
+
+	/// Body bytes of a stream; of other answers they are kept by who receives them.
+	void onBody(std::string_view _bytes);
+
+	/// The target's answer is complete.
+	void onWhole();
+
+	void onBroken(SendBreak::Enum _how);
+
+	/// The caller went away.
+	void onCallerGone();
+
+	/// The time for it is over.
+	void onTimeUp();
+
+	/// @returns true once the final answer was given, or the caller has gone.
+	bool done() const
+	{
+		return done_;
+	}
+
+	/// @returns true while the answer under way is passed on in pieces.
+	bool passing() const
+	{
+		return streaming_;
+	}
+
+	/// @returns whole events that were passed on.
+	uint64_t events() const
+	{
+		return splitter_.events();
+	}
+
+	/// @returns how often it was sent.
+	uint32_t sends() const
+	{
+		return sends_;
+	}
+
+	/// @returns true if some target may have begun it.
+	bool mayHaveRun() const
+	{
+		return 0 < runs_ || underWay_;
+	}
+
+private:
+	bool repeatable() const;
+	void send(bool _repeat);
+	void afterNotRun();
+	void afterRun(ErrorKind::Enum _otherwise);
+	void fail(ErrorKind::Enum _kind);
+	void finish();
+
+	RelayFacts facts_;
+	RelayActionsI& actions_;
+	EventSplitter splitter_;
+	std::string whole_; //!< Bytes that end with a whole event.
+	RelayHead head_;
+	uint32_t sends_ = 0;
+	uint32_t runs_ = 0;     //!< Ended sends that may have run.
+	bool underWay_ = false; //!< A send is under way and bytes may have reached its target.
+	bool streaming_ = false;
+	bool headPassed_ = false;
+	bool done_ = false;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_CORE_RELAYMACHINE_H_HEADER_GUARD
--- /dev/null
+++ b/packages/core/include/core/routetable.h
@@ -0,0 +1,52 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_CORE_ROUTETABLE_H_HEADER_GUARD
+#define SEDGECART_CORE_ROUTETABLE_H_HEADER_GUARD
+
+#include <base/desiredstate.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// Finds the route and the customer of a request in one desired state. Immutable.
+class RouteTable
+{
+public:
+	explicit RouteTable(std::shared_ptr<const DesiredState> _state);
+
+	/// @param _path the request's path; what follows a question mark is not looked at.
+	/// @returns of the host's routes the one whose prefix begins the path and is longest; null if there is none.
+	const HostRoute* findRoute(std::string_view _host, std::string_view _path) const;
+
+	/// @returns the customer that holds the key, null if none does.
+	const KeyHolder* findHolder(std::string_view _key) const;
+
+	/// @returns the service of that name, null if there is none.
+	const ServiceSpec* findService(const std::string& _name) const;
+
+	const DesiredState& state() const
+	{
+		return *state_;
+	}
+
+private:
+	std::shared_ptr<const DesiredState> state_;
+	std::unordered_map<std::string, std::vector<const HostRoute*>> byHost_; //!< Longest prefix first.
+	std::unordered_map<std::string, const KeyHolder*> byKey_;
+	std::unordered_map<std::string, const ServiceSpec*> services_;
+};
+
+/// Picks one of a route's services by weight.
+/// @param _draw uniformly random bits.
+/// @returns null if no service has a weight above 0.
+const WeightedService* pickService(const HostRoute& _route, uint64_t _draw);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_CORE_ROUTETABLE_H_HEADER_GUARD
--- /dev/null
+++ b/packages/core/src/relaymachine.cpp
@@ -0,0 +1,212 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/relaymachine.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr uint16_t kOk = 200;
+constexpr uint16_t kFirstServerError = 500;
+
+/// Sends beside those that ran: a target that refused, or could not be reached, costs a caller little time.
+constexpr uint32_t kSendsNotRun = 3;
+
+} // namespace
+
+RelayMachine::RelayMachine(const RelayFacts& _facts, RelayActionsI& _actions)
+    : facts_(_facts),
+      actions_(_actions),
+      splitter_(_facts.resumeAfter)
+{
+}
+
+bool RelayMachine::repeatable() const
+{
+	return RequestKind::Idempotent == facts_.kind || (RequestKind::Stream == facts_.kind && facts_.resumable);
+}
+
+void RelayMachine::begin()
+{
+	send(false);
+}
+
+void RelayMachine::send(bool _repeat)
+{
+	underWay_ = false;
+	streaming_ = false;
+	head_ = RelayHead{};
+	const SendOutcome::Enum outcome = actions_.send(headPassed_ ? splitter_.lastId() : facts_.resumeAfter);
+	if (SendOutcome::Begun == outcome)
+	{
+		++sends_;
+		return;
+	}
+	if (_repeat && 0 < runs_)
+	{
+		fail(ErrorKind::TargetLost);
+		return;
+	}
+	fail(SendOutcome::NoRoom == outcome ? ErrorKind::Overloaded : ErrorKind::NoTargets);
+}
+
+void RelayMachine::onSent()
+{
+	underWay_ = true;
+}
+
+void RelayMachine::onHead(const RelayHead& _head)
+{
+	if (done_)
+	{
+		return;
+	}
+	head_ = _head;
+	streaming_ = RequestKind::Stream == facts_.kind && kOk == _head.status && !_head.notRun;
+	if (streaming_ && !headPassed_)
+	{
+		headPassed_ = true;
+		actions_.passHead();
+	}
+}
+
+void RelayMachine::onBody(std::string_view _bytes)
+{
+	if (done_ || !streaming_)
+	{
+		return;
+	}
+	if (!splitter_.feed(_bytes, whole_))
+	{
+		actions_.cancelSend();
+		onBroken(SendBreak::Broken);
+		return;
+	}
+	if (!whole_.empty())
+	{
+		actions_.passBody(whole_);
+	}
+}
+
+void RelayMachine::onWhole()
+{
+	if (done_)
+	{
+		return;
+	}
+	if (head_.notRun)
+	{
+		afterNotRun();
+		return;
+	}
+	if (streaming_)
+	{
+		if (!splitter_.atBoundary())
+		{
+			onBroken(SendBreak::Broken);
+			return;
+		}
+		actions_.passEnd();
+		finish();
+		return;
+	}
+	if (headPassed_)
+	{
+		// A continuation that was answered with a failure.
+		afterRun(ErrorKind::StreamBroken);
+		return;
+	}
+	const bool again = kFirstServerError <= head_.status && repeatable() && runs_ + 1 < facts_.maxRuns;
+	if (again && actions_.payRepeat())
+	{
+		++runs_;
+		send(true);
+		return;
+	}
+	actions_.passWhole();
+	finish();
+}
+
+void RelayMachine::onBroken(SendBreak::Enum _how)
+{
+	if (done_)
+	{
+		return;
+	}
+	if (SendBreak::NotSent == _how || head_.notRun)
+	{
+		afterNotRun();
+		return;
+	}
+	afterRun(ErrorKind::TargetLost);
+}
+
+void RelayMachine::afterNotRun()
+{
+	underWay_ = false;
+	const bool again = sends_ < facts_.maxRuns + kSendsNotRun;
+	if (again && actions_.payRepeat())
+	{
+		send(true);
+		return;
+	}
+	fail(0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused);
+}
+
+void RelayMachine::afterRun(ErrorKind::Enum _otherwise)
+{
+	++runs_;
+	underWay_ = false;
+	const bool again = repeatable() && runs_ < facts_.maxRuns;
+	if (again && actions_.payRepeat())
+	{
+		splitter_.continueElsewhere();
+		send(true);
+		return;
+	}
+	fail(_otherwise);
+}
+
+void RelayMachine::onCallerGone()
+{
+	if (done_)
+	{
+		return;
+	}
+	actions_.cancelSend();
+	finish();
+}
+
+void RelayMachine::onTimeUp()
+{
+	if (done_)
+	{
+		return;
+	}
+	const bool ran = mayHaveRun();
+	actions_.cancelSend();
+	fail(ran ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineTooShort);
+}
+
+void RelayMachine::fail(ErrorKind::Enum _kind)
+{
+	if (headPassed_)
+	{
+		actions_.breakOff();
+	}
+	else
+	{
+		actions_.refuse(_kind);
+	}
+	finish();
+}
+
+void RelayMachine::finish()
+{
+	done_ = true;
+	underWay_ = false;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/core/src/routetable.cpp
@@ -0,0 +1,117 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/routetable.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr double kDrawRange = 18446744073709551616.0; // 2^64
+
+char lower(char _letter)
+{
+	return 'A' <= _letter && _letter <= 'Z' ? static_cast<char>(_letter - 'A' + 'a') : _letter;
+}
+
+/// @returns the host in lower case, without a port.
+std::string hostKey(std::string_view _host)
+{
+	std::string key(_host.substr(0, _host.find(':')));
+	std::transform(key.begin(), key.end(), key.begin(), lower);
+	return key;
+}
+
+bool beginsWith(std::string_view _text, std::string_view _prefix)
+{
+	return _prefix == _text.substr(0, _prefix.size());
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const DesiredState> _state) : state_(std::move(_state))
+{
+	for (const HostRoute& route : state_->routes)
+	{
+		byHost_[hostKey(route.host)].push_back(&route);
+	}
+	for (auto& row : byHost_)
+	{
+		std::stable_sort(row.second.begin(), row.second.end(),
+		                 [](const HostRoute* _a, const HostRoute* _b)
+		                 {
+			                 return _b->pathPrefix.size() < _a->pathPrefix.size();
+		                 });
+	}
+	for (const KeyHolder& holder : state_->customers)
+	{
+		for (const std::string& key : holder.keys)
+		{
+			byKey_.emplace(key, &holder);
+		}
+	}
+	for (const ServiceSpec& service : state_->services)
+	{
+		services_.emplace(service.name, &service);
+	}
+}
+
+const HostRoute* RouteTable::findRoute(std::string_view _host, std::string_view _path) const
+{
+	const auto row = byHost_.find(hostKey(_host));
+	if (byHost_.end() == row)
+	{
+		return nullptr;
+	}
+	const std::string_view path = _path.substr(0, _path.find('?'));
+	for (const HostRoute* const route : row->second)
+	{
+		if (beginsWith(path, route->pathPrefix))
+		{
+			return route;
+		}
+	}
+	return nullptr;
+}
+
+const KeyHolder* RouteTable::findHolder(std::string_view _key) const
+{
+	const auto row = byKey_.find(std::string(_key));
+	return byKey_.end() == row ? nullptr : row->second;
+}
+
+const ServiceSpec* RouteTable::findService(const std::string& _name) const
+{
+	const auto row = services_.find(_name);
+	return services_.end() == row ? nullptr : row->second;
+}
+
+const WeightedService* pickService(const HostRoute& _route, uint64_t _draw)
+{
+	double total = 0;
+	for (const WeightedService& service : _route.services)
+	{
+		total += std::max(0.0, service.weight);
+	}
+	double at = static_cast<double>(_draw) / kDrawRange * total;
+	const WeightedService* last = nullptr;
+	for (const WeightedService& service : _route.services)
+	{
+		if (service.weight <= 0)
+		{
+			continue;
+		}
+		last = &service;
+		at -= service.weight;
+		if (at < 0)
+		{
+			break;
+		}
+	}
+	return last;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/include/entry/entrysettings.h
@@ -0,0 +1,39 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
+#define SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
+
+#include <base/units.h>
+#include <core/retryshare.h>
+
+#include <cstdint>
+#include <string>
+
+namespace sedgecart
+{
+
+/// Settings of a node on the users' platform, checked. docs/REFERENCE.md lists them.
+struct EntrySettings
+{
+	std::string name;
+	std::string hall;
+	std::string callerAddress; //!< "ip:port" for callers.
+	std::string readyAddress;  //!< "ip:port" for the platform's question whether this node takes connections.
+	std::string ip;            //!< Of this VM.
+	uint16_t firstPeerPort = 0;
+	uint16_t lastPeerPort = 0;
+	std::string storeAddress; //!< "ip:port" of the platform's store.
+	RetryAllowance retries;
+	Duration keyBound = Duration::fromMillis(5000);  //!< A key taken away must not work longer than this.
+	bool keyBoundStrict = false;                     //!< It holds also for nodes that cannot reach the store.
+	Duration stopBound = Duration::fromMillis(8000); //!< From the stop signal to the kill.
+};
+
+/// Reads a settings file of NAME=VALUE lines. Names that are not known are ignored.
+/// @param _message set to one sentence that names field, value and what is allowed.
+/// @returns false if a setting is missing or wrong.
+bool readEntrySettings(const std::string& _path, EntrySettings& _settings, std::string& _message);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/entrycontrol.cpp
@@ -0,0 +1,208 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entrycontrol_p.h"
+
+#include <logging/logging.h>
+
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// How the operator's topic is followed: a change comes at once, and an answer without news proves every second or so
+/// that there was none.
+constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1200), Duration{}};
+
+/// How the targets' topic is followed. Each target writes there every second or so, so that waiting for news would
+/// read without a pause; a target that leaves must be known within two seconds.
+constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(900)};
+
+/// How the nodes' topic is followed: its only use is to share out bounds, which change as slowly as nodes come.
+constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500)};
+
+/// Between two tries to write this node's record.
+constexpr Duration kAnnounceRetry = Duration::fromMillis(1500);
+
+/// Tells of a lost and of a regained store, once each.
+class OutageLog
+{
+public:
+	explicit OutageLog(const char* _what) : what_(_what)
+	{
+	}
+
+	void onOut(StoreState::Enum _state)
+	{
+		if (!out_)
+		{
+			out_ = true;
+			logEvent(LogPart::Store, LogLevel::Warning, "Store does not answer.",
+			         {{"reading", what_}, {"outcome", nameOf(_state)}});
+		}
+	}
+
+	void onCurrent()
+	{
+		if (out_)
+		{
+			out_ = false;
+			logEvent(LogPart::Store, LogLevel::Info, "Store answers again.", {{"reading", what_}});
+		}
+	}
+
+private:
+	const char* what_;
+	bool out_ = false;
+};
+
+} // namespace
+
+class EntryControl::OperatorNews : public FollowHandlerI
+{
+public:
+	explicit OperatorNews(EntryControl& _control) : control_(_control), outages_("desired state")
+	{
+	}
+
+	void onRecord(const KeyedRecord& _record) override
+	{
+		control_.fleet_.onOperatorRecord(_record);
+	}
+
+	void onCurrent(Time _sentAt) override
+	{
+		outages_.onCurrent();
+		control_.fleet_.onOperatorCurrent(_sentAt);
+		control_.checkReady();
+	}
+
+	void onOut(StoreState::Enum _state) override
+	{
+		outages_.onOut(_state);
+	}
+
+private:
+	EntryControl& control_;
+	OutageLog outages_;
+};
+
+class EntryControl::RunnerNews : public FollowHandlerI
+{
+public:
+	explicit RunnerNews(EntryControl& _control) : control_(_control), outages_("targets")
+	{
+	}
+
+	void onRecord(const KeyedRecord& _record) override
+	{
+		control_.fleet_.onRunnerRecord(_record);
+	}
+
+	void onCurrent(Time) override
+	{
+		outages_.onCurrent();
+		control_.fleet_.onRunnersCurrent();
+		control_.checkReady();
+	}
+
+	void onOut(StoreState::Enum _state) override
+	{
+		outages_.onOut(_state);
+	}
+
+private:
+	EntryControl& control_;
+	OutageLog outages_;
+};
+
+class EntryControl::NodeNews : public FollowHandlerI
+{
+public:
+	explicit NodeNews(EntryControl& _control) : control_(_control), outages_("nodes")
+	{
+	}
+
+	void onRecord(const KeyedRecord& _record) override
+	{
+		control_.fleet_.onNodeRecord(_record);
+	}
+
+	void onCurrent(Time) override
+	{
+		outages_.onCurrent();
+	}
+
+	void onOut(StoreState::Enum _state) override
+	{
+		outages_.onOut(_state);
+	}
+
+private:
+	EntryControl& control_;
+	OutageLog outages_;
+};
+
+EntryControl::EntryControl(boost::asio::io_context& _loop, const EntrySettings& _settings, KeyedLogI& _log,
+                           RunnerOrdersI& _orders, const DocumentsI& _documents, const ClockI& _clock, FleetCell& _cell,
+                           std::function<void()> _onReady)
+    : settings_(_settings),
+      log_(_log),
+      fleet_(_documents, _cell, _clock, _settings.hall),
+      operatorNews_(std::make_unique<OperatorNews>(*this)),
+      runnerNews_(std::make_unique<RunnerNews>(*this)),
+      nodeNews_(std::make_unique<NodeNews>(*this)),
+      operatorFollower_(_loop, _log, _clock, kFollowOperator, *operatorNews_),
+      runnerFollower_(_loop, _log, _clock, kFollowRunners, *runnerNews_),
+      nodeFollower_(_loop, _log, _clock, kFollowNodes, *nodeNews_),
+      layout_(_loop, _log, _orders, _clock, fleet_, _settings.name),
+      announceTimer_(_loop),
+      onReady_(std::move(_onReady))
+{
+}
+
+EntryControl::~EntryControl() = default;
+
+void EntryControl::start()
+{
+	operatorFollower_.start();
+	runnerFollower_.start();
+	nodeFollower_.start();
+	layout_.start();
+	announce();
+}
+
+void EntryControl::announce()
+{
+	log_.append(KeyedTopic::Nodes, settings_.name, settings_.ip, std::nullopt,
+	            [this](const KeyedAppend& _outcome)
+	            {
+		            if (StoreState::Done == _outcome.state)
+		            {
+			            return;
+		            }
+		            announceTimer_.expires_after(std::chrono::microseconds(kAnnounceRetry.micros));
+		            announceTimer_.async_wait(
+		                [this](const boost::system::error_code& _error)
+		                {
+			                if (!_error)
+			                {
+				                announce();
+			                }
+		                });
+	            });
+}
+
+void EntryControl::checkReady()
+{
+	if (fleet_.ready() && onReady_)
+	{
+		const std::function<void()> call = std::move(onReady_);
+		onReady_ = nullptr;
+		call();
+	}
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/entrycontrol_p.h
@@ -0,0 +1,57 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_ENTRYCONTROL_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_ENTRYCONTROL_P_H_HEADER_GUARD
+
+#include "fleetcontroller_p.h"
+#include "follower_p.h"
+#include "layoutkeeper_p.h"
+
+#include <entry/entrysettings.h>
+
+#include <functional>
+#include <memory>
+
+namespace sedgecart
+{
+
+/// What runs on the control thread: follows the store, keeps the fleet's view, keeps the layout.
+class EntryControl
+{
+public:
+	/// @param _onReady called once a desired state and the targets are known.
+	EntryControl(boost::asio::io_context& _loop, const EntrySettings& _settings, KeyedLogI& _log,
+	             RunnerOrdersI& _orders, const DocumentsI& _documents, const ClockI& _clock, FleetCell& _cell,
+	             std::function<void()> _onReady);
+	~EntryControl();
+
+	EntryControl(const EntryControl&) = delete;
+	EntryControl& operator=(const EntryControl&) = delete;
+
+	void start();
+
+private:
+	class OperatorNews;
+	class RunnerNews;
+	class NodeNews;
+
+	void announce();
+	void checkReady();
+
+	EntrySettings settings_;
+	KeyedLogI& log_;
+	FleetController fleet_;
+	std::unique_ptr<OperatorNews> operatorNews_;
+	std::unique_ptr<RunnerNews> runnerNews_;
+	std::unique_ptr<NodeNews> nodeNews_;
+	Follower operatorFollower_;
+	Follower runnerFollower_;
+	Follower nodeFollower_;
+	LayoutKeeper layout_;
+	boost::asio::steady_timer announceTimer_;
+	std::function<void()> onReady_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_ENTRYCONTROL_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/entryfront.cpp
@@ -0,0 +1,233 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entryfront_p.h"
+
+#include "requestcounts_p.h"
+
+#include <base/clock.h>
+#include <base/random.h>
+#include <logging/logging.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A key is not taken on proof that is within this time of its bound: the request still has to reach its target.
+constexpr Duration kKeyMargin = Duration::fromMillis(500);
+
+/// Time of a request that names none and whose route names none.
+constexpr Duration kDefaultBudget = Duration::fromMillis(60000);
+
+/// When a caller is to come back that met a node without news of the desired state.
+constexpr Duration kComeBack = Duration::fromMillis(300);
+
+constexpr uint16_t kBadRequest = 400;
+constexpr uint16_t kBodyTooLarge = 413;
+constexpr uint16_t kHeaderTooLarge = 431;
+
+} // namespace
+
+EntryFront::EntryFront(const RelayContext& _context, const EntrySettings& _settings)
+    : context_(_context),
+      settings_(_settings)
+{
+}
+
+EntryFront::~EntryFront() = default;
+
+CallerLimits EntryFront::callerLimits() const
+{
+	const RcuCell<FleetView>::Reader view(context_.cell.view);
+	return view->routes ? view->routes->state().limits : CallerLimits{};
+}
+
+ReaderLimits EntryFront::limits() const
+{
+	const CallerLimits limits = callerLimits();
+	ReaderLimits reader;
+	reader.headerBytes = limits.headerBytes;
+	reader.bodyBytes = limits.bodyBytes;
+	return reader;
+}
+
+Duration EntryFront::readBound() const
+{
+	return callerLimits().headerTime;
+}
+
+Duration EntryFront::idleBound() const
+{
+	return callerLimits().idleTime;
+}
+
+bool EntryFront::closing() const
+{
+	return closing_.load(std::memory_order_relaxed);
+}
+
+void EntryFront::stop()
+{
+	closing_.store(true, std::memory_order_relaxed);
+}
+
+uint32_t EntryFront::active() const
+{
+	return active_.load(std::memory_order_relaxed);
+}
+
+uint16_t EntryFront::onBadRequest(ReadState::Enum _why)
+{
+	logEvent(LogPart::Requests, LogLevel::Warning, "Bytes of a caller are no acceptable request.",
+	         {{"cause", ReadState::HeaderTooLarge == _why ? "header too large"
+	                    : ReadState::BodyTooLarge == _why ? "body too large"
+	                                                      : "malformed"}});
+	if (ReadState::HeaderTooLarge == _why)
+	{
+		return kHeaderTooLarge;
+	}
+	return ReadState::BodyTooLarge == _why ? kBodyTooLarge : kBadRequest;
+}
+
+bool EntryFront::keysAreFresh() const
+{
+	if (!settings_.keyBoundStrict)
+	{
+		return true;
+	}
+	const Time proven{context_.cell.provenAt.load(std::memory_order_relaxed)};
+	const Time bound = context_.clock.now() + kKeyMargin;
+	return bound < proven + settings_.keyBound;
+}
+
+bool EntryFront::findEntry(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
+                           Entry& _entry, ErrorKind::Enum& _fault) const
+{
+	_entry.route = _routes.findRoute(_caller.host, _request.head.target);
+	if (nullptr == _entry.route)
+	{
+		_fault = ErrorKind::UnknownRoute;
+		return false;
+	}
+	if (_entry.route->withoutKey || !_routes.state().keysNeeded)
+	{
+		return true;
+	}
+	_entry.holder = _routes.findHolder(_caller.key);
+	if (nullptr == _entry.holder)
+	{
+		_fault = ErrorKind::BadKey;
+		return false;
+	}
+	_fault = ErrorKind::CatchingUp;
+	return keysAreFresh();
+}
+
+RelayPlan EntryFront::makePlan(const RouteTable&, const Entry& _entry, ServerRequest&& _request,
+                               CallerRequest&& _caller) const
+{
+	const HostRoute& route = *_entry.route;
+	RelayPlan plan;
+	const WeightedService* const service = pickService(route, context_.random.next());
+	plan.service = nullptr == service ? std::string() : service->service;
+	plan.customer = nullptr == _entry.holder ? std::string() : _entry.holder->name;
+	plan.urgency = route.urgency;
+	if (nullptr != _entry.holder && _entry.holder->hasUrgency)
+	{
+		plan.urgency = _entry.holder->urgency;
+	}
+	plan.facts.kind = route.kind;
+	plan.facts.resumable = route.resumable;
+	plan.facts.maxRuns = route.maxRuns;
+	plan.facts.resumeAfter = _caller.resumeAfter;
+	plan.arrivedAt = context_.clock.now();
+	Duration budget = _caller.budget.value_or(kDefaultBudget);
+	if (0 < route.timeout.micros && route.timeout < budget)
+	{
+		budget = route.timeout;
+	}
+	plan.giveUpAt = plan.arrivedAt + budget;
+	plan.request = std::move(_request);
+	plan.caller = std::move(_caller);
+	return plan;
+}
+
+void EntryFront::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
+{
+	context_.counts.arrived.fetch_add(1, std::memory_order_relaxed);
+	CallerRequest caller;
+	if (!context_.wire.readRequest(_request, caller))
+	{
+		answer(*_connection, ErrorKind::BadRequest, caller.id);
+		return;
+	}
+	std::shared_ptr<const RouteTable> routes;
+	{
+		const RcuCell<FleetView>::Reader view(context_.cell.view);
+		routes = view->routes;
+	}
+	Entry entry;
+	ErrorKind::Enum fault = ErrorKind::CatchingUp;
+	if (!routes || !findEntry(*routes, _request, caller, entry, fault))
+	{
+		answer(*_connection, fault, caller.id);
+		return;
+	}
+	const ServerConnection* const key = _connection.get();
+	const auto relay = std::make_shared<RequestRelay>(
+	    context_, makePlan(*routes, entry, std::move(_request), std::move(caller)), _connection,
+	    [this, key]
+	    {
+		    remove(key);
+	    });
+	relays_[key] = relay;
+	active_.fetch_add(1, std::memory_order_relaxed);
+	relay->begin();
+}
+
+void EntryFront::answer(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id)
+{
+	const ErrorAnswer& row = answerOf(_kind);
+	context_.counts.refused[_kind].fetch_add(1, std::memory_order_relaxed);
+	const int64_t proven = context_.cell.provenAt.load(std::memory_order_relaxed);
+	const bool known = INT64_MIN != proven;
+	logEvent(LogPart::Requests, LogLevel::Info, "Request is not let in.",
+	         {{"cause", row.name},
+	          {"config_age_ms", known ? std::to_string((context_.clock.now() - Time{proven}).millis()) : "none"}},
+	         _id);
+	AnswerStart start;
+	start.status = row.status;
+	start.headers = context_.wire.ownHeaders(_id, row.retry ? kComeBack : Duration{});
+	_connection.start(start, std::string_view());
+	_connection.finish();
+}
+
+void EntryFront::onCallerGone(const ServerConnection& _connection)
+{
+	const auto row = relays_.find(&_connection);
+	if (relays_.end() != row)
+	{
+		const std::shared_ptr<RequestRelay> relay = row->second;
+		relay->onCallerGone();
+	}
+}
+
+void EntryFront::remove(const ServerConnection* _connection)
+{
+	const auto row = relays_.find(_connection);
+	if (relays_.end() == row)
+	{
+		return;
+	}
+	// The relay may be on the stack: it is freed by the loop.
+	boost::asio::post(context_.loop, [relay = row->second] {});
+	relays_.erase(row);
+	active_.fetch_sub(1, std::memory_order_relaxed);
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/entryfront_p.h
@@ -0,0 +1,68 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
+
+#include "fleetview_p.h"
+#include "requestrelay_p.h"
+
+#include <aio/serverconnection.h>
+#include <base/errorkind.h>
+#include <entry/entrysettings.h>
+
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+namespace sedgecart
+{
+
+/// Takes callers' requests: finds route and customer, and lets them in or answers at once. Loop thread only, but for
+/// `stop` and `active`.
+class EntryFront : public ServerHandlerI
+{
+public:
+	EntryFront(const RelayContext& _context, const EntrySettings& _settings);
+	~EntryFront() override;
+
+	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override;
+	void onCallerGone(const ServerConnection& _connection) override;
+	uint16_t onBadRequest(ReadState::Enum _why) override;
+	ReaderLimits limits() const override;
+	Duration readBound() const override;
+	Duration idleBound() const override;
+	bool closing() const override;
+
+	/// From now on connections are closed after the answer under way.
+	void stop();
+
+	/// @returns requests under way.
+	uint32_t active() const;
+
+private:
+	/// What is known of a request once it may be let in.
+	struct Entry
+	{
+		const HostRoute* route = nullptr;
+		const KeyHolder* holder = nullptr; //!< Null if the route needs no key.
+	};
+
+	bool findEntry(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
+	               Entry& _entry, ErrorKind::Enum& _fault) const;
+	bool keysAreFresh() const;
+	RelayPlan makePlan(const RouteTable& _routes, const Entry& _entry, ServerRequest&& _request,
+	                   CallerRequest&& _caller) const;
+	void answer(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id);
+	void remove(const ServerConnection* _connection);
+	CallerLimits callerLimits() const;
+
+	RelayContext context_;
+	EntrySettings settings_;
+	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
+	std::atomic<uint32_t> active_{0};
+	std::atomic<bool> closing_{false};
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/entrynode.cpp
@@ -0,0 +1,182 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <entry/entrynode.h>
+
+#include "entrycontrol_p.h"
+#include "entryfront_p.h"
+#include "readyface_p.h"
+#include "requestcounts_p.h"
+#include "retryledger_p.h"
+#include "targetpool_p.h"
+
+#include <aio/server.h>
+#include <base/seededrandom.h>
+#include <base/steadyclock.h>
+#include <logging/logging.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <random>
+#include <thread>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using Guard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+/// After a stop signal the platform still sends connections until it has asked twice, a second apart, and heard no.
+constexpr Duration kStillComing = Duration::fromMillis(2800);
+
+/// Part of the stop bound that is left for the process to end.
+constexpr Duration kEndMargin = Duration::fromMillis(700);
+
+constexpr Duration kStopLook = Duration::fromMillis(50);
+
+/// A loop is one thread's, so locks within it are needless.
+constexpr int kOneThread = 1;
+
+uint64_t entropy()
+{
+	std::random_device device;
+	return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+void sleepFor(Duration _span)
+{
+	std::this_thread::sleep_for(std::chrono::microseconds(_span.micros));
+}
+
+} // namespace
+
+class EntryNode::Impl
+{
+public:
+	Impl(const EntrySettings& _settings, EntryPortsI& _ports)
+	    : settings_(_settings),
+	      requestGuard_(requestLoop_.get_executor()),
+	      controlGuard_(controlLoop_.get_executor()),
+	      wire_(_ports.makeWireFormat()),
+	      documents_(_ports.makeDocuments()),
+	      log_(_ports.makeLog(controlLoop_, _settings.storeAddress)),
+	      orders_(_ports.makeOrders(controlLoop_)),
+	      random_(entropy()),
+	      pool_(requestLoop_, clock_),
+	      retries_(_settings.retries),
+	      ready_(*wire_),
+	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, counts_}, _settings),
+	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
+	               [this]
+	               {
+		               onReady();
+	               }),
+	      readyServer_(requestLoop_, _settings.readyAddress, ready_),
+	      callerServer_(requestLoop_, _settings.callerAddress, front_)
+	{
+		logEvent(LogPart::Node, LogLevel::Info, "Node starts.",
+		         {{"hall", _settings.hall}, {"callers", _settings.callerAddress}, {"store", _settings.storeAddress}});
+		control_.start();
+		requestThread_ = std::thread(
+		    [this]
+		    {
+			    requestLoop_.run();
+		    });
+		controlThread_ = std::thread(
+		    [this]
+		    {
+			    controlLoop_.run();
+		    });
+	}
+
+	~Impl()
+	{
+		requestLoop_.stop();
+		controlLoop_.stop();
+		requestThread_.join();
+		controlThread_.join();
+	}
+
+	void stop()
+	{
+		ready_.setReady(false);
+		front_.stop();
+		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(front_.active())}});
+		const Time began = clock_.now();
+		const Time last{(began + settings_.stopBound).micros - kEndMargin.micros};
+		while (clock_.now() < began + kStillComing || (0 < front_.active() && clock_.now() < last))
+		{
+			sleepFor(kStopLook);
+		}
+		logEvent(LogPart::Node, LogLevel::Info, "Node ends.", {{"cut_off", std::to_string(front_.active())}});
+	}
+
+	std::string dump() const
+	{
+		const int64_t proven = cell_.provenAt.load(std::memory_order_relaxed);
+		std::string text = "{\"ready\":" + std::string(ready_.isReady() ? "true" : "false");
+		text += ",\"active\":" + std::to_string(front_.active());
+		text += ",\"arrived\":" + std::to_string(counts_.arrived.load());
+		text += ",\"passed_on\":" + std::to_string(counts_.passedOn.load());
+		text += ",\"broken_off\":" + std::to_string(counts_.brokenOff.load());
+		text += ",\"callers_gone\":" + std::to_string(counts_.callersGone.load());
+		text += ",\"sends\":" + std::to_string(counts_.sends.load());
+		text += ",\"repeats\":" + std::to_string(counts_.repeats.load());
+		const bool known = INT64_MIN != proven;
+		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
+		return text + "}";
+	}
+
+private:
+	void onReady()
+	{
+		ready_.setReady(!front_.closing());
+		logEvent(LogPart::Node, LogLevel::Info, "Node is ready.", {});
+	}
+
+	EntrySettings settings_;
+	SteadyClock clock_;
+	asio::io_context requestLoop_{kOneThread};
+	asio::io_context controlLoop_{kOneThread};
+	Guard requestGuard_;
+	Guard controlGuard_;
+	std::unique_ptr<WireFormatI> wire_;
+	std::unique_ptr<DocumentsI> documents_;
+	std::unique_ptr<KeyedLogI> log_;
+	std::unique_ptr<RunnerOrdersI> orders_;
+	FleetCell cell_;
+	RequestCounts counts_;
+	SeededRandom random_;
+	TargetPool pool_;
+	RetryLedger retries_;
+	ReadyFace ready_;
+	EntryFront front_;
+	EntryControl control_;
+	Server readyServer_;
+	Server callerServer_;
+	std::thread requestThread_;
+	std::thread controlThread_;
+};
+
+EntryNode::EntryNode(const EntrySettings& _settings, EntryPortsI& _ports)
+    : impl_(std::make_unique<Impl>(_settings, _ports))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::stop()
+{
+	impl_->stop();
+}
+
+std::string EntryNode::dump() const
+{
+	return impl_->dump();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/entrysettings.cpp
@@ -0,0 +1,177 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <entry/entrysettings.h>
+
+#include <boost/program_options.hpp>
+
+#include <charconv>
+#include <fstream>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+/// Reads one file; remembers the first fault.
+class Reader
+{
+public:
+	Reader(const options::variables_map& _values, std::string& _message) : values_(_values), message_(_message)
+	{
+	}
+
+	std::string text(const char* _name)
+	{
+		const std::string value = values_.count(_name) ? values_[_name].as<std::string>() : std::string();
+		if (value.empty())
+		{
+			fault(_name, value, "a text");
+		}
+		return value;
+	}
+
+	std::string address(const char* _name)
+	{
+		const std::string value = text(_name);
+		const std::size_t colon = value.rfind(':');
+		uint32_t port = 0;
+		if (std::string::npos == colon || !whole(value.substr(colon + 1), port) || 0 == port || 65535 < port)
+		{
+			fault(_name, value, "ip:port");
+		}
+		return value;
+	}
+
+	double number(const char* _name, double _least, double _most)
+	{
+		const std::string value = text(_name);
+		double read = 0;
+		const char* const end = value.data() + value.size();
+		const auto parsed = std::from_chars(value.data(), end, read);
+		if (parsed.ptr != end || read < _least || _most < read)
+		{
+			fault(_name, value, "a number from " + std::to_string(_least) + " to " + std::to_string(_most));
+		}
+		return read;
+	}
+
+	Duration millis(const char* _name)
+	{
+		constexpr double kDayMs = 24.0 * 3600 * 1000;
+		return Duration{static_cast<int64_t>(number(_name, 0, kDayMs) * 1000)};
+	}
+
+	Duration seconds(const char* _name)
+	{
+		constexpr double kDaySeconds = 24.0 * 3600;
+		return Duration{static_cast<int64_t>(number(_name, 0, kDaySeconds) * 1000000)};
+	}
+
+	bool flag(const char* _name)
+	{
+		const std::string value = text(_name);
+		if ("true" != value && "false" != value)
+		{
+			fault(_name, value, "true or false");
+		}
+		return "true" == value;
+	}
+
+	/// Reads "first,last".
+	void ports(const char* _name, uint16_t& _first, uint16_t& _last)
+	{
+		const std::string value = text(_name);
+		const std::size_t comma = value.find(',');
+		uint32_t first = 0;
+		uint32_t last = 0;
+		const bool two =
+		    std::string::npos != comma && whole(value.substr(0, comma), first) && whole(value.substr(comma + 1), last);
+		if (!two || 0 == first || last < first || 65535 < last)
+		{
+			fault(_name, value, "two ports, first,last");
+			return;
+		}
+		_first = static_cast<uint16_t>(first);
+		_last = static_cast<uint16_t>(last);
+	}
+
+	bool sound() const
+	{
+		return message_.empty();
+	}
+
+private:
+	static bool whole(const std::string& _text, uint32_t& _number)
+	{
+		const char* const end = _text.data() + _text.size();
+		const auto parsed = std::from_chars(_text.data(), end, _number);
+		return std::errc{} == parsed.ec && parsed.ptr == end;
+	}
+
+	void fault(const char* _name, const std::string& _value, const std::string& _allowed)
+	{
+		if (message_.empty())
+		{
+			message_ = std::string("Setting ") + _name + " is '" + _value + "', but must be " + _allowed + ".";
+		}
+	}
+
+	const options::variables_map& values_;
+	std::string& message_;
+};
+
+options::options_description description()
+{
+	options::options_description all;
+	for (const char* const name :
+	     {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports", "store-address", "retry-ratio",
+	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s"})
+	{
+		all.add_options()(name, options::value<std::string>());
+	}
+	return all;
+}
+
+} // namespace
+
+bool readEntrySettings(const std::string& _path, EntrySettings& _settings, std::string& _message)
+{
+	_message.clear();
+	std::ifstream file(_path);
+	if (!file)
+	{
+		_message = "Settings file '" + _path + "' cannot be read.";
+		return false;
+	}
+	options::variables_map values;
+	try
+	{
+		constexpr bool kAllowUnknown = true;
+		options::store(options::parse_config_file(file, description(), kAllowUnknown), values);
+	}
+	catch (const options::error& error)
+	{
+		_message = "Settings file '" + _path + "' is malformed: " + error.what() + ".";
+		return false;
+	}
+	Reader reader(values, _message);
+	_settings.name = reader.text("name");
+	_settings.hall = reader.text("hall");
+	_settings.callerAddress = reader.address("caller-address");
+	_settings.readyAddress = reader.address("ready-address");
+	_settings.ip = reader.text("ip");
+	reader.ports("peer-ports", _settings.firstPeerPort, _settings.lastPeerPort);
+	_settings.storeAddress = reader.address("store-address");
+	_settings.retries.ratio = reader.number("retry-ratio", 0, 10);
+	_settings.retries.slack = reader.number("retry-slack", 0, 1e9);
+	_settings.retries.window = reader.seconds("retry-window-s");
+	_settings.keyBound = reader.millis("key-bound-ms");
+	_settings.keyBoundStrict = reader.flag("key-bound-strict");
+	_settings.stopBound = reader.seconds("stop-bound-s");
+	return reader.sound();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -0,0 +1,83 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
+
+#include "fleetview_p.h"
+#include "follower_p.h"
+
+#include <entry/documents.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sedgecart
+{
+
+/// Keeps the fleet's view true: takes the operator's desired state, the targets' records and the nodes' records, and
+/// publishes what the request path reads. Control thread only.
+class FleetController
+{
+public:
+	FleetController(const DocumentsI& _documents, FleetCell& _cell, const ClockI& _clock, const std::string& _homeHall);
+
+	/// Takes a document of the operator's topic.
+	void onOperatorRecord(const KeyedRecord& _record);
+
+	/// Everything the operator had written when a read was sent has been taken.
+	void onOperatorCurrent(Time _sentAt);
+
+	void onRunnerRecord(const KeyedRecord& _record);
+
+	/// All targets' records have been taken: publishes if something changed.
+	void onRunnersCurrent();
+
+	void onNodeRecord(const KeyedRecord& _record);
+
+	/// @returns targets by instance, those that drain as well.
+	const std::map<std::string, RunnerRecord>& runners() const
+	{
+		return runners_;
+	}
+
+	/// @returns the newest desired state, null if none is known.
+	const std::shared_ptr<const RouteTable>& routes() const
+	{
+		return routes_;
+	}
+
+	/// @returns when a target last came or went.
+	Time fleetChangedAt() const
+	{
+		return fleetChangedAt_;
+	}
+
+	/// @returns true once a desired state and the targets are known.
+	bool ready() const
+	{
+		return routes_ && runnersKnown_;
+	}
+
+private:
+	void publish();
+	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
+	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
+	uint32_t hallIndex(const std::string& _hall);
+
+	const DocumentsI& documents_;
+	FleetCell& cell_;
+	const ClockI& clock_;
+	std::shared_ptr<const RouteTable> routes_;
+	std::map<std::string, RunnerRecord> runners_;
+	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
+	std::map<std::string, uint32_t> halls_; //!< Index of each hall; 0 is this node's.
+	std::set<std::string> nodes_;
+	Time fleetChangedAt_;
+	bool runnersKnown_ = false;
+	bool changed_ = false;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/fleetview_p.h
@@ -0,0 +1,65 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
+
+#include <base/rcucell.h>
+#include <base/runner.h>
+#include <base/units.h>
+#include <core/routetable.h>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// What this node has under way at a target. Lives as long as somebody knows the target.
+struct TargetLoad
+{
+	std::atomic<uint32_t> requests{0};
+	std::atomic<uint64_t> tokenLayers{0}; //!< Tokens times layers that its requests take, as estimated.
+	std::atomic<int64_t> avoidedUntil{0}; //!< Steady clock, microseconds; it failed a moment ago.
+};
+
+/// A target that may be sent to.
+struct FleetTarget
+{
+	RunnerRecord record;
+	uint32_t hall = 0;              //!< Index into FleetView::halls.
+	const CardKind* card = nullptr; //!< Null for a plain service.
+	std::shared_ptr<TargetLoad> load;
+};
+
+/// A service with its targets. Keeps the desired state alive that it points into.
+struct FleetService
+{
+	std::shared_ptr<const RouteTable> routes;
+	const ServiceSpec* spec = nullptr;
+	uint32_t halls = 1;
+	uint32_t homeHall = 0;
+	std::vector<FleetTarget> targets;
+};
+
+/// What the request path reads: immutable.
+struct FleetView
+{
+	std::shared_ptr<const RouteTable> routes; //!< Null until a desired state is known.
+	std::map<std::string, std::shared_ptr<const FleetService>> services;
+	uint32_t nodes = 1; //!< Entry nodes, this one included.
+};
+
+/// The view of the moment, and how old its proof is.
+struct FleetCell
+{
+	RcuCell<FleetView> view;
+	std::atomic<int64_t> provenAt{INT64_MIN}; //!< When the read was sent that showed the desired state to be newest.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/follower.cpp
@@ -0,0 +1,197 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "follower_p.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Pauses after a read that failed: the first lets a passing fault pass, the last is a fifth of the shortest bound that
+/// depends on news (config in force within two seconds).
+constexpr Duration kFirstRetry = Duration::fromMillis(100);
+constexpr Duration kLastRetry = Duration::fromMillis(400);
+
+} // namespace
+
+Follower::Follower(boost::asio::io_context& _loop, KeyedLogI& _log, const ClockI& _clock, const FollowPlan& _plan,
+                   FollowHandlerI& _handler)
+    : timer_(_loop),
+      log_(_log),
+      clock_(_clock),
+      plan_(_plan),
+      handler_(_handler),
+      retry_(kFirstRetry)
+{
+}
+
+void Follower::start()
+{
+	startLoad();
+}
+
+void Follower::hurry()
+{
+	if (loaded_ && !reading_)
+	{
+		timer_.cancel();
+		read();
+	}
+}
+
+void Follower::startLoad()
+{
+	found_.clear();
+	loadFirst_ = true;
+	load(std::string());
+}
+
+void Follower::load(const std::string& _afterKey)
+{
+	const Time sentAt = clock_.now();
+	log_.newest(plan_.topic, _afterKey,
+	            [this, sentAt](KeyedPage&& _page)
+	            {
+		            onNewest(std::move(_page), sentAt);
+	            });
+}
+
+void Follower::onNewest(KeyedPage&& _page, Time _sentAt)
+{
+	if (StoreState::Done != _page.state)
+	{
+		handler_.onOut(_page.state);
+		later(retry_, &Follower::startLoad);
+		retry_ = std::min(kLastRetry, retry_ + retry_);
+		return;
+	}
+	retry_ = kFirstRetry;
+	if (loadFirst_)
+	{
+		// Pages are no snapshot: what changed since the first one is read again behind its end.
+		loadFirst_ = false;
+		loadEnd_ = _page.end;
+		loadSentAt_ = _sentAt;
+	}
+	for (const KeyedRecord& record : _page.records)
+	{
+		found_.insert(record.key);
+		take(record);
+	}
+	if (_page.partial && !_page.records.empty())
+	{
+		load(_page.records.back().key);
+		return;
+	}
+	finishLoad();
+}
+
+void Follower::finishLoad()
+{
+	std::vector<std::string> lost;
+	for (const auto& row : known_)
+	{
+		if (0 == found_.count(row.first))
+		{
+			lost.push_back(row.first);
+		}
+	}
+	for (const std::string& key : lost)
+	{
+		KeyedRecord record;
+		record.key = key;
+		record.removed = true;
+		record.offset = loadEnd_;
+		take(record);
+	}
+	next_ = loadEnd_;
+	loaded_ = true;
+	handler_.onCurrent(loadSentAt_);
+	read();
+}
+
+void Follower::read()
+{
+	reading_ = true;
+	const Time sentAt = clock_.now();
+	log_.read(plan_.topic, next_, plan_.wait,
+	          [this, sentAt](KeyedPage&& _page)
+	          {
+		          reading_ = false;
+		          onRead(std::move(_page), sentAt);
+	          });
+}
+
+void Follower::onRead(KeyedPage&& _page, Time _sentAt)
+{
+	if (StoreState::Gone == _page.state)
+	{
+		startLoad();
+		return;
+	}
+	if (StoreState::Done != _page.state)
+	{
+		fail(_page.state);
+		return;
+	}
+	retry_ = kFirstRetry;
+	for (const KeyedRecord& record : _page.records)
+	{
+		take(record);
+		next_ = Offset{record.offset.value + 1};
+	}
+	const bool behind = next_ < _page.end;
+	if (!behind)
+	{
+		handler_.onCurrent(_sentAt);
+	}
+	later(behind ? Duration{} : plan_.pause, &Follower::read);
+}
+
+void Follower::fail(StoreState::Enum _state)
+{
+	handler_.onOut(_state);
+	later(retry_, &Follower::read);
+	retry_ = std::min(kLastRetry, retry_ + retry_);
+}
+
+void Follower::take(const KeyedRecord& _record)
+{
+	const auto known = known_.find(_record.key);
+	if (known_.end() != known && _record.offset < known->second)
+	{
+		return;
+	}
+	if (_record.removed)
+	{
+		if (known_.end() == known)
+		{
+			return;
+		}
+		known_.erase(known);
+	}
+	else
+	{
+		known_[_record.key] = _record.offset;
+	}
+	handler_.onRecord(_record);
+}
+
+void Follower::later(Duration _pause, void (Follower::*_step)())
+{
+	timer_.expires_after(std::chrono::microseconds(_pause.micros));
+	timer_.async_wait(
+	    [this, _step](const boost::system::error_code& _error)
+	    {
+		    if (!_error)
+		    {
+			    (this->*_step)();
+		    }
+	    });
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/follower_p.h
@@ -0,0 +1,98 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
+
+#include <base/clock.h>
+#include <entry/keyedlog.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace sedgecart
+{
+
+/// How a topic is followed.
+struct FollowPlan
+{
+	KeyedTopic::Enum topic = KeyedTopic::Operator;
+	Duration wait;  //!< The store holds a read for so long when there is no news; 0: it answers at once.
+	Duration pause; //!< Between two reads.
+};
+
+/// What a follower calls, on the control thread.
+class FollowHandlerI
+{
+public:
+	virtual ~FollowHandlerI() = default;
+
+	/// A key has a new value, or none any more.
+	virtual void onRecord(const KeyedRecord& _record) = 0;
+
+	/// All records that stood in the store when a read was sent have been handed over.
+	/// @param _sentAt when that read was sent.
+	virtual void onCurrent(Time _sentAt) = 0;
+
+	/// A read failed. Called at each failure.
+	virtual void onOut(StoreState::Enum _state) = 0;
+};
+
+/// Follows one keyed topic: reads the newest record of each key once, then what comes behind them. Starts anew when the
+/// store has dropped what it would read next.
+class Follower
+{
+public:
+	Follower(boost::asio::io_context& _loop, KeyedLogI& _log, const ClockI& _clock, const FollowPlan& _plan,
+	         FollowHandlerI& _handler);
+
+	void start();
+
+	/// @returns the offset of the next record, if the topic has been read to its end.
+	Offset end() const
+	{
+		return next_;
+	}
+
+	bool loaded() const
+	{
+		return loaded_;
+	}
+
+	/// Reads at once instead of after the pause.
+	void hurry();
+
+private:
+	void load(const std::string& _afterKey);
+	void onNewest(KeyedPage&& _page, Time _sentAt);
+	void finishLoad();
+	void read();
+	void onRead(KeyedPage&& _page, Time _sentAt);
+	void take(const KeyedRecord& _record);
+	void later(Duration _pause, void (Follower::*_step)());
+	void startLoad();
+	void fail(StoreState::Enum _state);
+
+	boost::asio::steady_timer timer_;
+	KeyedLogI& log_;
+	const ClockI& clock_;
+	FollowPlan plan_;
+	FollowHandlerI& handler_;
+	std::map<std::string, Offset> known_; //!< Keys that have a value.
+	std::set<std::string> found_;         //!< Keys that the load under way has shown.
+	Offset next_;
+	Offset loadEnd_;
+	Time loadSentAt_;
+	Duration retry_;
+	bool loadFirst_ = true;
+	bool loaded_ = false;
+	bool reading_ = false;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/portnames.cpp
@@ -0,0 +1,30 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <entry/keyedlog.h>
+#include <entry/runnerorders.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr const char* kStoreNames[] = {"done", "conflict", "gone", "refused", "unknown"};
+static_assert(StoreState::Count == sizeof(kStoreNames) / sizeof(kStoreNames[0]), "each state needs its name");
+
+constexpr const char* kOrderNames[] = {"begun", "held", "unfit", "fenced", "invalid", "unknown"};
+static_assert(LayoutOrderState::Count == sizeof(kOrderNames) / sizeof(kOrderNames[0]), "each state needs its name");
+
+} // namespace
+
+const char* nameOf(StoreState::Enum _state)
+{
+	return kStoreNames[_state];
+}
+
+const char* nameOf(LayoutOrderState::Enum _state)
+{
+	return kOrderNames[_state];
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/requestrelay.cpp
@@ -0,0 +1,386 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "requestrelay_p.h"
+
+#include "requestcounts_p.h"
+#include "retryledger_p.h"
+#include "targetpool_p.h"
+
+#include <base/clock.h>
+#include <logging/logging.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Longest wait for a connection to a target. A hop takes well under a millisecond; a lost first packet is sent again
+/// only after a second, and another target costs less than that wait.
+constexpr Duration kConnectBound = Duration::fromMillis(150);
+
+/// How long a target that failed is passed over where there is another.
+constexpr Duration kAvoidedFor = Duration::fromMillis(1500);
+
+/// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
+constexpr Duration kComeBack = Duration::fromMillis(250);
+
+/// Bytes that a caller may leave untaken before its stream is given up.
+constexpr std::size_t kMostBacklog = 4UL * 1024 * 1024;
+
+/// Largest answer that is collected before it is passed on, bytes.
+constexpr std::size_t kMostCollected = 16UL * 1024 * 1024;
+
+bool isSuccess(uint16_t _status)
+{
+	return 200 <= _status && _status < 300;
+}
+
+} // namespace
+
+RequestRelay::RequestRelay(const RelayContext& _context, RelayPlan&& _plan, std::shared_ptr<ServerConnection> _caller,
+                           std::function<void()> _onDone)
+    : context_(_context),
+      plan_(std::move(_plan)),
+      caller_(std::move(_caller)),
+      onDone_(std::move(_onDone)),
+      machine_(plan_.facts, *this),
+      timer_(_context.loop)
+{
+}
+
+RequestRelay::~RequestRelay()
+{
+	release();
+}
+
+void RequestRelay::begin()
+{
+	startTimer();
+	context_.retries.onFirst(plan_.service, context_.clock.now());
+	machine_.begin();
+	finishIfDone();
+}
+
+void RequestRelay::startTimer()
+{
+	const Duration left = plan_.giveUpAt - context_.clock.now();
+	timer_.expires_after(std::chrono::microseconds(std::max<int64_t>(0, left.micros)));
+	const std::weak_ptr<RequestRelay> weak = weak_from_this();
+	timer_.async_wait(
+	    [weak](const boost::system::error_code& _error)
+	    {
+		    const std::shared_ptr<RequestRelay> self = weak.lock();
+		    if (!_error && self)
+		    {
+			    self->machine_.onTimeUp();
+			    self->finishIfDone();
+		    }
+	    });
+}
+
+void RequestRelay::onCallerGone()
+{
+	if (!machine_.done())
+	{
+		context_.counts.callersGone.fetch_add(1, std::memory_order_relaxed);
+	}
+	machine_.onCallerGone();
+	finishIfDone();
+}
+
+const FleetTarget& RequestRelay::target(const PathPart& _part) const
+{
+	return service_->targets[_part.candidate];
+}
+
+bool RequestRelay::choose(SendOutcome::Enum& _outcome)
+{
+	uint32_t nodes = 1;
+	{
+		const RcuCell<FleetView>::Reader view(context_.cell.view);
+		const auto row = view->services.find(plan_.service);
+		service_ = view->services.end() == row ? nullptr : row->second;
+		nodes = view->nodes;
+	}
+	if (!service_)
+	{
+		_outcome = SendOutcome::NoTargets;
+		return false;
+	}
+	const double tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
+	const ChoiceQuery query{*service_, failed_, nodes, tokens, context_.clock.now()};
+	_outcome = service_->spec->hasEngine ? choosePath(query, choice_) : chooseTarget(query, context_.random, choice_);
+	return SendOutcome::Begun == _outcome;
+}
+
+SendOutcome::Enum RequestRelay::send(std::optional<uint64_t> _resumeAfter)
+{
+	release();
+	SendOutcome::Enum outcome = SendOutcome::NoTargets;
+	if (!choose(outcome))
+	{
+		return outcome;
+	}
+	reserve();
+	context_.counts.sends.fetch_add(1, std::memory_order_relaxed);
+	answer_ = TargetAnswer{};
+	answerSound_ = true;
+	body_.clear();
+	connection_ = context_.pool.take(target(choice_.parts.front()).record);
+	// The exchange begins from the loop: a failure must not call into the machine while it decides.
+	const std::shared_ptr<RequestRelay> self = shared_from_this();
+	boost::asio::post(context_.loop,
+	                  [self, _resumeAfter]
+	                  {
+		                  if (!self->machine_.done() && self->connection_)
+		                  {
+			                  self->connection_->exchange(self->requestText(_resumeAfter), *self, kConnectBound);
+		                  }
+	                  });
+	return outcome;
+}
+
+std::string RequestRelay::requestText(std::optional<uint64_t> _resumeAfter) const
+{
+	TargetCall call;
+	call.expected = target(choice_.parts.front()).record.instance;
+	call.customer = plan_.customer;
+	call.urgency = plan_.urgency;
+	call.resumeAfter = _resumeAfter;
+	call.budget = plan_.giveUpAt - context_.clock.now();
+	if (service_->spec->hasEngine)
+	{
+		for (const PathPart& part : choice_.parts)
+		{
+			call.path.push_back(PathStop{target(part).record.address, part.layers});
+		}
+	}
+	return context_.wire.targetRequest(plan_.request, call);
+}
+
+void RequestRelay::reserve()
+{
+	reserved_ = true;
+	const uint64_t tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
+	target(choice_.parts.front()).load->requests.fetch_add(1, std::memory_order_relaxed);
+	for (const PathPart& part : choice_.parts)
+	{
+		target(part).load->tokenLayers.fetch_add(tokens * part.layers.size(), std::memory_order_relaxed);
+	}
+}
+
+void RequestRelay::release()
+{
+	if (!reserved_)
+	{
+		return;
+	}
+	reserved_ = false;
+	const uint64_t tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
+	target(choice_.parts.front()).load->requests.fetch_sub(1, std::memory_order_relaxed);
+	for (const PathPart& part : choice_.parts)
+	{
+		target(part).load->tokenLayers.fetch_sub(tokens * part.layers.size(), std::memory_order_relaxed);
+	}
+}
+
+void RequestRelay::cancelSend()
+{
+	if (connection_)
+	{
+		connection_->close();
+	}
+	release();
+}
+
+bool RequestRelay::payRepeat()
+{
+	uint32_t nodes = 1;
+	{
+		const RcuCell<FleetView>::Reader view(context_.cell.view);
+		nodes = view->nodes;
+	}
+	if (!context_.retries.take(plan_.service, nodes, context_.clock.now()))
+	{
+		return false;
+	}
+	context_.counts.repeats.fetch_add(1, std::memory_order_relaxed);
+	return true;
+}
+
+void RequestRelay::passHead()
+{
+	AnswerStart start;
+	start.status = head_.status;
+	start.headers = context_.wire.callerHeaders(head_.headers);
+	start.framing = BodyFraming::Chunked;
+	caller_->start(start, std::string_view());
+}
+
+void RequestRelay::passBody(std::string_view _bytes)
+{
+	caller_->send(_bytes);
+	if (kMostBacklog < caller_->backlog())
+	{
+		caller_->abort();
+	}
+}
+
+void RequestRelay::passEnd()
+{
+	context_.counts.passedOn.fetch_add(1, std::memory_order_relaxed);
+	caller_->finish();
+}
+
+void RequestRelay::passWhole()
+{
+	context_.counts.passedOn.fetch_add(1, std::memory_order_relaxed);
+	AnswerStart start;
+	start.status = head_.status;
+	start.headers = context_.wire.callerHeaders(head_.headers);
+	start.noBody = "HEAD" == plan_.request.head.method;
+	start.length = body_.size();
+	caller_->start(start, body_);
+	caller_->finish();
+}
+
+void RequestRelay::refuse(ErrorKind::Enum _kind)
+{
+	const ErrorAnswer& answer = answerOf(_kind);
+	context_.counts.refused[_kind].fetch_add(1, std::memory_order_relaxed);
+	logOutcome("Request is refused.", LogLevel::Info, answer.name);
+	AnswerStart start;
+	start.status = answer.status;
+	start.headers = context_.wire.ownHeaders(plan_.caller.id, answer.retry ? kComeBack : Duration{});
+	caller_->start(start, std::string_view());
+	caller_->finish();
+}
+
+void RequestRelay::breakOff()
+{
+	context_.counts.brokenOff.fetch_add(1, std::memory_order_relaxed);
+	logOutcome("Stream is broken off.", LogLevel::Warning, "no target could continue it");
+	caller_->abort();
+}
+
+void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
+{
+	const Time now = context_.clock.now();
+	const bool chosen = service_ && !choice_.parts.empty();
+	logEvent(LogPart::Requests, _level, _sentence,
+	         {{"cause", _cause},
+	          {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
+	          {"sends", std::to_string(machine_.sends())},
+	          {"events", std::to_string(machine_.events())},
+	          {"service", plan_.service},
+	          {"target", chosen ? target(choice_.parts.front()).record.instance.text : std::string()},
+	          {"at_fault", answer_.atFault},
+	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
+	          {"left_ms", std::to_string((plan_.giveUpAt - now).millis())}},
+	         plan_.caller.id);
+}
+
+void RequestRelay::onSent()
+{
+	machine_.onSent();
+}
+
+HeadVerdict::Enum RequestRelay::onHead(MessageHead& _head)
+{
+	TargetAnswer answer = context_.wire.readAnswer(_head);
+	if (!answer.id.empty() && plan_.caller.id != answer.id)
+	{
+		logOutcome("Surplus answer is thrown away.", LogLevel::Info, answer.id);
+		return HeadVerdict::Skip;
+	}
+	answer_ = std::move(answer);
+	head_ = std::move(_head);
+	answerSound_ = !isSuccess(head_.status) || (answer_.isSigned && !answer_.id.empty());
+	if (answerSound_)
+	{
+		machine_.onHead(RelayHead{head_.status, answer_.notRun});
+	}
+	return HeadVerdict::Take;
+}
+
+void RequestRelay::onBody(std::string_view _bytes)
+{
+	if (machine_.passing() && answerSound_)
+	{
+		machine_.onBody(_bytes);
+		finishIfDone();
+		return;
+	}
+	body_.append(_bytes);
+	if (kMostCollected < body_.size())
+	{
+		cancelSend();
+		machine_.onBroken(SendBreak::Broken);
+		finishIfDone();
+	}
+}
+
+void RequestRelay::onWhole()
+{
+	release();
+	if (connection_)
+	{
+		context_.pool.giveBack(target(choice_.parts.front()).record, std::move(connection_));
+	}
+	if (answer_.notRun)
+	{
+		avoidAtFault();
+	}
+	if (answerSound_)
+	{
+		machine_.onWhole();
+	}
+	else
+	{
+		machine_.onBroken(SendBreak::Broken);
+	}
+	finishIfDone();
+}
+
+void RequestRelay::onBroken(ExchangeBreak::Enum _how)
+{
+	release();
+	avoidAtFault();
+	machine_.onBroken(ExchangeBreak::NotConnected == _how ? SendBreak::NotSent : SendBreak::Broken);
+	finishIfDone();
+}
+
+/// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
+void RequestRelay::avoidAtFault()
+{
+	const PathPart* atFault = &choice_.parts.front();
+	for (const PathPart& part : choice_.parts)
+	{
+		atFault = target(part).record.address == answer_.atFault ? &part : atFault;
+	}
+	const FleetTarget& failed = target(*atFault);
+	failed_.insert(failed.record.instance.text);
+	failed.load->avoidedUntil.store((context_.clock.now() + kAvoidedFor).micros, std::memory_order_relaxed);
+	logOutcome("Target failed a request.", LogLevel::Info, failed.record.instance.text);
+}
+
+void RequestRelay::finishIfDone()
+{
+	if (!machine_.done() || !onDone_)
+	{
+		return;
+	}
+	timer_.cancel();
+	const std::function<void()> call = std::move(onDone_);
+	onDone_ = nullptr;
+	call();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/targetchooser.cpp
@@ -0,0 +1,129 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "targetchooser_p.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A target of another hall counts as if it had so many requests more: the way there costs little time, but its traffic
+/// is paid for.
+constexpr double kOtherHallRequests = 0.6;
+
+/// Extra of a target that failed a moment ago, requests: it is used when all others are as bad.
+constexpr double kAvoidedRequests = 1000;
+
+/// Price of a hop, microseconds. In a hall: its delay and the work of one more target. Between halls: beside the delay
+/// the traffic is paid for and shares a pipe, so a whole hall's detour must be cheaper to be worth it.
+constexpr HopCosts kHops{500, 8000};
+
+/// What a part costs beside its layers, microseconds: the fixed work of a step.
+constexpr double kPartCost = 300;
+
+/// Extra of a target that failed a moment ago, microseconds; more than any way around it.
+constexpr double kAvoidedCost = 1e7;
+
+bool isAvoided(const FleetTarget& _target, Time _now)
+{
+	return _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
+}
+
+double loadOf(const FleetTarget& _target, Time _now)
+{
+	const double requests = _target.load->requests.load(std::memory_order_relaxed);
+	const double hall = 0 == _target.hall ? 0 : kOtherHallRequests;
+	return requests + hall + (isAvoided(_target, _now) ? kAvoidedRequests : 0);
+}
+
+/// @returns true if this node may have one more connection to the target.
+bool hasConnection(const FleetTarget& _target, const ServiceSpec& _service, uint32_t _nodes)
+{
+	if (0 == _service.maxConnections)
+	{
+		return true;
+	}
+	const uint32_t share = std::max(1U, _service.maxConnections / std::max(1U, _nodes));
+	return _target.load->requests.load(std::memory_order_relaxed) < share;
+}
+
+PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query)
+{
+	const EngineSpec& engine = _query.service.spec->engine;
+	PathCandidate candidate;
+	candidate.hall = _target.hall;
+	candidate.held = _target.record.layers;
+	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
+	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes);
+	const double step = nullptr == _target.card ? 1 : _target.card->stepFactor;
+	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step;
+	candidate.costOfPart = kPartCost + (isAvoided(_target, _query.now) ? kAvoidedCost : 0);
+	return candidate;
+}
+
+} // namespace
+
+SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
+{
+	const std::vector<FleetTarget>& targets = _query.service.targets;
+	double least = std::numeric_limits<double>::infinity();
+	uint32_t ties = 0;
+	bool any = false;
+	_choice.parts.assign(1, PathPart{});
+	for (uint32_t index = 0; index < targets.size(); ++index)
+	{
+		if (0 < _query.failed.count(targets[index].record.instance.text))
+		{
+			continue;
+		}
+		any = true;
+		if (!hasConnection(targets[index], *_query.service.spec, _query.nodes))
+		{
+			continue;
+		}
+		const double load = loadOf(targets[index], _query.now);
+		ties = load < least ? 1 : ties + (load == least ? 1 : 0);
+		if (load < least || (load == least && 0 == _random.below(ties)))
+		{
+			least = load;
+			_choice.parts.front().candidate = index;
+		}
+	}
+	if (0 < ties)
+	{
+		return SendOutcome::Begun;
+	}
+	return any ? SendOutcome::NoRoom : SendOutcome::NoTargets;
+}
+
+SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice)
+{
+	const FleetService& service = _query.service;
+	std::vector<PathCandidate> candidates;
+	candidates.reserve(service.targets.size());
+	for (const FleetTarget& target : service.targets)
+	{
+		candidates.push_back(candidateOf(target, _query));
+	}
+	PathQuery query;
+	query.layers = service.spec->engine.layers;
+	query.halls = service.halls;
+	query.homeHall = service.homeHall;
+	query.hops = kHops;
+	if (findPath(candidates, query, _choice.parts))
+	{
+		return SendOutcome::Begun;
+	}
+	const bool full = std::none_of(candidates.begin(), candidates.end(),
+	                               [](const PathCandidate& _candidate)
+	                               {
+		                               return _candidate.mayLead;
+	                               });
+	return full && !candidates.empty() ? SendOutcome::NoRoom : SendOutcome::NoTargets;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/targetchooser_p.h
@@ -0,0 +1,43 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
+
+#include "fleetview_p.h"
+
+#include <base/random.h>
+#include <core/layerpath.h>
+#include <core/relaymachine.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// Where a request goes: one target, or a path of them.
+struct Choice
+{
+	std::vector<PathPart> parts; //!< Candidates are indices into the service's targets. One part for a plain service.
+};
+
+/// What a choice is made for.
+struct ChoiceQuery
+{
+	const FleetService& service;
+	const std::set<std::string>& failed; //!< Instances that failed this request.
+	uint32_t nodes = 1;                  //!< Entry nodes that share the targets.
+	double tokens = 0;                   //!< That the request takes at each of its layers.
+	Time now;
+};
+
+/// Chooses a target of a plain service: the one with least under way from here, in this data hall first.
+SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
+
+/// Chooses a path through a model's layers, in this data hall if it can.
+SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/targetpool.cpp
@@ -0,0 +1,81 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "targetpool_p.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A kept connection is not used in the last part of the time that its target keeps it: a request that crosses the
+/// target's close may be lost.
+constexpr Duration kCloseMargin = Duration::fromMillis(1000);
+
+} // namespace
+
+TargetPool::TargetPool(boost::asio::io_context& _loop, const ClockI& _clock) : loop_(_loop), clock_(_clock)
+{
+}
+
+TargetPool::~TargetPool() = default;
+
+std::unique_ptr<ClientConnection> TargetPool::take(const RunnerRecord& _target)
+{
+	std::vector<Kept>& kept = kept_[_target.instance.text];
+	while (!kept.empty())
+	{
+		Kept last = std::move(kept.back());
+		kept.pop_back();
+		if (last.connection->reusable() && clock_.now() < last.usableUntil)
+		{
+			last.connection->onIdleEnd(nullptr);
+			return std::move(last.connection);
+		}
+	}
+	return std::make_unique<ClientConnection>(loop_, _target.address);
+}
+
+void TargetPool::giveBack(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection)
+{
+	const Time until = clock_.now() + _connection->keptIdle();
+	const Time usableUntil{until.micros - kCloseMargin.micros};
+	if (!_connection->reusable() || usableUntil < clock_.now())
+	{
+		return;
+	}
+	const std::string instance = _target.instance.text;
+	const ClientConnection* const raw = _connection.get();
+	_connection->onIdleEnd(
+	    [this, instance, raw]
+	    {
+		    drop(instance, raw);
+	    });
+	kept_[instance].push_back(Kept{std::move(_connection), usableUntil});
+}
+
+void TargetPool::drop(const std::string& _instance, const ClientConnection* _connection)
+{
+	const auto row = kept_.find(_instance);
+	if (kept_.end() == row)
+	{
+		return;
+	}
+	std::vector<Kept>& kept = row->second;
+	const auto isIt = [_connection](const Kept& _kept)
+	{
+		return _connection == _kept.connection.get();
+	};
+	kept.erase(std::remove_if(kept.begin(), kept.end(), isIt), kept.end());
+	if (kept.empty())
+	{
+		kept_.erase(row);
+	}
+}
+
+} // namespace sedgecart
--- a/packages/node/include/node/logging.h
+++ b/packages/logging/include/logging/logging.h
@@ -1,9 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_NODE_LOGGING_H_HEADER_GUARD
-#define SEDGECART_NODE_LOGGING_H_HEADER_GUARD
+#ifndef SEDGECART_LOGGING_LOGGING_H_HEADER_GUARD
+#define SEDGECART_LOGGING_LOGGING_H_HEADER_GUARD
 
 #include <string>
+#include <vector>
 
 namespace sedgecart
 {
@@ -34,6 +35,8 @@
 		Targets,
 		Requests,
 		Operators,
+		Store,
+		Layout,
 
 		Count
 	};
@@ -49,9 +52,22 @@
 void logLine(LogPart::Enum _part, LogLevel::Enum _level, const std::string& _sentence,
              const std::string& _request = std::string());
 
+/// A named value of a log line.
+struct LogField
+{
+	const char* name;
+	std::string value;
+};
+
+/// Writes one line about a decision: what happened and the inputs that decided it.
+/// @param _sentence short and fixed, so that lines can be counted by it.
+/// @param _request request id, empty if the line is about none.
+void logEvent(LogPart::Enum _part, LogLevel::Enum _level, const char* _sentence, const std::vector<LogField>& _fields,
+              const std::string& _request = std::string());
+
 /// @returns "info" and so on.
 const char* nameOf(LogLevel::Enum _level);
 
 } // namespace sedgecart
 
-#endif // SEDGECART_NODE_LOGGING_H_HEADER_GUARD
+#endif // SEDGECART_LOGGING_LOGGING_H_HEADER_GUARD
--- a/packages/node/src/logging.cpp
+++ b/packages/logging/src/logging.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <node/logging.h>
+#include <logging/logging.h>
 
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
@@ -27,7 +27,8 @@
 constexpr const char* kLevelNames[] = {"debug", "info", "warning", "error"};
 static_assert(LogLevel::Count == sizeof(kLevelNames) / sizeof(kLevelNames[0]), "each level needs its name");
 
-constexpr const char* kPrefixes[] = {"node", "config", "claims", "members", "targets", "requests", "operators"};
+constexpr const char* kPrefixes[] = {"node",     "config",    "claims", "members", "targets",
+                                     "requests", "operators", "store",  "layout"};
 static_assert(LogPart::Count == sizeof(kPrefixes) / sizeof(kPrefixes[0]), "each part needs its prefix");
 
 std::string gNode; // set once, before any thread starts
@@ -63,6 +64,7 @@
 {
 	_out << timeOf(_record) << ' ' << textOf(_record, "Level") << ' ' << textOf(_record, "Part") << ": "
 	     << _record[expr::smessage];
+	_out << textOf(_record, "Fields");
 	const std::string request = textOf(_record, "Request");
 	if (!request.empty())
 	{
@@ -76,10 +78,46 @@
 	_out << "{\"time\":\"" << timeOf(_record) << "\",\"node\":\"" << escaped(gNode) << "\",\"level\":\""
 	     << textOf(_record, "Level") << "\",\"part\":\"" << textOf(_record, "Part") << "\",\"message\":\""
 	     << escaped(message ? message.get() : std::string()) << "\",\"request\":\""
-	     << escaped(textOf(_record, "Request")) << "\"}";
+	     << escaped(textOf(_record, "Request")) << '"' << textOf(_record, "Fields") << '}';
 }
 
 LogLevel::Enum gLevel = LogLevel::Info; // set once, before any thread starts
+bool gJson = false;                     // set once, before any thread starts
+
+/// @returns the fields as they stand in a line of the format in use.
+std::string fieldsText(const std::vector<LogField>& _fields)
+{
+	std::string text;
+	for (const LogField& field : _fields)
+	{
+		if (gJson)
+		{
+			text += std::string(",\"") + field.name + "\":\"" + escaped(field.value) + '"';
+		}
+		else
+		{
+			text += std::string(" ") + field.name + '=' + field.value;
+		}
+	}
+	return text;
+}
+
+void writeLine(LogPart::Enum _part, LogLevel::Enum _level, const std::string& _sentence, const std::string& _fields,
+               const std::string& _request)
+{
+	thread_local logging::sources::logger source;
+	logging::record record = source.open_record();
+	if (!record)
+	{
+		return;
+	}
+	logging::record_ostream out(record);
+	out << logging::add_value("Part", std::string(kPrefixes[_part]))
+	    << logging::add_value("Level", std::string(kLevelNames[_level])) << logging::add_value("Request", _request)
+	    << logging::add_value("Fields", _fields) << _sentence;
+	out.flush();
+	source.push_record(std::move(record));
+}
 
 } // namespace
 
@@ -87,6 +125,7 @@
 {
 	gNode = _node;
 	gLevel = _level;
+	gJson = _json;
 	const auto sink = logging::add_console_log(std::clog);
 	sink->locked_backend()->auto_flush(true);
 	if (_json)
@@ -106,18 +145,17 @@
 	{
 		return;
 	}
-	thread_local logging::sources::logger source;
-	logging::record record = source.open_record();
-	if (!record)
+	writeLine(_part, _level, _sentence, std::string(), _request);
+}
+
+void logEvent(LogPart::Enum _part, LogLevel::Enum _level, const char* _sentence, const std::vector<LogField>& _fields,
+              const std::string& _request)
+{
+	if (_level < gLevel)
 	{
 		return;
 	}
-	logging::record_ostream out(record);
-	out << logging::add_value("Part", std::string(kPrefixes[_part]))
-	    << logging::add_value("Level", std::string(kLevelNames[_level])) << logging::add_value("Request", _request)
-	    << _sentence;
-	out.flush();
-	source.push_record(std::move(record));
+	writeLine(_part, _level, _sentence, fieldsText(_fields), _request);
 }
 
 const char* nameOf(LogLevel::Enum _level)
--- a/packages/node/include/node/settings.h
+++ b/packages/node/include/node/settings.h
@@ -6,7 +6,7 @@
 #include <core/placement.h>
 #include <core/planner.h>
 #include <http/endpoint.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 
 #include <cstdint>
 #include <string>
--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -1,10 +1,18 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <node/logging.h>
+#include <entry/documents.h>
+#include <entry/entrynode.h>
+#include <entry/entrysettings.h>
+#include <entry/keyedlog.h>
+#include <entry/runnerorders.h>
+#include <entry/wireformat.h>
+#include <logging/logging.h>
 #include <node/node.h>
 #include <node/settings.h>
+#include <platform/platform.h>
 
 #include <csignal>
+#include <cstring>
 #include <iostream>
 
 using namespace sedgecart;
@@ -23,15 +31,16 @@
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
 	sigaddset(&signals, SIGUSR1);
+	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 	return signals;
 }
 
 /// Dumps the state on SIGUSR1, returns on SIGTERM and SIGINT.
-void waitForStop(const sigset_t& _signals, const Node& _node)
+template <typename AnyNode> void waitForStop(const sigset_t& _signals, const AnyNode& _node)
 {
 	int signal = 0;
-	while (0 == sigwait(&_signals, &signal) && SIGUSR1 == signal)
+	while (0 == sigwait(&_signals, &signal) && (SIGUSR1 == signal || SIGHUP == signal))
 	{
 		std::cout << _node.dump() << std::endl;
 	}
@@ -47,10 +56,70 @@
 	return 0;
 }
 
+/// The users' platform.
+class PlatformPorts : public EntryPortsI
+{
+public:
+	std::unique_ptr<WireFormatI> makeWireFormat() override
+	{
+		return makePlatformWireFormat();
+	}
+	std::unique_ptr<DocumentsI> makeDocuments() override
+	{
+		return makePlatformDocuments();
+	}
+	std::unique_ptr<KeyedLogI> makeLog(boost::asio::io_context& _loop, const std::string& _address) override
+	{
+		return makePlatformLog(_loop, _address);
+	}
+	std::unique_ptr<RunnerOrdersI> makeOrders(boost::asio::io_context& _loop) override
+	{
+		return makePlatformOrders(_loop);
+	}
+};
+
+/// Runs a node on the users' platform, with settings from a file.
+int runEntry(const std::string& _path)
+{
+	EntrySettings settings;
+	std::string message;
+	if (!readEntrySettings(_path, settings, message))
+	{
+		std::cerr << message << '\n';
+		return kBadSettings;
+	}
+	const sigset_t signals = blockSignals();
+	startLogging(LogLevel::Info, true, settings.name);
+	PlatformPorts ports;
+	EntryNode node(settings, ports);
+	waitForStop(signals, node);
+	node.stop();
+	return 0;
+}
+
+/// @returns the file named by "entry --settings FILE", null if the arguments are others.
+const char* entrySettingsFile(int _argc, const char* const* _argv)
+{
+	const bool asked = 4 == _argc && 0 == std::strcmp("entry", _argv[1]) && 0 == std::strcmp("--settings", _argv[2]);
+	return asked ? _argv[3] : nullptr;
+}
+
 } // namespace
 
 int main(int _argc, char** _argv)
 {
+	if (const char* const path = entrySettingsFile(_argc, _argv))
+	{
+		try
+		{
+			return runEntry(path);
+		}
+		catch (const std::exception& error)
+		{
+			std::cerr << "sedgecartd: cannot start: " << error.what() << '\n';
+			return 1;
+		}
+	}
 	Settings settings;
 	std::string message;
 	const SettingsOutcome::Enum outcome = readSettings(_argc, _argv, settings, message);
--- a/packages/node/src/attempt.cpp
+++ b/packages/node/src/attempt.cpp
@@ -9,7 +9,7 @@
 #include "fasterchain_p.h"
 
 #include <base/config.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <node/settings.h>
 #include <target/httpenginestream.h>
 #include <target/loadprobe.h>
--- a/packages/node/src/claimkeeper.cpp
+++ b/packages/node/src/claimkeeper.cpp
@@ -6,8 +6,8 @@
 
 #include <base/config.h>
 #include <base/incarnation.h>
-#include <node/logging.h>
-#include <platform/httplog.h>
+#include <logging/logging.h>
+#include <store/httplog.h>
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
--- a/packages/node/src/configwriter.cpp
+++ b/packages/node/src/configwriter.cpp
@@ -5,9 +5,9 @@
 #include "context_p.h"
 #include "control_p.h"
 
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <node/settings.h>
-#include <platform/httplog.h>
+#include <store/httplog.h>
 #include <wire/mapping.h>
 #include <wire/sedgecart.pb.h>
 
--- a/packages/node/src/control.cpp
+++ b/packages/node/src/control.cpp
@@ -4,7 +4,7 @@
 
 #include <base/config.h>
 #include <core/snapshot.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <wire/mapping.h>
 #include <wire/sedgecart.pb.h>
 
--- a/packages/node/src/control_p.h
+++ b/packages/node/src/control_p.h
@@ -9,7 +9,7 @@
 #include <base/clock.h>
 #include <core/controlplane.h>
 #include <peer/peerlink.h>
-#include <platform/log.h>
+#include <store/log.h>
 
 #include <atomic>
 #include <condition_variable>
--- a/packages/node/src/front.cpp
+++ b/packages/node/src/front.cpp
@@ -14,7 +14,7 @@
 #include <base/config.h>
 #include <base/digest.h>
 #include <http/httpexchange.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <node/settings.h>
 #include <wire/json.h>
 #include <wire/sedgecart.pb.h>
--- a/packages/node/src/generation.cpp
+++ b/packages/node/src/generation.cpp
@@ -10,7 +10,7 @@
 
 #include <base/config.h>
 #include <base/digest.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 
 #include <algorithm>
 #include <chrono>
--- a/packages/node/src/imagekeeper.cpp
+++ b/packages/node/src/imagekeeper.cpp
@@ -7,8 +7,8 @@
 
 #include <base/clock.h>
 #include <base/config.h>
-#include <node/logging.h>
-#include <platform/httplog.h>
+#include <logging/logging.h>
+#include <store/httplog.h>
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
--- a/packages/node/src/logtailer.cpp
+++ b/packages/node/src/logtailer.cpp
@@ -3,8 +3,8 @@
 #include "logtailer_p.h"
 
 #include <base/config.h>
-#include <node/logging.h>
-#include <platform/httplog.h>
+#include <logging/logging.h>
+#include <store/httplog.h>
 
 #include <chrono>
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -20,7 +20,7 @@
 #include <base/steadyclock.h>
 #include <core/snapshot.h>
 #include <http/httpserver.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <node/settings.h>
 
 #include <chrono>
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -5,7 +5,7 @@
 #include "control_p.h"
 #include "imagemapping_p.h"
 
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
--- a/packages/node/src/placer.cpp
+++ b/packages/node/src/placer.cpp
@@ -10,7 +10,7 @@
 #include <base/config.h>
 #include <base/incarnation.h>
 #include <core/snapshot.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <node/settings.h>
 #include <target/httplayerorders.h>
 
--- a/packages/node/src/servicerelay.cpp
+++ b/packages/node/src/servicerelay.cpp
@@ -11,7 +11,7 @@
 
 #include <base/config.h>
 #include <base/digest.h>
-#include <node/logging.h>
+#include <logging/logging.h>
 #include <target/httpplainservice.h>
 
 namespace sedgecart
--- a/packages/node/src/vmwatcher.cpp
+++ b/packages/node/src/vmwatcher.cpp
@@ -5,8 +5,8 @@
 #include "control_p.h"
 #include "peers_p.h"
 
-#include <node/logging.h>
-#include <platform/httpvmlist.h>
+#include <logging/logging.h>
+#include <store/httpvmlist.h>
 
 #include <chrono>
 #include <map>
--- a/packages/platform/include/platform/httplog.h
+++ b/packages/store/include/store/httplog.h
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_PLATFORM_HTTPLOG_H_HEADER_GUARD
-#define SEDGECART_PLATFORM_HTTPLOG_H_HEADER_GUARD
+#ifndef SEDGECART_STORE_HTTPLOG_H_HEADER_GUARD
+#define SEDGECART_STORE_HTTPLOG_H_HEADER_GUARD
 
 #include <http/endpoint.h>
 #include <http/httpclient.h>
-#include <platform/log.h>
+#include <store/log.h>
 
 namespace sedgecart
 {
@@ -25,4 +25,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_PLATFORM_HTTPLOG_H_HEADER_GUARD
+#endif // SEDGECART_STORE_HTTPLOG_H_HEADER_GUARD
--- a/packages/platform/include/platform/httpvmlist.h
+++ b/packages/store/include/store/httpvmlist.h
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_PLATFORM_HTTPVMLIST_H_HEADER_GUARD
-#define SEDGECART_PLATFORM_HTTPVMLIST_H_HEADER_GUARD
+#ifndef SEDGECART_STORE_HTTPVMLIST_H_HEADER_GUARD
+#define SEDGECART_STORE_HTTPVMLIST_H_HEADER_GUARD
 
 #include <http/endpoint.h>
 #include <http/httpclient.h>
-#include <platform/vmlist.h>
+#include <store/vmlist.h>
 
 namespace sedgecart
 {
@@ -24,4 +24,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_PLATFORM_HTTPVMLIST_H_HEADER_GUARD
+#endif // SEDGECART_STORE_HTTPVMLIST_H_HEADER_GUARD
--- a/packages/platform/include/platform/log.h
+++ b/packages/store/include/store/log.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_PLATFORM_LOG_H_HEADER_GUARD
-#define SEDGECART_PLATFORM_LOG_H_HEADER_GUARD
+#ifndef SEDGECART_STORE_LOG_H_HEADER_GUARD
+#define SEDGECART_STORE_LOG_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -65,4 +65,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_PLATFORM_LOG_H_HEADER_GUARD
+#endif // SEDGECART_STORE_LOG_H_HEADER_GUARD
--- a/packages/platform/include/platform/vmlist.h
+++ b/packages/store/include/store/vmlist.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_PLATFORM_VMLIST_H_HEADER_GUARD
-#define SEDGECART_PLATFORM_VMLIST_H_HEADER_GUARD
+#ifndef SEDGECART_STORE_VMLIST_H_HEADER_GUARD
+#define SEDGECART_STORE_VMLIST_H_HEADER_GUARD
 
 #include <string>
 #include <vector>
@@ -30,4 +30,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_PLATFORM_VMLIST_H_HEADER_GUARD
+#endif // SEDGECART_STORE_VMLIST_H_HEADER_GUARD
--- a/packages/platform/src/httpvmlist.cpp
+++ b/packages/store/src/httpvmlist.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <platform/httpvmlist.h>
+#include <store/httpvmlist.h>
 
 #include <base/config.h>
 #include <wire/json.h>
--- a/packages/wire/include/wire/json.h
+++ b/packages/wire/include/wire/json.h
@@ -20,6 +20,9 @@
 /// @param _defaults also writes fields that hold their default.
 std::string toJson(const google::protobuf::Message& _message, bool _defaults = false);
 
+/// @returns the message as one line of JSON with the JSON names of its fields, those that hold their default too.
+std::string toWireJson(const google::protobuf::Message& _message);
+
 /// Reads a message from JSON. Fields that are not known are passed over.
 /// @returns false if the text is no such message.
 bool fromJson(const std::string& _text, google::protobuf::Message& _message);
--- a/packages/wire/src/json.cpp
+++ b/packages/wire/src/json.cpp
@@ -17,6 +17,15 @@
 	return status.ok() ? text : std::string("{}");
 }
 
+std::string toWireJson(const google::protobuf::Message& _message)
+{
+	google::protobuf::util::JsonPrintOptions options;
+	options.always_print_primitive_fields = true;
+	std::string text;
+	const auto status = google::protobuf::util::MessageToJsonString(_message, &text, options);
+	return status.ok() ? text : std::string("{}");
+}
+
 bool fromJson(const std::string& _text, google::protobuf::Message& _message)
 {
 	google::protobuf::util::JsonParseOptions options;
