--- /dev/null
+++ b/packages/aio/tests/messagereadertest.cpp
@@ -0,0 +1,140 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <aio/messagereader.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Side = MessageReader::Side;
+
+/// Reads bytes that come in pieces of a size. @returns the last state.
+ReadState::Enum readIn(MessageReader& _reader, const std::string& _bytes, std::size_t _piece, std::string& _left)
+{
+	ReadState::Enum state = ReadState::More;
+	_left.clear();
+	for (std::size_t at = 0; at < _bytes.size() && ReadState::More == state; at += _piece)
+	{
+		_left += _bytes.substr(at, _piece);
+		std::size_t used = 1;
+		while (ReadState::More == state && 0 < used && !_left.empty())
+		{
+			state = _reader.feed(_left, used);
+			_left.erase(0, used);
+		}
+	}
+	return state;
+}
+
+ReadState::Enum readAll(Side::Enum _side, const std::string& _bytes)
+{
+	MessageReader reader(_side, ReaderLimits{});
+	std::string left;
+	return readIn(reader, _bytes, _bytes.size(), left);
+}
+
+} // namespace
+
+class MessageReaderTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(MessageReaderTest);
+	CPPUNIT_TEST(requestInAnyPieces);
+	CPPUNIT_TEST(chunksLoseTheirFraming);
+	CPPUNIT_TEST(nextMessageIsLeft);
+	CPPUNIT_TEST(ambiguousLengthsAreMalformed);
+	CPPUNIT_TEST(boundsHold);
+	CPPUNIT_TEST(answerUntilClose);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void requestInAnyPieces()
+	{
+		const std::string text = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+		for (std::size_t piece = 1; piece <= text.size(); ++piece)
+		{
+			MessageReader reader(Side::Request, ReaderLimits{});
+			std::string left;
+			CPPUNIT_ASSERT(ReadState::Done == readIn(reader, text, piece, left));
+			CPPUNIT_ASSERT_EQUAL(std::string("hello"), reader.body());
+			CPPUNIT_ASSERT_EQUAL(std::string("/a?b"), reader.head().target);
+			CPPUNIT_ASSERT_EQUAL(std::string("POST"), reader.head().method);
+		}
+	}
+
+	void chunksLoseTheirFraming()
+	{
+		const std::string text =
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+		for (std::size_t piece = 1; piece <= text.size(); ++piece)
+		{
+			MessageReader reader(Side::Response, ReaderLimits{});
+			std::string left;
+			CPPUNIT_ASSERT(ReadState::Done == readIn(reader, text, piece, left));
+			CPPUNIT_ASSERT_EQUAL(std::string("abcde"), reader.body());
+		}
+	}
+
+	void nextMessageIsLeft()
+	{
+		MessageReader reader(Side::Request, ReaderLimits{});
+		std::string left;
+		const std::string text = "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /next";
+		CPPUNIT_ASSERT(ReadState::Done == readIn(reader, text, text.size(), left));
+		CPPUNIT_ASSERT_EQUAL(std::string("GET /next"), left);
+	}
+
+	void ambiguousLengthsAreMalformed()
+	{
+		for (const char* const fields :
+		     {"Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+		      "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5x\r\n", "Content-Length: -5\r\n",
+		      "Bad Name: 1\r\n", ": 1\r\n"})
+		{
+			const std::string text = std::string("POST / HTTP/1.1\r\nHost: h\r\n") + fields + "\r\nhello";
+			CPPUNIT_ASSERT_MESSAGE(fields, ReadState::Malformed == readAll(Side::Request, text));
+		}
+		CPPUNIT_ASSERT(ReadState::Done != readAll(Side::Request, "GET / HTTP/1.1\nHost: h\n\n"));
+		CPPUNIT_ASSERT(ReadState::Malformed == readAll(Side::Response, "rubbish that is no answer\r\n\r\n"));
+	}
+
+	void boundsHold()
+	{
+		ReaderLimits limits;
+		limits.headerBytes = 100;
+		limits.bodyBytes = 10;
+		std::string left;
+		MessageReader header(Side::Request, limits);
+		const std::string large = "GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n";
+		CPPUNIT_ASSERT(ReadState::HeaderTooLarge == readIn(header, large, large.size(), left));
+		MessageReader body(Side::Request, limits);
+		const std::string said = "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n";
+		CPPUNIT_ASSERT(ReadState::BodyTooLarge == readIn(body, said, said.size(), left));
+		MessageReader chunks(Side::Request, limits);
+		const std::string sent = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n";
+		CPPUNIT_ASSERT(ReadState::BodyTooLarge == readIn(chunks, sent, sent.size(), left));
+	}
+
+	void answerUntilClose()
+	{
+		MessageReader reader(Side::Response, ReaderLimits{});
+		std::string left;
+		const std::string text = "HTTP/1.1 200 OK\r\n\r\nsome bytes";
+		CPPUNIT_ASSERT(ReadState::More == readIn(reader, text, text.size(), left));
+		CPPUNIT_ASSERT(reader.head().untilClose);
+		CPPUNIT_ASSERT(ReadState::Done == reader.feedEnd());
+		MessageReader cut(Side::Response, ReaderLimits{});
+		const std::string shorter = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nsome bytes";
+		CPPUNIT_ASSERT(ReadState::More == readIn(cut, shorter, shorter.size(), left));
+		CPPUNIT_ASSERT(ReadState::Malformed == cut.feedEnd());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageReaderTest);
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/core/tests/layerpathtest.cpp
@@ -0,0 +1,171 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/layerpath.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <limits>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+PathCandidate candidate(uint32_t _hall, uint32_t _begin, uint32_t _end, double _cost)
+{
+	PathCandidate made;
+	made.hall = _hall;
+	made.held = LayerSpan{_begin, _end};
+	made.costPerLayer = _cost;
+	return made;
+}
+
+PathQuery query(uint32_t _layers, uint32_t _halls)
+{
+	PathQuery made;
+	made.layers = _layers;
+	made.halls = _halls;
+	made.hops = HopCosts{1, 10};
+	return made;
+}
+
+/// Cheapest way from a layer on, by trying every part; no target twice.
+double cheapest(const std::vector<PathCandidate>& _candidates, const PathQuery& _query, uint32_t _layer, uint32_t _hall,
+                std::vector<bool>& _used)
+{
+	if (_query.layers == _layer)
+	{
+		return 0;
+	}
+	double best = std::numeric_limits<double>::infinity();
+	for (std::size_t index = 0; index < _candidates.size(); ++index)
+	{
+		const PathCandidate& one = _candidates[index];
+		const bool holds = one.held.begin <= _layer && _layer < one.held.end;
+		if (_used[index] || !one.usable || !holds || (0 == _layer && !one.mayLead))
+		{
+			continue;
+		}
+		_used[index] = true;
+		for (uint32_t end = _layer + 1; end <= one.held.end; ++end)
+		{
+			const double hop = one.hall == _hall ? _query.hops.inHall : _query.hops.betweenHalls;
+			const double own = hop + one.costOfPart + (end - _layer) * one.costPerLayer;
+			best = std::min(best, own + cheapest(_candidates, _query, end, one.hall, _used));
+		}
+		_used[index] = false;
+	}
+	return best;
+}
+
+double costOf(const std::vector<PathPart>& _path, const std::vector<PathCandidate>& _candidates,
+              const PathQuery& _query)
+{
+	double cost = 0;
+	uint32_t hall = _query.homeHall;
+	for (const PathPart& part : _path)
+	{
+		const PathCandidate& one = _candidates[part.candidate];
+		cost += one.hall == hall ? _query.hops.inHall : _query.hops.betweenHalls;
+		cost += one.costOfPart + part.layers.size() * one.costPerLayer;
+		hall = one.hall;
+	}
+	return cost;
+}
+
+} // namespace
+
+class LayerPathTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(LayerPathTest);
+	CPPUNIT_TEST(staysInTheHall);
+	CPPUNIT_TEST(borrowsALostRangeFromAnotherHall);
+	CPPUNIT_TEST(aFullTargetDoesNotLead);
+	CPPUNIT_TEST(noCoverIsSaid);
+	CPPUNIT_TEST(everyLayerOnceAndCheapest);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void staysInTheHall()
+	{
+		const std::vector<PathCandidate> all = {candidate(1, 0, 8, 1), candidate(0, 0, 4, 1), candidate(0, 4, 8, 1)};
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(findPath(all, query(8, 2), path));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), path.size());
+		CPPUNIT_ASSERT_EQUAL(1U, path[0].candidate);
+	}
+
+	void borrowsALostRangeFromAnotherHall()
+	{
+		std::vector<PathCandidate> all = {candidate(0, 0, 4, 1), candidate(0, 4, 8, 1), candidate(1, 2, 8, 1)};
+		all[1].usable = false;
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(findPath(all, query(8, 2), path));
+		CPPUNIT_ASSERT_EQUAL(2U, path[1].candidate);
+		CPPUNIT_ASSERT(8 == path[1].layers.end);
+	}
+
+	void aFullTargetDoesNotLead()
+	{
+		std::vector<PathCandidate> all = {candidate(0, 0, 8, 1), candidate(0, 0, 8, 5)};
+		all[0].mayLead = false;
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(findPath(all, query(8, 1), path));
+		CPPUNIT_ASSERT_EQUAL(1U, path[0].candidate);
+	}
+
+	void noCoverIsSaid()
+	{
+		const std::vector<PathCandidate> all = {candidate(0, 0, 3, 1), candidate(0, 4, 8, 1)};
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(!findPath(all, query(8, 1), path));
+	}
+
+	/// Against trying everything: a path is found whenever there is one without a repeated target, covers each layer
+	/// once and in order, and no path that it could have taken costs less, unless a target would have stood in it
+	/// twice.
+	void everyLayerOnceAndCheapest()
+	{
+		CPPUNIT_ASSERT(rc::check("paths over random layouts",
+		                         []
+		                         {
+			                         const uint32_t layers = 6;
+			                         std::vector<PathCandidate> all;
+			                         const auto count = *rc::gen::inRange<int>(1, 6);
+			                         for (int index = 0; index < count; ++index)
+			                         {
+				                         const auto begin = *rc::gen::inRange<uint32_t>(0, layers);
+				                         const auto end = *rc::gen::inRange<uint32_t>(begin + 1, layers + 1);
+				                         all.push_back(candidate(*rc::gen::inRange<uint32_t>(0, 2), begin, end, 1));
+				                         all.back().usable = 0 != *rc::gen::inRange<int>(0, 5);
+			                         }
+			                         std::vector<bool> used(all.size(), false);
+			                         const double best = cheapest(all, query(layers, 2), 0, 0, used);
+			                         std::vector<PathPart> path;
+			                         const bool found = findPath(all, query(layers, 2), path);
+			                         RC_ASSERT(found == (best < 1e9));
+			                         if (!found)
+			                         {
+				                         return;
+			                         }
+			                         uint32_t layer = 0;
+			                         for (const PathPart& part : path)
+			                         {
+				                         const PathCandidate& one = all[part.candidate];
+				                         RC_ASSERT(one.usable && part.layers.begin == layer);
+				                         RC_ASSERT(one.held.begin <= layer && part.layers.end <= one.held.end);
+				                         layer = part.layers.end;
+			                         }
+			                         RC_ASSERT(layers == layer);
+			                         // Equal prices a layer: no detour over another target pays, so none is repeated.
+			                         RC_ASSERT(costOf(path, all, query(layers, 2)) <= best + 1e-9);
+		                         }));
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LayerPathTest);
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -0,0 +1,398 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/relaymachine.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+std::string event(uint64_t _id)
+{
+	return "id: " + std::to_string(_id) + "\ndata: piece\n\n";
+}
+
+/// Notes what a machine has done; sends as it is told to.
+class Notes : public RelayActionsI
+{
+public:
+	SendOutcome::Enum send(std::optional<uint64_t> _resumeAfter) override
+	{
+		resumedAfter = _resumeAfter;
+		if (SendOutcome::Begun == outcome)
+		{
+			++sends;
+		}
+		return outcome;
+	}
+	void cancelSend() override
+	{
+		++cancels;
+	}
+	bool payRepeat() override
+	{
+		return mayRepeat;
+	}
+	void passHead() override
+	{
+		++heads;
+	}
+	void passBody(std::string_view _bytes) override
+	{
+		body.append(_bytes);
+	}
+	void passEnd() override
+	{
+		++ends;
+	}
+	void passWhole() override
+	{
+		++wholes;
+	}
+	void refuse(ErrorKind::Enum _kind) override
+	{
+		refusals.push_back(_kind);
+	}
+	void breakOff() override
+	{
+		++breaks;
+	}
+
+	uint32_t finals() const
+	{
+		return ends + wholes + static_cast<uint32_t>(refusals.size()) + breaks;
+	}
+
+	SendOutcome::Enum outcome = SendOutcome::Begun;
+	bool mayRepeat = true;
+	std::optional<uint64_t> resumedAfter;
+	uint32_t sends = 0;
+	uint32_t cancels = 0;
+	uint32_t heads = 0;
+	uint32_t ends = 0;
+	uint32_t wholes = 0;
+	uint32_t breaks = 0;
+	std::string body;
+	std::vector<ErrorKind::Enum> refusals;
+};
+
+RelayFacts facts(RequestKind::Enum _kind, bool _resumable, uint32_t _maxRuns)
+{
+	RelayFacts facts;
+	facts.kind = _kind;
+	facts.resumable = _resumable;
+	facts.maxRuns = _maxRuns;
+	return facts;
+}
+
+constexpr RelayHead kSuccess{200, false};
+constexpr RelayHead kNotRun{503, true};
+constexpr RelayHead kFailed{500, false};
+
+} // namespace
+
+class RelayMachineTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(RelayMachineTest);
+	CPPUNIT_TEST(plainAnswerIsPassedWhole);
+	CPPUNIT_TEST(atMostOnceIsNotSentAgainAfterABreak);
+	CPPUNIT_TEST(atMostOnceIsSentAgainWhenNotRun);
+	CPPUNIT_TEST(idempotentFailureIsSentAgain);
+	CPPUNIT_TEST(lastFailureIsPassedOn);
+	CPPUNIT_TEST(brokenStreamGoesOnBehindItsLastEvent);
+	CPPUNIT_TEST(gapInAContinuationIsNotPassedOn);
+	CPPUNIT_TEST(streamEndingWithinAnEventIsNotWhole);
+	CPPUNIT_TEST(timeUpSaysWhetherItMayHaveRun);
+	CPPUNIT_TEST(noBudgetEndsAtOnce);
+	CPPUNIT_TEST(anyOrderOfEventsKeepsThePromises);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void plainAnswerIsPassedWhole()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::AtMostOnce, false, 1), notes);
+		machine.begin();
+		machine.onSent();
+		machine.onHead(kSuccess);
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(1U, notes.wholes);
+		CPPUNIT_ASSERT(machine.done());
+	}
+
+	void atMostOnceIsNotSentAgainAfterABreak()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::AtMostOnce, false, 3), notes);
+		machine.begin();
+		machine.onSent();
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+		CPPUNIT_ASSERT(ErrorKind::TargetLost == notes.refusals.at(0));
+	}
+
+	void atMostOnceIsSentAgainWhenNotRun()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::AtMostOnce, false, 1), notes);
+		machine.begin();
+		machine.onBroken(SendBreak::NotSent);
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		machine.onSent();
+		machine.onHead(kNotRun);
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(3U, notes.sends);
+		CPPUNIT_ASSERT(!machine.done());
+	}
+
+	void idempotentFailureIsSentAgain()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Idempotent, false, 2), notes);
+		machine.begin();
+		machine.onSent();
+		machine.onHead(kFailed);
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals());
+	}
+
+	void lastFailureIsPassedOn()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Idempotent, false, 1), notes);
+		machine.begin();
+		machine.onSent();
+		machine.onHead(kFailed);
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(1U, notes.wholes);
+	}
+
+	void brokenStreamGoesOnBehindItsLastEvent()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		stream(machine);
+		machine.onBody(event(0) + event(1) + "id: 2\nda");
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT(1 == notes.resumedAfter.value_or(99));
+		stream(machine);
+		machine.onBody(event(2));
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(event(0) + event(1) + event(2), notes.body);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.heads);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.ends);
+	}
+
+	void gapInAContinuationIsNotPassedOn()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		stream(machine);
+		machine.onBody(event(0));
+		machine.onBroken(SendBreak::Broken);
+		stream(machine);
+		machine.onBody(event(2));
+		CPPUNIT_ASSERT_EQUAL(event(0), notes.body);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+	}
+
+	void streamEndingWithinAnEventIsNotWhole()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, false, 1), notes);
+		stream(machine);
+		machine.onBody(event(0) + "id: 1\n");
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(0U, notes.ends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+	}
+
+	void timeUpSaysWhetherItMayHaveRun()
+	{
+		Notes sent;
+		RelayMachine first(facts(RequestKind::AtMostOnce, false, 1), sent);
+		first.begin();
+		first.onSent();
+		first.onTimeUp();
+		CPPUNIT_ASSERT(ErrorKind::DeadlinePassed == sent.refusals.at(0));
+		Notes unsent;
+		RelayMachine second(facts(RequestKind::AtMostOnce, false, 1), unsent);
+		second.begin();
+		second.onTimeUp();
+		CPPUNIT_ASSERT(ErrorKind::DeadlineTooShort == unsent.refusals.at(0));
+	}
+
+	void noBudgetEndsAtOnce()
+	{
+		Notes notes;
+		notes.mayRepeat = false;
+		RelayMachine machine(facts(RequestKind::Idempotent, false, 4), notes);
+		machine.begin();
+		machine.onSent();
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.finals());
+	}
+
+	/// A random target, caller and clock: one final answer at most, "not run" only if true, at most once if it must be,
+	/// and a stream that is a prefix of the events, whole when it ends as complete.
+	void anyOrderOfEventsKeepsThePromises()
+	{
+		CPPUNIT_ASSERT(rc::check(
+		    "promises of one request",
+		    []
+		    {
+			    const auto kind = static_cast<RequestKind::Enum>(*rc::gen::inRange<int>(0, RequestKind::Count));
+			    const bool resumable = *rc::gen::arbitrary<bool>();
+			    const uint32_t maxRuns = *rc::gen::inRange<uint32_t>(1, 4);
+			    Notes notes;
+			    RelayMachine machine(facts(kind, resumable, maxRuns), notes);
+			    RandomTarget target(notes, machine);
+			    machine.begin();
+			    for (int step = 0; step < 40 && !machine.done(); ++step)
+			    {
+				    notes.mayRepeat = 0 != *rc::gen::inRange<int>(0, 4);
+				    notes.outcome = static_cast<SendOutcome::Enum>(
+				        0 == *rc::gen::inRange<int>(0, 8) ? *rc::gen::inRange<int>(0, SendOutcome::Count) : 0);
+				    target.step(*rc::gen::inRange<int>(0, 10));
+			    }
+			    RC_ASSERT(notes.finals() <= 1U);
+			    const bool once = RequestKind::AtMostOnce == kind || (RequestKind::Stream == kind && !resumable);
+			    RC_ASSERT(!once || target.runs <= 1U);
+			    RC_ASSERT(target.runs <= maxRuns);
+			    for (const ErrorKind::Enum refusal : notes.refusals)
+			    {
+				    RC_ASSERT(Ran::No != answerOf(refusal).ran || 0U == target.runs);
+			    }
+			    std::string expected;
+			    for (uint64_t id = 0; expected.size() < notes.body.size(); ++id)
+			    {
+				    expected += event(id);
+			    }
+			    RC_ASSERT(expected == notes.body);
+		    }));
+	}
+
+private:
+	static void stream(RelayMachine& _machine)
+	{
+		_machine.onSent();
+		_machine.onHead(kSuccess);
+	}
+
+	/// A target that does one thing a step, in an order that a connection allows.
+	class RandomTarget
+	{
+	public:
+		RandomTarget(const Notes& _notes, RelayMachine& _machine) : notes_(_notes), machine_(_machine)
+		{
+		}
+
+		void step(int _choice)
+		{
+			if (sends_ != notes_.sends)
+			{
+				sends_ = notes_.sends;
+				sent_ = headed_ = ran_ = false;
+				next_ = notes_.resumedAfter ? *notes_.resumedAfter + 1 : 0;
+			}
+			if (!sent_)
+			{
+				beforeSent(_choice);
+				return;
+			}
+			headed_ ? afterHead(_choice) : beforeHead(_choice);
+		}
+
+		uint32_t runs = 0;
+
+	private:
+		void beforeSent(int _choice)
+		{
+			if (0 == _choice)
+			{
+				machine_.onBroken(SendBreak::NotSent);
+				return;
+			}
+			if (1 == _choice)
+			{
+				machine_.onTimeUp();
+				return;
+			}
+			sent_ = true;
+			machine_.onSent();
+		}
+
+		void beforeHead(int _choice)
+		{
+			if (0 == _choice)
+			{
+				headed_ = true;
+				refusing_ = true;
+				machine_.onHead(kNotRun);
+				return;
+			}
+			run();
+			if (1 == _choice)
+			{
+				machine_.onBroken(SendBreak::Broken);
+				return;
+			}
+			if (2 == _choice)
+			{
+				machine_.onCallerGone();
+				return;
+			}
+			headed_ = true;
+			refusing_ = false;
+			machine_.onHead(3 == _choice ? kFailed : kSuccess);
+		}
+
+		void afterHead(int _choice)
+		{
+			if (0 == _choice)
+			{
+				machine_.onBroken(SendBreak::Broken);
+			}
+			else if (1 == _choice || refusing_)
+			{
+				machine_.onWhole();
+			}
+			else if (2 == _choice)
+			{
+				machine_.onTimeUp();
+			}
+			else
+			{
+				machine_.onBody(event(next_++));
+			}
+		}
+
+		void run()
+		{
+			runs += ran_ ? 0 : 1;
+			ran_ = true;
+		}
+
+		const Notes& notes_;
+		RelayMachine& machine_;
+		uint32_t sends_ = 0;
+		uint64_t next_ = 0;
+		bool sent_ = false;
+		bool headed_ = false;
+		bool ran_ = false;
+		bool refusing_ = false;
+	};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayMachineTest);
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/core/tests/routetabletest.cpp
@@ -0,0 +1,200 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/eventsplitter.h>
+#include <core/retryshare.h>
+#include <core/routetable.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+HostRoute route(const std::string& _host, const std::string& _prefix)
+{
+	HostRoute made;
+	made.name = _host + _prefix;
+	made.host = _host;
+	made.pathPrefix = _prefix;
+	made.services.push_back(WeightedService{"a", 3});
+	made.services.push_back(WeightedService{"b", 1});
+	return made;
+}
+
+std::shared_ptr<const DesiredState> state()
+{
+	auto made = std::make_shared<DesiredState>();
+	made->routes = {route("one.example", "/"), route("one.example", "/a/b/"), route("one.example", "/a/"),
+	                route("two.example", "/x/")};
+	made->customers.push_back(KeyHolder{"bank", {"k1", "k2"}, 1, true});
+	made->keysNeeded = true;
+	return made;
+}
+
+std::string found(const RouteTable& _table, const char* _host, const char* _path)
+{
+	const HostRoute* const route = _table.findRoute(_host, _path);
+	return nullptr == route ? "none" : route->name;
+}
+
+} // namespace
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(RouteTableTest);
+	CPPUNIT_TEST(longestPrefixOfTheHost);
+	CPPUNIT_TEST(holderOfAKey);
+	CPPUNIT_TEST(servicesByWeight);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void longestPrefixOfTheHost()
+	{
+		const RouteTable table(state());
+		CPPUNIT_ASSERT_EQUAL(std::string("one.example/a/b/"), found(table, "one.example", "/a/b/c"));
+		CPPUNIT_ASSERT_EQUAL(std::string("one.example/a/"), found(table, "One.Example:80", "/a/bc?x=/a/b/"));
+		CPPUNIT_ASSERT_EQUAL(std::string("one.example/"), found(table, "one.example", "/ab"));
+		CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "two.example", "/y/"));
+		CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "three.example", "/"));
+	}
+
+	void holderOfAKey()
+	{
+		const RouteTable table(state());
+		CPPUNIT_ASSERT_EQUAL(std::string("bank"), table.findHolder("k2")->name);
+		CPPUNIT_ASSERT(nullptr == table.findHolder(""));
+		CPPUNIT_ASSERT(nullptr == table.findHolder("k"));
+	}
+
+	void servicesByWeight()
+	{
+		const HostRoute split = route("one.example", "/");
+		CPPUNIT_ASSERT_EQUAL(std::string("a"), pickService(split, 0)->service);
+		CPPUNIT_ASSERT_EQUAL(std::string("a"), pickService(split, UINT64_MAX / 8 * 5)->service);
+		CPPUNIT_ASSERT_EQUAL(std::string("b"), pickService(split, UINT64_MAX / 8 * 7)->service);
+		HostRoute none = split;
+		none.services = {WeightedService{"a", 0}};
+		CPPUNIT_ASSERT(nullptr == pickService(none, 7));
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
+
+class EventSplitterTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(EventSplitterTest);
+	CPPUNIT_TEST(onlyWholeEventsPass);
+	CPPUNIT_TEST(idsMustFollow);
+	CPPUNIT_TEST(cutInEveryPlace);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void onlyWholeEventsPass()
+	{
+		EventSplitter splitter(std::nullopt);
+		std::string whole;
+		CPPUNIT_ASSERT(splitter.feed("weight-versions: 1\nid: 0\ndata: x\n\nid: 1\nda", whole));
+		CPPUNIT_ASSERT_EQUAL(std::string("weight-versions: 1\nid: 0\ndata: x\n\n"), whole);
+		CPPUNIT_ASSERT(!splitter.atBoundary());
+		CPPUNIT_ASSERT(splitter.feed("ta: y\n\n", whole));
+		CPPUNIT_ASSERT(splitter.atBoundary());
+		CPPUNIT_ASSERT(1U == splitter.lastId().value());
+	}
+
+	void idsMustFollow()
+	{
+		EventSplitter splitter(5);
+		std::string whole;
+		CPPUNIT_ASSERT(splitter.feed("id: 6\n\n", whole));
+		CPPUNIT_ASSERT(!splitter.feed("id: 8\n\n", whole));
+	}
+
+	void cutInEveryPlace()
+	{
+		const std::string all = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n: note\n\nid: 2\n\n";
+		for (std::size_t cut = 0; cut <= all.size(); ++cut)
+		{
+			EventSplitter splitter(std::nullopt);
+			std::string first;
+			std::string second;
+			CPPUNIT_ASSERT(splitter.feed(all.substr(0, cut), first));
+			CPPUNIT_ASSERT(splitter.feed(all.substr(cut), second));
+			CPPUNIT_ASSERT_EQUAL(all, first + second);
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
+
+class RetryShareTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(RetryShareTest);
+	CPPUNIT_TEST(slackIsShared);
+	CPPUNIT_TEST(windowSlides);
+	CPPUNIT_TEST(allNodesTogetherKeepTheBound);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void slackIsShared()
+	{
+		RetryAllowance allowance;
+		allowance.ratio = 0;
+		allowance.slack = 100;
+		RetryShare share;
+		uint32_t taken = 0;
+		while (share.take(allowance, 10, Time{0}))
+		{
+			++taken;
+		}
+		CPPUNIT_ASSERT_EQUAL(8U, taken);
+	}
+
+	void windowSlides()
+	{
+		RetryAllowance allowance;
+		allowance.ratio = 0;
+		allowance.slack = 2;
+		RetryShare share;
+		CPPUNIT_ASSERT(share.take(allowance, 1, Time{0}));
+		CPPUNIT_ASSERT(!share.take(allowance, 1, Time{9000000}));
+		CPPUNIT_ASSERT(share.take(allowance, 1, Time{11100000}));
+	}
+
+	/// Nodes that hear nothing of each other, each asking for as many repeats as it gets: in every window of the clock
+	/// the sum stays below the bound of all.
+	void allNodesTogetherKeepTheBound()
+	{
+		constexpr uint32_t kNodes = 9;
+		RetryAllowance allowance;
+		allowance.slack = 202;
+		std::vector<RetryShare> shares(kNodes);
+		std::vector<uint32_t> repeats(400, 0);
+		for (uint32_t step = 0; step < repeats.size(); ++step)
+		{
+			const Time now{int64_t(step) * 100000};
+			for (RetryShare& share : shares)
+			{
+				share.onFirst(now);
+				while (share.take(allowance, kNodes, now))
+				{
+					++repeats[step];
+				}
+			}
+		}
+		for (uint32_t begin = 0; begin + 100 <= repeats.size(); ++begin)
+		{
+			uint32_t sum = 0;
+			for (uint32_t step = begin; step < begin + 100; ++step)
+			{
+				sum += repeats[step];
+			}
+			CPPUNIT_ASSERT(sum <= 0.2 * 100 * kNodes + 202);
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryShareTest);
+
+} // namespace sedgecart
