A node that stops lets in only what can end in time; a failed request is sent to another target

Ruled out: closing the listener early (callers of a hall without other nodes would find nobody). Change: core/stopwindow bounds what is let in by the answer's token bound; the target that failed a request is passed over for it. Both proofs failed first (EntryProof.failureIsSentToAnotherTarget, requestsDuringAStopEndWhole).

--- a/packages/base/include/base/errorkind.h
+++ b/packages/base/include/base/errorkind.h
@@ -39,6 +39,7 @@
 		DeadlineTooShort,  //!< It could not finish before its deadline, so it was not begun.
 		LogOut,            //!< The log is out, so a keyed call cannot be claimed.
 		CatchingUp,        //!< This node has not yet read the log far enough.
+		Stopping,          //!< This node stops before the request could end.
 		ClaimInProgress,   //!< Another call under this key is running.
 		ClaimUnknown,      //!< A call under this key was sent, its outcome is not known.
 		ClaimOutcomeLost,  //!< A call under this key ran, its answer was too large to keep.
--- a/packages/base/src/errorkind.cpp
+++ b/packages/base/src/errorkind.cpp
@@ -25,6 +25,7 @@
 	{ErrorKind::DeadlineTooShort,  "deadline_too_short", 429, Ran::No,      true,  "It could not be begun in time for its deadline."},
 	{ErrorKind::LogOut,            "log_out",            503, Ran::No,      true,  "The log is out, keyed calls wait for it."},
 	{ErrorKind::CatchingUp,        "catching_up",        503, Ran::No,      true,  "This node is still reading the log."},
+	{ErrorKind::Stopping,          "stopping",           503, Ran::No,      true,  "This node stops before the request could end."},
 	{ErrorKind::ClaimInProgress,   "claim_in_progress",  409, Ran::Unknown, true,  "A call under this key is in progress."},
 	{ErrorKind::ClaimUnknown,      "claim_unknown",      409, Ran::Unknown, false, "A call under this key was sent, its outcome is not known."},
 	{ErrorKind::ClaimOutcomeLost,  "claim_outcome_lost", 409, Ran::Yes,     false, "A call under this key ran, its answer was not kept."},
--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -68,12 +68,13 @@
 
 bool EntryFront::closing() const
 {
-	return closing_.load(std::memory_order_relaxed);
+	return closing_.load(std::memory_order_acquire);
 }
 
-void EntryFront::stop()
+void EntryFront::stop(const StopWindow& _window)
 {
-	closing_.store(true, std::memory_order_relaxed);
+	stopWindow_ = _window;
+	closing_.store(true, std::memory_order_release);
 }
 
 uint32_t EntryFront::active() const
@@ -178,6 +179,12 @@
 		answer(*_connection, fault, caller.id);
 		return;
 	}
+	const bool ends = closing() && !stopWindow_.admits(entry.route->kind, caller.mostTokens, context_.clock.now());
+	if (ends)
+	{
+		answer(*_connection, ErrorKind::Stopping, caller.id);
+		return;
+	}
 	const ServerConnection* const key = _connection.get();
 	const auto relay = std::make_shared<RequestRelay>(
 	    context_, makePlan(*routes, entry, std::move(_request), std::move(caller)), _connection,
--- a/packages/entry/src/entryfront_p.h
+++ b/packages/entry/src/entryfront_p.h
@@ -8,6 +8,7 @@
 
 #include <aio/serverconnection.h>
 #include <base/errorkind.h>
+#include <core/stopwindow.h>
 #include <entry/entrysettings.h>
 
 #include <atomic>
@@ -33,8 +34,8 @@
 	Duration idleBound() const override;
 	bool closing() const override;
 
-	/// From now on connections are closed after the answer under way.
-	void stop();
+	/// From now on connections are closed after the answer under way, and only what can end in time is let in.
+	void stop(const StopWindow& _window);
 
 	/// @returns requests under way.
 	uint32_t active() const;
@@ -60,6 +61,7 @@
 	EntrySettings settings_;
 	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
 	std::atomic<uint32_t> active_{0};
+	StopWindow stopWindow_{Time{}, Duration{}}; //!< Set before `closing_`.
 	std::atomic<bool> closing_{false};
 };
 
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -12,6 +12,7 @@
 #include <aio/server.h>
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
+#include <core/stopwindow.h>
 #include <logging/logging.h>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -30,12 +31,6 @@
 namespace asio = boost::asio;
 using Guard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-/// After a stop signal the platform still sends connections until it has asked twice, a second apart, and heard no.
-constexpr Duration kStillComing = Duration::fromMillis(2800);
-
-/// Part of the stop bound that is left for the process to end.
-constexpr Duration kEndMargin = Duration::fromMillis(700);
-
 constexpr Duration kStopLook = Duration::fromMillis(50);
 
 /// A loop is one thread's, so locks within it are needless.
@@ -103,12 +98,11 @@
 
 	void stop()
 	{
+		const StopWindow window(clock_.now(), settings_.stopBound);
 		ready_.setReady(false);
-		front_.stop();
+		front_.stop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(front_.active())}});
-		const Time began = clock_.now();
-		const Time last{(began + settings_.stopBound).micros - kEndMargin.micros};
-		while (clock_.now() < began + kStillComing || (0 < front_.active() && clock_.now() < last))
+		while (window.callersStillCome(clock_.now()) || (0 < front_.active() && clock_.now() < window.end()))
 		{
 			sleepFor(kStopLook);
 		}
--- a/packages/entry/src/entrysettings.cpp
+++ b/packages/entry/src/entrysettings.cpp
@@ -25,7 +25,7 @@
 
 	std::string text(const char* _name)
 	{
-		const std::string value = values_.count(_name) ? values_[_name].as<std::string>() : std::string();
+		std::string value = values_.count(_name) ? values_[_name].as<std::string>() : std::string();
 		if (value.empty())
 		{
 			fault(_name, value, "a text");
@@ -35,7 +35,7 @@
 
 	std::string address(const char* _name)
 	{
-		const std::string value = text(_name);
+		std::string value = text(_name);
 		const std::size_t colon = value.rfind(':');
 		uint32_t port = 0;
 		if (std::string::npos == colon || !whole(value.substr(colon + 1), port) || 0 == port || 65535 < port)
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -37,6 +37,8 @@
 /// Largest answer that is collected before it is passed on, bytes.
 constexpr std::size_t kMostCollected = 16UL * 1024 * 1024;
 
+constexpr uint16_t kFirstServerError = 500;
+
 bool isSuccess(uint16_t _status)
 {
 	return 200 <= _status && _status < 300;
@@ -338,6 +340,10 @@
 	{
 		avoidAtFault();
 	}
+	else if (kFirstServerError <= head_.status)
+	{
+		failed_.insert(target(choice_.parts.front()).record.instance.text); // sent again, it goes elsewhere
+	}
 	if (answerSound_)
 	{
 		machine_.onWhole();
--- /dev/null
+++ b/tests/entry/entryharness.cpp
@@ -0,0 +1,301 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entryharness.h"
+
+#include <entry/documents.h>
+#include <entry/runnerorders.h>
+#include <entry/wireformat.h>
+#include <logging/logging.h>
+#include <platform/platform.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <thread>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Waits end by what is waited for; this bound only ends a test that failed.
+constexpr std::chrono::seconds kFarTooLong{30};
+constexpr std::chrono::milliseconds kLookAgain{5};
+
+/// @returns a loopback port that nobody listens on.
+std::string freeAddress()
+{
+	boost::asio::io_context loop;
+	Tcp::acceptor acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+	return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+Tcp::endpoint endpointOf(const std::string& _address)
+{
+	const std::size_t colon = _address.rfind(':');
+	return Tcp::endpoint(boost::asio::ip::make_address(_address.substr(0, colon)),
+	                     static_cast<uint16_t>(std::stoi(_address.substr(colon + 1))));
+}
+
+constexpr const char* kRoutes =
+    R"("routes":[)"
+    R"({"name":"plain","host":"h.example","path_prefix":"/plain/","kind":"non_idempotent","timeout_ms":20000,)"
+    R"("service":"plain","max_attempts":1},)"
+    R"({"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":20000,)"
+    R"("service":"plain","max_attempts":2},)"
+    R"({"name":"brief","host":"h.example","path_prefix":"/brief/","kind":"non_idempotent","timeout_ms":100,)"
+    R"("service":"plain","max_attempts":1},)"
+    R"({"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,)"
+    R"("full_credit_ms":500,"gap_aim_ms":200,"resumable":true,"service":"engine","max_attempts":2}])";
+
+constexpr const char* kServices =
+    R"("services":[{"name":"plain","max_conns":100},)"
+    R"({"name":"engine","max_conns":1000,"engine":{"layers":8,"layer_mb":100,"kv_token_bytes":8000,"step_ms":1,)"
+    R"("models":[{"name":"m","load_time_s":1}],"kinds":[{"name":"card","mb":1000,"pace":1,"read_x":1}]}}])";
+
+} // namespace
+
+class TestCaller::Impl
+{
+public:
+	explicit Impl(const std::string& _address) : socket_(loop_)
+	{
+		socket_.connect(endpointOf(_address));
+	}
+
+	void send(const std::string& _bytes)
+	{
+		boost::asio::write(socket_, boost::asio::buffer(_bytes));
+	}
+
+	CallerAnswer receive(const std::string& _until)
+	{
+		if (!reader_)
+		{
+			reader_ = std::make_unique<MessageReader>(MessageReader::Side::Response, ReaderLimits{});
+		}
+		ReadState::Enum state = ReadState::More;
+		while (ReadState::More == state)
+		{
+			std::size_t used = 0;
+			state = reader_->feed(left_, used);
+			left_.erase(0, used);
+			const bool found = !_until.empty() && std::string::npos != reader_->body().find(_until);
+			if (found || ReadState::More != state || (0 == used && !readMore()))
+			{
+				break;
+			}
+		}
+		CallerAnswer answer;
+		answer.whole = ReadState::Done == state;
+		answer.status = reader_->hasHead() ? reader_->head().status : 0;
+		answer.headers = reader_->head().headers;
+		answer.body = reader_->body();
+		if (_until.empty())
+		{
+			reader_.reset();
+		}
+		return answer;
+	}
+
+	void close()
+	{
+		socket_.close();
+	}
+
+private:
+	bool readMore()
+	{
+		std::array<char, 4096> space;
+		boost::system::error_code error;
+		const std::size_t size = socket_.read_some(boost::asio::buffer(space), error);
+		left_.append(space.data(), size);
+		return !error;
+	}
+
+	boost::asio::io_context loop_;
+	Tcp::socket socket_;
+	std::unique_ptr<MessageReader> reader_;
+	std::string left_;
+};
+
+TestCaller::TestCaller(const std::string& _address) : impl_(std::make_unique<Impl>(_address))
+{
+}
+
+TestCaller::~TestCaller() = default;
+
+void TestCaller::send(const std::string& _bytes)
+{
+	impl_->send(_bytes);
+}
+
+CallerAnswer TestCaller::receive()
+{
+	return impl_->receive(std::string());
+}
+
+void TestCaller::receiveUntil(const std::string& _text)
+{
+	impl_->receive(_text);
+}
+
+void TestCaller::close()
+{
+	impl_->close();
+}
+
+std::string textOf(const TestRequest& _request)
+{
+	std::string text = _request.method + ' ' + _request.path + " HTTP/1.1\r\nHost: h.example\r\n";
+	text += "Attempt-Id: " + _request.id + "\r\nDeadline-Ms: 20000\r\n";
+	if (!_request.key.empty())
+	{
+		text += "Authorization: Bearer " + _request.key + "\r\n";
+	}
+	for (const std::string& line : _request.lines)
+	{
+		text += line + "\r\n";
+	}
+	text += "Content-Length: " + std::to_string(_request.body.size()) + "\r\n\r\n";
+	return text + _request.body;
+}
+
+class EntryHarness::Ports : public EntryPortsI
+{
+public:
+	explicit Ports(MemoryStore& _store) : store_(_store)
+	{
+	}
+
+	std::unique_ptr<WireFormatI> makeWireFormat() override
+	{
+		return makePlatformWireFormat();
+	}
+	std::unique_ptr<DocumentsI> makeDocuments() override
+	{
+		return makePlatformDocuments();
+	}
+	std::unique_ptr<KeyedLogI> makeLog(boost::asio::io_context& _loop, const std::string&) override
+	{
+		return std::make_unique<MemoryLog>(_loop, store_);
+	}
+	std::unique_ptr<RunnerOrdersI> makeOrders(boost::asio::io_context& _loop) override
+	{
+		return makePlatformOrders(_loop);
+	}
+
+private:
+	MemoryStore& store_;
+};
+
+EntryHarness::EntryHarness() : ports_(std::make_unique<Ports>(store_))
+{
+	static const bool kQuiet = (startLogging(LogLevel::Error, true, "n1"), true);
+	static_cast<void>(kQuiet);
+	settings_.name = "n1";
+	settings_.hall = "h1";
+	settings_.ip = "127.0.0.1";
+	settings_.callerAddress = freeAddress();
+	settings_.readyAddress = freeAddress();
+	settings_.storeAddress = "127.0.0.1:1";
+	settings_.retries.slack = 1000;
+	putState(1, {"k1"});
+}
+
+EntryHarness::~EntryHarness()
+{
+	node_.reset();
+}
+
+std::string EntryHarness::instanceOf(const FakeTarget& _target)
+{
+	return "i-" + _target.address().substr(_target.address().rfind(':') + 1);
+}
+
+void EntryHarness::putTarget(const FakeTarget& _target, const std::string& _service, LayerSpan _layers,
+                             const char* _state)
+{
+	std::string text = R"({"service":")" + _service + R"(","address":")" + _target.address() + R"(","zone":"h1",)";
+	text += R"("slot_count":8,"kind":"card","state":")" + std::string(_state) + R"(","layers":{"from":)";
+	text += std::to_string(_layers.begin) + R"(,"target_version":)" + std::to_string(_layers.end) + "}}";
+	store_.put(KeyedTopic::Runners, instanceOf(_target), text);
+}
+
+FakeTarget& EntryHarness::addPlain(TargetScript _script)
+{
+	targets_.push_back(std::make_unique<FakeTarget>(std::move(_script)));
+	putTarget(*targets_.back(), "plain", LayerSpan{}, "ready");
+	return *targets_.back();
+}
+
+FakeTarget& EntryHarness::addEngine(LayerSpan _layers, TargetScript _script)
+{
+	targets_.push_back(std::make_unique<FakeTarget>(std::move(_script)));
+	putTarget(*targets_.back(), "engine", _layers, "ready");
+	return *targets_.back();
+}
+
+void EntryHarness::drain(const FakeTarget& _target)
+{
+	putTarget(_target, "plain", LayerSpan{}, "draining");
+}
+
+void EntryHarness::putState(uint64_t _version, const std::vector<std::string>& _keys)
+{
+	std::string keys;
+	for (const std::string& key : _keys)
+	{
+		keys += keys.empty() ? "" : ",";
+		keys += '"' + key + '"';
+	}
+	store_.put(KeyedTopic::Operator, "config",
+	           R"({"version":)" + std::to_string(_version) + "," + kRoutes + "," + kServices +
+	               R"(,"tenants":[{"name":"bank","api_keys":[)" + keys + "]}]}");
+}
+
+void EntryHarness::start()
+{
+	node_ = std::make_unique<EntryNode>(settings_, *ports_);
+	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
+	while (std::string::npos == node_->dump().find("\"ready\":true") && std::chrono::steady_clock::now() < end)
+	{
+		std::this_thread::sleep_for(kLookAgain);
+	}
+}
+
+void EntryHarness::stop()
+{
+	node_->stop();
+	node_.reset();
+}
+
+CallerAnswer EntryHarness::call(const TestRequest& _request) const
+{
+	TestCaller caller(settings_.callerAddress);
+	caller.send(textOf(_request));
+	return caller.receive();
+}
+
+bool EntryHarness::callUntil(const TestRequest& _request, uint16_t _status) const
+{
+	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
+	while (std::chrono::steady_clock::now() < end)
+	{
+		if (_status == call(_request).status)
+		{
+			return true;
+		}
+		std::this_thread::sleep_for(kLookAgain);
+	}
+	return false;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/tests/entry/entryharness.h
@@ -0,0 +1,135 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_TESTS_ENTRY_ENTRYHARNESS_H_HEADER_GUARD
+#define SEDGECART_TESTS_ENTRY_ENTRYHARNESS_H_HEADER_GUARD
+
+#include "faketarget.h"
+#include "memorylog.h"
+
+#include <base/runner.h>
+#include <entry/entrynode.h>
+#include <entry/entrysettings.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// What a caller got.
+struct CallerAnswer
+{
+	uint16_t status = 0; //!< 0: no head came.
+	bool whole = false;
+	HeaderList headers;
+	std::string body;
+};
+
+/// A caller's connection to a node, blocking.
+class TestCaller
+{
+public:
+	explicit TestCaller(const std::string& _address);
+	~TestCaller();
+
+	TestCaller(const TestCaller&) = delete;
+	TestCaller& operator=(const TestCaller&) = delete;
+
+	/// Sends bytes as they are.
+	void send(const std::string& _bytes);
+
+	/// @returns the next answer.
+	CallerAnswer receive();
+
+	/// Reads until the body holds a text, or the answer ends.
+	void receiveUntil(const std::string& _text);
+
+	void close();
+
+private:
+	class Impl;
+	std::unique_ptr<Impl> impl_;
+};
+
+/// Text of a request.
+struct TestRequest
+{
+	std::string method = "POST";
+	std::string path = "/plain/";
+	std::string id = "id1";
+	std::string key = "k1";
+	std::vector<std::string> lines; //!< More header lines.
+	std::string body = "hello";
+};
+
+std::string textOf(const TestRequest& _request);
+
+/// One node, in this process, before fake targets and a store in memory. It serves, of host h.example:
+/// /plain/ at most once and /again/ idempotent at service "plain", and /stream/ resumable at service "engine", whose
+/// model has 8 layers.
+class EntryHarness
+{
+public:
+	EntryHarness();
+	~EntryHarness();
+
+	EntryHarness(const EntryHarness&) = delete;
+	EntryHarness& operator=(const EntryHarness&) = delete;
+
+	/// Adds a target of the plain service.
+	FakeTarget& addPlain(TargetScript _script);
+
+	/// Adds a target of the engine that holds layers.
+	FakeTarget& addEngine(LayerSpan _layers, TargetScript _script);
+
+	/// Says in the registry that the target leaves.
+	void drain(const FakeTarget& _target);
+
+	/// Starts the node and waits until it is ready.
+	void start();
+
+	/// Stops it as planned. @returns when it has ended.
+	void stop();
+
+	/// Puts a desired state with another version, and keys.
+	void putState(uint64_t _version, const std::vector<std::string>& _keys);
+
+	CallerAnswer call(const TestRequest& _request) const;
+
+	/// Calls until a status comes.
+	bool callUntil(const TestRequest& _request, uint16_t _status) const;
+
+	const std::string& callerAddress() const
+	{
+		return settings_.callerAddress;
+	}
+
+	EntrySettings& settings()
+	{
+		return settings_;
+	}
+
+	MemoryStore& store()
+	{
+		return store_;
+	}
+
+	/// @returns the instance id of a target.
+	static std::string instanceOf(const FakeTarget& _target);
+
+private:
+	class Ports;
+
+	void putTarget(const FakeTarget& _target, const std::string& _service, LayerSpan _layers, const char* _state);
+
+	MemoryStore store_;
+	EntrySettings settings_;
+	std::vector<std::unique_ptr<FakeTarget>> targets_;
+	std::unique_ptr<Ports> ports_;
+	std::unique_ptr<EntryNode> node_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_TESTS_ENTRY_ENTRYHARNESS_H_HEADER_GUARD
--- /dev/null
+++ b/tests/entry/entryproof.cpp
@@ -0,0 +1,303 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entryharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+TargetScript answers(uint16_t _status, const std::string& _body)
+{
+	return [_status, _body](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+	{
+		answerWhole(*_caller, _request, _status, _body);
+	};
+}
+
+TestRequest request(const std::string& _path)
+{
+	TestRequest made;
+	made.path = _path;
+	return made;
+}
+
+} // namespace
+
+/// One node before fake targets: what callers and targets see.
+class EntryProof : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(EntryProof);
+	CPPUNIT_TEST(plainAnswerComesUnchanged);
+	CPPUNIT_TEST(failureIsSentToAnotherTarget);
+	CPPUNIT_TEST(atMostOnceIsNotSentAgain);
+	CPPUNIT_TEST(surplusAnswerBelongsToNobody);
+	CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
+	CPPUNIT_TEST(streamGoesOnAtAnotherHead);
+	CPPUNIT_TEST(callerGoneStopsTheTarget);
+	CPPUNIT_TEST(keyTakenAwayIsRefused);
+	CPPUNIT_TEST(badInputHarmsNobody);
+	CPPUNIT_TEST(routeTimeEndsTheWait);
+	CPPUNIT_TEST(requestsDuringAStopEndWhole);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void plainAnswerComesUnchanged()
+	{
+		EntryHarness harness;
+		FakeTarget& target = harness.addPlain(answers(200, "body"));
+		harness.start();
+		const CallerAnswer answer = harness.call(request("/plain/x?y=1"));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), answer.status);
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(std::string("body"), answer.body);
+		CPPUNIT_ASSERT_EQUAL(std::string("stamp"), *answer.headers.find("Response-Stamp"));
+		const ServerRequest sent = target.requests().at(0);
+		CPPUNIT_ASSERT_EQUAL(std::string("/plain/x?y=1"), sent.head.target);
+		CPPUNIT_ASSERT_EQUAL(std::string("hello"), sent.body);
+		CPPUNIT_ASSERT_EQUAL(std::string("bank"), *sent.head.headers.find("Tenant"));
+		CPPUNIT_ASSERT(nullptr == sent.head.headers.find("Authorization"));
+		CPPUNIT_ASSERT_EQUAL(EntryHarness::instanceOf(target), *sent.head.headers.find("Expect-Instance"));
+	}
+
+	/// A target that failed a request is not the one that gets it next.
+	void failureIsSentToAnotherTarget()
+	{
+		EntryHarness harness;
+		FakeTarget& bad = harness.addPlain(answers(500, "bad"));
+		harness.addPlain(answers(200, "good"));
+		harness.start();
+		for (int round = 0; round < 20; ++round)
+		{
+			CPPUNIT_ASSERT_EQUAL(std::string("good"), harness.call(request("/again/")).body);
+		}
+		CPPUNIT_ASSERT(bad.requests().size() <= 20);
+	}
+
+	void atMostOnceIsNotSentAgain()
+	{
+		EntryHarness harness;
+		const TargetScript cut = [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest&)
+		{
+			_caller->abort();
+		};
+		FakeTarget& one = harness.addPlain(cut);
+		FakeTarget& two = harness.addPlain(cut);
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(502), harness.call(request("/plain/")).status);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.requests().size() + two.requests().size());
+	}
+
+	void surplusAnswerBelongsToNobody()
+	{
+		EntryHarness harness;
+		harness.addPlain(
+		    [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    // A late second answer to another request stands where this one's is due.
+			    ServerRequest other = _request;
+			    other.head.headers.remove("Attempt-Id");
+			    other.head.headers.add("Attempt-Id", "other");
+			    AnswerStart start;
+			    start.headers = signedHeaders(other);
+			    start.length = 5;
+			    _caller->start(start, "wrong");
+			    answerWhole(*_caller, _request, 200, "right");
+		    });
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(std::string("right"), harness.call(request("/plain/")).body);
+	}
+
+	void unsignedSuccessIsNotPassedOn()
+	{
+		EntryHarness harness;
+		harness.addPlain(
+		    [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    AnswerStart start;
+			    start.headers.add("Attempt-Id", *_request.head.headers.find("Attempt-Id"));
+			    start.length = 4;
+			    _caller->start(start, "fake");
+			    _caller->finish();
+		    });
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(502), harness.call(request("/plain/")).status);
+	}
+
+	void streamGoesOnAtAnotherHead()
+	{
+		EntryHarness harness;
+		const TargetScript script = [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			const std::string* const after = _request.head.headers.find("Last-Event-Id");
+			if (nullptr == after)
+			{
+				startStream(*_caller, _request, 0, 2);
+				_caller->send("id: 3\nda");
+				_caller->abort();
+				return;
+			}
+			const uint64_t next = std::stoull(*after) + 1;
+			startStream(*_caller, _request, next, 5);
+			_caller->finish();
+		};
+		FakeTarget& one = harness.addEngine(LayerSpan{0, 8}, script);
+		FakeTarget& two = harness.addEngine(LayerSpan{0, 8}, script);
+		harness.start();
+		const CallerAnswer answer = harness.call(request("/stream/"));
+		std::string expected;
+		for (uint64_t id = 0; id <= 5; ++id)
+		{
+			expected += eventText(id);
+		}
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(expected, answer.body);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.requests().size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), two.requests().size());
+	}
+
+	void callerGoneStopsTheTarget()
+	{
+		EntryHarness harness;
+		FakeTarget& target =
+		    harness.addEngine(LayerSpan{0, 8},
+		                      [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		                      {
+			                      startStream(*_caller, _request, 0, 0);
+		                      });
+		harness.start();
+		TestCaller caller(harness.callerAddress());
+		caller.send(textOf(request("/stream/")));
+		caller.receiveUntil(eventText(0));
+		caller.close();
+		waitUntil(
+		    [&target]
+		    {
+			    return 1 == target.gone();
+		    });
+		CPPUNIT_ASSERT_EQUAL(1U, target.gone());
+	}
+
+	void keyTakenAwayIsRefused()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.settings().keyBoundStrict = true;
+		harness.settings().keyBound = Duration::fromMillis(5000);
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+		harness.putState(2, {"k2"});
+		CPPUNIT_ASSERT(harness.callUntil(request("/plain/"), 401));
+		TestRequest other = request("/plain/");
+		other.key = "k2";
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(other).status);
+		harness.store().setOut(true);
+		CPPUNIT_ASSERT(harness.callUntil(other, 503));
+		harness.store().setOut(false);
+		CPPUNIT_ASSERT(harness.callUntil(other, 200));
+	}
+
+	void badInputHarmsNobody()
+	{
+		EntryHarness harness;
+		FakeTarget& target = harness.addPlain(answers(200, "body"));
+		harness.start();
+		const std::string start = "POST /plain/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n";
+		const std::vector<std::pair<std::string, uint16_t>> cases = {
+		    {start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", 400},
+		    {start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", 400},
+		    {start + "X: " + std::string(20000, 'x') + "\r\n\r\n", 431},
+		    {start + "Content-Length: 99999999\r\n\r\n", 413},
+		    {"rubbish\r\n\r\n", 400},
+		    {"POST /plain/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n", 400},
+		    {start + "Content-Length: 0\r\n\r\n", 401},
+		    {"GET /none/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n\r\n", 404},
+		    {"GET /plain/ HTTP/1.1\r\nHost: none\r\nAttempt-Id: a\r\n\r\n", 404},
+		};
+		for (const auto& one : cases)
+		{
+			TestCaller caller(harness.callerAddress());
+			caller.send(one.first);
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.first.substr(0, 120), one.second, caller.receive().status);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), target.requests().size());
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+	}
+
+	void routeTimeEndsTheWait()
+	{
+		EntryHarness harness;
+		FakeTarget& target = harness.addPlain([](const std::shared_ptr<ServerConnection>&, const ServerRequest&) {});
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(504), harness.call(request("/brief/")).status);
+		waitUntil(
+		    [&target]
+		    {
+			    return 1 == target.gone();
+		    });
+		CPPUNIT_ASSERT_EQUAL(1U, target.gone());
+	}
+
+	/// A node that was told to stop finishes what it has let in, and lets in only what can end in time.
+	void requestsDuringAStopEndWhole()
+	{
+		EntryHarness harness;
+		std::shared_ptr<ServerConnection> held;
+		std::atomic<bool> holds{false};
+		FakeTarget& target = harness.addEngine(
+		    LayerSpan{0, 8},
+		    [&held, &holds](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    startStream(*_caller, _request, 0, 0);
+			    held = _caller;
+			    holds = true;
+		    });
+		harness.addPlain(answers(200, "body"));
+		harness.settings().stopBound = Duration::fromMillis(30000);
+		harness.start();
+		TestCaller early(harness.callerAddress());
+		early.send(textOf(request("/stream/")));
+		early.receiveUntil(eventText(0));
+		auto stopped = std::async(std::launch::async,
+		                          [&harness]
+		                          {
+			                          harness.stop();
+		                          });
+		TestRequest longer = request("/stream/");
+		longer.lines.push_back("Token-Counts: 10,100000");
+		CPPUNIT_ASSERT(harness.callUntil(longer, 503));
+		const CallerAnswer during = harness.call(request("/plain/"));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), during.status);
+		CPPUNIT_ASSERT_EQUAL(std::string("close"), *during.headers.find("Connection"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), target.requests().size());
+		target.post(
+		    [&held]
+		    {
+			    held->finish();
+		    });
+		CPPUNIT_ASSERT(early.receive().whole);
+		stopped.wait();
+	}
+
+private:
+	template <typename Condition> static void waitUntil(Condition _holds)
+	{
+		const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+		while (!_holds() && std::chrono::steady_clock::now() < end)
+		{
+			std::this_thread::sleep_for(std::chrono::milliseconds(5));
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryProof);
+
+} // namespace sedgecart
--- /dev/null
+++ b/tests/entry/memorylog.h
@@ -0,0 +1,56 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_TESTS_ENTRY_MEMORYLOG_H_HEADER_GUARD
+#define SEDGECART_TESTS_ENTRY_MEMORYLOG_H_HEADER_GUARD
+
+#include <entry/keyedlog.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// Records of a store that lives in the test. Any thread.
+class MemoryStore
+{
+public:
+	Offset put(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value);
+
+	/// From now on nothing answers, or everything does.
+	void setOut(bool _out);
+
+	bool out() const;
+
+	std::vector<KeyedRecord> records(KeyedTopic::Enum _topic) const;
+
+private:
+	mutable std::mutex mutex_;
+	std::array<std::vector<KeyedRecord>, KeyedTopic::Count> topics_;
+	bool out_ = false;
+};
+
+/// A node's way to a MemoryStore. A read that waits looks again every few milliseconds.
+class MemoryLog : public KeyedLogI
+{
+public:
+	MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store);
+
+	void newest(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call) override;
+	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override;
+	void append(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value,
+	            std::optional<Offset> _onlyAt, AppendCall _call) override;
+	void joinLayoutGroup(const std::string& _member, uint64_t _generation, Duration _ttl, GroupCall _call) override;
+
+private:
+	boost::asio::io_context& loop_;
+	MemoryStore& store_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_TESTS_ENTRY_MEMORYLOG_H_HEADER_GUARD
