Silent paths: the dead target is found by asking, and the request moves around it

Cause: a path that hangs on a dead target stands still until the targets themselves give up after 2.5 s; a pause over 200 ms makes a stream late, and every new request took the same path again. Change: entry/pathwatch looks at silent paths, takes targets that others moved over as alive, asks the rest, and has the request moved by an order to its first target, or sent again behind its last event when that one is dead. Ruled out: the targets' own word who is stalled as the only source; it is some hundred ms old.

--- a/packages/core/include/core/layerpath.h
+++ b/packages/core/include/core/layerpath.h
@@ -39,9 +39,10 @@
 /// What a path is looked for.
 struct PathQuery
 {
-	uint32_t layers = 0;   //!< Of the model.
-	uint32_t homeHall = 0; //!< Where the request is.
-	uint32_t halls = 1;    //!< Number of data halls.
+	uint32_t layers = 0;     //!< Of the model.
+	uint32_t firstLayer = 0; //!< Where the path begins; above 0 for the rest of one whose first parts stay.
+	uint32_t homeHall = 0;   //!< Where the request is, or the part before the first layer.
+	uint32_t halls = 1;      //!< Number of data halls.
 	HopCosts hops;
 };
 
--- a/packages/core/src/layerpath.cpp
+++ b/packages/core/src/layerpath.cpp
@@ -37,8 +37,8 @@
 
 	bool run(std::vector<PathPart>& _path)
 	{
-		at(0, query_.homeHall).cost = 0;
-		for (uint32_t joint = 0; joint + 1 < joints_.size(); ++joint)
+		at(jointOf_[query_.firstLayer], query_.homeHall).cost = 0;
+		for (uint32_t joint = jointOf_[query_.firstLayer]; joint + 1 < joints_.size(); ++joint)
 		{
 			extend(joint);
 		}
@@ -60,6 +60,7 @@
 	{
 		std::vector<bool> isJoint(query_.layers + 1, false);
 		isJoint[0] = true;
+		isJoint[query_.firstLayer] = true;
 		isJoint[query_.layers] = true;
 		for (const PathCandidate& candidate : candidates_)
 		{
@@ -130,7 +131,7 @@
 		{
 			return false;
 		}
-		while (0 != joint)
+		while (jointOf_[query_.firstLayer] != joint)
 		{
 			const Reached& step = at(joint, hall);
 			_path.push_back(PathPart{step.candidate, LayerSpan{joints_[step.fromJoint], joints_[joint]}});
--- a/packages/entry/include/entry/entrynode.h
+++ b/packages/entry/include/entry/entrynode.h
@@ -33,7 +33,7 @@
 	/// @param _loop the control thread's.
 	virtual std::unique_ptr<KeyedLogI> makeLog(boost::asio::io_context& _loop, const std::string& _address) = 0;
 
-	/// @param _loop the control thread's.
+	/// @param _loop the loop that makes the calls: the control thread's or the requests'.
 	virtual std::unique_ptr<RunnerOrdersI> makeOrders(boost::asio::io_context& _loop) = 0;
 };
 
--- /dev/null
+++ b/packages/entry/include/entry/pathstop.h
@@ -0,0 +1,22 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
+#define SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
+
+#include <base/runner.h>
+
+#include <string>
+
+namespace sedgecart
+{
+
+/// One stop of a request's path.
+struct PathStop
+{
+	std::string address; //!< "ip:port".
+	LayerSpan layers;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -5,9 +5,11 @@
 
 #include <base/runner.h>
 #include <base/units.h>
+#include <entry/pathstop.h>
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace sedgecart
 {
@@ -31,6 +33,31 @@
 /// @returns "begun" and so on.
 const char* nameOf(LayoutOrderState::Enum _state);
 
+/// What came of moving a request to another path.
+struct RepathState
+{
+	enum Enum
+	{
+		Moved,
+		NoRequest, //!< The first target does not know the request.
+		NoPart,    //!< A part of the new path is not held or has no room.
+		Refused,   //!< The target takes no such order.
+		Unknown,   //!< No answer.
+
+		Count
+	};
+};
+
+/// @returns "moved" and so on.
+const char* nameOf(RepathState::Enum _state);
+
+/// What came of asking a target for its state.
+struct ProbeAnswer
+{
+	bool answered = false;
+	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
+};
+
 /// Orders to targets that run a model in layers. Calls return at once; answers come on the loop's thread.
 class RunnerOrdersI
 {
@@ -42,6 +69,20 @@
 	/// Has a target hold these layers and no others.
 	/// @param _fence a target refuses an order whose fence is below one that it has seen.
 	virtual void hold(const RunnerRecord& _target, LayerSpan _layers, Offset _fence, OrderCall _call) = 0;
+
+	using ProbeCall = std::function<void(const ProbeAnswer&)>;
+
+	/// Asks a target for its state.
+	/// @param _bound without an answer by then it counts as not answering.
+	virtual void probe(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
+
+	/// @param _atFault "ip:port" of the part that is not there, if the target names one.
+	using RepathCall = std::function<void(RepathState::Enum, const std::string& _atFault)>;
+
+	/// Has a request go on over another path with the same first part. Its events go on where they stopped.
+	/// @param _request the request's id.
+	virtual void repath(const std::string& _headAddress, const std::string& _request,
+	                    const std::vector<PathStop>& _path, RepathCall _call) = 0;
 };
 
 } // namespace sedgecart
--- a/packages/entry/include/entry/wireformat.h
+++ b/packages/entry/include/entry/wireformat.h
@@ -6,6 +6,7 @@
 #include <aio/serverconnection.h>
 #include <base/runner.h>
 #include <base/units.h>
+#include <entry/pathstop.h>
 
 #include <cstdint>
 #include <optional>
@@ -28,13 +29,6 @@
 	uint32_t hintedTokens = 0; //!< The caller's estimate of the answer; 0: none.
 };
 
-/// One stop of a request's path.
-struct PathStop
-{
-	std::string address; //!< "ip:port".
-	LayerSpan layers;
-};
-
 /// How a request is sent to a target.
 struct TargetCall
 {
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -63,8 +63,12 @@
 	      random_(entropy()),
 	      pool_(requestLoop_, clock_),
 	      retries_(_settings.retries),
+	      pathOrders_(_ports.makeOrders(requestLoop_)),
+	      watch_(requestLoop_, clock_, *pathOrders_),
 	      ready_(*wire_),
-	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, counts_}, _settings),
+	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, counts_, watch_,
+	                          *pathOrders_},
+	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
 	               {
@@ -147,6 +151,8 @@
 	SeededRandom random_;
 	TargetPool pool_;
 	RetryLedger retries_;
+	std::unique_ptr<RunnerOrdersI> pathOrders_; //!< For the request loop.
+	PathWatch watch_;
 	ReadyFace ready_;
 	EntryFront front_;
 	EntryControl control_;
--- /dev/null
+++ b/packages/entry/src/pathwatch_p.h
@@ -0,0 +1,84 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
+
+#include "fleetview_p.h"
+
+#include <base/clock.h>
+#include <entry/runnerorders.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace sedgecart
+{
+
+/// A request that runs on a path of targets.
+class WatchedPathI
+{
+public:
+	virtual ~WatchedPathI() = default;
+
+	/// @returns the targets of its path; empty while it has none.
+	virtual std::vector<const FleetTarget*> pathTargets() const = 0;
+
+	/// @returns when its last event came, or when it was sent.
+	virtual Time lastProgress() const = 0;
+
+	/// @returns true once its first event has come.
+	virtual bool begun() const = 0;
+
+	/// A target of its path does not answer, or its neighbours wait for it.
+	virtual void onTargetDead(const FleetTarget& _target) = 0;
+};
+
+/// Finds the target to blame when paths fall silent, long before the targets themselves give a request up. A target
+/// that some request moved over a moment ago lives; of a silent path the others are asked, and who does not answer is
+/// dead. Loop thread only.
+class PathWatch
+{
+public:
+	PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders);
+
+	void add(const std::shared_ptr<WatchedPathI>& _path);
+
+	/// Paths that ended are dropped by themselves.
+	void start();
+
+private:
+	/// What is known of a target that was asked.
+	struct Asked
+	{
+		Time at;
+		uint32_t open = 0; //!< Questions without an answer yet.
+		bool answered = false;
+	};
+
+	void tick();
+	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
+	void ask(const FleetTarget& _target);
+	void onAnswer(const FleetTarget& _target, const ProbeAnswer& _answer);
+	void onDead(const FleetTarget& _target, const char* _cause);
+	std::vector<std::shared_ptr<WatchedPathI>> live();
+
+	boost::asio::steady_timer timer_;
+	const ClockI& clock_;
+	RunnerOrdersI& orders_;
+	std::vector<std::weak_ptr<WatchedPathI>> paths_;
+	std::map<std::string, Asked> asked_; //!< By instance.
+	bool ticking_ = false;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
--- a/packages/entry/src/portnames.cpp
+++ b/packages/entry/src/portnames.cpp
@@ -15,8 +15,16 @@
 constexpr const char* kOrderNames[] = {"begun", "held", "unfit", "fenced", "invalid", "unknown"};
 static_assert(LayoutOrderState::Count == sizeof(kOrderNames) / sizeof(kOrderNames[0]), "each state needs its name");
 
+constexpr const char* kRepathNames[] = {"moved", "no_request", "no_part", "refused", "unknown"};
+static_assert(RepathState::Count == sizeof(kRepathNames) / sizeof(kRepathNames[0]), "each state needs its name");
+
 } // namespace
 
+const char* nameOf(RepathState::Enum _state)
+{
+	return kRepathNames[_state];
+}
+
 const char* nameOf(StoreState::Enum _state)
 {
 	return kStoreNames[_state];
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -34,6 +34,9 @@
 /// Bytes that a caller may leave untaken before its stream is given up.
 constexpr std::size_t kMostBacklog = 4UL * 1024 * 1024;
 
+/// Other paths that one send may try before it is given up.
+constexpr uint32_t kMostRepaths = 3;
+
 /// Largest answer that is collected before it is passed on, bytes.
 constexpr std::size_t kMostCollected = 16UL * 1024 * 1024;
 
@@ -65,6 +68,10 @@
 void RequestRelay::begin()
 {
 	startTimer();
+	if (RequestKind::Stream == plan_.facts.kind)
+	{
+		context_.watch.add(shared_from_this());
+	}
 	context_.retries.onFirst(plan_.service, context_.clock.now());
 	machine_.begin();
 	finishIfDone();
@@ -102,22 +109,26 @@
 	return service_->targets[_part.candidate];
 }
 
+ChoiceQuery RequestRelay::choiceQuery() const
+{
+	const double tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
+	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now()};
+}
+
 bool RequestRelay::choose(SendOutcome::Enum& _outcome)
 {
-	uint32_t nodes = 1;
 	{
 		const RcuCell<FleetView>::Reader view(context_.cell.view);
 		const auto row = view->services.find(plan_.service);
 		service_ = view->services.end() == row ? nullptr : row->second;
-		nodes = view->nodes;
+		nodes_ = view->nodes;
 	}
 	if (!service_)
 	{
 		_outcome = SendOutcome::NoTargets;
 		return false;
 	}
-	const double tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
-	const ChoiceQuery query{*service_, failed_, nodes, tokens, context_.clock.now()};
+	const ChoiceQuery query = choiceQuery();
 	_outcome = service_->spec->hasEngine ? choosePath(query, choice_) : chooseTarget(query, context_.random, choice_);
 	return SendOutcome::Begun == _outcome;
 }
@@ -135,6 +146,10 @@
 	answer_ = TargetAnswer{};
 	answerSound_ = true;
 	body_.clear();
+	progressAt_ = context_.clock.now();
+	eventsAtSend_ = machine_.events();
+	repathsLeft_ = kMostRepaths;
+	repathing_ = false;
 	connection_ = context_.pool.take(target(choice_.parts.front()).record);
 	// The exchange begins from the loop: a failure must not call into the machine while it decides.
 	const std::shared_ptr<RequestRelay> self = shared_from_this();
@@ -149,6 +164,16 @@
 	return outcome;
 }
 
+std::vector<PathStop> RequestRelay::stopsOf(const Choice& _choice) const
+{
+	std::vector<PathStop> stops;
+	for (const PathPart& part : _choice.parts)
+	{
+		stops.push_back(PathStop{target(part).record.address, part.layers});
+	}
+	return stops;
+}
+
 std::string RequestRelay::requestText(std::optional<uint64_t> _resumeAfter) const
 {
 	TargetCall call;
@@ -159,10 +184,7 @@
 	call.budget = plan_.giveUpAt - context_.clock.now();
 	if (service_->spec->hasEngine)
 	{
-		for (const PathPart& part : choice_.parts)
-		{
-			call.path.push_back(PathStop{target(part).record.address, part.layers});
-		}
+		call.path = stopsOf(choice_);
 	}
 	return context_.wire.targetRequest(plan_.request, call);
 }
@@ -204,12 +226,7 @@
 
 bool RequestRelay::payRepeat()
 {
-	uint32_t nodes = 1;
-	{
-		const RcuCell<FleetView>::Reader view(context_.cell.view);
-		nodes = view->nodes;
-	}
-	if (!context_.retries.take(plan_.service, nodes, context_.clock.now()))
+	if (!context_.retries.take(plan_.service, nodes_, context_.clock.now()))
 	{
 		return false;
 	}
@@ -316,6 +333,7 @@
 {
 	if (machine_.passing() && answerSound_)
 	{
+		progressAt_ = context_.clock.now();
 		machine_.onBody(_bytes);
 		finishIfDone();
 		return;
@@ -363,6 +381,97 @@
 	finishIfDone();
 }
 
+std::vector<const FleetTarget*> RequestRelay::pathTargets() const
+{
+	std::vector<const FleetTarget*> targets;
+	const bool watched = !machine_.done() && connection_ && service_ && service_->spec->hasEngine && !repathing_;
+	for (std::size_t index = 0; watched && index < choice_.parts.size(); ++index)
+	{
+		targets.push_back(&target(choice_.parts[index]));
+	}
+	return targets;
+}
+
+Time RequestRelay::lastProgress() const
+{
+	return progressAt_;
+}
+
+bool RequestRelay::begun() const
+{
+	return eventsAtSend_ < machine_.events();
+}
+
+void RequestRelay::onTargetDead(const FleetTarget& _target)
+{
+	if (machine_.done() || !connection_)
+	{
+		return;
+	}
+	failed_.insert(_target.record.instance.text);
+	if (target(choice_.parts.front()).load == _target.load)
+	{
+		leave();
+		return;
+	}
+	repath();
+}
+
+/// Gives the send under way up and lets the machine decide on another.
+void RequestRelay::leave()
+{
+	cancelSend();
+	machine_.onBroken(SendBreak::Silent);
+	finishIfDone();
+}
+
+void RequestRelay::repath()
+{
+	Choice other = choice_;
+	if (0 == repathsLeft_ || !chooseRest(choiceQuery(), other))
+	{
+		leave();
+		return;
+	}
+	--repathsLeft_;
+	repathing_ = true;
+	const std::weak_ptr<RequestRelay> weak = weak_from_this();
+	const uint32_t send = machine_.sends();
+	context_.orders.repath(target(choice_.parts.front()).record.address, plan_.caller.id, stopsOf(other),
+	                       [weak, other, send](RepathState::Enum _state, const std::string& _atFault)
+	                       {
+		                       const std::shared_ptr<RequestRelay> self = weak.lock();
+		                       if (self && !self->machine_.done() && send == self->machine_.sends())
+		                       {
+			                       self->onRepathed(other, _state, _atFault);
+		                       }
+	                       });
+}
+
+void RequestRelay::onRepathed(const Choice& _choice, RepathState::Enum _state, const std::string& _atFault)
+{
+	repathing_ = false;
+	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
+	if (RepathState::Moved == _state)
+	{
+		release();
+		choice_ = _choice;
+		reserve();
+		progressAt_ = context_.clock.now();
+		return;
+	}
+	for (const PathPart& part : _choice.parts)
+	{
+		if (RepathState::NoPart == _state && _atFault == target(part).record.address)
+		{
+			failed_.insert(target(part).record.instance.text);
+			repath();
+			return;
+		}
+	}
+	leave();
+}
+
 /// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
 void RequestRelay::avoidAtFault()
 {
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -4,6 +4,7 @@
 #define SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 
 #include "fleetview_p.h"
+#include "pathwatch_p.h"
 #include "targetchooser_p.h"
 
 #include <aio/clientconnection.h>
@@ -45,6 +46,8 @@
 	RandomI& random;
 	RetryLedger& retries;
 	RequestCounts& counts;
+	PathWatch& watch;
+	RunnerOrdersI& orders;
 };
 
 /// What is fixed of a request when it is let in.
@@ -61,7 +64,10 @@
 };
 
 /// One request on its way: does what its RelayMachine decides, with sockets and timers. Loop thread only.
-class RequestRelay : public RelayActionsI, public ExchangeHandlerI, public std::enable_shared_from_this<RequestRelay>
+class RequestRelay : public RelayActionsI,
+                     public ExchangeHandlerI,
+                     public WatchedPathI,
+                     public std::enable_shared_from_this<RequestRelay>
 {
 public:
 	/// @param _onDone called once, after the final answer or when the caller has gone.
@@ -88,9 +94,19 @@
 	void onWhole() override;
 	void onBroken(ExchangeBreak::Enum _how) override;
 
+	std::vector<const FleetTarget*> pathTargets() const override;
+	Time lastProgress() const override;
+	bool begun() const override;
+	void onTargetDead(const FleetTarget& _target) override;
+
 private:
 	const FleetTarget& target(const PathPart& _part) const;
 	bool choose(SendOutcome::Enum& _outcome);
+	ChoiceQuery choiceQuery() const;
+	std::vector<PathStop> stopsOf(const Choice& _choice) const;
+	void repath();
+	void onRepathed(const Choice& _choice, RepathState::Enum _state, const std::string& _atFault);
+	void leave();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void reserve();
 	void release();
@@ -106,12 +122,17 @@
 	RelayMachine machine_;
 	boost::asio::steady_timer timer_;
 	std::shared_ptr<const FleetService> service_; //!< As it was at the last send.
+	uint32_t nodes_ = 1;                          //!< Entry nodes, as of the last send.
 	Choice choice_;
 	std::unique_ptr<ClientConnection> connection_;
 	MessageHead head_;    //!< Of the answer under way.
 	std::string body_;    //!< Of the answer under way, when it is passed on whole.
 	TargetAnswer answer_; //!< What the head says.
 	std::set<std::string> failed_;
+	Time progressAt_;           //!< Of the last event, or of the send.
+	uint64_t eventsAtSend_ = 0; //!< Events that came before the send under way.
+	uint32_t repathsLeft_ = 0;  //!< Other paths that the send under way may still try.
+	bool repathing_ = false;    //!< An order for another path is under way.
 	bool reserved_ = false;
 	bool answerSound_ = true; //!< The answer under way may be passed on.
 };
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -65,6 +65,27 @@
 	return candidate;
 }
 
+std::vector<PathCandidate> candidatesOf(const ChoiceQuery& _query)
+{
+	std::vector<PathCandidate> candidates;
+	candidates.reserve(_query.service.targets.size());
+	for (const FleetTarget& target : _query.service.targets)
+	{
+		candidates.push_back(candidateOf(target, _query));
+	}
+	return candidates;
+}
+
+PathQuery pathQuery(const FleetService& _service)
+{
+	PathQuery query;
+	query.layers = _service.spec->engine.layers;
+	query.halls = _service.halls;
+	query.homeHall = _service.homeHall;
+	query.hops = kHops;
+	return query;
+}
+
 } // namespace
 
 SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
@@ -102,18 +123,8 @@
 
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice)
 {
-	const FleetService& service = _query.service;
-	std::vector<PathCandidate> candidates;
-	candidates.reserve(service.targets.size());
-	for (const FleetTarget& target : service.targets)
-	{
-		candidates.push_back(candidateOf(target, _query));
-	}
-	PathQuery query;
-	query.layers = service.spec->engine.layers;
-	query.halls = service.halls;
-	query.homeHall = service.homeHall;
-	query.hops = kHops;
+	const std::vector<PathCandidate> candidates = candidatesOf(_query);
+	const PathQuery query = pathQuery(_query.service);
 	if (findPath(candidates, query, _choice.parts))
 	{
 		return SendOutcome::Begun;
@@ -126,4 +137,22 @@
 	return full && !candidates.empty() ? SendOutcome::NoRoom : SendOutcome::NoTargets;
 }
 
+bool chooseRest(const ChoiceQuery& _query, Choice& _choice)
+{
+	const PathPart head = _choice.parts.front();
+	std::vector<PathCandidate> candidates = candidatesOf(_query);
+	candidates[head.candidate].usable = false; // a target has one part of a path
+	PathQuery query = pathQuery(_query.service);
+	query.firstLayer = head.layers.end;
+	query.homeHall = _query.service.targets[head.candidate].hall;
+	std::vector<PathPart> rest;
+	if (!findPath(candidates, query, rest) || kMostParts <= rest.size())
+	{
+		return false;
+	}
+	_choice.parts.assign(1, head);
+	_choice.parts.insert(_choice.parts.end(), rest.begin(), rest.end());
+	return true;
+}
+
 } // namespace sedgecart
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -38,6 +38,11 @@
 /// Chooses a path through a model's layers, in this data hall if it can.
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice);
 
+/// Chooses other parts behind the first one of a path.
+/// @param _choice its first part stays.
+/// @returns false if there is no way around the targets that failed.
+bool chooseRest(const ChoiceQuery& _query, Choice& _choice);
+
 } // namespace sedgecart
 
 #endif // SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <mutex>
 #include <thread>
 
 namespace sedgecart
@@ -32,6 +33,67 @@
 
 } // namespace
 
+namespace
+{
+
+/// A head and two holders of the other layers. The one that a request is sent over falls silent.
+class PathScene
+{
+public:
+	TargetScript headScript()
+	{
+		return [this](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			if ("/stream/" == _request.head.target)
+			{
+				const std::string path = *_request.head.headers.find("Hop-Count");
+				const std::size_t comma = path.find(',');
+				setDead(path.substr(comma + 1, path.rfind('=') - comma - 1));
+				startStream(*_caller, _request, 0, 0);
+				stream_ = _caller;
+				return;
+			}
+			answerWhole(*_caller, _request, 200, "{}");
+			if ("/sedgecart/order" == _request.head.target)
+			{
+				stream_->send(eventText(1));
+				stream_->finish();
+			}
+		};
+	}
+
+	TargetScript partScript()
+	{
+		return [this](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			const std::string* const host = _request.head.headers.find("Host");
+			if (nullptr != host && deadAddress() != *host)
+			{
+				answerWhole(*_caller, _request, 200, "{}");
+			}
+		};
+	}
+
+	std::string deadAddress() const
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		return dead_;
+	}
+
+private:
+	void setDead(const std::string& _address)
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		dead_ = _address;
+	}
+
+	std::shared_ptr<ServerConnection> stream_; //!< Of the head's thread.
+	mutable std::mutex mutex_;
+	std::string dead_;
+};
+
+} // namespace
+
 /// One node before fake targets: what callers and targets see.
 class EntryProof : public CppUnit::TestFixture
 {
@@ -42,6 +104,8 @@
 	CPPUNIT_TEST(surplusAnswerBelongsToNobody);
 	CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
 	CPPUNIT_TEST(streamGoesOnAtAnotherHead);
+	CPPUNIT_TEST(silentPartIsReplaced);
+	CPPUNIT_TEST(silentHeadIsLeft);
 	CPPUNIT_TEST(callerGoneStopsTheTarget);
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
 	CPPUNIT_TEST(badInputHarmsNobody);
@@ -164,6 +228,60 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), two.requests().size());
 	}
 
+	/// A path falls silent; of its targets one does not answer. The request moves to the other holder of its layers,
+	/// within the same answer and without being sent again.
+	void silentPartIsReplaced()
+	{
+		EntryHarness harness;
+		PathScene scene;
+		FakeTarget& head = harness.addEngine(LayerSpan{0, 4}, scene.headScript());
+		harness.addEngine(LayerSpan{4, 8}, scene.partScript());
+		harness.addEngine(LayerSpan{4, 8}, scene.partScript());
+		harness.start();
+		const CallerAnswer answer = harness.call(request("/stream/"));
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(eventText(0) + eventText(1), answer.body);
+		const std::vector<ServerRequest> sent = head.requests();
+		std::size_t streams = 0;
+		std::string order;
+		for (const ServerRequest& one : sent)
+		{
+			streams += "/stream/" == one.head.target ? 1 : 0;
+			order = "/sedgecart/order" == one.head.target ? one.body : order;
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), streams);
+		CPPUNIT_ASSERT(std::string::npos != order.find("\"instance_id\":\"id1\""));
+		CPPUNIT_ASSERT(std::string::npos == order.find(scene.deadAddress()));
+		CPPUNIT_ASSERT(std::string::npos != order.find(head.address() + "=0-4,"));
+	}
+
+	/// The first target of a path falls silent and does not answer: the stream goes on at another one.
+	void silentHeadIsLeft()
+	{
+		EntryHarness harness;
+		std::atomic<bool> first{true};
+		const TargetScript script =
+		    [&first](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			if ("/stream/" != _request.head.target)
+			{
+				return; // it does not answer questions
+			}
+			const bool isFirst = first.exchange(false);
+			startStream(*_caller, _request, isFirst ? 0 : 1, isFirst ? 0 : 1);
+			if (!isFirst)
+			{
+				_caller->finish();
+			}
+		};
+		harness.addEngine(LayerSpan{0, 8}, script);
+		harness.addEngine(LayerSpan{0, 8}, script);
+		harness.start();
+		const CallerAnswer answer = harness.call(request("/stream/"));
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(eventText(0) + eventText(1), answer.body);
+	}
+
 	void callerGoneStopsTheTarget()
 	{
 		EntryHarness harness;
