--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -142,6 +142,7 @@
 	{
 		plan.urgency = _entry.holder->urgency;
 	}
+	plan.pauseObjective = route.pauseObjective;
 	plan.facts.kind = route.kind;
 	plan.facts.resumable = route.resumable;
 	plan.facts.maxRuns = route.maxRuns;
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -333,7 +333,7 @@
 {
 	if (machine_.passing() && answerSound_)
 	{
-		progressAt_ = context_.clock.now();
+		noteProgress();
 		machine_.onBody(_bytes);
 		finishIfDone();
 		return;
@@ -347,6 +347,19 @@
 	}
 }
 
+/// Remembers that bytes came, and tells of a pause that makes the stream late.
+void RequestRelay::noteProgress()
+{
+	const Time now = context_.clock.now();
+	const bool paused = 0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
+	if (paused)
+	{
+		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string((now - eventAt_).millis()) + " ms");
+	}
+	eventAt_ = now;
+	progressAt_ = now;
+}
+
 void RequestRelay::onWhole()
 {
 	release();
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -59,6 +59,7 @@
 	std::string service;
 	RelayFacts facts;
 	uint32_t urgency = 5;
+	Duration pauseObjective; //!< A longer pause makes a stream late; 0: none given.
 	Time arrivedAt;
 	Time giveUpAt;
 };
@@ -107,6 +108,7 @@
 	void repath();
 	void onRepathed(const Choice& _choice, RepathState::Enum _state, const std::string& _atFault);
 	void leave();
+	void noteProgress();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void reserve();
 	void release();
@@ -129,6 +131,7 @@
 	std::string body_;    //!< Of the answer under way, when it is passed on whole.
 	TargetAnswer answer_; //!< What the head says.
 	std::set<std::string> failed_;
+	Time eventAt_;               //!< When bytes of the stream last came.
 	Time progressAt_;           //!< Of the last event, or of the send.
 	uint64_t eventsAtSend_ = 0; //!< Events that came before the send under way.
 	uint32_t repathsLeft_ = 0;  //!< Other paths that the send under way may still try.
