A request whose path breaks goes to another hall's chain, not back and forth between halls

Ruled out: the order itself (answered in 4 ms) and the reading (3 ms a request). Change: a move that adds a crossing is not made, the request is sent behind its last event to a chain within a hall; the way to the first part is priced apart from hops of activations; chains share load by room taken; silence is noticed after 55 ms, a question waits 30 ms; a node that stood still, or whose questions all fail, does not blame targets for long.

--- a/packages/core/include/core/layerpath.h
+++ b/packages/core/include/core/layerpath.h
@@ -43,7 +43,8 @@
 	uint32_t firstLayer = 0; //!< Where the path begins; above 0 for the rest of one whose first parts stay.
 	uint32_t homeHall = 0;   //!< Where the request is, or the part before the first layer.
 	uint32_t halls = 1;      //!< Number of data halls.
-	HopCosts hops;
+	HopCosts entry; //!< From where the request is to the first part: the request itself goes there, no activations.
+	HopCosts hops;  //!< Between parts.
 };
 
 /// Longest path that targets accept.
--- a/packages/core/src/layerpath.cpp
+++ b/packages/core/src/layerpath.cpp
@@ -108,7 +108,8 @@
 		for (uint32_t hall = 0; hall < query_.halls; ++hall)
 		{
 			const Reached& before = at(_joint, hall);
-			const double hop = hall == candidate.hall ? query_.hops.inHall : query_.hops.betweenHalls;
+			const HopCosts& hops = 0 == _joint ? query_.entry : query_.hops;
+			const double hop = hall == candidate.hall ? hops.inHall : hops.betweenHalls;
 			const double cost = before.cost + hop + own;
 			Reached& after = at(_next, candidate.hall);
 			if (cost < after.cost)
--- a/packages/core/tests/layerpathtest.cpp
+++ b/packages/core/tests/layerpathtest.cpp
@@ -28,6 +28,7 @@
 	PathQuery made;
 	made.layers = _layers;
 	made.halls = _halls;
+	made.entry = HopCosts{0, 4};
 	made.hops = HopCosts{1, 10};
 	return made;
 }
@@ -52,7 +53,8 @@
 		_used[index] = true;
 		for (uint32_t end = _layer + 1; end <= one.held.end; ++end)
 		{
-			const double hop = one.hall == _hall ? _query.hops.inHall : _query.hops.betweenHalls;
+			const HopCosts& hops = 0 == _layer ? _query.entry : _query.hops;
+			const double hop = one.hall == _hall ? hops.inHall : hops.betweenHalls;
 			const double own = hop + one.costOfPart + (end - _layer) * one.costPerLayer;
 			best = std::min(best, own + cheapest(_candidates, _query, end, one.hall, _used));
 		}
@@ -69,7 +71,8 @@
 	for (const PathPart& part : _path)
 	{
 		const PathCandidate& one = _candidates[part.candidate];
-		cost += one.hall == hall ? _query.hops.inHall : _query.hops.betweenHalls;
+		const HopCosts& hops = 0 == part.layers.begin ? _query.entry : _query.hops;
+		cost += one.hall == hall ? hops.inHall : hops.betweenHalls;
 		cost += one.costOfPart + part.layers.size() * one.costPerLayer;
 		hall = one.hall;
 	}
@@ -83,6 +86,7 @@
 	CPPUNIT_TEST_SUITE(LayerPathTest);
 	CPPUNIT_TEST(staysInTheHall);
 	CPPUNIT_TEST(borrowsALostRangeFromAnotherHall);
+	CPPUNIT_TEST(goesOverToAnotherHallRatherThanBackAndForth);
 	CPPUNIT_TEST(aFullTargetDoesNotLead);
 	CPPUNIT_TEST(noCoverIsSaid);
 	CPPUNIT_TEST(everyLayerOnceAndCheapest);
@@ -108,6 +112,17 @@
 		CPPUNIT_ASSERT(8 == path[1].layers.end);
 	}
 
+	void goesOverToAnotherHallRatherThanBackAndForth()
+	{
+		std::vector<PathCandidate> all = {candidate(0, 0, 4, 1), candidate(0, 4, 8, 1), candidate(1, 0, 4, 1),
+		                                  candidate(1, 4, 8, 1)};
+		all[1].usable = false;
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(findPath(all, query(8, 2), path));
+		CPPUNIT_ASSERT_EQUAL(2U, path[0].candidate);
+		CPPUNIT_ASSERT_EQUAL(3U, path[1].candidate);
+	}
+
 	void aFullTargetDoesNotLead()
 	{
 		std::vector<PathCandidate> all = {candidate(0, 0, 8, 1), candidate(0, 0, 8, 5)};
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -16,17 +16,17 @@
 {
 
 /// Between two looks at the silent paths.
-constexpr Duration kLook = Duration::fromMillis(25);
+constexpr Duration kLook = Duration::fromMillis(12);
 
 /// Silence between two events that is news: events of a sound path come 15 to 25 ms apart, and a pause of 200 ms makes
 /// a stream late.
-constexpr Duration kSilence = Duration::fromMillis(90);
+constexpr Duration kSilence = Duration::fromMillis(55);
 
 /// Silence before the first event that is news: a first event takes 140 ms in 99 of 100, and 500 ms makes it late.
-constexpr Duration kFirstSilence = Duration::fromMillis(240);
+constexpr Duration kFirstSilence = Duration::fromMillis(200);
 
 /// A target answers within some milliseconds; the rest is for a busy node.
-constexpr Duration kAnswerBound = Duration::fromMillis(70);
+constexpr Duration kAnswerBound = Duration::fromMillis(30);
 
 /// A target is not asked again within this time.
 constexpr Duration kAskPause = Duration::fromMillis(300);
@@ -34,6 +34,12 @@
 /// A dead target is passed over for so long: its record goes from the registry within it.
 constexpr Duration kDeadFor = Duration::fromMillis(4500);
 
+/// Where none of several targets answered the fault may be this node's, and passing over them all must end soon.
+constexpr Duration kDoubtFor = Duration::fromMillis(600);
+
+/// A look that is late by more shows that this node stood still, and that silence says nothing of others.
+constexpr Duration kLate = Duration::fromMillis(35);
+
 /// Questions at once to a target in another hall: links between halls may lose a packet, and a lost first packet is
 /// sent again only after a second.
 constexpr uint32_t kFarQuestions = 2;
@@ -60,6 +66,7 @@
 		return;
 	}
 	ticking_ = true;
+	lookAt_ = clock_.now() + kLook;
 	timer_.expires_after(std::chrono::microseconds(kLook.micros));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
@@ -95,10 +102,18 @@
 	{
 		return;
 	}
+	const Time now = clock_.now();
+	awakeAt_ = lookAt_ + kLate < now ? now : awakeAt_;
 	look(paths);
 	start();
 }
 
+bool PathWatch::isSilent(const WatchedPathI& _path, Time _now) const
+{
+	const Time last = _path.lastProgress() < awakeAt_ ? awakeAt_ : _path.lastProgress();
+	return last + (_path.begun() ? kSilence : kFirstSilence) < _now;
+}
+
 void PathWatch::look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths)
 {
 	const Time now = clock_.now();
@@ -106,9 +121,7 @@
 	bool anySilent = false;
 	for (const auto& path : _paths)
 	{
-		const Duration bound = path->begun() ? kSilence : kFirstSilence;
-		const bool silent = path->lastProgress() + bound < now;
-		anySilent = anySilent || silent;
+		anySilent = anySilent || isSilent(*path, now);
 		for (const FleetTarget* const target : path->pathTargets())
 		{
 			Time& last = seen.emplace(target->load.get(), Time{}).first->second;
@@ -119,9 +132,10 @@
 	{
 		return;
 	}
+	const auto round = std::make_shared<Round>();
 	for (const auto& path : _paths)
 	{
-		if (!(path->lastProgress() + (path->begun() ? kSilence : kFirstSilence) < now))
+		if (!isSilent(*path, now))
 		{
 			continue;
 		}
@@ -129,13 +143,13 @@
 		{
 			if (seen[target->load.get()] + kSilence < now)
 			{
-				ask(*target);
+				ask(*target, round);
 			}
 		}
 	}
 }
 
-void PathWatch::ask(const FleetTarget& _target)
+void PathWatch::ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round)
 {
 	Asked& asked = asked_[_target.record.instance.text];
 	const Time now = clock_.now();
@@ -144,25 +158,28 @@
 		return;
 	}
 	asked = Asked{now, 0 == _target.hall ? 1 : kFarQuestions, false};
+	++_round->asked;
 	const FleetTarget target = _target;
 	for (uint32_t question = asked.open; 0 < question; --question)
 	{
 		orders_.probe(target.record.address, kAnswerBound,
-		              [this, target](const ProbeAnswer& _answer)
+		              [this, target, _round](const ProbeAnswer& _answer)
 		              {
-			              onAnswer(target, _answer);
+			              onAnswer(target, *_round, _answer);
 		              });
 	}
 }
 
-void PathWatch::onAnswer(const FleetTarget& _target, const ProbeAnswer& _answer)
+void PathWatch::onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
 	Asked& asked = asked_[_target.record.instance.text];
 	asked.open -= 0 < asked.open ? 1 : 0;
+	_round.answered += !asked.answered && _answer.answered ? 1 : 0;
 	asked.answered = asked.answered || _answer.answered;
 	if (0 == asked.open && !asked.answered)
 	{
-		onDead(_target, "no answer");
+		const bool sure = 0 < _round.answered || 1 == _round.asked;
+		onDead(_target, sure ? kDeadFor : kDoubtFor, "no answer");
 		return;
 	}
 	for (const std::string& address : _answer.stalled)
@@ -173,7 +190,7 @@
 			{
 				if (address == target->record.address)
 				{
-					onDead(*target, "a neighbour waits for it");
+					onDead(*target, kDoubtFor, "a neighbour waits for it");
 					return;
 				}
 			}
@@ -181,11 +198,11 @@
 	}
 }
 
-void PathWatch::onDead(const FleetTarget& _target, const char* _cause)
+void PathWatch::onDead(const FleetTarget& _target, Duration _avoidFor, const char* _cause)
 {
 	const Time now = clock_.now();
 	const FleetTarget target = _target;
-	target.load->avoidedUntil.store((now + kDeadFor).micros, std::memory_order_relaxed);
+	target.load->avoidedUntil.store((now + _avoidFor).micros, std::memory_order_relaxed);
 	uint32_t users = 0;
 	for (const auto& path : live())
 	{
@@ -204,6 +221,7 @@
 	         {{"target", target.record.instance.text},
 	          {"cause", _cause},
 	          {"hall", target.record.hall},
+	          {"avoid_ms", std::to_string(_avoidFor.millis())},
 	          {"requests", std::to_string(users)}});
 }
 
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -64,11 +64,19 @@
 		bool answered = false;
 	};
 
+	/// Targets that were asked at the same moment.
+	struct Round
+	{
+		uint32_t asked = 0;
+		uint32_t answered = 0;
+	};
+
 	void tick();
 	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
-	void ask(const FleetTarget& _target);
-	void onAnswer(const FleetTarget& _target, const ProbeAnswer& _answer);
-	void onDead(const FleetTarget& _target, const char* _cause);
+	bool isSilent(const WatchedPathI& _path, Time _now) const;
+	void ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round);
+	void onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
+	void onDead(const FleetTarget& _target, Duration _avoidFor, const char* _cause);
 	std::vector<std::shared_ptr<WatchedPathI>> live();
 
 	boost::asio::steady_timer timer_;
@@ -76,6 +84,8 @@
 	RunnerOrdersI& orders_;
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
 	std::map<std::string, Asked> asked_; //!< By instance.
+	Time lookAt_;                        //!< When the next look is due.
+	Time awakeAt_;                       //!< Since when this node has not stood still.
 	bool ticking_ = false;
 };
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -351,7 +351,8 @@
 void RequestRelay::noteProgress()
 {
 	const Time now = context_.clock.now();
-	const bool paused = 0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
+	const bool paused =
+	    0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
 	if (paused)
 	{
 		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string((now - eventAt_).millis()) + " ms");
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -131,7 +131,7 @@
 	std::string body_;    //!< Of the answer under way, when it is passed on whole.
 	TargetAnswer answer_; //!< What the head says.
 	std::set<std::string> failed_;
-	Time eventAt_;               //!< When bytes of the stream last came.
+	Time eventAt_;              //!< When bytes of the stream last came.
 	Time progressAt_;           //!< Of the last event, or of the send.
 	uint64_t eventsAtSend_ = 0; //!< Events that came before the send under way.
 	uint32_t repathsLeft_ = 0;  //!< Other paths that the send under way may still try.
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -2,6 +2,8 @@
 
 #include "targetchooser_p.h"
 
+#include <core/layoutplan.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -18,9 +20,16 @@
 /// Extra of a target that failed a moment ago, requests: it is used when all others are as bad.
 constexpr double kAvoidedRequests = 1000;
 
-/// Price of a hop, microseconds. In a hall: its delay and the work of one more target. Between halls: beside the delay
-/// the traffic is paid for and shares a pipe, so a whole hall's detour must be cheaper to be worth it.
-constexpr HopCosts kHops{500, 8000};
+/// Price of a hop of activations, microseconds. In a hall: its delay and the work of one more target. Between halls a
+/// prompt of 1,000 tokens takes 23 ms of a pipe that all share (22.9 kB a token over 7,900 Mbit/s), so that it is a
+/// last resort.
+constexpr HopCosts kHops{500, 40000};
+
+/// Price of the way to the first part, microseconds: to another hall the request itself goes, some kilobytes.
+constexpr HopCosts kEntry{0, 1500};
+
+/// How much dearer a target with no room left is than an idle one, as a multiple of its own time.
+constexpr double kLoadWeight = 1.0;
 
 /// What a part costs beside its layers, microseconds: the fixed work of a step.
 constexpr double kPartCost = 300;
@@ -51,6 +60,20 @@
 	return _target.load->requests.load(std::memory_order_relaxed) < share;
 }
 
+/// @returns the part of a target's room that requests take, if every node has as many there as this one; above 1 when
+/// there are more than fit.
+double roomTaken(const FleetTarget& _target, const ChoiceQuery& _query)
+{
+	if (nullptr == _target.card)
+	{
+		return 0;
+	}
+	const double layers = _target.record.layers.size();
+	const double room = roomFor(_query.service.spec->engine, *_target.card, _target.record.layers.size()) * layers;
+	const double taken = static_cast<double>(_target.load->tokenLayers.load(std::memory_order_relaxed));
+	return room <= 0 ? 1 : taken * _query.nodes / room;
+}
+
 PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query)
 {
 	const EngineSpec& engine = _query.service.spec->engine;
@@ -60,7 +83,8 @@
 	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
 	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes);
 	const double step = nullptr == _target.card ? 1 : _target.card->stepFactor;
-	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step;
+	const double load = roomTaken(_target, _query);
+	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + kLoadWeight * load);
 	candidate.costOfPart = kPartCost + (isAvoided(_target, _query.now) ? kAvoidedCost : 0);
 	return candidate;
 }
@@ -76,12 +100,26 @@
 	return candidates;
 }
 
+/// @returns how often a path goes from one hall to another.
+uint32_t hallCrossings(const FleetService& _service, const Choice& _choice)
+{
+	uint32_t crossings = 0;
+	for (std::size_t index = 1; index < _choice.parts.size(); ++index)
+	{
+		const FleetTarget& before = _service.targets[_choice.parts[index - 1].candidate];
+		const FleetTarget& after = _service.targets[_choice.parts[index].candidate];
+		crossings += before.hall == after.hall ? 0 : 1;
+	}
+	return crossings;
+}
+
 PathQuery pathQuery(const FleetService& _service)
 {
 	PathQuery query;
 	query.layers = _service.spec->engine.layers;
 	query.halls = _service.halls;
 	query.homeHall = _service.homeHall;
+	query.entry = kEntry;
 	query.hops = kHops;
 	return query;
 }
@@ -140,6 +178,7 @@
 bool chooseRest(const ChoiceQuery& _query, Choice& _choice)
 {
 	const PathPart head = _choice.parts.front();
+	const uint32_t crossings = hallCrossings(_query.service, _choice);
 	std::vector<PathCandidate> candidates = candidatesOf(_query);
 	candidates[head.candidate].usable = false; // a target has one part of a path
 	PathQuery query = pathQuery(_query.service);
@@ -152,7 +191,7 @@
 	}
 	_choice.parts.assign(1, head);
 	_choice.parts.insert(_choice.parts.end(), rest.begin(), rest.end());
-	return true;
+	return hallCrossings(_query.service, _choice) <= crossings;
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -40,7 +40,8 @@
 
 /// Chooses other parts behind the first one of a path.
 /// @param _choice its first part stays.
-/// @returns false if there is no way around the targets that failed.
+/// @returns false if there is no way around the targets that failed without another hall: what a new part has to read
+/// again would take the pipe between the halls for longer than another chain takes to read it all.
 bool chooseRest(const ChoiceQuery& _query, Choice& _choice);
 
 } // namespace sedgecart
