--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -12,13 +12,13 @@
 namespace
 {
 
-/// How the operator's topic is followed: a change comes at once, and an answer without news proves every second or so
-/// that there was none.
-constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1200), Duration{}};
+/// How the operator's topic is followed: a change comes at once. An answer without news proves that there was none when
+/// its read was sent, so that the proof in hand is never older than two such waits; keys may be used for 4.5 s on it.
+constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1800), Duration{}};
 
 /// How the targets' topic is followed. Each target writes there every second or so, so that waiting for news would
 /// read without a pause; a target that leaves must be known within two seconds.
-constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(900)};
+constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(1300)};
 
 /// How the nodes' topic is followed: its only use is to share out bounds, which change as slowly as nodes come.
 constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500)};
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -31,6 +31,9 @@
 /// A target is not asked again within this time.
 constexpr Duration kAskPause = Duration::fromMillis(300);
 
+/// A target that did not answer is not asked again within this time.
+constexpr Duration kSilentPause = Duration::fromMillis(1500);
+
 /// A dead target is passed over for so long: its record goes from the registry within it.
 constexpr Duration kDeadFor = Duration::fromMillis(4500);
 
@@ -153,11 +156,11 @@
 {
 	Asked& asked = asked_[_target.record.instance.text];
 	const Time now = clock_.now();
-	if (now < asked.at + kAskPause)
+	if (now < asked.notBefore)
 	{
 		return;
 	}
-	asked = Asked{now, 0 == _target.hall ? 1 : kFarQuestions, false};
+	asked = Asked{now + kAskPause, 0 == _target.hall ? 1 : kFarQuestions, false};
 	++_round->asked;
 	const FleetTarget target = _target;
 	for (uint32_t question = asked.open; 0 < question; --question)
@@ -178,7 +181,8 @@
 	asked.answered = asked.answered || _answer.answered;
 	if (0 == asked.open && !asked.answered)
 	{
-		const bool sure = 0 < _round.answered || 1 == _round.asked;
+		const bool sure = _answer.refused || 0 < _round.answered || 1 == _round.asked;
+		asked.notBefore = clock_.now() + kSilentPause;
 		onDead(_target, sure ? kDeadFor : kDoubtFor, "no answer");
 		return;
 	}
