No node leads the layout; a service without targets no longer ends the process

The store deals a group's first part to another member every two seconds, so each keeper came to the duty with an old end of the topic, lost the condition, and lost the duty before its next look: 19 records tried, few won. EntryProof.lastTargetGoneIsBorne failed first (segmentation fault). Ruled out: a longer duty (the store deals afresh unasked); a lease record (a write a second). Change: every node follows the layout topic and looks; nodes take turns by their place, shifted by each change; the record's author sends the orders once it reads its own record. Groups are no longer used.

--- a/packages/entry/include/entry/keyedlog.h
+++ b/packages/entry/include/entry/keyedlog.h
@@ -71,14 +71,6 @@
 	Offset end;    //!< Of the topic, when there was a conflict.
 };
 
-/// What came of joining a group.
-struct GroupAnswer
-{
-	StoreState::Enum state = StoreState::Unknown;
-	uint64_t generation = 0;
-	bool holdsFirst = false; //!< Of the group's pieces of work this member holds the first.
-};
-
 /// The platform's store, as this product uses it. Calls return at once; answers come on the loop's thread.
 class KeyedLogI
 {
@@ -87,7 +79,6 @@
 
 	using PageCall = std::function<void(KeyedPage&&)>;
 	using AppendCall = std::function<void(const KeyedAppend&)>;
-	using GroupCall = std::function<void(const GroupAnswer&)>;
 
 	/// Reads the newest record of each key behind `_afterKey`. Pages are no snapshot of one moment.
 	virtual void newest(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call) = 0;
@@ -99,10 +90,6 @@
 	/// @param _onlyAt append only if the topic ends there.
 	virtual void append(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value,
 	                    std::optional<Offset> _onlyAt, AppendCall _call) = 0;
-
-	/// Joins the group of nodes that may keep the layout, or stays in it.
-	/// @param _ttl without another join in this time the member is taken as gone.
-	virtual void joinLayoutGroup(const std::string& _member, uint64_t _generation, Duration _ttl, GroupCall _call) = 0;
 };
 
 } // namespace sedgecart
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -55,7 +55,7 @@
 struct ProbeAnswer
 {
 	bool answered = false;
-	bool refused = false; //!< Nobody listens at its address any more.
+	bool refused = false;             //!< Nobody listens at its address any more.
 	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
 };
 
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -23,6 +23,9 @@
 /// How the nodes' topic is followed: its only use is to share out bounds, which change as slowly as nodes come.
 constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500)};
 
+/// How the layout's topic is followed: changes come at once, and are rare.
+constexpr FollowPlan kFollowLayout{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}};
+
 /// Between two tries to write this node's record.
 constexpr Duration kAnnounceRetry = Duration::fromMillis(1500);
 
@@ -145,6 +148,34 @@
 	OutageLog outages_;
 };
 
+class EntryControl::LayoutNews : public FollowHandlerI
+{
+public:
+	explicit LayoutNews(EntryControl& _control) : control_(_control), outages_("layout")
+	{
+	}
+
+	void onRecord(const KeyedRecord& _record) override
+	{
+		control_.layout_.onRecord(_record);
+	}
+
+	void onCurrent(Time) override
+	{
+		outages_.onCurrent();
+		control_.layout_.onCurrent(control_.layoutFollower_.end());
+	}
+
+	void onOut(StoreState::Enum _state) override
+	{
+		outages_.onOut(_state);
+	}
+
+private:
+	EntryControl& control_;
+	OutageLog outages_;
+};
+
 EntryControl::EntryControl(boost::asio::io_context& _loop, const EntrySettings& _settings, KeyedLogI& _log,
                            RunnerOrdersI& _orders, const DocumentsI& _documents, const ClockI& _clock, FleetCell& _cell,
                            std::function<void()> _onReady)
@@ -154,9 +185,11 @@
       operatorNews_(std::make_unique<OperatorNews>(*this)),
       runnerNews_(std::make_unique<RunnerNews>(*this)),
       nodeNews_(std::make_unique<NodeNews>(*this)),
+      layoutNews_(std::make_unique<LayoutNews>(*this)),
       operatorFollower_(_loop, _log, _clock, kFollowOperator, *operatorNews_),
       runnerFollower_(_loop, _log, _clock, kFollowRunners, *runnerNews_),
       nodeFollower_(_loop, _log, _clock, kFollowNodes, *nodeNews_),
+      layoutFollower_(_loop, _log, _clock, kFollowLayout, *layoutNews_),
       layout_(_loop, _log, _orders, _clock, fleet_, _settings.name),
       announceTimer_(_loop),
       onReady_(std::move(_onReady))
@@ -170,6 +203,7 @@
 	operatorFollower_.start();
 	runnerFollower_.start();
 	nodeFollower_.start();
+	layoutFollower_.start();
 	layout_.start();
 	announce();
 }
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -34,6 +34,7 @@
 	class OperatorNews;
 	class RunnerNews;
 	class NodeNews;
+	class LayoutNews;
 
 	void announce();
 	void checkReady();
@@ -44,9 +45,11 @@
 	std::unique_ptr<OperatorNews> operatorNews_;
 	std::unique_ptr<RunnerNews> runnerNews_;
 	std::unique_ptr<NodeNews> nodeNews_;
+	std::unique_ptr<LayoutNews> layoutNews_;
 	Follower operatorFollower_;
 	Follower runnerFollower_;
 	Follower nodeFollower_;
+	Follower layoutFollower_;
 	LayoutKeeper layout_;
 	boost::asio::steady_timer announceTimer_;
 	std::function<void()> onReady_;
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -47,6 +47,12 @@
 		return routes_;
 	}
 
+	/// @returns names of the entry nodes, this one's as soon as its own record was read.
+	const std::set<std::string>& nodes() const
+	{
+		return nodes_;
+	}
+
 	/// @returns when a target last came or went.
 	Time fleetChangedAt() const
 	{
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -5,6 +5,7 @@
 #include "fleetcontroller_p.h"
 
 #include <logging/logging.h>
+#include <wire/sedgecart.pb.h>
 
 #include <algorithm>
 #include <chrono>
@@ -18,20 +19,28 @@
 /// Between two looks at the layout. A lost range is mended in some seconds, of which loading takes the most.
 constexpr Duration kLookPause = Duration::fromMillis(400);
 
-/// Time after which a silent member loses the duty, and how often it is renewed: two renewals may be lost.
-constexpr Duration kDutyTtl = Duration::fromMillis(3000);
-constexpr Duration kDutyRenewal = Duration::fromMillis(1000);
+/// What each node waits for the one whose turn is before its own: a record takes some tens of milliseconds to be seen.
+constexpr Duration kTurn = Duration::fromMillis(500);
+
+/// Longest wait for one's turn, in turns. Beyond it nodes may try at once; one of them wins.
+constexpr std::size_t kMostTurns = 6;
 
 /// The first layout waits until no target has come for so long: targets appear within some seconds of each other.
 constexpr Duration kSettled = Duration::fromMillis(1600);
 
-/// An order that the registry does not show after so long is not counted on: a load of a tenth of the model and two
-/// records of a target fit in.
+/// An order that the registry does not show after so long is not counted on: a load of a fifth of the model, two
+/// records of a target and a read of the registry fit in.
 constexpr Duration kOrderShown = Duration::fromMillis(6000);
 
+/// Orders of a record that its author reads later than this are not sent: others may have acted meanwhile.
+constexpr Duration kOrdersFresh = Duration::fromMillis(3000);
+
 /// A hole is left alone for so long, since a target that restarts empty takes it up without costing others their room.
 constexpr Duration kExtendAfter = Duration::fromMillis(700);
 
+/// The layout topic has one key: its newest record.
+constexpr const char* kKey = "newest";
+
 std::string spanText(LayerSpan _span)
 {
 	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
@@ -57,11 +66,7 @@
 
 void LayoutKeeper::tick()
 {
-	if (!(clock_.now() < joinedAt_ + kDutyRenewal))
-	{
-		join();
-	}
-	if (keeps_ && !busy_ && fleet_.ready())
+	if (known_ && !appending_ && fleet_.ready())
 	{
 		look();
 	}
@@ -76,33 +81,48 @@
 	    });
 }
 
-void LayoutKeeper::join()
+void LayoutKeeper::onCurrent(Offset _end)
 {
-	joinedAt_ = clock_.now();
-	log_.joinLayoutGroup(node_, generation_, kDutyTtl,
-	                     [this](const GroupAnswer& _answer)
-	                     {
-		                     if (StoreState::Done != _answer.state)
-		                     {
-			                     return; // the next renewal tries again; the fence guards against a later keeper
-		                     }
-		                     generation_ = _answer.generation;
-		                     if (keeps_ != _answer.holdsFirst)
-		                     {
-			                     logEvent(LogPart::Layout, LogLevel::Info,
-			                              _answer.holdsFirst ? "This node keeps the layout."
-			                                                 : "Another node keeps the layout.",
-			                              {{"generation", std::to_string(generation_)}});
-		                     }
-		                     keeps_ = _answer.holdsFirst;
-	                     });
+	known_ = true;
+	end_ = _end;
+}
+
+void LayoutKeeper::onRecord(const KeyedRecord& _record)
+{
+	wire::LayoutChange change;
+	if (_record.removed || !change.ParseFromString(_record.value))
+	{
+		logEvent(LogPart::Layout, LogLevel::Warning, "Record of a layout change cannot be read.",
+		         {{"offset", std::to_string(_record.offset.value)}});
+		return;
+	}
+	const Time now = clock_.now();
+	const bool own = incarnation_.text() == change.author();
+	const bool fresh = now < appendedAt_ + kOrdersFresh;
+	wantedAt_ = Time{};
+	logEvent(LogPart::Layout, LogLevel::Info, "Layout changes.",
+	         {{"offset", std::to_string(_record.offset.value)},
+	          {"author", change.author()},
+	          {"holds", std::to_string(change.holds_size())},
+	          {"orders_sent_here", own && fresh ? "true" : "false"}});
+	// Fences count from 1: a target takes 0 for none.
+	const Offset fence{_record.offset.value + 1};
+	for (const wire::LayoutHold& hold : change.holds())
+	{
+		const LayerSpan layers{hold.begin(), hold.end()};
+		ordered_[hold.target()] = Ordered{layers, now};
+		if (own && fresh)
+		{
+			order(hold.target(), layers, fence);
+		}
+	}
 }
 
 LayerSpan LayoutKeeper::effectiveLayers(const RunnerRecord& _target) const
 {
-	const auto sent = sent_.find(_target.instance.text);
-	const bool counts = sent_.end() != sent && clock_.now() < sent->second.at + kOrderShown;
-	return counts ? sent->second.layers : _target.layers;
+	const auto ordered = ordered_.find(_target.instance.text);
+	const bool counts = ordered_.end() != ordered && clock_.now() < ordered->second.at + kOrderShown;
+	return counts ? ordered->second.layers : _target.layers;
 }
 
 LayoutKeeper::Plan LayoutKeeper::plan()
@@ -139,88 +159,87 @@
 		plan.orders = settled ? planLayout(*engine, targets) : std::vector<LayoutOrder>();
 		return plan;
 	}
-	const bool mayExtend = 0 != lostAt_.micros && !(clock_.now() < lostAt_ + kExtendAfter);
+	const bool mayExtend = 0 != holeAt_.micros && !(clock_.now() < holeAt_ + kExtendAfter);
 	plan.orders = repairLayout(*engine, targets, mayExtend);
 	if (plan.orders.empty() && !mayExtend && !repairLayout(*engine, targets, true).empty())
 	{
-		lostAt_ = 0 == lostAt_.micros ? clock_.now() : lostAt_;
+		holeAt_ = 0 == holeAt_.micros ? clock_.now() : holeAt_;
 		return plan;
 	}
-	lostAt_ = Time{};
+	holeAt_ = Time{};
 	return plan;
 }
 
+bool LayoutKeeper::isMyTurn(Time _now) const
+{
+	const auto& nodes = fleet_.nodes();
+	const auto place = static_cast<std::size_t>(std::distance(nodes.begin(), nodes.lower_bound(node_)));
+	const std::size_t count = std::max<std::size_t>(1, nodes.size());
+	// The turn goes round with each change, so that a node that is gone delays only some of them.
+	const std::size_t turn = std::min((place + end_.value) % count, kMostTurns);
+	return !(_now < wantedAt_ + Duration{kTurn.micros * static_cast<int64_t>(turn)});
+}
+
 void LayoutKeeper::look()
 {
 	const Plan next = plan();
-	if (!next.orders.empty())
+	const Time now = clock_.now();
+	if (next.orders.empty())
 	{
-		record(next);
+		wantedAt_ = Time{};
+		return;
+	}
+	wantedAt_ = 0 == wantedAt_.micros ? now : wantedAt_;
+	if (isMyTurn(now))
+	{
+		append(next);
 	}
 }
 
-void LayoutKeeper::record(const Plan& _plan)
+void LayoutKeeper::append(const Plan& _plan)
 {
-	std::string text;
+	wire::LayoutChange change;
+	change.set_author(incarnation_.text());
 	for (const LayoutOrder& order : _plan.orders)
 	{
-		text += _plan.targets[order.target].instance.text + ' ' + spanText(order.layers) + '\n';
+		wire::LayoutHold* const hold = change.add_holds();
+		hold->set_target(_plan.targets[order.target].instance.text);
+		hold->set_begin(order.layers.begin);
+		hold->set_end(order.layers.end);
 	}
-	busy_ = true;
-	log_.append(KeyedTopic::Layout, "newest", text, end_,
-	            [this, _plan](const KeyedAppend& _outcome)
+	appending_ = true;
+	appendedAt_ = clock_.now();
+	log_.append(KeyedTopic::Layout, kKey, change.SerializeAsString(), end_,
+	            [this](const KeyedAppend& _outcome)
 	            {
-		            busy_ = false;
-		            logEvent(LogPart::Layout, LogLevel::Info, "Layout change recorded.",
+		            appending_ = false;
+		            wantedAt_ = clock_.now(); // whatever came of it, the next try waits for its turn
+		            logEvent(LogPart::Layout, LogLevel::Info, "Layout change was appended.",
 		                     {{"outcome", nameOf(_outcome.state)},
-		                      {"orders", std::to_string(_plan.orders.size())},
 		                      {"offset", std::to_string(_outcome.offset.value)},
 		                      {"end", std::to_string(_outcome.end.value)}});
-		            if (StoreState::Conflict == _outcome.state)
-		            {
-			            end_ = _outcome.end; // another keeper was first; the next look sees what came of it
-			            return;
-		            }
-		            if (StoreState::Done == _outcome.state)
-		            {
-			            end_ = Offset{_outcome.offset.value + 1};
-			            order(_plan, _outcome.offset);
-		            }
 	            });
 }
 
-void LayoutKeeper::order(const Plan& _plan, Offset _fence)
-{
-	// Fences count from 1: a target takes 0 for none.
-	const Offset fence{_fence.value + 1};
-	for (const LayoutOrder& order : _plan.orders)
-	{
-		const RunnerRecord& target = _plan.targets[order.target];
-		sent_[target.instance.text] = Sent{order.layers, clock_.now()};
-		logEvent(LogPart::Layout, LogLevel::Info, "Target is ordered to hold layers.",
-		         {{"target", target.instance.text},
-		          {"layers", spanText(order.layers)},
-		          {"held", spanText(target.layers)},
-		          {"fence", std::to_string(fence.value)}});
-		const std::string name = target.instance.text;
-		orders_.hold(target, order.layers, fence,
-		             [this, name](LayoutOrderState::Enum _state)
-		             {
-			             onOrder(name, _state);
-		             });
-	}
-}
-
-void LayoutKeeper::onOrder(const std::string& _target, LayoutOrderState::Enum _state)
+void LayoutKeeper::order(const std::string& _target, LayerSpan _layers, Offset _fence)
 {
-	logEvent(LogPart::Layout, LayoutOrderState::Begun == _state ? LogLevel::Debug : LogLevel::Warning,
-	         "Target answered an order.", {{"target", _target}, {"outcome", nameOf(_state)}});
-	const bool failed =
-	    LayoutOrderState::Unfit == _state || LayoutOrderState::Fenced == _state || LayoutOrderState::Invalid == _state;
-	if (failed)
+	const auto row = fleet_.runners().find(_target);
+	if (fleet_.runners().end() == row)
 	{
-		sent_.erase(_target); // the next look decides on what the registry shows
+		return; // it left meanwhile
 	}
+	logEvent(LogPart::Layout, LogLevel::Info, "Target is ordered to hold layers.",
+	         {{"target", _target},
+	          {"layers", spanText(_layers)},
+	          {"held", spanText(row->second.layers)},
+	          {"fence", std::to_string(_fence.value)}});
+	orders_.hold(row->second, _layers, _fence,
+	             [_target](LayoutOrderState::Enum _state)
+	             {
+		             const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
+		             logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
+		                      {{"target", _target}, {"outcome", nameOf(_state)}});
+	             });
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -4,6 +4,7 @@
 #define SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
 
 #include <base/clock.h>
+#include <base/incarnation.h>
 #include <core/layoutplan.h>
 #include <entry/keyedlog.h>
 #include <entry/runnerorders.h>
@@ -20,27 +21,28 @@
 
 class FleetController;
 
-/// Keeps the model laid out over the targets. One node at a time does it: the store deals the duty to one member of a
-/// group. Each change is a record that is appended only if the topic still ends where this node believes; its offset is
-/// the fence of the orders, so a keeper that lost the duty without knowing cannot undo a later one's work.
-/// Control thread only.
+/// Keeps the model laid out over the targets. Every node looks; none leads. A change is a record that is appended only
+/// if the layout topic still ends where its author has read it, so of two authors one wins. The author sends the orders
+/// once it reads its record, with the record's offset as their fence: an order that is carried out late cannot undo a
+/// later change. Nodes take turns, so that mostly one tries; the next one does if it stays away. Control thread only.
 class LayoutKeeper
 {
 public:
 	LayoutKeeper(boost::asio::io_context& _loop, KeyedLogI& _log, RunnerOrdersI& _orders, const ClockI& _clock,
 	             const FleetController& _fleet, const std::string& _node);
 
+	/// Begins to look.
 	void start();
 
-	/// @returns true while this node holds the duty.
-	bool keeps() const
-	{
-		return keeps_;
-	}
+	/// Takes a record of the layout topic.
+	void onRecord(const KeyedRecord& _record);
+
+	/// The layout topic has been read up to here.
+	void onCurrent(Offset _end);
 
 private:
-	/// An order that was sent, until the registry shows it.
-	struct Sent
+	/// What a target was ordered to hold, until the registry shows it.
+	struct Ordered
 	{
 		LayerSpan layers;
 		Time at;
@@ -54,12 +56,11 @@
 	};
 
 	void tick();
-	void join();
 	void look();
 	Plan plan();
-	void record(const Plan& _plan);
-	void order(const Plan& _plan, Offset _fence);
-	void onOrder(const std::string& _target, LayoutOrderState::Enum _state);
+	bool isMyTurn(Time _now) const;
+	void append(const Plan& _plan);
+	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
 
 	boost::asio::steady_timer timer_;
@@ -68,13 +69,14 @@
 	const ClockI& clock_;
 	const FleetController& fleet_;
 	std::string node_;
-	uint64_t generation_ = 0;
-	Offset end_; //!< Where this node believes the layout topic ends.
-	std::map<std::string, Sent> sent_;
-	Time joinedAt_;
-	Time lostAt_; //!< When a hole was first seen; 0: there is none.
-	bool keeps_ = false;
-	bool busy_ = false; //!< A record is being appended.
+	Incarnation incarnation_;
+	Offset end_; //!< Of the layout topic, as far as it was read.
+	std::map<std::string, Ordered> ordered_;
+	Time wantedAt_;          //!< Since when a change has been wanted; 0: none is.
+	Time holeAt_;            //!< Since when layers have been missing; 0: none are.
+	Time appendedAt_;        //!< When this node last tried to append.
+	bool known_ = false;     //!< The layout topic has been read to its end.
+	bool appending_ = false; //!< A record is being appended.
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -59,7 +59,7 @@
 	/// What is known of a target that was asked.
 	struct Asked
 	{
-		Time notBefore; //!< It is not asked again until then.
+		Time notBefore;    //!< It is not asked again until then.
 		uint32_t open = 0; //!< Questions without an answer yet.
 		bool answered = false;
 	};
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -117,6 +117,7 @@
 
 bool RequestRelay::choose(SendOutcome::Enum& _outcome)
 {
+	choice_ = Choice{}; // its indices are the last service's
 	{
 		const RcuCell<FleetView>::Reader view(context_.cell.view);
 		const auto row = view->services.find(plan_.service);
@@ -130,7 +131,12 @@
 	}
 	const ChoiceQuery query = choiceQuery();
 	_outcome = service_->spec->hasEngine ? choosePath(query, choice_) : chooseTarget(query, context_.random, choice_);
-	return SendOutcome::Begun == _outcome;
+	if (SendOutcome::Begun != _outcome)
+	{
+		choice_ = Choice{};
+		return false;
+	}
+	return true;
 }
 
 SendOutcome::Enum RequestRelay::send(std::optional<uint64_t> _resumeAfter)
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -26,7 +26,8 @@
 constexpr HopCosts kHops{500, 40000};
 
 /// Price of the way to the first part, microseconds. To another hall only the request itself goes, some kilobytes, but
-/// its stream is lost when the halls are cut from each other: another hall is used when its chain is half a step faster.
+/// its stream is lost when the halls are cut from each other: another hall is used when its chain is half a step
+/// faster.
 constexpr HopCosts kEntry{0, 7000};
 
 /// How much dearer a target with no room left is than an idle one, as a multiple of its own time.
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -106,6 +106,7 @@
 	CPPUNIT_TEST(streamGoesOnAtAnotherHead);
 	CPPUNIT_TEST(silentPartIsReplaced);
 	CPPUNIT_TEST(silentHeadIsLeft);
+	CPPUNIT_TEST(lastTargetGoneIsBorne);
 	CPPUNIT_TEST(callerGoneStopsTheTarget);
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
 	CPPUNIT_TEST(badInputHarmsNobody);
@@ -282,6 +283,39 @@
 		CPPUNIT_ASSERT_EQUAL(eventText(0) + eventText(1), answer.body);
 	}
 
+	/// A stream breaks after the last target has left the registry: there is nothing to go on with, and the node lives.
+	void lastTargetGoneIsBorne()
+	{
+		EntryHarness harness;
+		std::shared_ptr<ServerConnection> held;
+		FakeTarget& target =
+		    harness.addEngine(LayerSpan{0, 8},
+		                      [&held](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		                      {
+			                      if ("/stream/" != _request.head.target)
+			                      {
+				                      answerWhole(*_caller, _request, 200, "{}");
+				                      return;
+			                      }
+			                      startStream(*_caller, _request, 0, 0);
+			                      held = _caller;
+		                      });
+		harness.start();
+		TestCaller caller(harness.callerAddress());
+		caller.send(textOf(request("/stream/")));
+		caller.receiveUntil(eventText(0));
+		harness.store().put(KeyedTopic::Runners, EntryHarness::instanceOf(target), "");
+		CPPUNIT_ASSERT(harness.callUntil(request("/stream/"), 503));
+		target.post(
+		    [&held]
+		    {
+			    held->abort();
+		    });
+		CPPUNIT_ASSERT(!caller.receive().whole);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), harness.call(request("/stream/")).status);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), harness.call(request("/plain/")).status);
+	}
+
 	void callerGoneStopsTheTarget()
 	{
 		EntryHarness harness;
--- a/tests/entry/memorylog.cpp
+++ b/tests/entry/memorylog.cpp
@@ -118,13 +118,4 @@
 	                  });
 }
 
-void MemoryLog::joinLayoutGroup(const std::string&, uint64_t, Duration, GroupCall _call)
-{
-	boost::asio::post(loop_,
-	                  [_call]
-	                  {
-		                  _call(GroupAnswer{StoreState::Done, 1, true});
-	                  });
-}
-
 } // namespace sedgecart
--- a/tests/entry/memorylog.h
+++ b/tests/entry/memorylog.h
@@ -44,7 +44,6 @@
 	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override;
 	void append(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value,
 	            std::optional<Offset> _onlyAt, AppendCall _call) override;
-	void joinLayoutGroup(const std::string& _member, uint64_t _generation, Duration _ttl, GroupCall _call) override;
 
 private:
 	boost::asio::io_context& loop_;
