Nodes tell each other their load; chains are priced by room taken, and full ones get no more

Cause: the cheap hop let calm paths run through two halls (a half in each, one crossing), which cost probes and connections; a node took its own load times the nodes for all, threefold too much in a hall with two of nine nodes. Change: loads go from node to node five times a second (entry/loadexchange); a hop between halls costs 12 ms; the price of a target rises steeply towards its end; beyond 0.95 of its room it gets nothing and callers are told to come back.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -29,6 +29,11 @@
 /// Between two tries to write this node's record.
 constexpr Duration kAnnounceRetry = Duration::fromMillis(1500);
 
+std::string peerAddress(const EntrySettings& _settings)
+{
+	return _settings.ip + ':' + std::to_string(_settings.firstPeerPort);
+}
+
 /// Tells of a lost and of a regained store, once each.
 class OutageLog
 {
@@ -131,6 +136,7 @@
 	void onRecord(const KeyedRecord& _record) override
 	{
 		control_.fleet_.onNodeRecord(_record);
+		control_.setPeers();
 	}
 
 	void onCurrent(Time) override
@@ -191,6 +197,7 @@
       nodeFollower_(_loop, _log, _clock, kFollowNodes, *nodeNews_),
       layoutFollower_(_loop, _log, _clock, kFollowLayout, *layoutNews_),
       layout_(_loop, _log, _orders, _clock, fleet_, _settings.name),
+      loads_(_loop, _clock, fleet_, peerAddress(_settings)),
       announceTimer_(_loop),
       onReady_(std::move(_onReady))
 {
@@ -205,12 +212,13 @@
 	nodeFollower_.start();
 	layoutFollower_.start();
 	layout_.start();
+	loads_.start();
 	announce();
 }
 
 void EntryControl::announce()
 {
-	log_.append(KeyedTopic::Nodes, settings_.name, settings_.ip, std::nullopt,
+	log_.append(KeyedTopic::Nodes, settings_.name, peerAddress(settings_), std::nullopt,
 	            [this](const KeyedAppend& _outcome)
 	            {
 		            if (StoreState::Done == _outcome.state)
@@ -229,6 +237,19 @@
 	            });
 }
 
+void EntryControl::setPeers()
+{
+	std::vector<std::string> others;
+	for (const auto& row : fleet_.nodes())
+	{
+		if (settings_.name != row.first)
+		{
+			others.push_back(row.second);
+		}
+	}
+	loads_.setPeers(others);
+}
+
 void EntryControl::checkReady()
 {
 	if (fleet_.ready() && onReady_)
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -6,6 +6,7 @@
 #include "fleetcontroller_p.h"
 #include "follower_p.h"
 #include "layoutkeeper_p.h"
+#include "loadexchange_p.h"
 
 #include <entry/entrysettings.h>
 
@@ -38,6 +39,7 @@
 
 	void announce();
 	void checkReady();
+	void setPeers();
 
 	EntrySettings settings_;
 	KeyedLogI& log_;
@@ -51,6 +53,7 @@
 	Follower nodeFollower_;
 	Follower layoutFollower_;
 	LayoutKeeper layout_;
+	LoadExchange loads_;
 	boost::asio::steady_timer announceTimer_;
 	std::function<void()> onReady_;
 };
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -115,7 +115,7 @@
 	}
 	else
 	{
-		nodes_.insert(_record.key);
+		nodes_[_record.key] = _record.value;
 	}
 	if (before != nodes_.size() && routes_)
 	{
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -47,8 +47,14 @@
 		return routes_;
 	}
 
-	/// @returns names of the entry nodes, this one's as soon as its own record was read.
-	const std::set<std::string>& nodes() const
+	/// @returns what is under way at each target, by instance.
+	const std::map<std::string, std::shared_ptr<TargetLoad>>& loads() const
+	{
+		return loads_;
+	}
+
+	/// @returns the entry nodes' addresses for each other, by name, this one's as soon as its own record was read.
+	const std::map<std::string, std::string>& nodes() const
 	{
 		return nodes_;
 	}
@@ -77,8 +83,8 @@
 	std::shared_ptr<const RouteTable> routes_;
 	std::map<std::string, RunnerRecord> runners_;
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
-	std::map<std::string, uint32_t> halls_; //!< Index of each hall; 0 is this node's.
-	std::set<std::string> nodes_;
+	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
+	std::map<std::string, std::string> nodes_; //!< Addresses by name.
 	Time fleetChangedAt_;
 	bool runnersKnown_ = false;
 	bool changed_ = false;
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -18,12 +18,14 @@
 namespace sedgecart
 {
 
-/// What this node has under way at a target. Lives as long as somebody knows the target.
+/// What is under way at a target. Lives as long as somebody knows the target.
 struct TargetLoad
 {
-	std::atomic<uint32_t> requests{0};
-	std::atomic<uint64_t> tokenLayers{0}; //!< Tokens times layers that its requests take, as estimated.
-	std::atomic<int64_t> avoidedUntil{0}; //!< Steady clock, microseconds; it failed a moment ago.
+	std::atomic<uint32_t> requests{0};          //!< From this node, with the target as first of their path.
+	std::atomic<uint64_t> tokenLayers{0};       //!< From this node: tokens times layers, as estimated.
+	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
+	std::atomic<uint64_t> othersTokenLayers{0}; //!< The same.
+	std::atomic<int64_t> avoidedUntil{0};       //!< Steady clock, microseconds; it failed a moment ago.
 };
 
 /// A target that may be sent to.
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -22,16 +22,17 @@
 
 /// Price of a hop of activations, microseconds. In a hall: its delay and the work of one more target. Between halls a
 /// prompt of 1,000 tokens takes 23 ms of a pipe that all share (22.9 kB a token over 7,900 Mbit/s), once, and a token
-/// next to nothing; a hall that lacks one part borrows it rather than leave all its other targets idle.
-constexpr HopCosts kHops{500, 4000};
+/// next to nothing; a hall that lacks one part borrows it when the other halls fill up.
+constexpr HopCosts kHops{500, 12000};
 
 /// Price of the way to the first part, microseconds. To another hall only the request itself goes, some kilobytes, but
 /// its stream is lost when the halls are cut from each other: another hall is used when its chain is half a step
 /// faster.
 constexpr HopCosts kEntry{0, 7000};
 
-/// How much dearer a target with no room left is than an idle one, as a multiple of its own time.
-constexpr double kLoadWeight = 1.0;
+/// Part of a target's room beyond which it gets no more requests. Estimates of the answers' lengths are right in the
+/// median only, so that the sum over some dozen requests is off by some percent.
+constexpr double kFull = 0.95;
 
 /// What a part costs beside its layers, microseconds: the fixed work of a step.
 constexpr double kPartCost = 300;
@@ -62,18 +63,32 @@
 	return _target.load->requests.load(std::memory_order_relaxed) < share;
 }
 
-/// @returns the part of a target's room that requests take, if every node has as many there as this one; above 1 when
-/// there are more than fit.
+/// @returns the part of a target's room that requests would take with this one; above 1 when they do not fit.
 double roomTaken(const FleetTarget& _target, const ChoiceQuery& _query)
 {
 	if (nullptr == _target.card)
 	{
 		return 0;
 	}
-	const double layers = _target.record.layers.size();
-	const double room = roomFor(_query.service.spec->engine, *_target.card, _target.record.layers.size()) * layers;
-	const double taken = static_cast<double>(_target.load->tokenLayers.load(std::memory_order_relaxed));
-	return room <= 0 ? 1 : taken * _query.nodes / room;
+	const uint32_t layers = _target.record.layers.size();
+	const double room = roomFor(_query.service.spec->engine, *_target.card, layers) * layers;
+	const double own = static_cast<double>(_target.load->tokenLayers.load(std::memory_order_relaxed));
+	const double others = static_cast<double>(_target.load->othersTokenLayers.load(std::memory_order_relaxed));
+	return room <= 0 ? 1 : (own + others + _query.tokens * layers) / room;
+}
+
+/// @returns how much dearer a loaded target is than an idle one, as a multiple of its own time: little up to half of
+/// its room, steep towards its end.
+double loadPrice(double _taken)
+{
+	const double left = std::max(0.05, 1 - _taken);
+	return 2 * _taken * _taken / left;
+}
+
+/// @returns true if a target takes no more requests for now.
+bool isFull(const FleetTarget& _target, const ChoiceQuery& _query)
+{
+	return kFull <= roomTaken(_target, _query) || !hasConnection(_target, *_query.service.spec, _query.nodes);
 }
 
 PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query)
@@ -85,8 +100,9 @@
 	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
 	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes);
 	const double step = nullptr == _target.card ? 1 : _target.card->stepFactor;
-	const double load = roomTaken(_target, _query);
-	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + kLoadWeight * load);
+	const double taken = roomTaken(_target, _query);
+	candidate.usable = candidate.usable && taken < kFull;
+	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + loadPrice(taken));
 	candidate.costOfPart = kPartCost + (isAvoided(_target, _query.now) ? kAvoidedCost : 0);
 	return candidate;
 }
@@ -169,12 +185,13 @@
 	{
 		return SendOutcome::Begun;
 	}
-	const bool full = std::none_of(candidates.begin(), candidates.end(),
-	                               [](const PathCandidate& _candidate)
-	                               {
-		                               return _candidate.mayLead;
-	                               });
-	return full && !candidates.empty() ? SendOutcome::NoRoom : SendOutcome::NoTargets;
+	const std::vector<FleetTarget>& targets = _query.service.targets;
+	const bool full = std::any_of(targets.begin(), targets.end(),
+	                              [&_query](const FleetTarget& _target)
+	                              {
+		                              return isFull(_target, _query);
+	                              });
+	return full ? SendOutcome::NoRoom : SendOutcome::NoTargets;
 }
 
 bool chooseRest(const ChoiceQuery& _query, Choice& _choice)
--- /dev/null
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -0,0 +1,152 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/targetchooser_p.h"
+
+#include <base/seededrandom.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A service of two halls; each holds a model of 8 layers in two parts.
+class Fleet
+{
+public:
+	Fleet()
+	{
+		spec_.name = "engine";
+		spec_.hasEngine = true;
+		spec_.engine.layers = 8;
+		spec_.engine.layerMb = 100;
+		spec_.engine.kvBytesPerToken = 8e6; // a megabyte a token and layer
+		spec_.engine.stepMs = 10;
+		card_ = CardKind{"card", 1000, 1, 1};
+		service.spec = &spec_;
+		service.halls = 2;
+		for (uint32_t hall = 0; hall < 2; ++hall)
+		{
+			add(hall, LayerSpan{0, 4});
+			add(hall, LayerSpan{4, 8});
+		}
+	}
+
+	ChoiceQuery query(double _tokens)
+	{
+		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}};
+	}
+
+	TargetLoad& load(uint32_t _target)
+	{
+		return *service.targets[_target].load;
+	}
+
+	FleetService service;
+	std::set<std::string> failed;
+
+private:
+	void add(uint32_t _hall, LayerSpan _layers)
+	{
+		FleetTarget target;
+		target.record.instance = InstanceId{"i-" + std::to_string(service.targets.size())};
+		target.record.layers = _layers;
+		target.hall = _hall;
+		target.card = &card_;
+		target.load = std::make_shared<TargetLoad>();
+		service.targets.push_back(target);
+	}
+
+	ServiceSpec spec_;
+	CardKind card_;
+};
+
+} // namespace
+
+class TargetChooserTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(TargetChooserTest);
+	CPPUNIT_TEST(ownHallFirst);
+	CPPUNIT_TEST(otherHallWhenOwnIsLoaded);
+	CPPUNIT_TEST(othersLoadCounts);
+	CPPUNIT_TEST(fullIsToldFromGone);
+	CPPUNIT_TEST(restOfAPathStaysInItsHall);
+	CPPUNIT_TEST(plainServiceTakesTheIdlest);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void ownHallFirst()
+	{
+		Fleet fleet;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+		CPPUNIT_ASSERT_EQUAL(1U, choice.parts[1].candidate);
+	}
+
+	void otherHallWhenOwnIsLoaded()
+	{
+		Fleet fleet;
+		fleet.load(0).tokenLayers = 480; // of 600 MB beside its layers
+		fleet.load(1).tokenLayers = 480;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
+	}
+
+	void othersLoadCounts()
+	{
+		Fleet fleet;
+		fleet.load(0).othersTokenLayers = 480;
+		fleet.load(1).othersTokenLayers = 480;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+	}
+
+	void fullIsToldFromGone()
+	{
+		Fleet fleet;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(200), choice));
+		fleet.failed = {"i-1", "i-3"};
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), choice));
+	}
+
+	void restOfAPathStaysInItsHall()
+	{
+		Fleet fleet;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		fleet.failed = {"i-1"};
+		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
+		fleet.service.targets[3].hall = 0;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
+		CPPUNIT_ASSERT(chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
+	}
+
+	void plainServiceTakesTheIdlest()
+	{
+		Fleet fleet;
+		SeededRandom random(1);
+		Choice choice;
+		fleet.load(0).requests = 2;
+		fleet.load(1).requests = 1;
+		CPPUNIT_ASSERT(SendOutcome::Begun == chooseTarget(fleet.query(0), random, choice));
+		CPPUNIT_ASSERT(2U <= choice.parts[0].candidate);
+		fleet.failed = {"i-0", "i-1", "i-2", "i-3"};
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random, choice));
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetChooserTest);
+
+} // namespace sedgecart
