--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -118,7 +118,9 @@
 {
 	reading_ = true;
 	const Time sentAt = clock_.now();
-	log_.read(plan_.topic, next_, plan_.wait,
+	// While the store is out a read that waits could hang for its whole wait after the store is back.
+	const Duration wait = failing_ ? Duration{} : plan_.wait;
+	log_.read(plan_.topic, next_, wait,
 	          [this, sentAt](KeyedPage&& _page)
 	          {
 		          reading_ = false;
@@ -139,6 +141,7 @@
 		return;
 	}
 	retry_ = kFirstRetry;
+	failing_ = false;
 	for (const KeyedRecord& record : _page.records)
 	{
 		take(record);
@@ -154,6 +157,7 @@
 
 void Follower::fail(StoreState::Enum _state)
 {
+	failing_ = true;
 	handler_.onOut(_state);
 	later(retry_, &Follower::read);
 	retry_ = std::min(kLastRetry, retry_ + retry_);
--- a/packages/entry/src/follower_p.h
+++ b/packages/entry/src/follower_p.h
@@ -91,6 +91,7 @@
 	bool loadFirst_ = true;
 	bool loaded_ = false;
 	bool reading_ = false;
+	bool failing_ = false; //!< The last read failed.
 };
 
 } // namespace sedgecart
--- /dev/null
+++ b/packages/entry/tests/followertest.cpp
@@ -0,0 +1,153 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/follower_p.h"
+
+#include <base/steadyclock.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A store that answers as it is told, at once.
+class ScriptedLog : public KeyedLogI
+{
+public:
+	void newest(KeyedTopic::Enum, const std::string& _afterKey, PageCall _call) override
+	{
+		afterKeys.push_back(_afterKey);
+		answer(newestPages, _call);
+	}
+
+	void read(KeyedTopic::Enum, Offset _from, Duration _wait, PageCall _call) override
+	{
+		froms.push_back(_from.value);
+		waits.push_back(_wait.millis());
+		answer(readPages, _call);
+	}
+
+	void append(KeyedTopic::Enum, const std::string&, const std::string&, std::optional<Offset>, AppendCall) override
+	{
+	}
+
+	std::deque<KeyedPage> newestPages;
+	std::deque<KeyedPage> readPages;
+	std::vector<std::string> afterKeys;
+	std::vector<uint64_t> froms;
+	std::vector<int64_t> waits;
+
+private:
+	/// Without a page left it never answers, which ends the test's loop.
+	static void answer(std::deque<KeyedPage>& _pages, const PageCall& _call)
+	{
+		if (_pages.empty())
+		{
+			return;
+		}
+		KeyedPage page = std::move(_pages.front());
+		_pages.pop_front();
+		_call(std::move(page));
+	}
+};
+
+class Notes : public FollowHandlerI
+{
+public:
+	void onRecord(const KeyedRecord& _record) override
+	{
+		seen.push_back(_record.removed ? "-" + _record.key : _record.key + '=' + _record.value);
+	}
+	void onCurrent(Time) override
+	{
+		++currents;
+	}
+	void onOut(StoreState::Enum) override
+	{
+		++outs;
+	}
+
+	std::vector<std::string> seen;
+	uint32_t currents = 0;
+	uint32_t outs = 0;
+};
+
+KeyedPage page(StoreState::Enum _state, uint64_t _end, std::vector<KeyedRecord> _records = {}, bool _partial = false)
+{
+	KeyedPage made;
+	made.state = _state;
+	made.end = Offset{_end};
+	made.records = std::move(_records);
+	made.partial = _partial;
+	return made;
+}
+
+KeyedRecord record(const char* _key, const char* _value, uint64_t _offset)
+{
+	return KeyedRecord{_key, _value, '\0' == *_value, Offset{_offset}};
+}
+
+} // namespace
+
+class FollowerTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(FollowerTest);
+	CPPUNIT_TEST(pagesThenNews);
+	CPPUNIT_TEST(afterAFailureReadsDoNotWait);
+	CPPUNIT_TEST(droppedHistoryIsLoadedAnew);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void pagesThenNews()
+	{
+		log_.newestPages = {page(StoreState::Done, 5, {record("a", "1", 3)}, true),
+		                    page(StoreState::Done, 7, {record("b", "1", 6)})};
+		log_.readPages = {page(StoreState::Done, 8, {record("c", "1", 5), record("b", "1", 6), record("a", "", 7)})};
+		run();
+		CPPUNIT_ASSERT((std::vector<std::string>{"a=1", "b=1", "c=1", "b=1", "-a"}) == notes_.seen);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(5), log_.froms.at(0)); // behind the first page, since pages are no snapshot
+		CPPUNIT_ASSERT_EQUAL(uint64_t(8), log_.froms.at(1));
+	}
+
+	void afterAFailureReadsDoNotWait()
+	{
+		log_.newestPages = {page(StoreState::Done, 0)};
+		log_.readPages = {page(StoreState::Unknown, 0), page(StoreState::Refused, 0), page(StoreState::Done, 0)};
+		run();
+		CPPUNIT_ASSERT((std::vector<int64_t>{1000, 0, 0, 1000}) == log_.waits);
+		CPPUNIT_ASSERT_EQUAL(2U, notes_.outs);
+	}
+
+	void droppedHistoryIsLoadedAnew()
+	{
+		log_.newestPages = {page(StoreState::Done, 2, {record("a", "1", 0), record("b", "1", 1)}),
+		                    page(StoreState::Done, 9, {record("b", "2", 8)})};
+		log_.readPages = {page(StoreState::Gone, 0)};
+		run();
+		CPPUNIT_ASSERT((std::vector<std::string>{"a=1", "b=1", "b=2", "-a"}) == notes_.seen);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(9), log_.froms.back());
+	}
+
+private:
+	void run()
+	{
+		const FollowPlan plan{KeyedTopic::Operator, Duration::fromMillis(1000), Duration{}};
+		Follower follower(loop_, log_, clock_, plan, notes_);
+		follower.start();
+		loop_.run();
+	}
+
+	boost::asio::io_context loop_;
+	SteadyClock clock_;
+	ScriptedLog log_;
+	Notes notes_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FollowerTest);
+
+} // namespace sedgecart
