A chain that lacks layers shifts its borders; questions to targets become rarer

Ruled out: memory (0 preempted), late orders (none refused by a fence). Change: an empty target takes a lost range whole with 70,000 tokens of room or not at all; else the chain's borders shift so that every part has like room again (after 0.9 s); spare targets double the tightest range only after 4 s of quiet; a hop between halls costs 30 ms; questions to a target back off from 0.3 to 2.4 s. The test of neighbours taking a range over is replaced by one that loses each target of the site in turn and asks for a whole chain with room.

--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -38,11 +38,16 @@
 /// the chain. Halls that cannot hold the model alone share one chain.
 std::vector<LayoutOrder> planLayout(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets);
 
-/// Changes a layout after losses and arrivals: a target that holds nothing takes the layers that its hall lacks, or
-/// else those where the hall has least room; with no such target, neighbours of a lost range take it over if
-/// `_mayExtend`.
+/// What a repair may do beside giving lost ranges to empty targets.
+struct RepairScope
+{
+	bool mayShift = false;  //!< Shift the borders of a chain that lacks layers.
+	bool mayDouble = false; //!< Give empty targets that nothing needs a second copy of the tightest ranges.
+};
+
+/// Changes a layout after losses and arrivals.
 std::vector<LayoutOrder> repairLayout(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
-                                      bool _mayExtend);
+                                      const RepairScope& _scope);
 
 } // namespace sedgecart
 
--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -17,10 +17,10 @@
 /// burst, and a chain through another hall serves better.
 constexpr double kLeastRoom = 20000;
 
-/// Least room that a neighbour keeps when it takes a lost range over, tokens: twice what a chain of today's sites takes
-/// under its usual load (25 requests a second, 900 tokens, 1.8 s). With less the whole chain refuses in a burst, and a
-/// part borrowed from another hall serves better.
-constexpr double kExtendRoom = 80000;
+/// Least room that a part keeps when targets take over what was lost, tokens: some twice what a chain of today's sites
+/// takes under its usual load (25 requests a second, 900 tokens, 1.8 s). With less the whole chain refuses in a burst,
+/// and the chains of other halls serve better.
+constexpr double kRepairRoom = 70000;
 
 /// Steps of the search for the most room; each halves the interval, so 40 leave well under a token.
 constexpr int kRoomSteps = 40;
@@ -165,33 +165,49 @@
 	{
 	}
 
-	void run(bool _mayExtend, std::vector<LayoutOrder>& _orders)
+	void run(const RepairScope& _scope, std::vector<LayoutOrder>& _orders)
 	{
 		for (const uint32_t member : members_)
 		{
 			if (0 == targets_[member].held.size())
 			{
-				fill(member, _orders);
+				fillHole(member, _orders);
 			}
 		}
-		if (_mayExtend)
+		const LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
+		if (0 < hole.size())
 		{
-			extendNeighbours(_orders);
+			if (_scope.mayShift)
+			{
+				shift(hole, _orders);
+			}
+			return;
+		}
+		for (const uint32_t member : members_)
+		{
+			if (_scope.mayDouble && 0 == targets_[member].held.size())
+			{
+				order(member, fitting(member, tightest()), _orders);
+			}
 		}
 	}
 
 private:
-	/// Gives an empty target the most wanted range.
-	void fill(uint32_t _member, std::vector<LayoutOrder>& _orders)
+	/// Lets an empty target take a lost range, if it can take the whole of it and keep its room.
+	void fillHole(uint32_t _member, std::vector<LayoutOrder>& _orders)
 	{
-		LayerSpan span = firstHole(coverage(engine_, targets_, members_));
-		if (0 == span.size())
+		const LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
+		if (0 < hole.size() && hole == fitting(_member, hole))
 		{
-			span = tightest();
+			order(_member, hole, _orders);
 		}
-		const uint32_t most = layersThatFit(engine_, targets_[_member].card, kLeastRoom);
-		span.end = std::min(span.end, span.begin + most);
-		order(_member, span, _orders);
+	}
+
+	/// @returns as many layers of a span, from its begin, as a target can hold and keep its room.
+	LayerSpan fitting(uint32_t _member, LayerSpan _span) const
+	{
+		const uint32_t most = layersThatFit(engine_, targets_[_member].card, kRepairRoom);
+		return LayerSpan{_span.begin, std::min(_span.end, _span.begin + most)};
 	}
 
 	/// @returns the range of the target with least room that nobody else holds.
@@ -214,64 +230,40 @@
 		return found;
 	}
 
-	/// Lets the targets on both sides of each hole take it over, as far as they have the room.
-	void extendNeighbours(std::vector<LayoutOrder>& _orders)
+	/// Shifts the chain's borders so that its targets cover the model again, each with like room. Targets keep their
+	/// order, so that each gives up and loads few layers; empty ones come in where the hole is.
+	void shift(LayerSpan _hole, std::vector<LayoutOrder>& _orders)
 	{
-		const std::vector<LayoutTarget> before = targets_;
-		const std::vector<LayoutOrder> orders = _orders;
-		LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
-		for (uint32_t step = 0; 0 < hole.size() && step < engine_.layers; ++step)
+		const double room = mostRoom(engine_, targets_, members_);
+		if (room < kRepairRoom)
 		{
-			const uint32_t member = roomiestNeighbour(hole);
-			if (members_.size() == member)
-			{
-				// A part of a hole is of no use: the range is still missing.
-				targets_ = before;
-				_orders = orders;
-				return;
-			}
-			const uint32_t target = members_[member];
-			LayerSpan span = targets_[target].held;
-			(span.end == hole.begin ? span.end : span.begin) += span.end == hole.begin ? 1 : -1;
-			order(target, span, _orders);
-			hole = firstHole(coverage(engine_, targets_, members_));
+			return;
 		}
-	}
-
-	/// @returns index among the members, their number if none may take a layer more.
-	uint32_t roomiestNeighbour(LayerSpan _hole) const
-	{
-		uint32_t found = static_cast<uint32_t>(members_.size());
-		double most = kExtendRoom;
-		for (uint32_t index = 0; index < members_.size(); ++index)
+		Members sorted = members_;
+		const auto place = [this, _hole](uint32_t _member)
 		{
-			const LayoutTarget& target = targets_[members_[index]];
-			const bool touches = target.held.end == _hole.begin || target.held.begin == _hole.end;
-			const double room = roomFor(engine_, target.card, target.held.size() + 1);
-			if (0 < target.held.size() && touches && most <= room)
-			{
-				most = room;
-				found = index;
-			}
+			return 0 < targets_[_member].held.size() ? targets_[_member].held.begin : _hole.begin;
+		};
+		std::stable_sort(sorted.begin(), sorted.end(),
+		                 [&place](uint32_t _a, uint32_t _b)
+		                 {
+			                 return place(_a) < place(_b);
+		                 });
+		std::vector<LayoutOrder> chain;
+		planChain(engine_, targets_, sorted, room, chain);
+		for (const LayoutOrder& one : chain)
+		{
+			order(one.target, one.layers, _orders);
 		}
-		return found;
 	}
 
 	void order(uint32_t _target, LayerSpan _span, std::vector<LayoutOrder>& _orders)
 	{
-		if (0 == _span.size())
+		if (0 == _span.size() || _span == targets_[_target].held)
 		{
 			return;
 		}
 		targets_[_target].held = _span;
-		for (LayoutOrder& earlier : _orders)
-		{
-			if (_target == earlier.target)
-			{
-				earlier.layers = _span;
-				return;
-			}
-		}
 		_orders.push_back(LayoutOrder{_target, _span});
 	}
 
@@ -312,12 +304,12 @@
 }
 
 std::vector<LayoutOrder> repairLayout(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
-                                      bool _mayExtend)
+                                      const RepairScope& _scope)
 {
 	std::vector<LayoutOrder> orders;
 	for (const Members& group : chainGroups(_engine, _targets))
 	{
-		GroupRepair(_engine, _targets, group).run(_mayExtend, orders);
+		GroupRepair(_engine, _targets, group).run(_scope, orders);
 	}
 	return orders;
 }
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -35,8 +35,12 @@
 /// Orders of a record that its author reads later than this are not sent: others may have acted meanwhile.
 constexpr Duration kOrdersFresh = Duration::fromMillis(3000);
 
-/// A hole is left alone for so long, since a target that restarts empty takes it up without costing others their room.
-constexpr Duration kExtendAfter = Duration::fromMillis(700);
+/// A hole is left to empty targets for so long, since one that restarts takes it up without moving others.
+constexpr Duration kShiftAfter = Duration::fromMillis(900);
+
+/// An empty target that nothing needs is left alone for so long after the last coming or going: where targets are
+/// replaced one by one, the old one leaves some seconds after the new one came.
+constexpr Duration kDoubleAfter = Duration::fromMillis(4000);
 
 /// The layout topic has one key: its newest record.
 constexpr const char* kKey = "newest";
@@ -159,14 +163,22 @@
 		plan.orders = settled ? planLayout(*engine, targets) : std::vector<LayoutOrder>();
 		return plan;
 	}
-	const bool mayExtend = 0 != holeAt_.micros && !(clock_.now() < holeAt_ + kExtendAfter);
-	plan.orders = repairLayout(*engine, targets, mayExtend);
-	if (plan.orders.empty() && !mayExtend && !repairLayout(*engine, targets, true).empty())
+	const Time now = clock_.now();
+	RepairScope scope;
+	scope.mayShift = 0 != holeAt_.micros && !(now < holeAt_ + kShiftAfter);
+	scope.mayDouble = !(now < fleet_.fleetChangedAt() + kDoubleAfter);
+	plan.orders = repairLayout(*engine, targets, scope);
+	RepairScope shifting;
+	shifting.mayShift = true;
+	const bool hasHole = plan.orders.empty() && !scope.mayShift && !repairLayout(*engine, targets, shifting).empty();
+	if (!hasHole)
 	{
-		holeAt_ = 0 == holeAt_.micros ? clock_.now() : holeAt_;
-		return plan;
+		holeAt_ = Time{};
+	}
+	else if (0 == holeAt_.micros)
+	{
+		holeAt_ = now;
 	}
-	holeAt_ = Time{};
 	return plan;
 }
 
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -28,8 +28,9 @@
 /// A target answers within some milliseconds; the rest is for a busy node.
 constexpr Duration kAnswerBound = Duration::fromMillis(30);
 
-/// A target is not asked again within this time.
+/// A target is not asked again within this time; twice as long after each answer that did not help, up to the longest.
 constexpr Duration kAskPause = Duration::fromMillis(300);
+constexpr Duration kLongestAskPause = Duration::fromMillis(2400);
 
 /// A target that did not answer is not asked again within this time.
 constexpr Duration kSilentPause = Duration::fromMillis(1500);
@@ -160,7 +161,9 @@
 	{
 		return;
 	}
-	asked = Asked{now + kAskPause, 0 == _target.hall ? 1 : kFarQuestions, false};
+	const bool again = now < asked.notBefore + kLongestAskPause;
+	const Duration pause = again ? std::min(kLongestAskPause, asked.pause + asked.pause) : kAskPause;
+	asked = Asked{now + pause, pause, 0 == _target.hall ? 1 : kFarQuestions, false};
 	++_round->asked;
 	const FleetTarget target = _target;
 	for (uint32_t question = asked.open; 0 < question; --question)
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -60,6 +60,7 @@
 	struct Asked
 	{
 		Time notBefore;    //!< It is not asked again until then.
+		Duration pause;    //!< Between its last two questions.
 		uint32_t open = 0; //!< Questions without an answer yet.
 		bool answered = false;
 	};
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -22,8 +22,9 @@
 
 /// Price of a hop of activations, microseconds. In a hall: its delay and the work of one more target. Between halls a
 /// prompt of 1,000 tokens takes 23 ms of a pipe that all share (22.9 kB a token over 7,900 Mbit/s), once, and a token
-/// next to nothing; a hall that lacks one part borrows it when the other halls fill up.
-constexpr HopCosts kHops{500, 12000};
+/// next to nothing; a hall that lacks one part borrows it only when the other halls
+/// are nearly full: more than some forty prompts a second would jam the pipe.
+constexpr HopCosts kHops{500, 30000};
 
 /// Price of the way to the first part, microseconds. To another hall only the request itself goes, some kilobytes, but
 /// its stream is lost when the halls are cut from each other: another hall is used when its chain is half a step
