A lost range is taken over by the fewest targets next to it

Ruled out: the wait before a shift; the first orders were right. Change: the shift takes in only as many targets on both sides of the hole as can hold it with 70,000 tokens of room, at most six of a hall's eleven to fourteen for any single loss (LayoutPlanTest).

--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -174,13 +174,13 @@
 				fillHole(member, _orders);
 			}
 		}
-		const LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
+		LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
+		while (_scope.mayShift && 0 < hole.size() && shift(hole, _orders))
+		{
+			hole = firstHole(coverage(engine_, targets_, members_));
+		}
 		if (0 < hole.size())
 		{
-			if (_scope.mayShift)
-			{
-				shift(hole, _orders);
-			}
 			return;
 		}
 		for (const uint32_t member : members_)
@@ -230,30 +230,75 @@
 		return found;
 	}
 
-	/// Shifts the chain's borders so that its targets cover the model again, each with like room. Targets keep their
-	/// order, so that each gives up and loads few layers; empty ones come in where the hole is.
-	void shift(LayerSpan _hole, std::vector<LayoutOrder>& _orders)
+	/// Shifts borders next to a hole so that it is covered again: the fewest targets on its two sides that can take it
+	/// over and keep their room, with empty ones between them. Only they load and give up layers.
+	bool shift(LayerSpan _hole, std::vector<LayoutOrder>& _orders)
 	{
-		const double room = mostRoom(engine_, targets_, members_);
-		if (room < kRepairRoom)
+		Members sorted;
+		Members window;
+		for (const uint32_t member : members_)
 		{
-			return;
+			(0 < targets_[member].held.size() ? sorted : window).push_back(member);
 		}
-		Members sorted = members_;
-		const auto place = [this, _hole](uint32_t _member)
-		{
-			return 0 < targets_[_member].held.size() ? targets_[_member].held.begin : _hole.begin;
-		};
 		std::stable_sort(sorted.begin(), sorted.end(),
-		                 [&place](uint32_t _a, uint32_t _b)
+		                 [this](uint32_t _a, uint32_t _b)
 		                 {
-			                 return place(_a) < place(_b);
+			                 return targets_[_a].held.begin < targets_[_b].held.begin;
 		                 });
+		const auto isBefore = [this, _hole](uint32_t _member)
+		{
+			return targets_[_member].held.begin < _hole.begin;
+		};
+		auto left = std::partition_point(sorted.begin(), sorted.end(), isBefore);
+		auto right = left;
+		LayerSpan span = _hole;
+		while (!fits(window, span))
+		{
+			const bool hasLeft = sorted.begin() != left;
+			const bool hasRight = sorted.end() != right;
+			if (!hasLeft && !hasRight)
+			{
+				return false;
+			}
+			if (hasLeft && (!hasRight || spare(*right) <= spare(*(left - 1))))
+			{
+				--left;
+				window.insert(window.begin(), *left);
+				span.begin = std::min(span.begin, targets_[*left].held.begin);
+				continue;
+			}
+			window.push_back(*right);
+			span.end = std::max(span.end, targets_[*right].held.end);
+			++right;
+		}
+		spread(window, span, _orders);
+		return true;
+	}
+
+	/// @returns true if the targets can hold a span together and keep their room.
+	bool fits(const Members& _window, LayerSpan _span) const
+	{
+		return _span.size() <= layersThatFitAll(engine_, targets_, _window, kRepairRoom);
+	}
+
+	/// @returns layers that a target could take beside its own and keep its room.
+	int spare(uint32_t _member) const
+	{
+		const uint32_t most = layersThatFit(engine_, targets_[_member].card, kRepairRoom);
+		return static_cast<int>(most) - static_cast<int>(targets_[_member].held.size());
+	}
+
+	/// Lays a span over targets in their order, each with like room.
+	void spread(const Members& _window, LayerSpan _span, std::vector<LayoutOrder>& _orders)
+	{
+		EngineSpec part = engine_;
+		part.layers = _span.size();
+		part.kvBytesPerToken = engine_.kvBytesPerToken * _span.size() / engine_.layers;
 		std::vector<LayoutOrder> chain;
-		planChain(engine_, targets_, sorted, room, chain);
+		planChain(part, targets_, _window, mostRoom(part, targets_, _window), chain);
 		for (const LayoutOrder& one : chain)
 		{
-			order(one.target, one.layers, _orders);
+			order(one.target, LayerSpan{_span.begin + one.layers.begin, _span.begin + one.layers.end}, _orders);
 		}
 	}
 
@@ -264,6 +309,14 @@
 			return;
 		}
 		targets_[_target].held = _span;
+		for (LayoutOrder& earlier : _orders)
+		{
+			if (_target == earlier.target)
+			{
+				earlier.layers = _span;
+				return;
+			}
+		}
 		_orders.push_back(LayoutOrder{_target, _span});
 	}
 
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -149,8 +149,10 @@
 			const uint32_t hall = targets[lost].hall;
 			targets.erase(targets.begin() + lost);
 			CPPUNIT_ASSERT(repairLayout(engine(), targets, RepairScope{}).empty());
-			carryOut(targets, repairLayout(engine(), targets, kAll));
+			const std::vector<LayoutOrder> orders = repairLayout(engine(), targets, kAll);
+			carryOut(targets, orders);
 			CPPUNIT_ASSERT_EQUAL(80U, covered(targets, hall));
+			CPPUNIT_ASSERT(orders.size() <= 6); // of 11 to 14 in a hall
 			for (const LayoutTarget& target : targets)
 			{
 				CPPUNIT_ASSERT(70000 <= roomFor(engine(), target.card, target.held.size()));
