Logs are bounded and never waited for

Cause: the console sink wrote in the caller's thread, so that a reader that stops would stop the request loop. Change: a sink with a thread and a bounded queue that drops; 200 lines a second and part below the level of a warning, and a line that tells what was left out; the entry node logs to standard output.

--- a/packages/logging/include/logging/logging.h
+++ b/packages/logging/include/logging/logging.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_LOGGING_LOGGING_H_HEADER_GUARD
 #define SEDGECART_LOGGING_LOGGING_H_HEADER_GUARD
 
+#include <iosfwd>
 #include <string>
 #include <vector>
 
@@ -42,9 +43,14 @@
 	};
 };
 
-/// Sets the sink up; call once, before any thread starts.
+/// Sets the sink up; call once, before any thread starts. Lines are written by a thread of their own; when its reader
+/// does not keep up, lines are dropped and nobody waits.
 /// @param _json one JSON object a line instead of plain text.
-void startLogging(LogLevel::Enum _level, bool _json, const std::string& _node);
+/// @param _out must live as long as the process.
+void startLogging(LogLevel::Enum _level, bool _json, const std::string& _node, std::ostream& _out);
+
+/// Waits until what was logged so far has been written.
+void flushLogging();
 
 /// Writes one line.
 /// @param _sentence short; never holds a key.
--- a/packages/logging/src/logging.cpp
+++ b/packages/logging/src/logging.cpp
@@ -5,15 +5,20 @@
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/manipulators/add_value.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
-#include <iostream>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <ostream>
 
 namespace sedgecart
 {
@@ -31,6 +36,17 @@
                                      "requests", "operators", "store",  "layout"};
 static_assert(LogPart::Count == sizeof(kPrefixes) / sizeof(kPrefixes[0]), "each part needs its prefix");
 
+/// Lines that wait to be written; beyond it lines are dropped rather than waited for.
+constexpr std::size_t kWaitingLines = 2048;
+
+/// Lines a second that one part may write below the level of a warning: some per cent of a core at most, at 10 us a
+/// line.
+constexpr uint32_t kLinesASecond = 200;
+
+using Backend = logging::sinks::text_ostream_backend;
+using Queue = logging::sinks::bounded_fifo_queue<kWaitingLines, logging::sinks::drop_on_overflow>;
+using Sink = logging::sinks::asynchronous_sink<Backend, Queue>;
+
 std::string gNode; // set once, before any thread starts
 
 std::string escaped(const std::string& _text)
@@ -102,6 +118,31 @@
 	return text;
 }
 
+/// Bounds the lines of one part. Any thread.
+class LineBudget
+{
+public:
+	/// @param _leftOut set to the lines that the last second left out, once.
+	/// @returns true if a line may be written now.
+	bool take(uint32_t& _leftOut)
+	{
+		const auto now = std::chrono::steady_clock::now().time_since_epoch();
+		const int64_t second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+		if (second != second_.exchange(second))
+		{
+			const uint32_t lines = lines_.exchange(0);
+			_leftOut = kLinesASecond < lines ? lines - kLinesASecond : 0;
+		}
+		return lines_.fetch_add(1) < kLinesASecond;
+	}
+
+private:
+	std::atomic<int64_t> second_{0};
+	std::atomic<uint32_t> lines_{0};
+};
+
+std::array<LineBudget, LogPart::Count> gBudgets;
+
 void writeLine(LogPart::Enum _part, LogLevel::Enum _level, const std::string& _sentence, const std::string& _fields,
                const std::string& _request)
 {
@@ -121,13 +162,16 @@
 
 } // namespace
 
-void startLogging(LogLevel::Enum _level, bool _json, const std::string& _node)
+void startLogging(LogLevel::Enum _level, bool _json, const std::string& _node, std::ostream& _out)
 {
 	gNode = _node;
 	gLevel = _level;
 	gJson = _json;
-	const auto sink = logging::add_console_log(std::clog);
-	sink->locked_backend()->auto_flush(true);
+	const auto backend = boost::make_shared<Backend>();
+	backend->add_stream(boost::shared_ptr<std::ostream>(&_out, [](std::ostream*) {}));
+	backend->auto_flush(true);
+	// Written by a thread of its own: who logs never waits for the reader.
+	const auto sink = boost::make_shared<Sink>(backend);
 	if (_json)
 	{
 		sink->set_formatter(&formatJson);
@@ -136,9 +180,15 @@
 	{
 		sink->set_formatter(&formatText);
 	}
+	logging::core::get()->add_sink(sink);
 	logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
 }
 
+void flushLogging()
+{
+	logging::core::get()->flush();
+}
+
 void logLine(LogPart::Enum _part, LogLevel::Enum _level, const std::string& _sentence, const std::string& _request)
 {
 	if (_level < gLevel)
@@ -155,7 +205,17 @@
 	{
 		return;
 	}
-	writeLine(_part, _level, _sentence, fieldsText(_fields), _request);
+	uint32_t leftOut = 0;
+	const bool fits = gBudgets[_part].take(leftOut);
+	if (0 < leftOut)
+	{
+		const std::vector<LogField> fields = {{"lines", std::to_string(leftOut)}};
+		writeLine(_part, LogLevel::Warning, "Log lines were left out.", fieldsText(fields), std::string());
+	}
+	if (fits || LogLevel::Warning <= _level)
+	{
+		writeLine(_part, _level, _sentence, fieldsText(_fields), _request);
+	}
 }
 
 const char* nameOf(LogLevel::Enum _level)
--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -49,10 +49,11 @@
 int run(const Settings& _settings)
 {
 	const sigset_t signals = blockSignals();
-	startLogging(_settings.logLevel, _settings.logJson, _settings.name);
+	startLogging(_settings.logLevel, _settings.logJson, _settings.name, std::clog);
 	Node node(_settings);
 	waitForStop(signals, node);
 	node.stop();
+	flushLogging();
 	return 0;
 }
 
@@ -89,11 +90,12 @@
 		return kBadSettings;
 	}
 	const sigset_t signals = blockSignals();
-	startLogging(LogLevel::Info, true, settings.name);
+	startLogging(LogLevel::Info, true, settings.name, std::cout);
 	PlatformPorts ports;
 	EntryNode node(settings, ports);
 	waitForStop(signals, node);
 	node.stop();
+	flushLogging();
 	return 0;
 }
 
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -15,6 +15,7 @@
 
 #include <array>
 #include <chrono>
+#include <iostream>
 #include <thread>
 
 namespace sedgecart
@@ -198,7 +199,7 @@
 
 EntryHarness::EntryHarness() : ports_(std::make_unique<Ports>(store_))
 {
-	static const bool kQuiet = (startLogging(LogLevel::Error, true, "n1"), true);
+	static const bool kQuiet = (startLogging(LogLevel::Error, true, "n1", std::clog), true);
 	static_cast<void>(kQuiet);
 	settings_.name = "n1";
 	settings_.hall = "h1";
