The node of the platform counts what it does and shows it

One copy of counters and histograms: packages/metrics, for both faces; RequestCounts is gone. Times to the first event and to the end, pauses, path changes, dead targets, surplus answers. EntryProof.readyAndMetricsAreServed.

--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -2,11 +2,10 @@
 
 #include "entryfront_p.h"
 
-#include "requestcounts_p.h"
-
 #include <base/clock.h>
 #include <base/random.h>
 #include <logging/logging.h>
+#include <metrics/metrics.h>
 
 #include <boost/asio/post.hpp>
 
@@ -161,7 +160,7 @@
 
 void EntryFront::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
-	context_.counts.arrived.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::Requests);
 	CallerRequest caller;
 	if (!context_.wire.readRequest(_request, caller))
 	{
@@ -201,7 +200,7 @@
 void EntryFront::answer(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id)
 {
 	const ErrorAnswer& row = answerOf(_kind);
-	context_.counts.refused[_kind].fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.addError(_kind);
 	const int64_t proven = context_.cell.provenAt.load(std::memory_order_relaxed);
 	const bool known = INT64_MIN != proven;
 	logEvent(LogPart::Requests, LogLevel::Info, "Request is not let in.",
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -5,7 +5,6 @@
 #include "entrycontrol_p.h"
 #include "entryfront_p.h"
 #include "readyface_p.h"
-#include "requestcounts_p.h"
 #include "retryledger_p.h"
 #include "targetpool_p.h"
 
@@ -14,6 +13,7 @@
 #include <base/steadyclock.h>
 #include <core/stopwindow.h>
 #include <logging/logging.h>
+#include <metrics/metrics.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -64,9 +64,9 @@
 	      pool_(requestLoop_, clock_),
 	      retries_(_settings.retries),
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
-	      watch_(requestLoop_, clock_, *pathOrders_),
-	      ready_(*wire_),
-	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, counts_, watch_,
+	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
+	      ready_(*wire_, metrics_),
+	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, metrics_, watch_,
 	                          *pathOrders_},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
@@ -118,12 +118,12 @@
 		const int64_t proven = cell_.provenAt.load(std::memory_order_relaxed);
 		std::string text = "{\"ready\":" + std::string(ready_.isReady() ? "true" : "false");
 		text += ",\"active\":" + std::to_string(front_.active());
-		text += ",\"arrived\":" + std::to_string(counts_.arrived.load());
-		text += ",\"passed_on\":" + std::to_string(counts_.passedOn.load());
-		text += ",\"broken_off\":" + std::to_string(counts_.brokenOff.load());
-		text += ",\"callers_gone\":" + std::to_string(counts_.callersGone.load());
-		text += ",\"sends\":" + std::to_string(counts_.sends.load());
-		text += ",\"repeats\":" + std::to_string(counts_.repeats.load());
+		text += ",\"requests\":" + std::to_string(metrics_.value(Counter::Requests));
+		text += ",\"answers\":" + std::to_string(metrics_.value(Counter::Answers));
+		text += ",\"broken_streams\":" + std::to_string(metrics_.value(Counter::BrokenStreams));
+		text += ",\"callers_gone\":" + std::to_string(metrics_.value(Counter::CallersGone));
+		text += ",\"sends\":" + std::to_string(metrics_.value(Counter::Sends));
+		text += ",\"retries\":" + std::to_string(metrics_.value(Counter::Retries));
 		const bool known = INT64_MIN != proven;
 		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
 		return text + "}";
@@ -147,7 +147,7 @@
 	std::unique_ptr<KeyedLogI> log_;
 	std::unique_ptr<RunnerOrdersI> orders_;
 	FleetCell cell_;
-	RequestCounts counts_;
+	Metrics metrics_;
 	SeededRandom random_;
 	TargetPool pool_;
 	RetryLedger retries_;
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -3,6 +3,7 @@
 #include "pathwatch_p.h"
 
 #include <logging/logging.h>
+#include <metrics/metrics.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -50,10 +51,11 @@
 
 } // namespace
 
-PathWatch::PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders)
+PathWatch::PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics)
     : timer_(_loop),
       clock_(_clock),
-      orders_(_orders)
+      orders_(_orders),
+      metrics_(_metrics)
 {
 }
 
@@ -209,6 +211,7 @@
 {
 	const Time now = clock_.now();
 	const FleetTarget target = _target;
+	metrics_.add(Counter::DeadTargets);
 	target.load->avoidedUntil.store((now + _avoidFor).micros, std::memory_order_relaxed);
 	uint32_t users = 0;
 	for (const auto& path : live())
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -23,6 +23,8 @@
 namespace sedgecart
 {
 
+class Metrics;
+
 /// A request that runs on a path of targets.
 class WatchedPathI
 {
@@ -48,7 +50,7 @@
 class PathWatch
 {
 public:
-	PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders);
+	PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics);
 
 	void add(const std::shared_ptr<WatchedPathI>& _path);
 
@@ -83,6 +85,7 @@
 	boost::asio::steady_timer timer_;
 	const ClockI& clock_;
 	RunnerOrdersI& orders_;
+	Metrics& metrics_;
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
 	std::map<std::string, Asked> asked_; //!< By instance.
 	Time lookAt_;                        //!< When the next look is due.
--- a/packages/entry/src/readyface.cpp
+++ b/packages/entry/src/readyface.cpp
@@ -3,6 +3,7 @@
 #include "readyface_p.h"
 
 #include <entry/wireformat.h>
+#include <metrics/metrics.h>
 
 namespace sedgecart
 {
@@ -16,6 +17,8 @@
 /// The platform asks every second; a connection that rests longer than some questions is of no use.
 constexpr Duration kRestBound = Duration::fromMillis(10000);
 
+constexpr std::string_view kMetricsPath = "/metrics";
+
 constexpr uint16_t kYes = 200;
 constexpr uint16_t kNo = 503;
 constexpr uint16_t kNotServed = 404;
@@ -23,7 +26,7 @@
 
 } // namespace
 
-ReadyFace::ReadyFace(const WireFormatI& _wire) : wire_(_wire)
+ReadyFace::ReadyFace(const WireFormatI& _wire, const Metrics& _metrics) : wire_(_wire), metrics_(_metrics)
 {
 }
 
@@ -41,12 +44,20 @@
 {
 	AnswerStart answer;
 	answer.status = isReady() ? kYes : kNo;
-	if (!wire_.asksReady(_request.head))
+	std::string body;
+	if (kMetricsPath == _request.head.target)
+	{
+		answer.status = kYes;
+		answer.headers.add("Content-Type", "text/plain; version=0.0.4");
+		body = metrics_.text();
+	}
+	else if (!wire_.asksReady(_request.head))
 	{
 		answer.status = kNotServed;
 	}
 	answer.noBody = "HEAD" == _request.head.method;
-	_connection->start(answer, std::string_view());
+	answer.length = body.size();
+	_connection->start(answer, body);
 	_connection->finish();
 }
 
--- a/packages/entry/src/readyface_p.h
+++ b/packages/entry/src/readyface_p.h
@@ -10,13 +10,14 @@
 namespace sedgecart
 {
 
+class Metrics;
 class WireFormatI;
 
-/// Answers whether this node takes new connections. Loop thread only, but for `setReady`.
+/// Answers whether this node takes new connections, and shows its metrics. Loop thread only, but for `setReady`.
 class ReadyFace : public ServerHandlerI
 {
 public:
-	explicit ReadyFace(const WireFormatI& _wire);
+	ReadyFace(const WireFormatI& _wire, const Metrics& _metrics);
 
 	/// Any thread.
 	void setReady(bool _ready);
@@ -33,6 +34,7 @@
 
 private:
 	const WireFormatI& wire_;
+	const Metrics& metrics_;
 	std::atomic<bool> ready_{false};
 };
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -2,12 +2,12 @@
 
 #include "requestrelay_p.h"
 
-#include "requestcounts_p.h"
 #include "retryledger_p.h"
 #include "targetpool_p.h"
 
 #include <base/clock.h>
 #include <logging/logging.h>
+#include <metrics/metrics.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -101,7 +101,7 @@
 {
 	if (!machine_.done())
 	{
-		context_.counts.callersGone.fetch_add(1, std::memory_order_relaxed);
+		context_.metrics.add(Counter::CallersGone);
 	}
 	machine_.onCallerGone();
 	finishIfDone();
@@ -151,7 +151,7 @@
 		return outcome;
 	}
 	reserve();
-	context_.counts.sends.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::Sends);
 	answer_ = TargetAnswer{};
 	answerSound_ = true;
 	body_.clear();
@@ -239,7 +239,7 @@
 	{
 		return false;
 	}
-	context_.counts.repeats.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::Retries);
 	return true;
 }
 
@@ -263,13 +263,13 @@
 
 void RequestRelay::passEnd()
 {
-	context_.counts.passedOn.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::Answers);
 	caller_->finish();
 }
 
 void RequestRelay::passWhole()
 {
-	context_.counts.passedOn.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::Answers);
 	AnswerStart start;
 	start.status = head_.status;
 	start.headers = context_.wire.callerHeaders(head_.headers);
@@ -282,7 +282,7 @@
 void RequestRelay::refuse(ErrorKind::Enum _kind)
 {
 	const ErrorAnswer& answer = answerOf(_kind);
-	context_.counts.refused[_kind].fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.addError(_kind);
 	logOutcome("Request is refused.", LogLevel::Info, answer.name);
 	AnswerStart start;
 	start.status = answer.status;
@@ -293,7 +293,7 @@
 
 void RequestRelay::breakOff()
 {
-	context_.counts.brokenOff.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::BrokenStreams);
 	logOutcome("Stream is broken off.", LogLevel::Warning, "no target could continue it");
 	caller_->abort();
 }
@@ -325,6 +325,7 @@
 	TargetAnswer answer = context_.wire.readAnswer(_head);
 	if (!answer.id.empty() && plan_.caller.id != answer.id)
 	{
+		context_.metrics.add(Counter::SurplusAnswers);
 		logOutcome("Surplus answer is thrown away.", LogLevel::Info, answer.id);
 		return HeadVerdict::Skip;
 	}
@@ -362,8 +363,13 @@
 	const Time now = context_.clock.now();
 	const bool paused =
 	    0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
+	if (0 == machine_.events())
+	{
+		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
+	}
 	if (paused)
 	{
+		context_.metrics.observe(Timing::Pause, now - eventAt_);
 		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string((now - eventAt_).millis()) + " ms");
 	}
 	eventAt_ = now;
@@ -477,6 +483,7 @@
 	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
 	if (RepathState::Moved == _state)
 	{
+		context_.metrics.add(Counter::PathChanges);
 		release();
 		choice_ = _choice;
 		reserve();
@@ -517,6 +524,7 @@
 		return;
 	}
 	timer_.cancel();
+	context_.metrics.observe(Timing::Request, context_.clock.now() - plan_.arrivedAt);
 	const std::function<void()> call = std::move(onDone_);
 	onDone_ = nullptr;
 	call();
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -32,8 +32,8 @@
 class ClockI;
 class RandomI;
 class RetryLedger;
+class Metrics;
 class TargetPool;
-struct RequestCounts;
 
 /// What the requests of one loop share.
 struct RelayContext
@@ -45,7 +45,7 @@
 	TargetPool& pool;
 	RandomI& random;
 	RetryLedger& retries;
-	RequestCounts& counts;
+	Metrics& metrics;
 	PathWatch& watch;
 	RunnerOrdersI& orders;
 };
--- a/packages/node/src/metrics_p.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_NODE_METRICS_P_H_HEADER_GUARD
-#define SEDGECART_NODE_METRICS_P_H_HEADER_GUARD
+#ifndef SEDGECART_METRICS_METRICS_H_HEADER_GUARD
+#define SEDGECART_METRICS_METRICS_H_HEADER_GUARD
 
 #include <base/errorkind.h>
 #include <base/units.h>
@@ -31,8 +31,14 @@
 		Claims,
 		CallersGone,
 		TurnedAway,
-		Placements, //!< Layer ranges given to other targets by this node.
-		Moves,      //!< Streams taken from a slow chain to a faster one.
+		Placements,     //!< Layer ranges given to other targets by this node.
+		Moves,          //!< Streams taken from a slow chain to a faster one.
+		Sends,          //!< Requests sent to a target or path, those that were sent again as well.
+		Answers,        //!< Answers of targets that were passed on whole.
+		BrokenStreams,  //!< Streams that could not be finished.
+		PathChanges,    //!< Requests that went on over another path.
+		DeadTargets,    //!< Targets taken as dead when a path was silent.
+		SurplusAnswers, //!< Answers that belonged to another request.
 
 		Count
 	};
@@ -48,6 +54,7 @@
 		Request,
 		Claim,
 		Recovery, //!< From the last token before a break to the next one.
+		Pause,    //!< Between two events of a stream, when longer than its route's objective.
 
 		Count
 	};
@@ -95,4 +102,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_NODE_METRICS_P_H_HEADER_GUARD
+#endif // SEDGECART_METRICS_METRICS_H_HEADER_GUARD
--- a/packages/node/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "metrics_p.h"
+#include <metrics/metrics.h>
 
 #include <boost/histogram.hpp>
 
@@ -16,12 +16,14 @@
 {
 
 constexpr const char* kCounterNames[] = {
-    "requests",      "tokens", "resumes",      "retries",     "foreign_events", "repeated_events", "broken_attempts",
-    "claim_appends", "claims", "callers_gone", "turned_away", "placements",     "moves",
+    "requests",        "tokens",          "resumes",       "retries",         "foreign_events",
+    "repeated_events", "broken_attempts", "claim_appends", "claims",          "callers_gone",
+    "turned_away",     "placements",      "moves",         "sends",           "answers",
+    "broken_streams",  "path_changes",    "dead_targets",  "surplus_answers",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
-constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request", "claim", "recovery"};
+constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request", "claim", "recovery", "pause"};
 static_assert(Timing::Count == sizeof(kTimingNames) / sizeof(kTimingNames[0]), "each timing needs its name");
 
 constexpr unsigned kBins = 60;
--- a/packages/node/src/claimkeeper.cpp
+++ b/packages/node/src/claimkeeper.cpp
@@ -2,7 +2,7 @@
 
 #include "claimkeeper_p.h"
 
-#include "metrics_p.h"
+#include <metrics/metrics.h>
 
 #include <base/config.h>
 #include <base/incarnation.h>
--- a/packages/node/src/context_p.h
+++ b/packages/node/src/context_p.h
@@ -8,7 +8,7 @@
 #include <core/limiter.h>
 #include <core/retrybudget.h>
 
-#include "metrics_p.h"
+#include <metrics/metrics.h>
 #include "registry_p.h"
 #include "snapshotcell_p.h"
 
--- a/packages/node/src/placer.cpp
+++ b/packages/node/src/placer.cpp
@@ -4,7 +4,7 @@
 
 #include "context_p.h"
 #include "control_p.h"
-#include "metrics_p.h"
+#include <metrics/metrics.h>
 #include "snapshotcell_p.h"
 
 #include <base/config.h>
--- a/packages/node/tests/referencetest.cpp
+++ b/packages/node/tests/referencetest.cpp
@@ -2,7 +2,7 @@
 
 // docs/REFERENCE.md and the code may not drift apart.
 
-#include "../src/metrics_p.h"
+#include <metrics/metrics.h>
 
 #include <base/errorkind.h>
 #include <node/settings.h>
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -109,6 +109,7 @@
 	CPPUNIT_TEST(lastTargetGoneIsBorne);
 	CPPUNIT_TEST(callerGoneStopsTheTarget);
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
+	CPPUNIT_TEST(readyAndMetricsAreServed);
 	CPPUNIT_TEST(badInputHarmsNobody);
 	CPPUNIT_TEST(routeTimeEndsTheWait);
 	CPPUNIT_TEST(requestsDuringAStopEndWhole);
@@ -357,6 +358,23 @@
 		CPPUNIT_ASSERT(harness.callUntil(other, 200));
 	}
 
+	void readyAndMetricsAreServed()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+		TestCaller asker(harness.settings().readyAddress);
+		asker.send("GET /sedgecart/ready HTTP/1.1\r\nHost: n1\r\n\r\n");
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), asker.receive().status);
+		asker.send("GET /metrics HTTP/1.1\r\nHost: n1\r\n\r\n");
+		const CallerAnswer metrics = asker.receive();
+		CPPUNIT_ASSERT(std::string::npos != metrics.body.find("sedgecart_answers_total 1\n"));
+		CPPUNIT_ASSERT(std::string::npos != metrics.body.find("sedgecart_request_seconds_bucket{le=\"+Inf\"} 1\n"));
+		asker.send("GET /else HTTP/1.1\r\nHost: n1\r\n\r\n");
+		CPPUNIT_ASSERT_EQUAL(uint16_t(404), asker.receive().status);
+	}
+
 	void badInputHarmsNobody()
 	{
 		EntryHarness harness;
