Targets whose records lapsed with the store are used on until they are back

Cause: at the store's return a node read that every target had left, and had nobody to send to until they were back. Ruled out: the silence itself; requests with keys are not owed then. Change: records that went while this node could not read the store are held 1.9 s after its return, inside the two seconds in which a target that left may still get requests; one that drained goes at once (FleetControllerTest.recordsThatLapsedMayComeBack).

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -112,13 +112,17 @@
 	void onCurrent(Time) override
 	{
 		outages_.onCurrent();
-		control_.fleet_.onRunnersCurrent();
+		if (control_.fleet_.onRunnersCurrent())
+		{
+			control_.dropLapsedLater();
+		}
 		control_.checkReady();
 	}
 
 	void onOut(StoreState::Enum _state) override
 	{
 		outages_.onOut(_state);
+		control_.fleet_.onRunnersOut();
 	}
 
 private:
@@ -199,6 +203,7 @@
       layout_(_loop, _log, _orders, _clock, fleet_, _settings.name),
       loads_(_loop, _clock, fleet_, peerAddress(_settings)),
       announceTimer_(_loop),
+      lapseTimer_(_loop),
       onReady_(std::move(_onReady))
 {
 }
@@ -237,6 +242,19 @@
 	            });
 }
 
+void EntryControl::dropLapsedLater()
+{
+	lapseTimer_.expires_after(std::chrono::microseconds(FleetController::kLapseGrace.micros));
+	lapseTimer_.async_wait(
+	    [this](const boost::system::error_code& _error)
+	    {
+		    if (!_error)
+		    {
+			    fleet_.dropLapsed();
+		    }
+	    });
+}
+
 void EntryControl::setPeers()
 {
 	std::vector<std::string> others;
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -40,6 +40,7 @@
 	void announce();
 	void checkReady();
 	void setPeers();
+	void dropLapsedLater();
 
 	EntrySettings settings_;
 	KeyedLogI& log_;
@@ -55,6 +56,7 @@
 	LayoutKeeper layout_;
 	LoadExchange loads_;
 	boost::asio::steady_timer announceTimer_;
+	boost::asio::steady_timer lapseTimer_;
 	std::function<void()> onReady_;
 };
 
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -57,13 +57,13 @@
 	const auto known = runners_.find(_record.key);
 	if (_record.removed)
 	{
-		if (runners_.end() != known)
+		if (runners_.end() != known && storeWasOut_ && !known->second.draining)
 		{
-			logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _record.key}});
-			runners_.erase(known);
-			loads_.erase(_record.key);
-			fleetChangedAt_ = clock_.now();
-			changed_ = true;
+			lapsed_.insert(_record.key);
+		}
+		else
+		{
+			remove(_record.key);
 		}
 		return;
 	}
@@ -73,6 +73,7 @@
 		logEvent(LogPart::Targets, LogLevel::Error, "Target's record cannot be read.", {{"target", _record.key}});
 		return;
 	}
+	lapsed_.erase(_record.key);
 	const bool isNew = runners_.end() == known;
 	const bool differs = isNew || known->second.draining != read.draining || known->second.layers != read.layers ||
 	                     known->second.address != read.address || known->second.service != read.service;
@@ -97,13 +98,50 @@
 	changed_ = true;
 }
 
-void FleetController::onRunnersCurrent()
+void FleetController::remove(const std::string& _instance)
+{
+	if (0 == runners_.erase(_instance))
+	{
+		return;
+	}
+	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
+	loads_.erase(_instance);
+	fleetChangedAt_ = clock_.now();
+	changed_ = true;
+}
+
+void FleetController::onRunnersOut()
+{
+	storeWasOut_ = true;
+}
+
+bool FleetController::onRunnersCurrent()
 {
+	const bool returned = storeWasOut_;
+	storeWasOut_ = false;
 	runnersKnown_ = true;
 	if (changed_ && routes_)
 	{
 		publish();
 	}
+	return returned && !lapsed_.empty();
+}
+
+void FleetController::dropLapsed()
+{
+	if (storeWasOut_)
+	{
+		return; // away again: its next return starts anew
+	}
+	for (const std::string& instance : lapsed_)
+	{
+		remove(instance);
+	}
+	lapsed_.clear();
+	if (changed_ && routes_)
+	{
+		publish();
+	}
 }
 
 void FleetController::onNodeRecord(const KeyedRecord& _record)
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -30,8 +30,19 @@
 
 	void onRunnerRecord(const KeyedRecord& _record);
 
+	/// The store could not be read. While it was away records lapse of targets that live.
+	void onRunnersOut();
+
 	/// All targets' records have been taken: publishes if something changed.
-	void onRunnersCurrent();
+	/// @returns true if the store has just come back and some records lapsed: `dropLapsed` is due after `kLapseGrace`.
+	bool onRunnersCurrent();
+
+	/// Drops the targets whose records lapsed while the store was away and did not come back.
+	void dropLapsed();
+
+	/// Records of living targets are back within about two seconds of the store's return; a target that left must get
+	/// no more requests two seconds after it was known.
+	static constexpr Duration kLapseGrace = Duration::fromMillis(1900);
 
 	void onNodeRecord(const KeyedRecord& _record);
 
@@ -72,6 +83,7 @@
 	}
 
 private:
+	void remove(const std::string& _instance);
 	void publish();
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
 	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
@@ -85,7 +97,9 @@
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, std::string> nodes_; //!< Addresses by name.
+	std::set<std::string> lapsed_;             //!< Instances that may come back.
 	Time fleetChangedAt_;
+	bool storeWasOut_ = false; //!< It could not be read since the last time that it was read to its end.
 	bool runnersKnown_ = false;
 	bool changed_ = false;
 };
--- /dev/null
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -0,0 +1,136 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/fleetcontroller_p.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Documents of one word: a target's record is its service, "!" before it says that it drains.
+class PlainDocuments : public DocumentsI
+{
+public:
+	bool isDesiredState(const std::string& _key) const override
+	{
+		return "config" == _key;
+	}
+
+	bool readDesiredState(const std::string& _text, DesiredState& _state) const override
+	{
+		_state.version = StateVersion{std::stoull(_text)};
+		ServiceSpec service;
+		service.name = "plain";
+		_state.services.push_back(service);
+		return true;
+	}
+
+	bool readRunner(const std::string& _key, const std::string& _text, RunnerRecord& _record) const override
+	{
+		_record.instance = InstanceId{_key};
+		_record.draining = '!' == _text.front();
+		_record.service = _record.draining ? _text.substr(1) : _text;
+		return true;
+	}
+};
+
+class StillClock : public ClockI
+{
+public:
+	Time now() const override
+	{
+		return Time{1000000};
+	}
+};
+
+} // namespace
+
+class FleetControllerTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(FleetControllerTest);
+	CPPUNIT_TEST(targetsComeAndGo);
+	CPPUNIT_TEST(drainingTargetsGetNothing);
+	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
+	CPPUNIT_TEST(versionsOnlyRise);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		put("a", "plain");
+		put("b", "plain");
+		state("1");
+		fleet_.onRunnersCurrent();
+	}
+
+	void targetsComeAndGo()
+	{
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+		put("a", "");
+		CPPUNIT_ASSERT(!fleet_.onRunnersCurrent());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+	}
+
+	void drainingTargetsGetNothing()
+	{
+		put("a", "!plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+	}
+
+	/// Targets whose records went while the store was away are used on for the grace; who is not back then is gone. One
+	/// that drained is gone at once.
+	void recordsThatLapsedMayComeBack()
+	{
+		put("c", "!plain");
+		fleet_.onRunnersCurrent();
+		fleet_.onRunnersOut();
+		put("a", "");
+		put("b", "");
+		put("c", "");
+		CPPUNIT_ASSERT(fleet_.onRunnersCurrent());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet_.runners().size());
+		put("a", "plain");
+		CPPUNIT_ASSERT(!fleet_.onRunnersCurrent());
+		fleet_.dropLapsed();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.runners().count("a"));
+	}
+
+	void versionsOnlyRise()
+	{
+		state("5");
+		state("3");
+		CPPUNIT_ASSERT(StateVersion{5} == fleet_.routes()->state().version);
+	}
+
+private:
+	void put(const char* _instance, const char* _text)
+	{
+		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{0}});
+	}
+
+	void state(const char* _version)
+	{
+		fleet_.onOperatorRecord(KeyedRecord{"config", _version, false, Offset{0}});
+	}
+
+	std::size_t targets() const
+	{
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		return view->services.at("plain")->targets.size();
+	}
+
+	PlainDocuments documents_;
+	StillClock clock_;
+	FleetCell cell_;
+	FleetController fleet_{documents_, cell_, clock_, "h1"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetControllerTest);
+
+} // namespace sedgecart
