--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -77,8 +77,8 @@
 	/// @param _bound without an answer by then it counts as not answering.
 	virtual void probe(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
 
-	/// @param _atFault "ip:port" of the part that is not there, if the target names one.
-	using RepathCall = std::function<void(RepathState::Enum, const std::string& _atFault)>;
+	/// Gets the state, and "ip:port" of the part that is not there if the target names one.
+	using RepathCall = std::function<void(RepathState::Enum, const std::string&)>;
 
 	/// Has a request go on over another path with the same first part. Its events go on where they stopped.
 	/// @param _request the request's id.
--- a/packages/node/src/context_p.h
+++ b/packages/node/src/context_p.h
@@ -8,9 +8,9 @@
 #include <core/limiter.h>
 #include <core/retrybudget.h>
 
-#include <metrics/metrics.h>
 #include "registry_p.h"
 #include "snapshotcell_p.h"
+#include <metrics/metrics.h>
 
 #include <atomic>
 
--- a/packages/node/src/placer.cpp
+++ b/packages/node/src/placer.cpp
@@ -4,8 +4,8 @@
 
 #include "context_p.h"
 #include "control_p.h"
-#include <metrics/metrics.h>
 #include "snapshotcell_p.h"
+#include <metrics/metrics.h>
 
 #include <base/config.h>
 #include <base/incarnation.h>
--- a/tests/entry/faketarget.h
+++ b/tests/entry/faketarget.h
@@ -21,7 +21,7 @@
 {
 
 /// What a fake target does with a request, on its own thread.
-using TargetScript = std::function<void(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest&)>;
+using TargetScript = std::function<void(const std::shared_ptr<ServerConnection>&, const ServerRequest&)>;
 
 /// A target on loopback that does what a test says, and remembers what it was sent.
 class FakeTarget : public ServerHandlerI
