--- a/packages/aio/include/aio/messagereader.h
+++ b/packages/aio/include/aio/messagereader.h
@@ -79,9 +79,6 @@
 	/// @returns true once start line and headers have been read.
 	bool hasHead() const;
 
-	/// @returns true once any byte of the message has been used.
-	bool begun() const;
-
 	MessageHead& head();
 
 	/// @returns the body bytes that came and were not taken; the caller may clear it.
--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -29,15 +29,9 @@
 	Server(const Server&) = delete;
 	Server& operator=(const Server&) = delete;
 
-	/// Closes every connection that is between requests. On the loop's thread.
-	void closeIdle();
-
 	/// @returns the port it listens on.
 	uint16_t port() const;
 
-	/// @returns connections that are open. On the loop's thread.
-	std::size_t connections() const;
-
 private:
 	class Impl;
 	std::shared_ptr<Impl> impl_;
--- a/packages/aio/src/messagereader.cpp
+++ b/packages/aio/src/messagereader.cpp
@@ -47,7 +47,6 @@
 	virtual ReadState::Enum feed(std::string_view _bytes, std::size_t& _used) = 0;
 	virtual ReadState::Enum feedEnd() = 0;
 	virtual bool hasHead() const = 0;
-	virtual bool begun() const = 0;
 
 	MessageHead head_;
 	std::string body_;
@@ -96,11 +95,6 @@
 		return this->is_header_done();
 	}
 
-	bool begun() const override
-	{
-		return this->got_some();
-	}
-
 private:
 	void on_request_impl(http::verb, beast::string_view _method, beast::string_view _target, int,
 	                     beast::error_code&) override
@@ -179,11 +173,6 @@
 	return parser_->hasHead();
 }
 
-bool MessageReader::begun() const
-{
-	return parser_->begun();
-}
-
 MessageHead& MessageReader::head()
 {
 	return parser_->head_;
--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -36,14 +36,6 @@
 	waitReadable();
 }
 
-void ServedConnection::closeIfIdle()
-{
-	if (Phase::Idle == phase_ && waiting_.empty())
-	{
-		closeNow();
-	}
-}
-
 void ServedConnection::waitReadable()
 {
 	const auto self = shared_from_this();
@@ -128,7 +120,6 @@
 	request.body = std::move(reader_->body());
 	reader_.reset();
 	last_ = !request.head.keepAlive;
-	finished_ = false;
 	handler_.onRequest(shared_from_this(), std::move(request));
 }
 
@@ -194,7 +185,6 @@
 	{
 		return;
 	}
-	finished_ = true;
 	if (last_ || handler_.closing())
 	{
 		linger();
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -25,9 +25,6 @@
 	/// Begins to read the first request.
 	void begin();
 
-	/// Closes it if it is between requests.
-	void closeIfIdle();
-
 	void start(const AnswerStart& _start, std::string_view _body) override;
 	void send(std::string_view _body) override;
 	void finish() override;
@@ -77,7 +74,6 @@
 	bool noBody_ = false;
 	bool last_ = false; //!< The connection ends behind this answer.
 	bool flushing_ = false;
-	bool finished_ = false;
 };
 
 } // namespace sedgecart
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -75,15 +75,6 @@
 		    });
 	}
 
-	void closeIdle()
-	{
-		const auto all = connections_;
-		for (const auto& row : all)
-		{
-			row.second->closeIfIdle();
-		}
-	}
-
 	void stop()
 	{
 		boost::system::error_code ignored; // nothing is left to do with the socket
@@ -95,11 +86,6 @@
 		}
 	}
 
-	std::size_t connections() const
-	{
-		return connections_.size();
-	}
-
 	uint16_t port() const
 	{
 		return acceptor_.local_endpoint().port();
@@ -138,19 +124,9 @@
 	impl_->stop();
 }
 
-void Server::closeIdle()
-{
-	impl_->closeIdle();
-}
-
 uint16_t Server::port() const
 {
 	return impl_->port();
 }
 
-std::size_t Server::connections() const
-{
-	return impl_->connections();
-}
-
 } // namespace sedgecart
--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -128,8 +128,7 @@
 	return keysAreFresh();
 }
 
-RelayPlan EntryFront::makePlan(const RouteTable&, const Entry& _entry, ServerRequest&& _request,
-                               CallerRequest&& _caller) const
+RelayPlan EntryFront::makePlan(const Entry& _entry, ServerRequest&& _request, CallerRequest&& _caller) const
 {
 	const HostRoute& route = *_entry.route;
 	RelayPlan plan;
@@ -186,12 +185,12 @@
 		return;
 	}
 	const ServerConnection* const key = _connection.get();
-	const auto relay = std::make_shared<RequestRelay>(
-	    context_, makePlan(*routes, entry, std::move(_request), std::move(caller)), _connection,
-	    [this, key]
-	    {
-		    remove(key);
-	    });
+	const auto relay =
+	    std::make_shared<RequestRelay>(context_, makePlan(entry, std::move(_request), std::move(caller)), _connection,
+	                                   [this, key]
+	                                   {
+		                                   remove(key);
+	                                   });
 	relays_[key] = relay;
 	active_.fetch_add(1, std::memory_order_relaxed);
 	relay->begin();
--- a/packages/entry/src/entryfront_p.h
+++ b/packages/entry/src/entryfront_p.h
@@ -51,8 +51,7 @@
 	bool findEntry(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
 	               Entry& _entry, ErrorKind::Enum& _fault) const;
 	bool keysAreFresh() const;
-	RelayPlan makePlan(const RouteTable& _routes, const Entry& _entry, ServerRequest&& _request,
-	                   CallerRequest&& _caller) const;
+	RelayPlan makePlan(const Entry& _entry, ServerRequest&& _request, CallerRequest&& _caller) const;
 	void answer(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id);
 	void remove(const ServerConnection* _connection);
 	CallerLimits callerLimits() const;
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -15,7 +15,7 @@
       cell_(_cell),
       clock_(_clock)
 {
-	halls_[_homeHall] = 0;
+	halls_[_homeHall] = kHomeHall;
 }
 
 void FleetController::onOperatorRecord(const KeyedRecord& _record)
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -18,6 +18,9 @@
 namespace sedgecart
 {
 
+/// Number of the data hall that this node stands in.
+constexpr uint32_t kHomeHall = 0;
+
 /// What is under way at a target. Lives as long as somebody knows the target.
 struct TargetLoad
 {
@@ -32,7 +35,7 @@
 struct FleetTarget
 {
 	RunnerRecord record;
-	uint32_t hall = 0;              //!< Index into FleetView::halls.
+	uint32_t hall = 0;              //!< Number of its data hall; kHomeHall is this node's.
 	const CardKind* card = nullptr; //!< Null for a plain service.
 	std::shared_ptr<TargetLoad> load;
 };
@@ -43,7 +46,6 @@
 	std::shared_ptr<const RouteTable> routes;
 	const ServiceSpec* spec = nullptr;
 	uint32_t halls = 1;
-	uint32_t homeHall = 0;
 	std::vector<FleetTarget> targets;
 };
 
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -34,15 +34,6 @@
 	startLoad();
 }
 
-void Follower::hurry()
-{
-	if (loaded_ && !reading_)
-	{
-		timer_.cancel();
-		read();
-	}
-}
-
 void Follower::startLoad()
 {
 	found_.clear();
@@ -116,14 +107,12 @@
 
 void Follower::read()
 {
-	reading_ = true;
 	const Time sentAt = clock_.now();
 	// While the store is out a read that waits could hang for its whole wait after the store is back.
 	const Duration wait = failing_ ? Duration{} : plan_.wait;
 	log_.read(plan_.topic, next_, wait,
 	          [this, sentAt](KeyedPage&& _page)
 	          {
-		          reading_ = false;
 		          onRead(std::move(_page), sentAt);
 	          });
 }
--- a/packages/entry/src/follower_p.h
+++ b/packages/entry/src/follower_p.h
@@ -63,9 +63,6 @@
 		return loaded_;
 	}
 
-	/// Reads at once instead of after the pause.
-	void hurry();
-
 private:
 	void load(const std::string& _afterKey);
 	void onNewest(KeyedPage&& _page, Time _sentAt);
@@ -90,7 +87,6 @@
 	Duration retry_;
 	bool loadFirst_ = true;
 	bool loaded_ = false;
-	bool reading_ = false;
 	bool failing_ = false; //!< The last read failed.
 };
 
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -129,57 +129,64 @@
 	return counts ? ordered->second.layers : _target.layers;
 }
 
-LayoutKeeper::Plan LayoutKeeper::plan()
+LayoutKeeper::Scene LayoutKeeper::scene() const
 {
-	Plan plan;
-	std::vector<LayoutTarget> targets;
+	Scene scene;
 	std::map<std::string, uint32_t> halls;
-	const EngineSpec* engine = nullptr;
-	bool anyHeld = false;
 	for (const auto& row : fleet_.runners())
 	{
 		const RunnerRecord& record = row.second;
 		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
-		const CardKind* const card =
-		    nullptr != service && service->hasEngine ? findKind(service->engine, record.card) : nullptr;
+		const bool inLayers = nullptr != service && service->hasEngine;
+		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
 		if (nullptr == card || record.draining)
 		{
 			continue;
 		}
-		engine = &service->engine;
 		const uint32_t hall = halls.emplace(record.hall, static_cast<uint32_t>(halls.size())).first->second;
 		const LayerSpan held = effectiveLayers(record);
-		anyHeld = anyHeld || 0 < held.size();
-		targets.push_back(LayoutTarget{hall, *card, held});
-		plan.targets.push_back(record);
+		scene.engine = &service->engine;
+		scene.anyHeld = scene.anyHeld || 0 < held.size();
+		scene.targets.push_back(LayoutTarget{hall, *card, held});
+		scene.records.push_back(record);
 	}
-	if (nullptr == engine)
+	return scene;
+}
+
+std::vector<LayoutOrder> LayoutKeeper::wantedOrders(const Scene& _scene)
+{
+	const Time now = clock_.now();
+	if (nullptr == _scene.engine)
 	{
-		return plan;
+		return {};
 	}
-	if (!anyHeld)
+	if (!_scene.anyHeld)
 	{
-		const bool settled = !(clock_.now() < fleet_.fleetChangedAt() + kSettled);
-		plan.orders = settled ? planLayout(*engine, targets) : std::vector<LayoutOrder>();
-		return plan;
+		const bool settled = !(now < fleet_.fleetChangedAt() + kSettled);
+		return settled ? planLayout(*_scene.engine, _scene.targets) : std::vector<LayoutOrder>();
 	}
-	const Time now = clock_.now();
 	RepairScope scope;
 	scope.mayShift = 0 != holeAt_.micros && !(now < holeAt_ + kShiftAfter);
 	scope.mayDouble = !(now < fleet_.fleetChangedAt() + kDoubleAfter);
-	plan.orders = repairLayout(*engine, targets, scope);
+	const std::vector<LayoutOrder> orders = repairLayout(*_scene.engine, _scene.targets, scope);
+	noteHole(_scene, orders.empty() && !scope.mayShift, now);
+	return orders;
+}
+
+/// Remembers since when only a shift could mend the layout.
+void LayoutKeeper::noteHole(const Scene& _scene, bool _unmended, Time _now)
+{
 	RepairScope shifting;
 	shifting.mayShift = true;
-	const bool hasHole = plan.orders.empty() && !scope.mayShift && !repairLayout(*engine, targets, shifting).empty();
+	const bool hasHole = _unmended && !repairLayout(*_scene.engine, _scene.targets, shifting).empty();
 	if (!hasHole)
 	{
 		holeAt_ = Time{};
 	}
 	else if (0 == holeAt_.micros)
 	{
-		holeAt_ = now;
+		holeAt_ = _now;
 	}
-	return plan;
 }
 
 bool LayoutKeeper::isMyTurn(Time _now) const
@@ -194,9 +201,10 @@
 
 void LayoutKeeper::look()
 {
-	const Plan next = plan();
+	const Scene seen = scene();
+	const std::vector<LayoutOrder> orders = wantedOrders(seen);
 	const Time now = clock_.now();
-	if (next.orders.empty())
+	if (orders.empty())
 	{
 		wantedAt_ = Time{};
 		return;
@@ -204,18 +212,18 @@
 	wantedAt_ = 0 == wantedAt_.micros ? now : wantedAt_;
 	if (isMyTurn(now))
 	{
-		append(next);
+		append(seen, orders);
 	}
 }
 
-void LayoutKeeper::append(const Plan& _plan)
+void LayoutKeeper::append(const Scene& _scene, const std::vector<LayoutOrder>& _orders)
 {
 	wire::LayoutChange change;
 	change.set_author(incarnation_.text());
-	for (const LayoutOrder& order : _plan.orders)
+	for (const LayoutOrder& order : _orders)
 	{
 		wire::LayoutHold* const hold = change.add_holds();
-		hold->set_target(_plan.targets[order.target].instance.text);
+		hold->set_target(_scene.records[order.target].instance.text);
 		hold->set_begin(order.layers.begin);
 		hold->set_end(order.layers.end);
 	}
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -48,18 +48,22 @@
 		Time at;
 	};
 
-	/// What is about to be ordered.
-	struct Plan
+	/// The targets that run a model in layers, as the layout sees them.
+	struct Scene
 	{
-		std::vector<RunnerRecord> targets;
-		std::vector<LayoutOrder> orders;
+		const EngineSpec* engine = nullptr; //!< Null if there are none.
+		std::vector<RunnerRecord> records;
+		std::vector<LayoutTarget> targets; //!< One for each record.
+		bool anyHeld = false;              //!< Some target holds layers.
 	};
 
 	void tick();
 	void look();
-	Plan plan();
+	Scene scene() const;
+	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
+	void noteHole(const Scene& _scene, bool _unmended, Time _now);
 	bool isMyTurn(Time _now) const;
-	void append(const Plan& _plan);
+	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
 
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -165,7 +165,7 @@
 	}
 	const bool again = now < asked.notBefore + kLongestAskPause;
 	const Duration pause = again ? std::min(kLongestAskPause, asked.pause + asked.pause) : kAskPause;
-	asked = Asked{now + pause, pause, 0 == _target.hall ? 1 : kFarQuestions, false};
+	asked = Asked{now + pause, pause, kHomeHall == _target.hall ? 1 : kFarQuestions, false};
 	++_round->asked;
 	const FleetTarget target = _target;
 	for (uint32_t question = asked.open; 0 < question; --question)
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -49,7 +49,7 @@
 double loadOf(const FleetTarget& _target, Time _now)
 {
 	const double requests = _target.load->requests.load(std::memory_order_relaxed);
-	const double hall = 0 == _target.hall ? 0 : kOtherHallRequests;
+	const double hall = kHomeHall == _target.hall ? 0 : kOtherHallRequests;
 	return requests + hall + (isAvoided(_target, _now) ? kAvoidedRequests : 0);
 }
 
@@ -137,7 +137,7 @@
 	PathQuery query;
 	query.layers = _service.spec->engine.layers;
 	query.halls = _service.halls;
-	query.homeHall = _service.homeHall;
+	query.homeHall = kHomeHall;
 	query.entry = kEntry;
 	query.hops = kHops;
 	return query;
