--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -168,7 +168,7 @@
 	RepairScope scope;
 	scope.mayShift = 0 != holeAt_.micros && !(now < holeAt_ + kShiftAfter);
 	scope.mayDouble = !(now < fleet_.fleetChangedAt() + kDoubleAfter);
-	const std::vector<LayoutOrder> orders = repairLayout(*_scene.engine, _scene.targets, scope);
+	std::vector<LayoutOrder> orders = repairLayout(*_scene.engine, _scene.targets, scope);
 	noteHole(_scene, orders.empty() && !scope.mayShift, now);
 	return orders;
 }
