Halls of many targets are laid out in several chains

Ruled out: too little room or speed; reading takes 4% of what a hall's cards can do, and the same load is served once there is a path. Change: a group of targets is dealt out to chains of at most 20 parts and like memory, as long as each keeps the room that a repair keeps. Test: LayoutPlanTest.largeHallsGetShortChains, failed before (1 chain).

--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include <core/layerpath.h>
 #include <core/layoutplan.h>
 
 #include <algorithm>
@@ -22,6 +23,10 @@
 /// and the chains of other halls serve better.
 constexpr double kRepairRoom = 70000;
 
+/// Parts that a chain of a hall is planned with at most. Targets accept 32; a chain that shifts over a lost range, or that
+/// borrows a part, needs some more than it was planned with, and each hop costs every token half a millisecond.
+constexpr std::size_t kPlannedParts = 20;
+
 /// Steps of the search for the most room; each halves the interval, so 40 leave well under a token.
 constexpr int kRoomSteps = 40;
 
@@ -126,6 +131,71 @@
 	return groups;
 }
 
+/// @returns the targets of a group by memory, largest first.
+Members largestFirst(const std::vector<LayoutTarget>& _targets, Members _members)
+{
+	std::stable_sort(_members.begin(), _members.end(),
+	                 [&_targets](uint32_t _a, uint32_t _b)
+	                 {
+		                 return _targets[_b].card.memoryMb < _targets[_a].card.memoryMb;
+	                 });
+	return _members;
+}
+
+double memoryOf(const std::vector<LayoutTarget>& _targets, const Members& _members)
+{
+	double sum = 0;
+	for (const uint32_t member : _members)
+	{
+		sum += _targets[member].card.memoryMb;
+	}
+	return sum;
+}
+
+/// Deals a group out to some chains of like memory. Those beyond the longest chain that targets accept stay idle.
+std::vector<Members> dealOut(const std::vector<LayoutTarget>& _targets, const Members& _group, std::size_t _chains)
+{
+	std::vector<Members> chains(_chains);
+	for (const uint32_t member : largestFirst(_targets, _group))
+	{
+		const auto smallest = std::min_element(chains.begin(), chains.end(),
+		                                       [&_targets](const Members& _a, const Members& _b)
+		                                       {
+			                                       return memoryOf(_targets, _a) < memoryOf(_targets, _b);
+		                                       });
+		if (smallest->size() < kMostParts)
+		{
+			smallest->push_back(member);
+		}
+	}
+	for (Members& chain : chains)
+	{
+		std::sort(chain.begin(), chain.end());
+	}
+	return chains;
+}
+
+/// @returns the chains that a group is laid out in: few enough that each keeps its room, short enough that a path through
+/// one is accepted.
+std::vector<Members> chainsOf(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
+                              const Members& _group)
+{
+	for (std::size_t count = (_group.size() + kPlannedParts - 1) / kPlannedParts; 1 < count; --count)
+	{
+		const std::vector<Members> chains = dealOut(_targets, _group, count);
+		const bool roomy = std::all_of(chains.begin(), chains.end(),
+		                               [&_engine, &_targets](const Members& _chain)
+		                               {
+			                               return kRepairRoom <= mostRoom(_engine, _targets, _chain);
+		                               });
+		if (roomy)
+		{
+			return chains;
+		}
+	}
+	return dealOut(_targets, _group, 1);
+}
+
 /// How often each layer is held.
 std::vector<uint32_t> coverage(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
                                const Members& _members)
@@ -347,10 +417,13 @@
 	std::vector<LayoutOrder> orders;
 	for (const Members& group : chainGroups(_engine, _targets))
 	{
-		const double room = mostRoom(_engine, _targets, group);
-		if (0 <= room)
+		for (const Members& chain : chainsOf(_engine, _targets, group))
 		{
-			planChain(_engine, _targets, group, room, orders);
+			const double room = mostRoom(_engine, _targets, chain);
+			if (0 <= room)
+			{
+				planChain(_engine, _targets, chain, room, orders);
+			}
 		}
 	}
 	return orders;
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include <core/layerpath.h>
 #include <core/layoutplan.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -82,6 +83,7 @@
 	CPPUNIT_TEST_SUITE(LayoutPlanTest);
 	CPPUNIT_TEST(everyHallGetsAWholeChain);
 	CPPUNIT_TEST(partsOfAChainHaveLikeRoom);
+	CPPUNIT_TEST(largeHallsGetShortChains);
 	CPPUNIT_TEST(hallsTooSmallShareAChain);
 	CPPUNIT_TEST(anEmptyTargetTakesWhatIsLost);
 	CPPUNIT_TEST(chainShiftsOverALostRange);
@@ -111,6 +113,32 @@
 		}
 	}
 
+	/// A hall of more targets than a path may have parts is laid out in several chains, each of which a path can go.
+	void largeHallsGetShortChains()
+	{
+		std::vector<LayoutTarget> targets;
+		add(targets, 0, kLarge, 2);
+		add(targets, 0, kMiddle, 13);
+		add(targets, 0, kSmall, 22);
+		carryOut(targets, planLayout(engine(), targets));
+		std::vector<PathCandidate> candidates;
+		uint32_t heads = 0;
+		for (const LayoutTarget& target : targets)
+		{
+			PathCandidate candidate;
+			candidate.held = target.held;
+			candidate.costPerLayer = target.card.stepFactor;
+			candidates.push_back(candidate);
+			heads += 0 == target.held.begin && 0 < target.held.size() ? 1 : 0;
+		}
+		CPPUNIT_ASSERT_EQUAL(2U, heads);
+		PathQuery query;
+		query.layers = 80;
+		std::vector<PathPart> path;
+		CPPUNIT_ASSERT(findPath(candidates, query, path));
+		CPPUNIT_ASSERT(path.size() <= kMostParts);
+	}
+
 	void hallsTooSmallShareAChain()
 	{
 		std::vector<LayoutTarget> targets;
