In each hall one node reads the store and adds up loads for the others

Ruled out: longer waits of the reads, since the age of the proof of keys (4.5 s) bounds them. Change: HubChoice (pure) names a hub in each hall; HallLog parks reads for its next answer, HallExchange reports loads and gets back totals and news with the age of their proof; hubs tell each other sums. A hub that is silent, stale or turned away by the store is passed over; nodes that the store turns away stay current through others.

--- a/packages/entry/include/entry/entrysettings.h
+++ b/packages/entry/include/entry/entrysettings.h
@@ -23,12 +23,16 @@
 	uint16_t firstPeerPort = 0;
 	uint16_t lastPeerPort = 0;
 	std::string storeAddress; //!< "ip:port" of the platform's store.
+	double cpuShare = 1;      //!< Of a core, that this node may use.
 	RetryAllowance retries;
 	Duration keyBound = Duration::fromMillis(5000);  //!< A key taken away must not work longer than this.
 	bool keyBoundStrict = false;                     //!< It holds also for nodes that cannot reach the store.
 	Duration stopBound = Duration::fromMillis(8000); //!< From the stop signal to the kill.
 };
 
+/// @returns "ip:port" that the node hears other nodes on.
+std::string peerAddress(const EntrySettings& _settings);
+
 /// Reads a settings file of NAME=VALUE lines. Names that are not known are ignored.
 /// @param _message set to one sentence that names field, value and what is allowed.
 /// @returns false if a setting is missing or wrong.
--- a/packages/entry/include/entry/keyedlog.h
+++ b/packages/entry/include/entry/keyedlog.h
@@ -61,6 +61,8 @@
 	std::vector<KeyedRecord> records;
 	Offset end;           //!< Offset that the next record gets.
 	bool partial = false; //!< More keys follow the last one.
+	Duration age;          //!< Of the proof that nothing stands behind the end, when the read was sent.
+	bool handedOn = false; //!< Another node read it from the store.
 };
 
 /// What came of an append.
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -3,6 +3,7 @@
 #include "entrycontrol_p.h"
 
 #include <logging/logging.h>
+#include <wire/sedgecart.pb.h>
 
 #include <chrono>
 
@@ -13,27 +14,26 @@
 {
 
 /// How the operator's topic is followed: a change comes at once. An answer without news proves that there was none when
-/// its read was sent, so that the proof in hand is never older than two such waits; keys may be used for 4.5 s on it.
-constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1800), Duration{}};
+/// its read was sent, so that the proof in hand is never older than two such waits; keys may be used for 4.5 s on it. Only
+/// the hub of a hall reads, and the others are as much later as its answers.
+constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1000), Duration{}, Duration{}};
+
+/// Records of targets lapse after three of their reports, 3.6 s; without a proof for less none has.
+constexpr Duration kRecordsMayLapse = Duration::fromMillis(2500);
 
 /// How the targets' topic is followed. Each target writes there every second or so, so that waiting for news would
-/// read without a pause; a target that leaves must be known within two seconds.
-constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(1300)};
+/// read without a pause; a target that leaves must be known within two seconds, also when the hub fails meanwhile.
+constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(900), kRecordsMayLapse};
 
 /// How the nodes' topic is followed: its only use is to share out bounds, which change as slowly as nodes come.
-constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500)};
+constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500), Duration{}};
 
 /// How the layout's topic is followed: changes come at once, and are rare.
-constexpr FollowPlan kFollowLayout{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}};
+constexpr FollowPlan kFollowLayout{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}, Duration{}};
 
 /// Between two tries to write this node's record.
 constexpr Duration kAnnounceRetry = Duration::fromMillis(1500);
 
-std::string peerAddress(const EntrySettings& _settings)
-{
-	return _settings.ip + ':' + std::to_string(_settings.firstPeerPort);
-}
-
 /// Tells of a lost and of a regained store, once each.
 class OutageLog
 {
@@ -140,7 +140,7 @@
 	void onRecord(const KeyedRecord& _record) override
 	{
 		control_.fleet_.onNodeRecord(_record);
-		control_.setPeers();
+		control_.exchange_.onNodesChanged();
 	}
 
 	void onCurrent(Time) override
@@ -190,18 +190,18 @@
                            RunnerOrdersI& _orders, const DocumentsI& _documents, const ClockI& _clock, FleetCell& _cell,
                            std::function<void()> _onReady)
     : settings_(_settings),
-      log_(_log),
+      log_(_log, _clock, cache_),
       fleet_(_documents, _cell, _clock, _settings.hall),
       operatorNews_(std::make_unique<OperatorNews>(*this)),
       runnerNews_(std::make_unique<RunnerNews>(*this)),
       nodeNews_(std::make_unique<NodeNews>(*this)),
       layoutNews_(std::make_unique<LayoutNews>(*this)),
-      operatorFollower_(_loop, _log, _clock, kFollowOperator, *operatorNews_),
-      runnerFollower_(_loop, _log, _clock, kFollowRunners, *runnerNews_),
-      nodeFollower_(_loop, _log, _clock, kFollowNodes, *nodeNews_),
-      layoutFollower_(_loop, _log, _clock, kFollowLayout, *layoutNews_),
-      layout_(_loop, _log, _orders, _clock, fleet_, _settings.name),
-      loads_(_loop, _clock, fleet_, peerAddress(_settings)),
+      operatorFollower_(_loop, log_, _clock, kFollowOperator, *operatorNews_),
+      runnerFollower_(_loop, log_, _clock, kFollowRunners, *runnerNews_),
+      nodeFollower_(_loop, log_, _clock, kFollowNodes, *nodeNews_),
+      layoutFollower_(_loop, log_, _clock, kFollowLayout, *layoutNews_),
+      layout_(_loop, log_, _orders, _clock, fleet_, _settings.name),
+      exchange_(_loop, _settings, _clock, fleet_, log_, cache_),
       announceTimer_(_loop),
       lapseTimer_(_loop),
       onReady_(std::move(_onReady))
@@ -217,13 +217,17 @@
 	nodeFollower_.start();
 	layoutFollower_.start();
 	layout_.start();
-	loads_.start();
+	exchange_.start();
 	announce();
 }
 
 void EntryControl::announce()
 {
-	log_.append(KeyedTopic::Nodes, settings_.name, peerAddress(settings_), std::nullopt,
+	wire::NodePlace place;
+	place.set_address(peerAddress(settings_));
+	place.set_hall(settings_.hall);
+	place.set_cpu_share(settings_.cpuShare);
+	log_.append(KeyedTopic::Nodes, settings_.name, place.SerializeAsString(), std::nullopt,
 	            [this](const KeyedAppend& _outcome)
 	            {
 		            if (StoreState::Done == _outcome.state)
@@ -255,19 +259,6 @@
 	    });
 }
 
-void EntryControl::setPeers()
-{
-	std::vector<std::string> others;
-	for (const auto& row : fleet_.nodes())
-	{
-		if (settings_.name != row.first)
-		{
-			others.push_back(row.second);
-		}
-	}
-	loads_.setPeers(others);
-}
-
 void EntryControl::checkReady()
 {
 	if (fleet_.ready() && onReady_)
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -5,8 +5,9 @@
 
 #include "fleetcontroller_p.h"
 #include "follower_p.h"
+#include "hallexchange_p.h"
+#include "halllog_p.h"
 #include "layoutkeeper_p.h"
-#include "loadexchange_p.h"
 
 #include <entry/entrysettings.h>
 
@@ -39,11 +40,11 @@
 
 	void announce();
 	void checkReady();
-	void setPeers();
 	void dropLapsedLater();
 
 	EntrySettings settings_;
-	KeyedLogI& log_;
+	TopicCache cache_;
+	HallLog log_;
 	FleetController fleet_;
 	std::unique_ptr<OperatorNews> operatorNews_;
 	std::unique_ptr<RunnerNews> runnerNews_;
@@ -54,7 +55,7 @@
 	Follower nodeFollower_;
 	Follower layoutFollower_;
 	LayoutKeeper layout_;
-	LoadExchange loads_;
+	HallExchange exchange_;
 	boost::asio::steady_timer announceTimer_;
 	boost::asio::steady_timer lapseTimer_;
 	std::function<void()> onReady_;
--- a/packages/entry/src/entrysettings.cpp
+++ b/packages/entry/src/entrysettings.cpp
@@ -128,7 +128,7 @@
 	options::options_description all;
 	for (const char* const name :
 	     {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports", "store-address", "retry-ratio",
-	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s"})
+	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s", "cpu-share"})
 	{
 		all.add_options()(name, options::value<std::string>());
 	}
@@ -137,6 +137,11 @@
 
 } // namespace
 
+std::string peerAddress(const EntrySettings& _settings)
+{
+	return _settings.ip + ':' + std::to_string(_settings.firstPeerPort);
+}
+
 bool readEntrySettings(const std::string& _path, EntrySettings& _settings, std::string& _message)
 {
 	_message.clear();
@@ -171,6 +176,9 @@
 	_settings.keyBound = reader.millis("key-bound-ms");
 	_settings.keyBoundStrict = reader.flag("key-bound-strict");
 	_settings.stopBound = reader.seconds("stop-bound-s");
+	constexpr double kLeastCpuShare = 0.001;
+	constexpr double kMostCpuShare = 1024;
+	_settings.cpuShare = reader.number("cpu-share", kLeastCpuShare, kMostCpuShare);
 	return reader.sound();
 }
 
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -3,6 +3,7 @@
 #include "fleetcontroller_p.h"
 
 #include <logging/logging.h>
+#include <wire/sedgecart.pb.h>
 
 #include <algorithm>
 
@@ -153,7 +154,13 @@
 	}
 	else
 	{
-		nodes_[_record.key] = _record.value;
+		wire::NodePlace place;
+		if (!place.ParseFromString(_record.value))
+		{
+			logEvent(LogPart::Node, LogLevel::Warning, "Record of a node cannot be read.", {{"node", _record.key}});
+			return;
+		}
+		nodes_[_record.key] = NodeAddress{place.address(), place.hall(), place.cpu_share()};
 	}
 	if (before != nodes_.size() && routes_)
 	{
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -15,6 +15,14 @@
 namespace sedgecart
 {
 
+/// Where an entry node is.
+struct NodeAddress
+{
+	std::string address; //!< "ip:port" that it hears other nodes on.
+	std::string hall;
+	double cpuShare = 0; //!< Of a core.
+};
+
 /// Keeps the fleet's view true: takes the operator's desired state, the targets' records and the nodes' records, and
 /// publishes what the request path reads. Control thread only.
 class FleetController
@@ -64,8 +72,8 @@
 		return loads_;
 	}
 
-	/// @returns the entry nodes' addresses for each other, by name, this one's as soon as its own record was read.
-	const std::map<std::string, std::string>& nodes() const
+	/// @returns the entry nodes by name, this one as soon as its own record was read.
+	const std::map<std::string, NodeAddress>& nodes() const
 	{
 		return nodes_;
 	}
@@ -96,7 +104,7 @@
 	std::map<std::string, RunnerRecord> runners_;
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
-	std::map<std::string, std::string> nodes_; //!< Addresses by name.
+	std::map<std::string, NodeAddress> nodes_; //!< By name.
 	std::set<std::string> lapsed_;             //!< Instances that may come back.
 	Time fleetChangedAt_;
 	bool storeWasOut_ = false; //!< It could not be read since the last time that it was read to its end.
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -101,6 +101,7 @@
 	}
 	next_ = loadEnd_;
 	loaded_ = true;
+	provenAt_ = loadSentAt_;
 	handler_.onCurrent(loadSentAt_);
 	read();
 }
@@ -131,6 +132,12 @@
 	}
 	retry_ = kFirstRetry;
 	failing_ = false;
+	const Time provenAt{_sentAt.micros - _page.age.micros};
+	const bool wasOut = 0 < plan_.quiet.micros && 0 < provenAt_.micros && provenAt_ + plan_.quiet < provenAt;
+	if (wasOut)
+	{
+		handler_.onOut(StoreState::Unknown); // the node that reads for this one did not say so
+	}
 	for (const KeyedRecord& record : _page.records)
 	{
 		take(record);
@@ -139,9 +146,11 @@
 	const bool behind = next_ < _page.end;
 	if (!behind)
 	{
-		handler_.onCurrent(_sentAt);
+		provenAt_ = provenAt;
+		handler_.onCurrent(provenAt);
 	}
-	later(behind ? Duration{} : plan_.pause, &Follower::read);
+	// What another node reads is paced by that node.
+	later(behind || _page.handedOn ? Duration{} : plan_.pause, &Follower::read);
 }
 
 void Follower::fail(StoreState::Enum _state)
--- a/packages/entry/src/follower_p.h
+++ b/packages/entry/src/follower_p.h
@@ -23,6 +23,7 @@
 	KeyedTopic::Enum topic = KeyedTopic::Operator;
 	Duration wait;  //!< The store holds a read for so long when there is no news; 0: it answers at once.
 	Duration pause; //!< Between two reads.
+	Duration quiet; //!< Without a proof for longer the store counts as having been out; 0: no matter.
 };
 
 /// What a follower calls, on the control thread.
@@ -83,6 +84,7 @@
 	std::set<std::string> found_;         //!< Keys that the load under way has shown.
 	Offset next_;
 	Offset loadEnd_;
+	Time provenAt_; //!< When the read was sent that last found nothing more.
 	Time loadSentAt_;
 	Duration retry_;
 	bool loadFirst_ = true;
--- /dev/null
+++ b/packages/entry/src/hallexchange.cpp
@@ -0,0 +1,427 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "hallexchange_p.h"
+
+#include <logging/logging.h>
+#include <wire/sedgecart.pb.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Between two reports. A stream takes about two seconds, so that loads change by a tenth until a total is back; news of
+/// the store are late by as much.
+constexpr Duration kReportPause = Duration::fromMillis(150);
+
+/// A hub that has not answered for so long is passed over: three reports. Together with the age that news may have
+/// (HallLog) it keeps a change known within two seconds when a hub dies.
+constexpr Duration kSilent = Duration::fromMillis(450);
+
+/// Reports that are kept to be taken off the totals that contain them.
+constexpr std::size_t kKeptReports = 8;
+
+/// Nodes of another hall that are told its sums while its hub is not known.
+constexpr std::size_t kLikelyHubs = 2;
+
+using LoadRows = google::protobuf::RepeatedPtrField<wire::FleetLoadRow>;
+
+LoadTable tableOf(const LoadRows& _rows)
+{
+	LoadTable table;
+	for (const wire::FleetLoadRow& row : _rows)
+	{
+		table[row.target()] = LoadAmount{row.token_layers(), row.requests()};
+	}
+	return table;
+}
+
+void putRows(const LoadTable& _table, LoadRows& _rows)
+{
+	for (const auto& row : _table)
+	{
+		wire::FleetLoadRow* const out = _rows.Add();
+		out->set_target(row.first);
+		out->set_token_layers(row.second.tokenLayers);
+		out->set_requests(row.second.requests);
+	}
+}
+
+bool isTopic(uint32_t _number)
+{
+	return _number < KeyedTopic::Count;
+}
+
+void putNews(const TopicCache::Found& _found, Time _now, wire::TopicNews& _news)
+{
+	_news.set_known(_found.known);
+	_news.set_end(_found.end.value);
+	_news.set_age_us(static_cast<uint64_t>(std::max<int64_t>(0, (_now - _found.provenAt).micros)));
+	for (const KeyedRecord& record : _found.records)
+	{
+		wire::TopicRecord* const out = _news.add_records();
+		out->set_key(record.key);
+		out->set_value(record.value);
+		out->set_removed(record.removed);
+		out->set_offset(record.offset.value);
+	}
+}
+
+HallLog::News newsOf(const wire::TopicNews& _news)
+{
+	HallLog::News news;
+	news.topic = static_cast<KeyedTopic::Enum>(_news.topic());
+	news.from = Offset{_news.from()};
+	news.known = _news.known();
+	news.page.state = StoreState::Done;
+	news.page.end = Offset{_news.end()};
+	news.page.age = Duration{static_cast<int64_t>(_news.age_us())};
+	for (const wire::TopicRecord& record : _news.records())
+	{
+		news.page.records.push_back(
+		    KeyedRecord{record.key(), record.value(), record.removed(), Offset{record.offset()}});
+	}
+	return news;
+}
+
+} // namespace
+
+HallExchange::HallExchange(boost::asio::io_context& _loop, const EntrySettings& _settings, const ClockI& _clock,
+                           const FleetController& _fleet, HallLog& _log, const TopicCache& _cache)
+    : loop_(_loop),
+      timer_(_loop),
+      name_(_settings.name),
+      hall_(_settings.hall),
+      clock_(_clock),
+      fleet_(_fleet),
+      log_(_log),
+      cache_(_cache),
+      choice_(_settings.name)
+{
+	_log.setWatch(*this);
+	PeerSettings settings;
+	settings.endpoint = peerAddress(_settings);
+	link_ = std::make_unique<PeerLink>(settings, *this);
+}
+
+void HallExchange::start()
+{
+	tick();
+}
+
+void HallExchange::onNodesChanged()
+{
+	std::vector<HubCandidate> candidates;
+	for (const auto& row : fleet_.nodes())
+	{
+		if (hall_ == row.second.hall)
+		{
+			candidates.push_back(HubCandidate{row.first, row.second.cpuShare});
+		}
+	}
+	choice_.setCandidates(std::move(candidates));
+}
+
+void HallExchange::tick()
+{
+	const Time now = clock_.now();
+	noteSilence(now);
+	follow(choice_.choose(now));
+	const LoadTable own = ownLoads();
+	if (name_ == hub_.name)
+	{
+		addUp(own);
+	}
+	else
+	{
+		report(hub_, own);
+	}
+	timer_.expires_after(std::chrono::microseconds(kReportPause.micros));
+	timer_.async_wait(
+	    [this](const boost::system::error_code& _error)
+	    {
+		    if (!_error)
+		    {
+			    tick();
+		    }
+	    });
+}
+
+void HallExchange::noteSilence(Time _now)
+{
+	if (0 != askedAt_.micros && askedAt_ + kSilent < _now)
+	{
+		choice_.onSilent(hub_.name, _now);
+		askedAt_ = Time{};
+	}
+}
+
+void HallExchange::follow(const Hub& _hub)
+{
+	const bool changed = hub_.name != _hub.name || hub_.reads != _hub.reads;
+	const bool isSelf = name_ == _hub.name;
+	if (changed)
+	{
+		logEvent(LogPart::Store, LogLevel::Info, "Hub of the hall is chosen.",
+		         {{"hub", _hub.name}, {"before", hub_.name}, {"reads", _hub.reads ? "true" : "false"}});
+		askedAt_ = Time{};
+		hub_ = _hub;
+	}
+	isHub_.store(isSelf);
+	reads_.store(isSelf && _hub.reads && choice_.storeAnswers());
+	if (isSelf && _hub.reads)
+	{
+		log_.setWay(choice_.storeAnswers() ? HallLog::Way::Store : HallLog::Way::Try);
+		return;
+	}
+	log_.setWay(HallLog::Way::Hub);
+}
+
+void HallExchange::onStoreRead(bool _answered)
+{
+	choice_.onStore(_answered, clock_.now());
+	follow(choice_.choose(clock_.now()));
+}
+
+void HallExchange::report(const Hub& _hub, const LoadTable& _own)
+{
+	const std::string address = addressOf(_hub.name);
+	if (address.empty())
+	{
+		return; // it left the registry of nodes a moment ago
+	}
+	connect({address});
+	wire::PeerMessage message;
+	wire::HallReport* const report = message.mutable_hall_report();
+	report->set_node(name_);
+	report->set_number(++reports_);
+	putRows(_own, *report->mutable_loads());
+	for (const HallLog::Question& question : log_.questions())
+	{
+		wire::TopicQuestion* const out = report->add_questions();
+		out->set_topic(question.topic);
+		out->set_from(question.from.value);
+	}
+	link_->send(address, message);
+	sent_.push_back(Sent{reports_, _own});
+	if (kKeptReports < sent_.size())
+	{
+		sent_.pop_front();
+	}
+	askedAt_ = 0 == askedAt_.micros ? clock_.now() : askedAt_;
+}
+
+void HallExchange::addUp(const LoadTable& _own)
+{
+	const LoadTable hall = board_.addUp(_own, clock_.now());
+	LoadTable others = board_.totals()->loads;
+	subtractLoads(others, _own);
+	setOthers(others);
+	tellHubs(hall);
+}
+
+void HallExchange::tellHubs(const LoadTable& _hall)
+{
+	const std::vector<std::string> hubs = otherHubs();
+	std::vector<std::string> addresses;
+	for (const std::string& hub : hubs)
+	{
+		addresses.push_back(addressOf(hub)); // each is in the registry of nodes
+	}
+	connect(addresses);
+	if (addresses.empty())
+	{
+		return;
+	}
+	wire::PeerMessage message;
+	message.mutable_hall_sum()->set_node(name_);
+	putRows(_hall, *message.mutable_hall_sum()->mutable_loads());
+	for (const std::string& address : addresses)
+	{
+		link_->send(address, message);
+	}
+}
+
+/// @returns the hubs that were heard lately, and of each hall without one the nodes that are most likely its hub.
+std::vector<std::string> HallExchange::otherHubs() const
+{
+	std::vector<std::string> hubs;
+	std::set<std::string> halls{hall_};
+	for (const std::string& hub : board_.hubs(clock_.now()))
+	{
+		const auto node = fleet_.nodes().find(hub);
+		if (fleet_.nodes().end() != node)
+		{
+			hubs.push_back(hub);
+			halls.insert(node->second.hall);
+		}
+	}
+	for (const auto& row : fleet_.nodes())
+	{
+		if (!halls.insert(row.second.hall).second)
+		{
+			continue;
+		}
+		const std::vector<std::string> likely = firstNodes(row.second.hall);
+		hubs.insert(hubs.end(), likely.begin(), likely.end());
+	}
+	return hubs;
+}
+
+std::vector<std::string> HallExchange::firstNodes(const std::string& _hall) const
+{
+	std::vector<HubCandidate> candidates;
+	for (const auto& row : fleet_.nodes())
+	{
+		if (_hall == row.second.hall)
+		{
+			candidates.push_back(HubCandidate{row.first, row.second.cpuShare});
+		}
+	}
+	sortHubCandidates(candidates);
+	std::vector<std::string> names;
+	for (std::size_t index = 0; index < std::min(kLikelyHubs, candidates.size()); ++index)
+	{
+		names.push_back(candidates[index].name);
+	}
+	return names;
+}
+
+void HallExchange::connect(const std::vector<std::string>& _addresses)
+{
+	if (connected_ != _addresses)
+	{
+		connected_ = _addresses;
+		link_->setPeers(connected_);
+	}
+}
+
+std::string HallExchange::addressOf(const std::string& _node) const
+{
+	const auto node = fleet_.nodes().find(_node);
+	return fleet_.nodes().end() == node ? std::string() : node->second.address;
+}
+
+void HallExchange::onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply)
+{
+	if (_message.has_hall_report())
+	{
+		answer(_message.hall_report(), *_reply.mutable_hall_answer());
+	}
+	else if (_message.has_hall_sum())
+	{
+		const wire::HallSum& sum = _message.hall_sum();
+		board_.takeSum(sum.node(), tableOf(sum.loads()), clock_.now());
+	}
+	else if (_message.has_hall_answer())
+	{
+		boost::asio::post(loop_,
+		                  [this, answer = _message.hall_answer()]
+		                  {
+			                  onAnswer(answer);
+		                  });
+	}
+}
+
+/// Link's thread.
+void HallExchange::answer(const wire::HallReport& _report, wire::HallAnswer& _answer)
+{
+	const Time now = clock_.now();
+	board_.takeReport(_report.node(), _report.number(), tableOf(_report.loads()), now);
+	_answer.set_node(name_);
+	_answer.set_number(_report.number());
+	_answer.set_is_hub(isHub_.load());
+	_answer.set_reads(reads_.load());
+	const std::shared_ptr<const LoadTotals> totals = board_.totals();
+	if (totals)
+	{
+		putRows(totals->loads, *_answer.mutable_totals());
+		const auto counted = totals->counted.find(_report.node());
+		_answer.set_counted(totals->counted.end() == counted ? 0 : counted->second);
+	}
+	for (const wire::TopicQuestion& question : _report.questions())
+	{
+		if (!isTopic(question.topic()))
+		{
+			continue; // of a newer version; its author reads the store itself
+		}
+		const auto topic = static_cast<KeyedTopic::Enum>(question.topic());
+		wire::TopicNews* const news = _answer.add_news();
+		news->set_topic(question.topic());
+		news->set_from(question.from());
+		putNews(cache_.find(topic, Offset{question.from()}), now, *news);
+	}
+}
+
+void HallExchange::onAnswer(const wire::HallAnswer& _answer)
+{
+	if (hub_.name != _answer.node() || reports_ != _answer.number())
+	{
+		return; // late; the next one is under way
+	}
+	askedAt_ = Time{};
+	const bool fresh = _answer.reads() && takeNews(_answer);
+	choice_.onAnswer(_answer.node(), fresh, clock_.now());
+	if (_answer.is_hub())
+	{
+		takeTotals(_answer);
+	}
+}
+
+/// @returns false if something is too old to go by.
+bool HallExchange::takeNews(const wire::HallAnswer& _answer)
+{
+	bool fresh = true;
+	for (const wire::TopicNews& news : _answer.news())
+	{
+		fresh = !isTopic(news.topic()) || log_.onNews(newsOf(news)) ? fresh : false;
+	}
+	return fresh;
+}
+
+void HallExchange::takeTotals(const wire::HallAnswer& _answer)
+{
+	LoadTable others = tableOf(_answer.totals());
+	for (const Sent& sent : sent_)
+	{
+		if (sent.number == _answer.counted())
+		{
+			subtractLoads(others, sent.loads);
+		}
+	}
+	setOthers(others);
+}
+
+LoadTable HallExchange::ownLoads() const
+{
+	LoadTable loads;
+	for (const auto& row : fleet_.loads())
+	{
+		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
+		                        row.second->requests.load(std::memory_order_relaxed)};
+		if (0 < amount.tokenLayers || 0 < amount.requests)
+		{
+			loads[row.first] = amount;
+		}
+	}
+	return loads;
+}
+
+void HallExchange::setOthers(const LoadTable& _others)
+{
+	for (const auto& row : fleet_.loads())
+	{
+		const auto found = _others.find(row.first);
+		const LoadAmount amount = _others.end() == found ? LoadAmount{} : found->second;
+		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
+		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
+	}
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/loadboard.cpp
@@ -0,0 +1,107 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "loadboard_p.h"
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A node's report counts for so long: some reports may be lost, and a node that has gone to another hub must not count
+/// twice for long.
+constexpr Duration kReportCounts = Duration::fromMillis(700);
+
+/// A hub that was not heard for so long counts no more.
+constexpr Duration kSumCounts = Duration::fromMillis(1500);
+
+} // namespace
+
+void addLoads(LoadTable& _sum, const LoadTable& _more)
+{
+	for (const auto& row : _more)
+	{
+		LoadAmount& amount = _sum[row.first];
+		amount.tokenLayers += row.second.tokenLayers;
+		amount.requests += row.second.requests;
+	}
+}
+
+void subtractLoads(LoadTable& _sum, const LoadTable& _less)
+{
+	for (const auto& row : _less)
+	{
+		const auto amount = _sum.find(row.first);
+		if (_sum.end() == amount)
+		{
+			continue;
+		}
+		amount->second.tokenLayers -= std::min(amount->second.tokenLayers, row.second.tokenLayers);
+		amount->second.requests -= std::min(amount->second.requests, row.second.requests);
+	}
+}
+
+void LoadBoard::takeReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	reports_[_node] = Told{std::move(_loads), _number, _now};
+}
+
+void LoadBoard::takeSum(const std::string& _hub, LoadTable&& _loads, Time _now)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	sums_[_hub] = Told{std::move(_loads), 0, _now};
+}
+
+LoadTable LoadBoard::addUp(const LoadTable& _own, Time _now)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	dropOld(reports_, kReportCounts, _now);
+	dropOld(sums_, kSumCounts, _now);
+	auto totals = std::make_shared<LoadTotals>();
+	LoadTable hall = _own;
+	for (const auto& row : reports_)
+	{
+		addLoads(hall, row.second.loads);
+		totals->counted[row.first] = row.second.number;
+	}
+	totals->loads = hall;
+	for (const auto& row : sums_)
+	{
+		addLoads(totals->loads, row.second.loads);
+	}
+	totals_ = std::move(totals);
+	return hall;
+}
+
+std::shared_ptr<const LoadTotals> LoadBoard::totals() const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	return totals_;
+}
+
+std::vector<std::string> LoadBoard::hubs(Time _now) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	std::vector<std::string> names;
+	for (const auto& row : sums_)
+	{
+		if (_now < row.second.at + kSumCounts)
+		{
+			names.push_back(row.first);
+		}
+	}
+	return names;
+}
+
+void LoadBoard::dropOld(ToldTable& _told, Duration _keep, Time _now)
+{
+	for (auto row = _told.begin(); _told.end() != row;)
+	{
+		row = row->second.at + _keep < _now ? _told.erase(row) : std::next(row);
+	}
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/loadboard_p.h
@@ -0,0 +1,82 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
+
+#include <base/units.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// What is under way at one target.
+struct LoadAmount
+{
+	uint64_t tokenLayers = 0;
+	uint32_t requests = 0;
+};
+
+/// Loads by the target's instance; targets without any are left out.
+using LoadTable = std::map<std::string, LoadAmount>;
+
+/// Adds one table to another.
+void addLoads(LoadTable& _sum, const LoadTable& _more);
+
+/// Takes one table off another; nothing falls below zero.
+void subtractLoads(LoadTable& _sum, const LoadTable& _less);
+
+/// What all nodes have under way, as the hub of a hall knows it.
+struct LoadTotals
+{
+	LoadTable loads;
+	std::map<std::string, uint64_t> counted; //!< Number of the report of each node that is contained.
+};
+
+/// Adds up what the nodes of a hall and the hubs of other halls tell. Any thread.
+class LoadBoard
+{
+public:
+	/// A node of this hall told its loads.
+	/// @param _number counts its reports.
+	void takeReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now);
+
+	/// The hub of another hall told its hall's loads.
+	void takeSum(const std::string& _hub, LoadTable&& _loads, Time _now);
+
+	/// Adds everything up anew.
+	/// @returns the loads of this hall, this node's included.
+	LoadTable addUp(const LoadTable& _own, Time _now);
+
+	/// @returns what was added up last; null before.
+	std::shared_ptr<const LoadTotals> totals() const;
+
+	/// @returns the nodes that told their hall's loads lately.
+	std::vector<std::string> hubs(Time _now) const;
+
+private:
+	struct Told
+	{
+		LoadTable loads;
+		uint64_t number = 0;
+		Time at;
+	};
+
+	using ToldTable = std::map<std::string, Told>;
+
+	static void dropOld(ToldTable& _told, Duration _keep, Time _now);
+
+	mutable std::mutex mutex_;
+	ToldTable reports_; //!< By node.
+	ToldTable sums_;    //!< By hub.
+	std::shared_ptr<const LoadTotals> totals_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
--- a/packages/entry/tests/followertest.cpp
+++ b/packages/entry/tests/followertest.cpp
@@ -100,6 +100,7 @@
 	CPPUNIT_TEST(pagesThenNews);
 	CPPUNIT_TEST(afterAFailureReadsDoNotWait);
 	CPPUNIT_TEST(droppedHistoryIsLoadedAnew);
+	CPPUNIT_TEST(aGapInTheProofsIsAnOutage);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,10 +134,23 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(9), log_.froms.back());
 	}
 
+	/// Another node reads for this one, and did not say that the store was out.
+	void aGapInTheProofsIsAnOutage()
+	{
+		KeyedPage handedOn = page(StoreState::Done, 6, {record("a", "", 5)});
+		handedOn.handedOn = true;
+		handedOn.age = Duration::fromMillis(-5000); // its proof is 5 s later than that of the load
+		log_.newestPages = {page(StoreState::Done, 5, {record("a", "1", 3)})};
+		log_.readPages = {handedOn};
+		run();
+		CPPUNIT_ASSERT_EQUAL(1U, notes_.outs);
+		CPPUNIT_ASSERT_EQUAL(2U, notes_.currents);
+	}
+
 private:
 	void run()
 	{
-		const FollowPlan plan{KeyedTopic::Operator, Duration::fromMillis(1000), Duration{}};
+		const FollowPlan plan{KeyedTopic::Operator, Duration::fromMillis(1000), Duration{}, Duration::fromMillis(2500)};
 		Follower follower(loop_, log_, clock_, plan, notes_);
 		follower.start();
 		loop_.run();
--- /dev/null
+++ b/packages/entry/tests/loadboardtest.cpp
@@ -0,0 +1,60 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/loadboard_p.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sedgecart
+{
+
+class LoadBoardTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(LoadBoardTest);
+	CPPUNIT_TEST(hallAndOtherHallsAddUp);
+	CPPUNIT_TEST(aSilentNodeCountsNoMore);
+	CPPUNIT_TEST(nothingFallsBelowZero);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void hallAndOtherHallsAddUp()
+	{
+		board_.takeReport("n2", 7, LoadTable{{"t1", {100, 1}}}, kNow);
+		board_.takeSum("far", LoadTable{{"t1", {1000, 5}}, {"t2", {10, 1}}}, kNow);
+		const LoadTable hall = board_.addUp(LoadTable{{"t1", {50, 2}}}, kNow);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(150), hall.at("t1").tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), hall.count("t2"));
+		const auto totals = board_.totals();
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1150), totals->loads.at("t1").tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(8U, totals->loads.at("t1").requests);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(7), totals->counted.at("n2"));
+		CPPUNIT_ASSERT((std::vector<std::string>{"far"}) == board_.hubs(kNow));
+	}
+
+	void aSilentNodeCountsNoMore()
+	{
+		board_.takeReport("n2", 1, LoadTable{{"t1", {100, 1}}}, kNow);
+		board_.takeSum("far", LoadTable{{"t1", {1000, 5}}}, kNow);
+		const Time later = kNow + Duration::fromMillis(1000);
+		board_.addUp(LoadTable{}, later);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1000), board_.totals()->loads.at("t1").tokenLayers);
+		board_.addUp(LoadTable{}, later + Duration::fromMillis(1000));
+		CPPUNIT_ASSERT(board_.totals()->loads.empty());
+	}
+
+	void nothingFallsBelowZero()
+	{
+		LoadTable sum{{"t1", {100, 1}}};
+		subtractLoads(sum, LoadTable{{"t1", {200, 2}}, {"t2", {1, 1}}});
+		CPPUNIT_ASSERT_EQUAL(uint64_t(0), sum.at("t1").tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(0U, sum.at("t1").requests);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sum.count("t2"));
+	}
+
+private:
+	static constexpr Time kNow{5000000};
+	LoadBoard board_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadBoardTest);
+
+} // namespace sedgecart
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -105,6 +105,9 @@
 	case wire::PeerMessage::kImage:
 		onImage(_message);
 		return;
+	case wire::PeerMessage::kHallReport: // between nodes on the users' platform
+	case wire::PeerMessage::kHallAnswer:
+	case wire::PeerMessage::kHallSum:
 	case wire::PeerMessage::BODY_NOT_SET:
 		return;
 	}
--- a/packages/peer/src/peerlink.cpp
+++ b/packages/peer/src/peerlink.cpp
@@ -99,7 +99,6 @@
 	{
 		while (!stopping_)
 		{
-			connectPeers();
 			std::vector<zmq::pollitem_t> items{{router_.handle(), 0, ZMQ_POLLIN, 0},
 			                                   {outboxOut_.handle(), 0, ZMQ_POLLIN, 0}};
 			for (auto& peer : peers_)
@@ -107,6 +106,7 @@
 				items.push_back({peer.second.handle(), 0, ZMQ_POLLIN, 0});
 			}
 			zmq::poll(items, kPollEvery);
+			connectPeers(); // before what goes to them
 			sendOutbox();
 			while (receiveRequest())
 			{
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -63,6 +63,25 @@
 
 } // namespace
 
+namespace
+{
+
+uint16_t portOf(const std::string& _address)
+{
+	return static_cast<uint16_t>(std::stoi(_address.substr(_address.rfind(':') + 1)));
+}
+
+void waitReady(const EntryNode& _node)
+{
+	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
+	while (std::string::npos == _node.dump().find("\"ready\":true") && std::chrono::steady_clock::now() < end)
+	{
+		std::this_thread::sleep_for(kLookAgain);
+	}
+}
+
+} // namespace
+
 class TestCaller::Impl
 {
 public:
@@ -184,9 +203,9 @@
 	{
 		return makePlatformDocuments();
 	}
-	std::unique_ptr<KeyedLogI> makeLog(boost::asio::io_context& _loop, const std::string&) override
+	std::unique_ptr<KeyedLogI> makeLog(boost::asio::io_context& _loop, const std::string& _address) override
 	{
-		return std::make_unique<MemoryLog>(_loop, store_);
+		return std::make_unique<MemoryLog>(_loop, store_, _address);
 	}
 	std::unique_ptr<RunnerOrdersI> makeOrders(boost::asio::io_context& _loop) override
 	{
@@ -213,6 +232,7 @@
 
 EntryHarness::~EntryHarness()
 {
+	second_.reset();
 	node_.reset();
 }
 
@@ -264,12 +284,27 @@
 
 void EntryHarness::start()
 {
+	settings_.firstPeerPort = portOf(freeAddress());
 	node_ = std::make_unique<EntryNode>(settings_, *ports_);
-	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
-	while (std::string::npos == node_->dump().find("\"ready\":true") && std::chrono::steady_clock::now() < end)
-	{
-		std::this_thread::sleep_for(kLookAgain);
-	}
+	waitReady(*node_);
+}
+
+const EntrySettings& EntryHarness::startSecond()
+{
+	secondSettings_ = settings_;
+	secondSettings_.name = "n2";
+	secondSettings_.callerAddress = freeAddress();
+	secondSettings_.readyAddress = freeAddress();
+	secondSettings_.storeAddress = "127.0.0.1:2";
+	secondSettings_.firstPeerPort = portOf(freeAddress());
+	second_ = std::make_unique<EntryNode>(secondSettings_, *ports_);
+	waitReady(*second_);
+	return secondSettings_;
+}
+
+void EntryHarness::killFirst()
+{
+	node_.reset();
 }
 
 void EntryHarness::stop()
@@ -280,17 +315,27 @@
 
 CallerAnswer EntryHarness::call(const TestRequest& _request) const
 {
-	TestCaller caller(settings_.callerAddress);
+	return callAt(settings_.callerAddress, _request);
+}
+
+CallerAnswer EntryHarness::callAt(const std::string& _address, const TestRequest& _request)
+{
+	TestCaller caller(_address);
 	caller.send(textOf(_request));
 	return caller.receive();
 }
 
 bool EntryHarness::callUntil(const TestRequest& _request, uint16_t _status) const
+{
+	return callUntilAt(settings_.callerAddress, _request, _status);
+}
+
+bool EntryHarness::callUntilAt(const std::string& _address, const TestRequest& _request, uint16_t _status)
 {
 	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
 	while (std::chrono::steady_clock::now() < end)
 	{
-		if (_status == call(_request).status)
+		if (_status == callAt(_address, _request).status)
 		{
 			return true;
 		}
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -89,6 +89,13 @@
 	/// Starts the node and waits until it is ready.
 	void start();
 
+	/// Starts a second node in the same hall and waits until it is ready.
+	/// @returns its settings.
+	const EntrySettings& startSecond();
+
+	/// Ends the first node as a kill does.
+	void killFirst();
+
 	/// Stops it as planned. @returns when it has ended.
 	void stop();
 
@@ -100,6 +107,9 @@
 	/// Calls until a status comes.
 	bool callUntil(const TestRequest& _request, uint16_t _status) const;
 
+	static CallerAnswer callAt(const std::string& _address, const TestRequest& _request);
+	static bool callUntilAt(const std::string& _address, const TestRequest& _request, uint16_t _status);
+
 	const std::string& callerAddress() const
 	{
 		return settings_.callerAddress;
@@ -128,6 +138,8 @@
 	std::vector<std::unique_ptr<FakeTarget>> targets_;
 	std::unique_ptr<Ports> ports_;
 	std::unique_ptr<EntryNode> node_;
+	EntrySettings secondSettings_;
+	std::unique_ptr<EntryNode> second_;
 };
 
 } // namespace sedgecart
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -36,6 +36,36 @@
 namespace
 {
 
+/// @returns true once the first node has read some times while the second did not. Far too long a wait otherwise.
+bool onlyOneReads(EntryHarness& _harness)
+{
+	constexpr uint64_t kSomeReads = 4;
+	const std::string first = _harness.settings().storeAddress;
+	const std::string second = "127.0.0.1:2";
+	const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+	uint64_t firstReads = _harness.store().reads(first);
+	uint64_t secondReads = _harness.store().reads(second);
+	while (std::chrono::steady_clock::now() < end)
+	{
+		if (secondReads != _harness.store().reads(second))
+		{
+			secondReads = _harness.store().reads(second);
+			firstReads = _harness.store().reads(first);
+		}
+		if (firstReads + kSomeReads <= _harness.store().reads(first))
+		{
+			return true;
+		}
+		std::this_thread::sleep_for(std::chrono::milliseconds(10));
+	}
+	return false;
+}
+
+} // namespace
+
+namespace
+{
+
 /// A head and two holders of the other layers. The one that a request is sent over falls silent.
 class PathScene
 {
@@ -113,9 +143,51 @@
 	CPPUNIT_TEST(badInputHarmsNobody);
 	CPPUNIT_TEST(routeTimeEndsTheWait);
 	CPPUNIT_TEST(requestsDuringAStopEndWhole);
+	CPPUNIT_TEST(oneNodeOfAHallReadsTheStore);
+	CPPUNIT_TEST(hubGoneTheOtherReads);
+	CPPUNIT_TEST(nodeThatTheStoreTurnsAwayStaysCurrent);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
+	void oneNodeOfAHallReadsTheStore()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		harness.startSecond();
+		CPPUNIT_ASSERT(onlyOneReads(harness));
+	}
+
+	void hubGoneTheOtherReads()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		const EntrySettings& second = harness.startSecond();
+		CPPUNIT_ASSERT(onlyOneReads(harness));
+		harness.killFirst();
+		harness.putState(2, {"k2"});
+		TestRequest later = request("/plain/");
+		later.key = "k2";
+		CPPUNIT_ASSERT(EntryHarness::callUntilAt(second.callerAddress, later, 200));
+	}
+
+	/// The store turns the hub away and serves the other node: both know the new key.
+	void nodeThatTheStoreTurnsAwayStaysCurrent()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		const EntrySettings& second = harness.startSecond();
+		CPPUNIT_ASSERT(onlyOneReads(harness));
+		harness.store().turnAway(harness.settings().storeAddress);
+		harness.putState(2, {"k2"});
+		TestRequest later = request("/plain/");
+		later.key = "k2";
+		CPPUNIT_ASSERT(EntryHarness::callUntilAt(second.callerAddress, later, 200));
+		CPPUNIT_ASSERT(harness.callUntil(later, 200));
+	}
+
 	void plainAnswerComesUnchanged()
 	{
 		EntryHarness harness;
--- a/tests/entry/memorylog.cpp
+++ b/tests/entry/memorylog.cpp
@@ -16,10 +16,10 @@
 
 constexpr std::chrono::milliseconds kLookAgain{5};
 
-KeyedPage pageFrom(const MemoryStore& _store, KeyedTopic::Enum _topic, Offset _from)
+KeyedPage pageFrom(const MemoryStore& _store, const std::string& _address, KeyedTopic::Enum _topic, Offset _from)
 {
 	KeyedPage page;
-	if (_store.out())
+	if (_store.out(_address))
 	{
 		page.state = StoreState::Refused;
 		return page;
@@ -54,10 +54,29 @@
 	out_ = _out;
 }
 
-bool MemoryStore::out() const
+void MemoryStore::turnAway(const std::string& _address)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	return out_;
+	turnedAway_.insert(_address);
+}
+
+bool MemoryStore::out(const std::string& _address) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	return out_ || 0 < turnedAway_.count(_address);
+}
+
+void MemoryStore::countRead(const std::string& _address)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	++reads_[_address];
+}
+
+uint64_t MemoryStore::reads(const std::string& _address) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	const auto row = reads_.find(_address);
+	return reads_.end() == row ? 0 : row->second;
 }
 
 std::vector<KeyedRecord> MemoryStore::records(KeyedTopic::Enum _topic) const
@@ -66,7 +85,10 @@
 	return topics_[_topic];
 }
 
-MemoryLog::MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store) : loop_(_loop), store_(_store)
+MemoryLog::MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store, const std::string& _address)
+    : loop_(_loop),
+      store_(_store),
+      address_(_address)
 {
 }
 
@@ -75,21 +97,27 @@
 	boost::asio::post(loop_,
 	                  [this, _topic, _call]
 	                  {
-		                  _call(pageFrom(store_, _topic, Offset{0}));
+		                  _call(pageFrom(store_, address_, _topic, Offset{0}));
 	                  });
 }
 
 void MemoryLog::read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call)
+{
+	store_.countRead(address_);
+	look(_topic, _from, _wait, _call);
+}
+
+void MemoryLog::look(KeyedTopic::Enum _topic, Offset _from, Duration _wait, const PageCall& _call)
 {
 	const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, kLookAgain);
 	timer->async_wait(
 	    [this, timer, _topic, _from, _wait, _call](const boost::system::error_code&)
 	    {
-		    KeyedPage page = pageFrom(store_, _topic, _from);
+		    KeyedPage page = pageFrom(store_, address_, _topic, _from);
 		    const Duration left{_wait.micros - std::chrono::microseconds(kLookAgain).count()};
 		    if (StoreState::Done == page.state && page.records.empty() && 0 < left.micros)
 		    {
-			    read(_topic, _from, left, _call);
+			    look(_topic, _from, left, _call);
 			    return;
 		    }
 		    _call(std::move(page));
@@ -106,7 +134,7 @@
 		                  outcome.end = Offset{store_.records(_topic).size()};
 		                  const bool holds = !_onlyAt || *_onlyAt == outcome.end;
 		                  outcome.state = holds ? StoreState::Done : StoreState::Conflict;
-		                  if (store_.out())
+		                  if (store_.out(address_))
 		                  {
 			                  outcome.state = StoreState::Refused;
 		                  }
--- a/tests/entry/memorylog.h
+++ b/tests/entry/memorylog.h
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <array>
+#include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +26,16 @@
 	/// From now on nothing answers, or everything does.
 	void setOut(bool _out);
 
-	bool out() const;
+	/// From now on it turns the node away that knows it under an address.
+	void turnAway(const std::string& _address);
+
+	bool out(const std::string& _address) const;
+
+	/// Counts a read of the node that knows it under an address.
+	void countRead(const std::string& _address);
+
+	/// @returns reads so far.
+	uint64_t reads(const std::string& _address) const;
 
 	std::vector<KeyedRecord> records(KeyedTopic::Enum _topic) const;
 
@@ -32,13 +43,16 @@
 	mutable std::mutex mutex_;
 	std::array<std::vector<KeyedRecord>, KeyedTopic::Count> topics_;
 	bool out_ = false;
+	std::set<std::string> turnedAway_;
+	std::map<std::string, uint64_t> reads_;
 };
 
 /// A node's way to a MemoryStore. A read that waits looks again every few milliseconds.
 class MemoryLog : public KeyedLogI
 {
 public:
-	MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store);
+	/// @param _address under which the node knows the store.
+	MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store, const std::string& _address);
 
 	void newest(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call) override;
 	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override;
@@ -46,8 +60,11 @@
 	            std::optional<Offset> _onlyAt, AppendCall _call) override;
 
 private:
+	void look(KeyedTopic::Enum _topic, Offset _from, Duration _wait, const PageCall& _call);
+
 	boost::asio::io_context& loop_;
 	MemoryStore& store_;
+	std::string address_;
 };
 
 } // namespace sedgecart
