A node that stood still blames no target; silence goes by usual gaps

Ruled out: the targets (they answered other nodes) and the store. Change: a bound that is noticed more than 10 ms late settles nothing; all silent targets of a round are passed over before any path moves; silence is 2.5 usual gaps, at least 55 ms. Found beside it: before 2.4 s of steady clock the pause between questions was zero. Tests: PathWatchTest, all four failed before.

--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -23,6 +23,14 @@
 /// a stream late.
 constexpr Duration kSilence = Duration::fromMillis(55);
 
+/// Where events come further apart, by load or by longer chains, so many usual gaps are news, up to a longest silence
+/// that leaves time to recover within the pause that sheets allow (200 ms).
+constexpr double kSilentGaps = 2.5;
+constexpr Duration kLongestSilence = Duration::fromMillis(140);
+
+/// Weight of one gap in the usual one: some hundred events, which a node sees in a second or so.
+constexpr double kGapWeight = 0.01;
+
 /// Silence before the first event that is news: a first event takes 140 ms in 99 of 100, and 500 ms makes it late.
 constexpr Duration kFirstSilence = Duration::fromMillis(200);
 
@@ -45,6 +53,9 @@
 /// A look that is late by more shows that this node stood still, and that silence says nothing of others.
 constexpr Duration kLate = Duration::fromMillis(35);
 
+/// A question's bound that is noticed later than this shows that this node had no processor: answers may be waiting.
+constexpr Duration kLateAnswer = Duration::fromMillis(10);
+
 /// Questions at once to a target in another hall: links between halls may lose a packet, and a lost first packet is
 /// sent again only after a second.
 constexpr uint32_t kFarQuestions = 2;
@@ -117,7 +128,18 @@
 bool PathWatch::isSilent(const WatchedPathI& _path, Time _now) const
 {
 	const Time last = _path.lastProgress() < awakeAt_ ? awakeAt_ : _path.lastProgress();
-	return last + (_path.begun() ? kSilence : kFirstSilence) < _now;
+	return last + (_path.begun() ? silence() : kFirstSilence) < _now;
+}
+
+Duration PathWatch::silence() const
+{
+	const Duration usual{static_cast<int64_t>(usualGap_ * kSilentGaps)};
+	return std::min(kLongestSilence, std::max(kSilence, usual));
+}
+
+void PathWatch::noteGap(Duration _gap)
+{
+	usualGap_ += (static_cast<double>(_gap.micros) - usualGap_) * kGapWeight;
 }
 
 void PathWatch::look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths)
@@ -139,6 +161,7 @@
 		return;
 	}
 	const auto round = std::make_shared<Round>();
+	round->at = now;
 	for (const auto& path : _paths)
 	{
 		if (!isSilent(*path, now))
@@ -147,7 +170,7 @@
 		}
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			if (seen[target->load.get()] + kSilence < now)
+			if (seen[target->load.get()] + silence() < now)
 			{
 				ask(*target, round);
 			}
@@ -163,10 +186,11 @@
 	{
 		return;
 	}
-	const bool again = now < asked.notBefore + kLongestAskPause;
+	const bool again = 0 < asked.pause.micros && now < asked.notBefore + kLongestAskPause;
 	const Duration pause = again ? std::min(kLongestAskPause, asked.pause + asked.pause) : kAskPause;
 	asked = Asked{now + pause, pause, kHomeHall == _target.hall ? 1 : kFarQuestions, false};
 	++_round->asked;
+	++_round->open;
 	const FleetTarget target = _target;
 	for (uint32_t question = asked.open; 0 < question; --question)
 	{
@@ -184,14 +208,63 @@
 	asked.open -= 0 < asked.open ? 1 : 0;
 	_round.answered += !asked.answered && _answer.answered ? 1 : 0;
 	asked.answered = asked.answered || _answer.answered;
-	if (0 == asked.open && !asked.answered)
+	if (0 == asked.open)
+	{
+		onSettled(_target, _round, _answer.refused);
+	}
+	onStalled(_answer.stalled);
+}
+
+/// All questions to a target are answered or have passed their bound.
+void PathWatch::onSettled(const FleetTarget& _target, Round& _round, bool _refused)
+{
+	Asked& asked = asked_[_target.record.instance.text];
+	const Time now = clock_.now();
+	_round.open -= 0 < _round.open ? 1 : 0;
+	if (asked.answered)
+	{
+		closeRound(_round);
+		return;
+	}
+	if (_refused)
+	{
+		asked.notBefore = now + kSilentPause;
+		passOver(_target, kDeadFor);
+		tellPaths(_target, "nobody listens");
+	}
+	else if (_round.at + kAnswerBound + kLateAnswer < now)
+	{
+		asked.notBefore = now; // the bound was noticed late: an answer may have come meanwhile
+	}
+	else
+	{
+		asked.notBefore = now + kSilentPause;
+		_round.silent.push_back(_target);
+	}
+	closeRound(_round);
+}
+
+/// Once the last question of a round is settled, paths leave the targets that did not answer.
+void PathWatch::closeRound(const Round& _round)
+{
+	if (0 < _round.open)
 	{
-		const bool sure = _answer.refused || 0 < _round.answered || 1 == _round.asked;
-		asked.notBefore = clock_.now() + kSilentPause;
-		onDead(_target, sure ? kDeadFor : kDoubtFor, "no answer");
 		return;
 	}
-	for (const std::string& address : _answer.stalled)
+	const bool sure = 0 < _round.answered || 1 == _round.asked;
+	for (const FleetTarget& target : _round.silent)
+	{
+		passOver(target, sure ? kDeadFor : kDoubtFor);
+	}
+	for (const FleetTarget& target : _round.silent)
+	{
+		tellPaths(target, "no answer");
+	}
+}
+
+void PathWatch::onStalled(const std::vector<std::string>& _addresses)
+{
+	for (const std::string& address : _addresses)
 	{
 		for (const auto& path : live())
 		{
@@ -199,7 +272,9 @@
 			{
 				if (address == target->record.address)
 				{
-					onDead(*target, kDoubtFor, "a neighbour waits for it");
+					const FleetTarget stalled = *target;
+					passOver(stalled, kDoubtFor);
+					tellPaths(stalled, "a neighbour waits for it");
 					return;
 				}
 			}
@@ -207,31 +282,34 @@
 	}
 }
 
-void PathWatch::onDead(const FleetTarget& _target, Duration _avoidFor, const char* _cause)
+void PathWatch::passOver(const FleetTarget& _target, Duration _span)
 {
-	const Time now = clock_.now();
-	const FleetTarget target = _target;
 	metrics_.add(Counter::DeadTargets);
-	target.load->avoidedUntil.store((now + _avoidFor).micros, std::memory_order_relaxed);
+	_target.load->avoidedUntil.store((clock_.now() + _span).micros, std::memory_order_relaxed);
+}
+
+void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause)
+{
 	uint32_t users = 0;
 	for (const auto& path : live())
 	{
 		const auto targets = path->pathTargets();
-		const auto isIt = [&target](const FleetTarget* _one)
+		const auto isIt = [&_target](const FleetTarget* _one)
 		{
-			return _one->load == target.load;
+			return _one->load == _target.load;
 		};
 		if (std::any_of(targets.begin(), targets.end(), isIt))
 		{
 			++users;
-			path->onTargetDead(target);
+			path->onTargetDead(_target);
 		}
 	}
+	const Time avoided{_target.load->avoidedUntil.load(std::memory_order_relaxed)};
 	logEvent(LogPart::Targets, LogLevel::Warning, "Target is taken as dead.",
-	         {{"target", target.record.instance.text},
+	         {{"target", _target.record.instance.text},
 	          {"cause", _cause},
-	          {"hall", target.record.hall},
-	          {"avoid_ms", std::to_string(_avoidFor.millis())},
+	          {"hall", _target.record.hall},
+	          {"avoid_ms", std::to_string((avoided - clock_.now()).millis())},
 	          {"requests", std::to_string(users)}});
 }
 
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -57,6 +57,9 @@
 	/// Paths that ended are dropped by themselves.
 	void start();
 
+	/// Learns how far apart events usually come.
+	void noteGap(Duration _gap);
+
 private:
 	/// What is known of a target that was asked.
 	struct Asked
@@ -70,16 +73,24 @@
 	/// Targets that were asked at the same moment.
 	struct Round
 	{
+		Time at;
 		uint32_t asked = 0;
 		uint32_t answered = 0;
+		uint32_t open = 0;               //!< Targets whose questions are not all settled.
+		std::vector<FleetTarget> silent; //!< Settled without an answer.
 	};
 
 	void tick();
 	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
 	bool isSilent(const WatchedPathI& _path, Time _now) const;
+	Duration silence() const;
 	void ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round);
 	void onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
-	void onDead(const FleetTarget& _target, Duration _avoidFor, const char* _cause);
+	void onSettled(const FleetTarget& _target, Round& _round, bool _refused);
+	void onStalled(const std::vector<std::string>& _addresses);
+	void closeRound(const Round& _round);
+	void passOver(const FleetTarget& _target, Duration _span);
+	void tellPaths(const FleetTarget& _target, const char* _cause);
 	std::vector<std::shared_ptr<WatchedPathI>> live();
 
 	boost::asio::steady_timer timer_;
@@ -90,6 +101,7 @@
 	std::map<std::string, Asked> asked_; //!< By instance.
 	Time lookAt_;                        //!< When the next look is due.
 	Time awakeAt_;                       //!< Since when this node has not stood still.
+	double usualGap_ = 0; //!< Between two events, microseconds, as lately seen.
 	bool ticking_ = false;
 };
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -367,6 +367,10 @@
 	{
 		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
 	}
+	else
+	{
+		context_.watch.noteGap(now - eventAt_);
+	}
 	if (paused)
 	{
 		context_.metrics.observe(Timing::Pause, now - eventAt_);
--- /dev/null
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -0,0 +1,208 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/pathwatch_p.h"
+
+#include <metrics/metrics.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+class HandClock : public ClockI
+{
+public:
+	Time now() const override
+	{
+		return now_;
+	}
+
+	void advance(int64_t _millis)
+	{
+		now_ = now_ + Duration::fromMillis(_millis);
+	}
+
+private:
+	Time now_{1000000};
+};
+
+/// Keeps questions until the test answers them.
+class HeldOrders : public RunnerOrdersI
+{
+public:
+	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
+	{
+	}
+
+	void probe(const std::string& _address, Duration, ProbeCall _call) override
+	{
+		addresses.push_back(_address);
+		calls.push_back(std::move(_call));
+	}
+
+	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
+	{
+	}
+
+	/// Answers the oldest question.
+	void answer(bool _answered, bool _refused = false)
+	{
+		const ProbeCall call = std::move(calls.front());
+		calls.pop_front();
+		ProbeAnswer answer;
+		answer.answered = _answered;
+		answer.refused = _refused;
+		call(answer);
+	}
+
+	std::vector<std::string> addresses;
+	std::deque<ProbeCall> calls;
+};
+
+/// A path over some targets whose last event came when the test says.
+class HandPath : public WatchedPathI
+{
+public:
+	std::vector<const FleetTarget*> pathTargets() const override
+	{
+		return targets;
+	}
+	Time lastProgress() const override
+	{
+		return progress;
+	}
+	bool begun() const override
+	{
+		return true;
+	}
+	void onTargetDead(const FleetTarget& _target) override
+	{
+		dead.push_back(_target.record.instance.text);
+		for (const FleetTarget* const target : targets)
+		{
+			avoidedWhenTold += 0 < target->load->avoidedUntil.load() ? 1 : 0;
+		}
+	}
+
+	std::vector<const FleetTarget*> targets;
+	Time progress;
+	std::vector<std::string> dead;
+	int avoidedWhenTold = 0; //!< Targets of the path that were passed over already, at each call.
+};
+
+FleetTarget target(const std::string& _name)
+{
+	FleetTarget made;
+	made.record.instance.text = _name;
+	made.record.address = _name + ":1";
+	made.load = std::make_shared<TargetLoad>();
+	return made;
+}
+
+} // namespace
+
+class PathWatchTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(PathWatchTest);
+	CPPUNIT_TEST(whoDoesNotAnswerIsDead);
+	CPPUNIT_TEST(aNodeThatStoodStillBlamesNobody);
+	CPPUNIT_TEST(allDeadArePassedOverBeforePathsMove);
+	CPPUNIT_TEST(slowPathsAreNotSilent);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		path_->targets = {&a_, &b_};
+		path_->progress = clock_.now();
+		watch_.add(path_);
+	}
+
+	void whoDoesNotAnswerIsDead()
+	{
+		fallSilent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), orders_.calls.size());
+		orders_.answer(true);
+		clock_.advance(30);
+		orders_.answer(false);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
+	}
+
+	/// The bound of a question is noticed late: this node had no processor, and the answers may be waiting.
+	void aNodeThatStoodStillBlamesNobody()
+	{
+		fallSilent();
+		clock_.advance(90);
+		orders_.answer(false);
+		orders_.answer(false);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		fallSilent(); // this node was awake again at the first of these looks
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), orders_.calls.size()); // asked again
+	}
+
+	/// A path that leaves one dead target must not choose the other.
+	void allDeadArePassedOverBeforePathsMove()
+	{
+		fallSilent();
+		clock_.advance(30);
+		orders_.answer(false);
+		CPPUNIT_ASSERT(path_->dead.empty()); // the other question is still open
+		orders_.answer(false);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), path_->dead.size());
+		CPPUNIT_ASSERT_EQUAL(4, path_->avoidedWhenTold);
+	}
+
+	/// Where events come 60 ms apart, 80 ms without one is nothing.
+	void slowPathsAreNotSilent()
+	{
+		for (int event = 0; event < 200; ++event)
+		{
+			watch_.noteGap(Duration::fromMillis(60));
+		}
+		look(12);
+		look(30);
+		look(30);
+		look(8);
+		CPPUNIT_ASSERT(orders_.calls.empty());
+	}
+
+private:
+	/// Lets a look happen after some time on the hand clock.
+	void look(int64_t _millis)
+	{
+		clock_.advance(_millis);
+		loop_.restart();
+		loop_.run_one();
+	}
+
+	/// Looks until something was asked, at most for 120 ms.
+	void fallSilent()
+	{
+		for (int step = 0; step < 10 && orders_.calls.empty(); ++step)
+		{
+			look(12);
+		}
+	}
+
+	boost::asio::io_context loop_;
+	HandClock clock_;
+	HeldOrders orders_;
+	Metrics metrics_;
+	FleetTarget a_ = target("a");
+	FleetTarget b_ = target("b");
+	std::shared_ptr<HandPath> path_ = std::make_shared<HandPath>();
+	PathWatch watch_{loop_, clock_, orders_, metrics_};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PathWatchTest);
+
+} // namespace sedgecart
