Heads are chosen by their free slots; what one chain of a hall lost is filled; paths and answers are logged

Change: the first target of a path must have a slot free, by this node's and the others' word; ranges that a hall's chains hold less often than planned are filled by empty targets at once, the smallest that can taking each. Tests: TargetChooserTest.headsWithoutASlotAreLeft, LayoutPlanTest.anEmptyTargetTakesWhatOneChainLost; both failed.

--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -212,18 +212,34 @@
 	return held;
 }
 
-/// @returns the first range that nobody holds, empty if there is none.
-LayerSpan firstHole(const std::vector<uint32_t>& _held)
+/// @returns the first range that is held less often than `_copies`, empty if there is none. Its layers are held equally
+/// often.
+LayerSpan firstBelow(const std::vector<uint32_t>& _held, uint32_t _copies)
 {
-	const auto begin = std::find(_held.begin(), _held.end(), 0U);
+	const auto begin = std::find_if(_held.begin(), _held.end(),
+	                                [_copies](uint32_t _count)
+	                                {
+		                                return _count < _copies;
+	                                });
+	if (_held.end() == begin)
+	{
+		return LayerSpan{};
+	}
+	const uint32_t count = *begin;
 	const auto end = std::find_if(begin, _held.end(),
-	                              [](uint32_t _count)
+	                              [count](uint32_t _count)
 	                              {
-		                              return 0 < _count;
+		                              return count != _count;
 	                              });
 	return LayerSpan{static_cast<uint32_t>(begin - _held.begin()), static_cast<uint32_t>(end - _held.begin())};
 }
 
+/// @returns the first range that nobody holds, empty if there is none.
+LayerSpan firstHole(const std::vector<uint32_t>& _held)
+{
+	return firstBelow(_held, 1);
+}
+
 /// The repair of one group.
 class GroupRepair
 {
@@ -231,18 +247,16 @@
 	GroupRepair(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const Members& _members)
 	    : engine_(_engine),
 	      targets_(_targets),
-	      members_(_members)
+	      members_(_members),
+	      copies_(static_cast<uint32_t>(chainsOf(_engine, _targets, _members).size()))
 	{
 	}
 
 	void run(const RepairScope& _scope, std::vector<LayoutOrder>& _orders)
 	{
-		for (const uint32_t member : members_)
+		for (uint32_t copies = 1; copies <= copies_; ++copies)
 		{
-			if (0 == targets_[member].held.size())
-			{
-				fillHole(member, _orders);
-			}
+			fill(copies, _orders);
 		}
 		LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
 		while (_scope.mayShift && 0 < hole.size() && shift(hole, _orders))
@@ -263,14 +277,36 @@
 	}
 
 private:
-	/// Lets an empty target take a lost range, if it can take the whole of it and keep its room.
-	void fillHole(uint32_t _member, std::vector<LayoutOrder>& _orders)
+	/// Lets empty targets take what is held less often than `_copies`, each the whole of a range if it keeps its room.
+	/// The smallest target that can does it, so that larger ranges find a larger one.
+	void fill(uint32_t _copies, std::vector<LayoutOrder>& _orders)
+	{
+		LayerSpan range = firstBelow(coverage(engine_, targets_, members_), _copies);
+		while (0 < range.size())
+		{
+			const uint32_t taker = smallestTaker(range);
+			if (targets_.size() != taker)
+			{
+				order(taker, range, _orders);
+			}
+			std::vector<uint32_t> held = coverage(engine_, targets_, members_);
+			std::fill(held.begin(), held.begin() + range.end, _copies); // ranges before it are settled
+			range = firstBelow(held, _copies);
+		}
+	}
+
+	/// @returns the empty target with least memory that can hold a range, the number of targets if there is none.
+	uint32_t smallestTaker(LayerSpan _range) const
 	{
-		const LayerSpan hole = firstHole(coverage(engine_, targets_, members_));
-		if (0 < hole.size() && hole == fitting(_member, hole))
+		auto found = static_cast<uint32_t>(targets_.size());
+		for (const uint32_t member : members_)
 		{
-			order(_member, hole, _orders);
+			const bool takes = 0 == targets_[member].held.size() && _range == fitting(member, _range);
+			const bool smaller =
+			    targets_.size() == found || targets_[member].card.memoryMb < targets_[found].card.memoryMb;
+			found = takes && smaller ? member : found;
 		}
+		return found;
 	}
 
 	/// @returns as many layers of a span, from its begin, as a target can hold and keep its room.
@@ -393,6 +429,7 @@
 	const EngineSpec& engine_;
 	std::vector<LayoutTarget> targets_; //!< As they will be.
 	const Members& members_;
+	uint32_t copies_; //!< Chains that the group is laid out in.
 };
 
 } // namespace
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -86,6 +86,7 @@
 	CPPUNIT_TEST(largeHallsGetShortChains);
 	CPPUNIT_TEST(hallsTooSmallShareAChain);
 	CPPUNIT_TEST(anEmptyTargetTakesWhatIsLost);
+	CPPUNIT_TEST(anEmptyTargetTakesWhatOneChainLost);
 	CPPUNIT_TEST(chainShiftsOverALostRange);
 	CPPUNIT_TEST(smallForLarge);
 	CPPUNIT_TEST(nothingLostNothingOrdered);
@@ -167,6 +168,27 @@
 		CPPUNIT_ASSERT(lost == orders[0].layers);
 	}
 
+	/// A hall in two chains: the other chain holds the range, but its targets take double load and its head has no slots.
+	void anEmptyTargetTakesWhatOneChainLost()
+	{
+		std::vector<LayoutTarget> targets;
+		add(targets, 0, kLarge, 2);
+		add(targets, 0, kMiddle, 13);
+		add(targets, 0, kSmall, 22);
+		carryOut(targets, planLayout(engine(), targets));
+		const std::vector<LayoutTarget> planned = targets;
+		for (uint32_t lost = 2; lost < targets.size(); ++lost)
+		{
+			targets = planned;
+			const LayerSpan range = targets[lost].held;
+			targets[lost].held = LayerSpan{};
+			const std::vector<LayoutOrder> orders = repairLayout(engine(), targets, RepairScope{});
+			CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+			CPPUNIT_ASSERT_EQUAL(lost, orders[0].target);
+			CPPUNIT_ASSERT(range == orders[0].layers);
+		}
+	}
+
 	/// Whatever single target of a site is lost for good, its hall has a whole chain again, with room.
 	void chainShiftsOverALostRange()
 	{
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -159,6 +159,7 @@
 	eventsAtSend_ = machine_.events();
 	repathsLeft_ = kMostRepaths;
 	repathing_ = false;
+	logSend(_resumeAfter.has_value());
 	connection_ = context_.pool.take(target(choice_.parts.front()).record);
 	// The exchange begins from the loop: a failure must not call into the machine while it decides.
 	const std::shared_ptr<RequestRelay> self = shared_from_this();
@@ -264,12 +265,15 @@
 void RequestRelay::passEnd()
 {
 	context_.metrics.add(Counter::Answers);
+	logAnswer();
 	caller_->finish();
 }
 
 void RequestRelay::passWhole()
 {
 	context_.metrics.add(Counter::Answers);
+	firstAt_ = context_.clock.now();
+	logAnswer();
 	AnswerStart start;
 	start.status = head_.status;
 	start.headers = context_.wire.callerHeaders(head_.headers);
@@ -298,6 +302,44 @@
 	caller_->abort();
 }
 
+/// Tells where the request goes and what decided it.
+void RequestRelay::logSend(bool _resumes) const
+{
+	std::string path;
+	for (const PathPart& part : choice_.parts)
+	{
+		const FleetTarget& stop = target(part);
+		path += path.empty() ? "" : ",";
+		path += stop.record.instance.text + '/' + stop.record.hall + '/' + std::to_string(part.layers.begin) + '-' +
+		        std::to_string(part.layers.end);
+	}
+	const double room = tightestRoom(choiceQuery(), choice_);
+	constexpr double kPercent = 100;
+	logEvent(LogPart::Requests, LogLevel::Info, "Request is sent.",
+	         {{"service", plan_.service},
+	          {"customer", plan_.customer},
+	          {"path", path},
+	          {"room_taken_percent", std::to_string(static_cast<int>(room * kPercent))},
+	          {"tokens", std::to_string(plan_.caller.promptTokens + plan_.caller.hintedTokens)},
+	          {"resumes", _resumes ? "true" : "false"},
+	          {"sends", std::to_string(machine_.sends() + 1)},
+	          {"left_ms", std::to_string((plan_.giveUpAt - context_.clock.now()).millis())}},
+	         plan_.caller.id);
+}
+
+/// Tells how an answer that was passed on went.
+void RequestRelay::logAnswer() const
+{
+	logEvent(LogPart::Requests, LogLevel::Info, "Answer is passed on.",
+	         {{"status", std::to_string(head_.status)},
+	          {"first_ms", std::to_string((firstAt_ - plan_.arrivedAt).millis())},
+	          {"longest_pause_ms", std::to_string(longestPause_.millis())},
+	          {"events", std::to_string(machine_.events())},
+	          {"sends", std::to_string(machine_.sends())},
+	          {"held_ms", std::to_string((context_.clock.now() - plan_.arrivedAt).millis())}},
+	         plan_.caller.id);
+}
+
 void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
 {
 	const Time now = context_.clock.now();
@@ -365,11 +407,13 @@
 	    0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
 	if (0 == machine_.events())
 	{
+		firstAt_ = now;
 		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
 	}
 	else
 	{
 		context_.watch.noteGap(now - eventAt_);
+		longestPause_ = std::max(longestPause_, now - eventAt_);
 	}
 	if (paused)
 	{
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -115,6 +115,8 @@
 	void avoidAtFault();
 	void startTimer();
 	void finishIfDone();
+	void logSend(bool _resumes) const;
+	void logAnswer() const;
 	void logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const;
 
 	RelayContext context_;
@@ -131,6 +133,8 @@
 	std::string body_;    //!< Of the answer under way, when it is passed on whole.
 	TargetAnswer answer_; //!< What the head says.
 	std::set<std::string> failed_;
+	Time firstAt_;              //!< When the first event came.
+	Duration longestPause_;     //!< Between two events.
 	Time eventAt_;              //!< When bytes of the stream last came.
 	Time progressAt_;           //!< Of the last event, or of the send.
 	uint64_t eventsAtSend_ = 0; //!< Events that came before the send under way.
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -64,6 +64,19 @@
 	return _target.load->requests.load(std::memory_order_relaxed) < share;
 }
 
+/// @returns true if a request can begin there at once: the first target of a path has a slot for it, counting what the
+/// other nodes have told. Beyond that requests queue, each for as long as another one takes.
+bool hasSlot(const FleetTarget& _target)
+{
+	if (0 == _target.record.slots)
+	{
+		return true; // it names no bound
+	}
+	const uint32_t own = _target.load->requests.load(std::memory_order_relaxed);
+	const uint32_t others = _target.load->othersRequests.load(std::memory_order_relaxed);
+	return own + others < _target.record.slots;
+}
+
 /// @returns the part of a target's room that requests would take with this one; above 1 when they do not fit.
 double roomTaken(const FleetTarget& _target, const ChoiceQuery& _query)
 {
@@ -89,7 +102,9 @@
 /// @returns true if a target takes no more requests for now.
 bool isFull(const FleetTarget& _target, const ChoiceQuery& _query)
 {
-	return kFull <= roomTaken(_target, _query) || !hasConnection(_target, *_query.service.spec, _query.nodes);
+	const bool leads = 0 == _target.record.layers.begin;
+	const bool mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
+	return kFull <= roomTaken(_target, _query) || (leads && !mayLead);
 }
 
 PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query)
@@ -99,7 +114,7 @@
 	candidate.hall = _target.hall;
 	candidate.held = _target.record.layers;
 	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
-	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes);
+	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
 	const double step = nullptr == _target.card ? 1 : _target.card->stepFactor;
 	const double taken = roomTaken(_target, _query);
 	candidate.usable = candidate.usable && taken < kFull;
@@ -195,6 +210,16 @@
 	return full ? SendOutcome::NoRoom : SendOutcome::NoTargets;
 }
 
+double tightestRoom(const ChoiceQuery& _query, const Choice& _choice)
+{
+	double most = 0;
+	for (const PathPart& part : _choice.parts)
+	{
+		most = std::max(most, roomTaken(_query.service.targets[part.candidate], _query));
+	}
+	return most;
+}
+
 bool chooseRest(const ChoiceQuery& _query, Choice& _choice)
 {
 	const PathPart head = _choice.parts.front();
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -38,6 +38,9 @@
 /// Chooses a path through a model's layers, in this data hall if it can.
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice);
 
+/// @returns the part of its room that the fullest target of a choice has taken.
+double tightestRoom(const ChoiceQuery& _query, const Choice& _choice);
+
 /// Chooses other parts behind the first one of a path.
 /// @param _choice its first part stays.
 /// @returns false if there is no way around the targets that failed without another hall: what a new part has to read
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -73,12 +73,30 @@
 	CPPUNIT_TEST(ownHallFirst);
 	CPPUNIT_TEST(otherHallWhenOwnIsLoaded);
 	CPPUNIT_TEST(othersLoadCounts);
+	CPPUNIT_TEST(headsWithoutASlotAreLeft);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
+	/// Requests beyond a head's slots would wait there; another hall's head takes them, or they are refused.
+	void headsWithoutASlotAreLeft()
+	{
+		Fleet fleet;
+		Choice choice;
+		for (const uint32_t head : {0U, 2U})
+		{
+			fleet.service.targets[head].record.slots = 8;
+		}
+		fleet.load(0).requests = 3;
+		fleet.load(0).othersRequests = 5;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+		fleet.load(2).othersRequests = 8;
+		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(10), choice));
+	}
+
 	void ownHallFirst()
 	{
 		Fleet fleet;
