Hubs ask their hall's targets for their pace; heads share by their slots

And of two heads of a hall one with a little more room got all requests until its slots were gone. Change: the hub polls its hall's targets over kept connections, the pace goes round with the loads and multiplies a target's step; a head is dearer the more of its slots are taken. Tests: TargetChooserTest.slowTargetsAreLeft, headsShareByTheirSlots.

--- a/packages/core/include/core/layerpath.h
+++ b/packages/core/include/core/layerpath.h
@@ -18,6 +18,7 @@
 	LayerSpan held;          //!< Layers that it holds.
 	double costPerLayer = 0; //!< Expected time of a step for one layer, with its load, microseconds.
 	double costOfPart = 0;   //!< Beside that, once for its part, microseconds.
+	double costOfLead = 0;   //!< Beside that, when it is the first of a path, microseconds.
 	bool usable = true;
 	bool mayLead = true; //!< It may be the first of a path, which takes the request.
 };
--- a/packages/core/src/layerpath.cpp
+++ b/packages/core/src/layerpath.cpp
@@ -104,7 +104,8 @@
 	{
 		const PathCandidate& candidate = candidates_[_index];
 		const double layers = joints_[_next] - joints_[_joint];
-		const double own = candidate.costOfPart + layers * candidate.costPerLayer;
+		const double lead = 0 == _joint ? candidate.costOfLead : 0;
+		const double own = candidate.costOfPart + layers * candidate.costPerLayer + lead;
 		for (uint32_t hall = 0; hall < query_.halls; ++hall)
 		{
 			const Reached& before = at(_joint, hall);
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -57,6 +57,7 @@
 	bool answered = false;
 	bool refused = false;             //!< Nobody listens at its address any more.
 	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
+	double pace = 1;                  //!< So many times slower than usual, some hundred ms ago.
 };
 
 /// Orders to targets that run a model in layers. Calls return at once; answers come on the loop's thread.
@@ -77,6 +78,10 @@
 	/// @param _bound without an answer by then it counts as not answering.
 	virtual void probe(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
 
+	/// Asks a target for its state as `probe` does, but over a connection that is kept for the next time: no answer says
+	/// nothing of the target.
+	virtual void poll(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
+
 	/// Gets the state, and "ip:port" of the part that is not there if the target names one.
 	using RepathCall = std::function<void(RepathState::Enum, const std::string&)>;
 
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -202,6 +202,11 @@
       layoutFollower_(_loop, log_, _clock, kFollowLayout, *layoutNews_),
       layout_(_loop, log_, _orders, _clock, fleet_, _settings.name),
       exchange_(_loop, _settings, _clock, fleet_, log_, cache_),
+      paces_(_loop, _orders, fleet_, _settings.hall,
+             [this]
+             {
+	             return exchange_.isHub();
+             }),
       announceTimer_(_loop),
       lapseTimer_(_loop),
       onReady_(std::move(_onReady))
@@ -218,6 +223,7 @@
 	layoutFollower_.start();
 	layout_.start();
 	exchange_.start();
+	paces_.start();
 	announce();
 }
 
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -8,6 +8,7 @@
 #include "hallexchange_p.h"
 #include "halllog_p.h"
 #include "layoutkeeper_p.h"
+#include "pacepoll_p.h"
 
 #include <entry/entrysettings.h>
 
@@ -56,6 +57,7 @@
 	Follower layoutFollower_;
 	LayoutKeeper layout_;
 	HallExchange exchange_;
+	PacePoll paces_;
 	boost::asio::steady_timer announceTimer_;
 	boost::asio::steady_timer lapseTimer_;
 	std::function<void()> onReady_;
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -8,6 +8,7 @@
 #include <base/units.h>
 #include <core/routetable.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -29,6 +30,14 @@
 	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
 	std::atomic<uint64_t> othersTokenLayers{0}; //!< The same.
 	std::atomic<int64_t> avoidedUntil{0};       //!< Steady clock, microseconds; it failed a moment ago.
+	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
+	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
+
+	/// @returns how many times slower than usual the target is.
+	double pace() const
+	{
+		return std::max(polledPace.load(std::memory_order_relaxed), toldPace.load(std::memory_order_relaxed));
+	}
 };
 
 /// A target that may be sent to.
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -30,6 +30,9 @@
 /// Nodes of another hall that are told its sums while its hub is not known.
 constexpr std::size_t kLikelyHubs = 2;
 
+/// A target that is slower than usual by less is as usual: it costs no row in a report.
+constexpr double kUsualPace = 1.05;
+
 using LoadRows = google::protobuf::RepeatedPtrField<wire::FleetLoadRow>;
 
 LoadTable tableOf(const LoadRows& _rows)
@@ -37,7 +40,7 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
-		table[row.target()] = LoadAmount{row.token_layers(), row.requests()};
+		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.pace()};
 	}
 	return table;
 }
@@ -50,6 +53,7 @@
 		out->set_target(row.first);
 		out->set_token_layers(row.second.tokenLayers);
 		out->set_requests(row.second.requests);
+		out->set_pace(row.second.pace);
 	}
 }
 
@@ -403,9 +407,10 @@
 	LoadTable loads;
 	for (const auto& row : fleet_.loads())
 	{
+		const double pace = row.second->polledPace.load(std::memory_order_relaxed);
 		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
-		                        row.second->requests.load(std::memory_order_relaxed)};
-		if (0 < amount.tokenLayers || 0 < amount.requests)
+		                        row.second->requests.load(std::memory_order_relaxed), kUsualPace < pace ? pace : 0};
+		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.pace)
 		{
 			loads[row.first] = amount;
 		}
@@ -421,6 +426,7 @@
 		const LoadAmount amount = _others.end() == found ? LoadAmount{} : found->second;
 		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
 		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
+		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
 	}
 }
 
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -47,6 +47,12 @@
 	/// The nodes' places have changed.
 	void onNodesChanged();
 
+	/// @returns true while this node is the hub of its hall.
+	bool isHub() const
+	{
+		return isHub_.load();
+	}
+
 	void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) override;
 	void onStoreRead(bool _answered) override;
 
--- a/packages/entry/src/loadboard.cpp
+++ b/packages/entry/src/loadboard.cpp
@@ -26,6 +26,7 @@
 		LoadAmount& amount = _sum[row.first];
 		amount.tokenLayers += row.second.tokenLayers;
 		amount.requests += row.second.requests;
+		amount.pace = std::max(amount.pace, row.second.pace);
 	}
 }
 
--- a/packages/entry/src/loadboard_p.h
+++ b/packages/entry/src/loadboard_p.h
@@ -20,6 +20,7 @@
 {
 	uint64_t tokenLayers = 0;
 	uint32_t requests = 0;
+	double pace = 0; //!< How many times slower than usual the target is; 0: not known, or as usual.
 };
 
 /// Loads by the target's instance; targets without any are left out.
--- /dev/null
+++ b/packages/entry/src/pacepoll.cpp
@@ -0,0 +1,113 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "pacepoll_p.h"
+
+#include <logging/logging.h>
+
+#include <chrono>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Each target of the hall is asked about this often. A question costs as much as a hundred thousandth of a request's
+/// worth; a slow target that is known a second later has taken a second's requests more.
+constexpr Duration kRound = Duration::fromMillis(1400);
+
+/// The questions of a round are spread over so many steps, so that their answers do not come at once.
+constexpr int kSteps = 14;
+
+/// An answer later than this is not waited for: a target answers within some milliseconds.
+constexpr Duration kBound = Duration::fromMillis(400);
+
+/// Told in the log when a target turns slow by more than this, or back.
+constexpr double kNotable = 1.5;
+
+} // namespace
+
+PacePoll::PacePoll(boost::asio::io_context& _loop, RunnerOrdersI& _orders, const FleetController& _fleet,
+                   const std::string& _hall, std::function<bool()> _isHub)
+    : timer_(_loop),
+      orders_(_orders),
+      fleet_(_fleet),
+      hall_(_hall),
+      isHub_(std::move(_isHub))
+{
+}
+
+void PacePoll::start()
+{
+	tick();
+}
+
+void PacePoll::tick()
+{
+	step();
+	timer_.expires_after(std::chrono::microseconds(kRound.micros / kSteps));
+	timer_.async_wait(
+	    [this](const boost::system::error_code& _error)
+	    {
+		    if (!_error)
+		    {
+			    tick();
+		    }
+	    });
+}
+
+void PacePoll::step()
+{
+	if (!isHub_())
+	{
+		for (const auto& row : fleet_.loads())
+		{
+			row.second->polledPace.store(1, std::memory_order_relaxed); // the hub tells from now on
+		}
+		return;
+	}
+	std::vector<const RunnerRecord*> targets;
+	for (const auto& row : fleet_.runners())
+	{
+		if (hall_ == row.second.hall && 0 < row.second.layers.size())
+		{
+			targets.push_back(&row.second);
+		}
+	}
+	const std::size_t count = (targets.size() + kSteps - 1) / kSteps;
+	std::size_t at = 0;
+	while (at < targets.size() && !(last_ < targets[at]->instance.text))
+	{
+		++at;
+	}
+	for (std::size_t asked = 0; asked < count; ++asked, ++at)
+	{
+		const RunnerRecord& target = *targets[at % targets.size()];
+		last_ = target.instance.text;
+		ask(target);
+	}
+}
+
+void PacePoll::ask(const RunnerRecord& _target)
+{
+	orders_.poll(_target.address, kBound,
+	             [this, instance = _target.instance.text](const ProbeAnswer& _answer)
+	             {
+		             const auto row = fleet_.loads().find(instance);
+		             if (!_answer.answered || fleet_.loads().end() == row)
+		             {
+			             return; // what is dead is found on the request path
+		             }
+		             const double before = row->second->polledPace.exchange(_answer.pace, std::memory_order_relaxed);
+		             if ((before < kNotable) != (_answer.pace < kNotable))
+		             {
+			             logEvent(LogPart::Targets, LogLevel::Info, "Target changes its pace.",
+			                      {{"target", instance},
+			                       {"times_slower", std::to_string(_answer.pace)},
+			                       {"before", std::to_string(before)}});
+		             }
+	             });
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/pacepoll_p.h
@@ -0,0 +1,45 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
+
+#include "fleetcontroller_p.h"
+
+#include <entry/runnerorders.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+
+namespace sedgecart
+{
+
+/// Asks the targets of this hall how fast they are, while this node is the hall's hub; the other nodes hear of it with
+/// the loads. Targets that turn slow are priced by it long before requests on them show it. Control thread only.
+class PacePoll
+{
+public:
+	/// @param _isHub asked at each step.
+	PacePoll(boost::asio::io_context& _loop, RunnerOrdersI& _orders, const FleetController& _fleet,
+	         const std::string& _hall, std::function<bool()> _isHub);
+
+	void start();
+
+private:
+	void tick();
+	void step();
+	void ask(const RunnerRecord& _target);
+
+	boost::asio::steady_timer timer_;
+	RunnerOrdersI& orders_;
+	const FleetController& fleet_;
+	std::string hall_;
+	std::function<bool()> isHub_;
+	std::string last_; //!< Instance that was asked last.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -38,6 +38,9 @@
 /// What a part costs beside its layers, microseconds: the fixed work of a step.
 constexpr double kPartCost = 300;
 
+/// Price of a head's slots, microseconds, to be multiplied as room is: some hops, so that heads of a hall share evenly.
+constexpr double kLeadPrice = 5000;
+
 /// Extra of a target that failed a moment ago, microseconds; more than any way around it.
 constexpr double kAvoidedCost = 1e7;
 
@@ -64,17 +67,22 @@
 	return _target.load->requests.load(std::memory_order_relaxed) < share;
 }
 
-/// @returns true if a request can begin there at once: the first target of a path has a slot for it, counting what the
-/// other nodes have told. Beyond that requests queue, each for as long as another one takes.
-bool hasSlot(const FleetTarget& _target)
+/// @returns the part of a target's slots that requests take with this one, by this node's and the others' word; above 1
+/// when it has none left. A request that begins there takes a slot to its end; beyond that they queue.
+double slotsTaken(const FleetTarget& _target)
 {
 	if (0 == _target.record.slots)
 	{
-		return true; // it names no bound
+		return 0; // it names no bound
 	}
 	const uint32_t own = _target.load->requests.load(std::memory_order_relaxed);
 	const uint32_t others = _target.load->othersRequests.load(std::memory_order_relaxed);
-	return own + others < _target.record.slots;
+	return static_cast<double>(own + others + 1) / _target.record.slots;
+}
+
+bool hasSlot(const FleetTarget& _target)
+{
+	return slotsTaken(_target) <= 1;
 }
 
 /// @returns the part of a target's room that requests would take with this one; above 1 when they do not fit.
@@ -115,7 +123,8 @@
 	candidate.held = _target.record.layers;
 	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
 	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
-	const double step = nullptr == _target.card ? 1 : _target.card->stepFactor;
+	const double step = (nullptr == _target.card ? 1 : _target.card->stepFactor) * _target.load->pace();
+	candidate.costOfLead = kLeadPrice * loadPrice(slotsTaken(_target));
 	const double taken = roomTaken(_target, _query);
 	candidate.usable = candidate.usable && taken < kFull;
 	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + loadPrice(taken));
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -49,6 +49,10 @@
 		calls.push_back(std::move(_call));
 	}
 
+	void poll(const std::string&, Duration, ProbeCall) override
+	{
+	}
+
 	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
 	{
 	}
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -46,10 +46,6 @@
 		return *service.targets[_target].load;
 	}
 
-	FleetService service;
-	std::set<std::string> failed;
-
-private:
 	void add(uint32_t _hall, LayerSpan _layers)
 	{
 		FleetTarget target;
@@ -61,6 +57,10 @@
 		service.targets.push_back(target);
 	}
 
+	FleetService service;
+	std::set<std::string> failed;
+
+private:
 	ServiceSpec spec_;
 	CardKind card_;
 };
@@ -74,6 +74,8 @@
 	CPPUNIT_TEST(otherHallWhenOwnIsLoaded);
 	CPPUNIT_TEST(othersLoadCounts);
 	CPPUNIT_TEST(headsWithoutASlotAreLeft);
+	CPPUNIT_TEST(headsShareByTheirSlots);
+	CPPUNIT_TEST(slowTargetsAreLeft);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
@@ -97,6 +99,34 @@
 		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(10), choice));
 	}
 
+	/// Two heads of a hall: the one with more memory must not take all requests until its slots are gone.
+	void headsShareByTheirSlots()
+	{
+		Fleet fleet;
+		Choice choice;
+		fleet.add(0, LayerSpan{0, 4});
+		for (const uint32_t head : {0U, 4U})
+		{
+			fleet.service.targets[head].record.slots = 10;
+		}
+		fleet.load(0).requests = 5;
+		fleet.load(4).tokenLayers = 100; // a little fuller
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(4U, choice.parts[0].candidate);
+	}
+
+	void slowTargetsAreLeft()
+	{
+		Fleet fleet;
+		Choice choice;
+		fleet.load(1).toldPace = 4;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+		fleet.load(1).toldPace = 1;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+	}
+
 	void ownHallFirst()
 	{
 		Fleet fleet;
