--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -27,6 +27,13 @@
 /// borrows a part, needs some more than it was planned with, and each hop costs every token half a millisecond.
 constexpr std::size_t kPlannedParts = 20;
 
+/// Chains that a hall is laid out in where room allows, so that no single target's end leaves it without one.
+constexpr std::size_t kWantedChains = 2;
+
+/// Room that each chain must keep for a hall to be laid out in one more than length asks for, tokens: what a hall of the
+/// grown sites takes in all under its usual load (50 requests a second, 900 tokens, 2.5 s).
+constexpr double kSpareRoom = 120000;
+
 /// Steps of the search for the most room; each halves the interval, so 40 leave well under a token.
 constexpr int kRoomSteps = 40;
 
@@ -180,13 +187,15 @@
 std::vector<Members> chainsOf(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
                               const Members& _group)
 {
-	for (std::size_t count = (_group.size() + kPlannedParts - 1) / kPlannedParts; 1 < count; --count)
+	const std::size_t shortEnough = (_group.size() + kPlannedParts - 1) / kPlannedParts;
+	for (std::size_t count = std::max(kWantedChains, shortEnough); 1 < count; --count)
 	{
+		const double least = shortEnough < count ? kSpareRoom : kRepairRoom;
 		const std::vector<Members> chains = dealOut(_targets, _group, count);
 		const bool roomy = std::all_of(chains.begin(), chains.end(),
-		                               [&_engine, &_targets](const Members& _chain)
+		                               [&_engine, &_targets, least](const Members& _chain)
 		                               {
-			                               return kRepairRoom <= mostRoom(_engine, _targets, _chain);
+			                               return least <= mostRoom(_engine, _targets, _chain);
 		                               });
 		if (roomy)
 		{
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -115,7 +115,8 @@
 ChoiceQuery RequestRelay::choiceQuery() const
 {
 	const double tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
-	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now()};
+	const bool moves = 0 < machine_.events();
+	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now(), moves};
 }
 
 bool RequestRelay::choose(SendOutcome::Enum& _outcome)
@@ -133,7 +134,8 @@
 		return false;
 	}
 	const ChoiceQuery query = choiceQuery();
-	_outcome = service_->spec->hasEngine ? choosePath(query, choice_) : chooseTarget(query, context_.random, choice_);
+	_outcome = service_->spec->hasEngine ? choosePath(query, context_.random, choice_)
+	                                     : chooseTarget(query, context_.random, choice_);
 	if (SendOutcome::Begun != _outcome)
 	{
 		choice_ = Choice{};
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -41,6 +41,10 @@
 /// Price of a head's slots, microseconds, to be multiplied as room is: some hops, so that heads of a hall share evenly.
 constexpr double kLeadPrice = 5000;
 
+/// Requests that leave a failed path at the same moment, at many nodes that cannot know of each other yet, spread over
+/// heads by chance: a random price up to this, microseconds, some times what sets the halls' chains apart.
+constexpr uint32_t kMoveSpread = 20000;
+
 /// Extra of a target that failed a moment ago, microseconds; more than any way around it.
 constexpr double kAvoidedCost = 1e7;
 
@@ -202,9 +206,13 @@
 	return any ? SendOutcome::NoRoom : SendOutcome::NoTargets;
 }
 
-SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice)
+SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
 {
-	const std::vector<PathCandidate> candidates = candidatesOf(_query);
+	std::vector<PathCandidate> candidates = candidatesOf(_query);
+	for (std::size_t index = 0; _query.moves && index < candidates.size(); ++index)
+	{
+		candidates[index].costOfLead += static_cast<double>(_random.below(kMoveSpread));
+	}
 	const PathQuery query = pathQuery(_query.service);
 	if (findPath(candidates, query, _choice.parts))
 	{
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -30,13 +30,14 @@
 	uint32_t nodes = 1;                  //!< Entry nodes that share the targets.
 	double tokens = 0;                   //!< That the request takes at each of its layers.
 	Time now;
+	bool moves = false; //!< It leaves a path that failed, as many others may at this moment.
 };
 
 /// Chooses a target of a plain service: the one with least under way from here, in this data hall first.
 SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
 
 /// Chooses a path through a model's layers, in this data hall if it can.
-SendOutcome::Enum choosePath(const ChoiceQuery& _query, Choice& _choice);
+SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
 
 /// @returns the part of its room that the fullest target of a choice has taken.
 double tightestRoom(const ChoiceQuery& _query, const Choice& _choice);
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -38,7 +38,7 @@
 
 	ChoiceQuery query(double _tokens)
 	{
-		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}};
+		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, false};
 	}
 
 	TargetLoad& load(uint32_t _target)
@@ -76,6 +76,7 @@
 	CPPUNIT_TEST(headsWithoutASlotAreLeft);
 	CPPUNIT_TEST(headsShareByTheirSlots);
 	CPPUNIT_TEST(slowTargetsAreLeft);
+	CPPUNIT_TEST(requestsThatMoveSpread);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
@@ -93,10 +94,10 @@
 		}
 		fleet.load(0).requests = 3;
 		fleet.load(0).othersRequests = 5;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
 		fleet.load(2).othersRequests = 8;
-		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(10), random_, choice));
 	}
 
 	/// Two heads of a hall: the one with more memory must not take all requests until its slots are gone.
@@ -111,19 +112,37 @@
 		}
 		fleet.load(0).requests = 5;
 		fleet.load(4).tokenLayers = 100; // a little fuller
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(4U, choice.parts[0].candidate);
 	}
 
+	/// A hall's chain is lost: its requests must not all go to the same one of the others.
+	void requestsThatMoveSpread()
+	{
+		Fleet fleet;
+		fleet.add(0, LayerSpan{0, 8});
+		ChoiceQuery query = fleet.query(10);
+		query.moves = true;
+		uint32_t first = 0;
+		constexpr uint32_t kMoved = 200;
+		for (uint32_t moved = 0; moved < kMoved; ++moved)
+		{
+			Choice choice;
+			CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(query, random_, choice));
+			first += 4 == choice.parts[0].candidate ? 1 : 0;
+		}
+		CPPUNIT_ASSERT(kMoved / 4 < first && first < kMoved);
+	}
+
 	void slowTargetsAreLeft()
 	{
 		Fleet fleet;
 		Choice choice;
 		fleet.load(1).toldPace = 4;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
 		fleet.load(1).toldPace = 1;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
 	}
 
@@ -131,7 +150,7 @@
 	{
 		Fleet fleet;
 		Choice choice;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
 		CPPUNIT_ASSERT_EQUAL(1U, choice.parts[1].candidate);
 	}
@@ -142,7 +161,7 @@
 		fleet.load(0).tokenLayers = 480; // of 600 MB beside its layers
 		fleet.load(1).tokenLayers = 480;
 		Choice choice;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
 		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
 	}
@@ -153,7 +172,7 @@
 		fleet.load(0).othersTokenLayers = 480;
 		fleet.load(1).othersTokenLayers = 480;
 		Choice choice;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
 	}
 
@@ -161,20 +180,20 @@
 	{
 		Fleet fleet;
 		Choice choice;
-		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(200), choice));
+		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(200), random_, choice));
 		fleet.failed = {"i-1", "i-3"};
-		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
 	}
 
 	void restOfAPathStaysInItsHall()
 	{
 		Fleet fleet;
 		Choice choice;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		fleet.failed = {"i-1"};
 		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
 		fleet.service.targets[3].hall = 0;
-		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
 		CPPUNIT_ASSERT(chooseRest(fleet.query(10), choice));
 		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
@@ -184,15 +203,17 @@
 	void plainServiceTakesTheIdlest()
 	{
 		Fleet fleet;
-		SeededRandom random(1);
 		Choice choice;
 		fleet.load(0).requests = 2;
 		fleet.load(1).requests = 1;
-		CPPUNIT_ASSERT(SendOutcome::Begun == chooseTarget(fleet.query(0), random, choice));
+		CPPUNIT_ASSERT(SendOutcome::Begun == chooseTarget(fleet.query(0), random_, choice));
 		CPPUNIT_ASSERT(2U <= choice.parts[0].candidate);
 		fleet.failed = {"i-0", "i-1", "i-2", "i-3"};
-		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random, choice));
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
 	}
+
+private:
+	SeededRandom random_{1};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetChooserTest);
