--- a/packages/core/include/core/hubchoice.h
+++ b/packages/core/include/core/hubchoice.h
@@ -30,9 +30,9 @@
 	bool reads = false; //!< The store can be read through it.
 };
 
-/// Chooses which node of a hall reads the store for this one and adds up loads. All nodes of a hall go by the same order,
-/// so that they mostly agree; that two are hubs for a moment does no harm. A node that does not answer, or that the store
-/// does not answer, is passed over for a while. Pure: the time is passed in.
+/// Chooses which node of a hall reads the store for this one and adds up loads. All nodes of a hall go by the same
+/// order, so that they mostly agree; that two are hubs for a moment does no harm. A node that does not answer, or that
+/// the store does not answer, is passed over for a while. Pure: the time is passed in.
 class HubChoice
 {
 public:
--- a/packages/core/src/hubchoice.cpp
+++ b/packages/core/src/hubchoice.cpp
@@ -15,8 +15,8 @@
 constexpr Duration kFirstPause = Duration::fromMillis(400);
 constexpr Duration kLongestPause = Duration::fromMillis(6400);
 
-/// The first nodes of a hall try a store that does not answer this often. Keys are in use for 4.5 s on one proof, so that
-/// a store that was away for less is hardly noticed.
+/// The first nodes of a hall try a store that does not answer this often. Keys are in use for 4.5 s on one proof, so
+/// that a store that was away for less is hardly noticed.
 constexpr Duration kTryStore = Duration::fromMillis(300);
 
 /// The others leave that to the first ones and try rarely, in case only those are turned away.
--- a/packages/core/src/layoutplan.cpp
+++ b/packages/core/src/layoutplan.cpp
@@ -23,15 +23,15 @@
 /// and the chains of other halls serve better.
 constexpr double kRepairRoom = 70000;
 
-/// Parts that a chain of a hall is planned with at most. Targets accept 32; a chain that shifts over a lost range, or that
-/// borrows a part, needs some more than it was planned with, and each hop costs every token half a millisecond.
+/// Parts that a chain of a hall is planned with at most. Targets accept 32; a chain that shifts over a lost range, or
+/// that borrows a part, needs some more than it was planned with, and each hop costs every token half a millisecond.
 constexpr std::size_t kPlannedParts = 20;
 
 /// Chains that a hall is laid out in where room allows, so that no single target's end leaves it without one.
 constexpr std::size_t kWantedChains = 2;
 
-/// Room that each chain must keep for a hall to be laid out in one more than length asks for, tokens: what a hall of the
-/// grown sites takes in all under its usual load (50 requests a second, 900 tokens, 2.5 s).
+/// Room that each chain must keep for a hall to be laid out in one more than length asks for, tokens: what a hall of
+/// the grown sites takes in all under its usual load (50 requests a second, 900 tokens, 2.5 s).
 constexpr double kSpareRoom = 120000;
 
 /// Steps of the search for the most room; each halves the interval, so 40 leave well under a token.
@@ -182,8 +182,8 @@
 	return chains;
 }
 
-/// @returns the chains that a group is laid out in: few enough that each keeps its room, short enough that a path through
-/// one is accepted.
+/// @returns the chains that a group is laid out in: few enough that each keeps its room, short enough that a path
+/// through one is accepted.
 std::vector<Members> chainsOf(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
                               const Members& _group)
 {
--- a/packages/core/tests/hubchoicetest.cpp
+++ b/packages/core/tests/hubchoicetest.cpp
@@ -91,31 +91,32 @@
 
 	void somebodyIsAlwaysChosen()
 	{
-		CPPUNIT_ASSERT(rc::check("a hub is always named while this node lives",
-		                         []
-		                         {
-			                         HubChoice choice("b");
-			                         choice.setCandidates({{"a", 1}, {"b", 1}, {"c", 1}});
-			                         Time now = kStart;
-			                         for (int step = 0; step < 40; ++step)
-			                         {
-				                         now = now + Duration::fromMillis(*rc::gen::inRange(0, 900));
-				                         const std::string other = *rc::gen::elementOf(std::vector<std::string>{"a", "c"});
-				                         switch (*rc::gen::inRange(0, 4))
-				                         {
-				                         case 0:
-					                         choice.onSilent(other, now);
-					                         break;
-				                         case 1:
-					                         choice.onAnswer(other, *rc::gen::arbitrary<bool>(), now);
-					                         break;
-				                         default:
-					                         choice.onStore(*rc::gen::arbitrary<bool>(), now);
-					                         break;
-				                         }
-				                         RC_ASSERT(!choice.choose(now).name.empty());
-			                         }
-		                         }));
+		CPPUNIT_ASSERT(
+		    rc::check("a hub is always named while this node lives",
+		              []
+		              {
+			              HubChoice choice("b");
+			              choice.setCandidates({{"a", 1}, {"b", 1}, {"c", 1}});
+			              Time now = kStart;
+			              for (int step = 0; step < 40; ++step)
+			              {
+				              now = now + Duration::fromMillis(*rc::gen::inRange(0, 900));
+				              const std::string other = *rc::gen::elementOf(std::vector<std::string>{"a", "c"});
+				              switch (*rc::gen::inRange(0, 4))
+				              {
+				              case 0:
+					              choice.onSilent(other, now);
+					              break;
+				              case 1:
+					              choice.onAnswer(other, *rc::gen::arbitrary<bool>(), now);
+					              break;
+				              default:
+					              choice.onStore(*rc::gen::arbitrary<bool>(), now);
+					              break;
+				              }
+				              RC_ASSERT(!choice.choose(now).name.empty());
+			              }
+		              }));
 	}
 };
 
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -168,7 +168,8 @@
 		CPPUNIT_ASSERT(lost == orders[0].layers);
 	}
 
-	/// A hall in two chains: the other chain holds the range, but its targets take double load and its head has no slots.
+	/// A hall in two chains: the other chain holds the range, but its targets take double load and its head has no
+	/// slots.
 	void anEmptyTargetTakesWhatOneChainLost()
 	{
 		std::vector<LayoutTarget> targets;
--- /dev/null
+++ b/packages/ctl/include/ctl/requeststory.h
@@ -0,0 +1,61 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_CTL_REQUESTSTORY_H_HEADER_GUARD
+#define SEDGECART_CTL_REQUESTSTORY_H_HEADER_GUARD
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+/// One field of a log line.
+struct LogField
+{
+	std::string name;
+	std::string value;
+};
+
+/// One line of a node's structured log.
+struct LogRecord
+{
+	int64_t micros = 0; //!< Time of day since 1970, by the clock of the node's VM.
+	std::string node;
+	std::string part;
+	std::string message;
+	std::string request; //!< Id; empty if the line is about no request.
+	std::vector<LogField> fields;
+};
+
+/// Reads a line of a log. What stands before the JSON object, such as a collector's prefix, is passed over.
+/// @returns false if the line holds none of our records.
+bool readLogRecord(const std::string& _line, LogRecord& _record);
+
+/// Everything that logs say about one request, in order: its own lines, and what its nodes said meanwhile of the
+/// targets on its paths. Times of different VMs may be off against each other by seconds; lines of one node keep their
+/// order.
+class RequestStory
+{
+public:
+	explicit RequestStory(const std::string& _request);
+
+	/// Takes the lines of one log, of one node or of several.
+	void read(std::istream& _log);
+
+	/// @returns the records of the story, ordered by time and, at one node, as they were written.
+	std::vector<LogRecord> records() const;
+
+	/// @returns the story, a record a line, with times since its first one.
+	std::string text() const;
+
+private:
+	std::string request_;
+	std::vector<LogRecord> own_;    //!< Of the request.
+	std::vector<LogRecord> around_; //!< That name a target.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_CTL_REQUESTSTORY_H_HEADER_GUARD
--- a/packages/ctl/main/sedgecart.cpp
+++ b/packages/ctl/main/sedgecart.cpp
@@ -4,12 +4,14 @@
 #include <ctl/loadreport.h>
 #include <ctl/loadrunner.h>
 #include <ctl/operatorclient.h>
+#include <ctl/requeststory.h>
 #include <peer/peerlink.h>
 
 #include <boost/algorithm/string.hpp>
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 using namespace sedgecart;
@@ -30,6 +32,8 @@
   sedgecart [options] dump          prints the state of a node as JSON
   sedgecart [options] load ROUTE    sends an open-loop load to a model route and reports times and outcomes;
                                       customers are given as --customers name:key:share,...
+  sedgecart explain ID [FILE...]    tells one request's story from the logs of nodes on the users' platform, in FILEs or
+                                      standard input
   sedgecart keygen                  makes a key pair for the nodes' own traffic
 
 )";
@@ -98,6 +102,34 @@
 	return ExitCode::Done;
 }
 
+/// @param _words "explain", the request's id, names of log files.
+int explain(const std::vector<std::string>& _words)
+{
+	if (_words.size() < 2)
+	{
+		std::cerr << "sedgecart: explain takes a request's id and log files\n";
+		return ExitCode::BadUsage;
+	}
+	RequestStory story(_words[1]);
+	for (std::size_t index = 2; index < _words.size(); ++index)
+	{
+		std::ifstream log(_words[index]);
+		if (!log)
+		{
+			std::cerr << "sedgecart: log file '" << _words[index] << "' cannot be read\n";
+			return ExitCode::BadUsage;
+		}
+		story.read(log);
+	}
+	if (2 == _words.size())
+	{
+		story.read(std::cin);
+	}
+	const std::string text = story.text();
+	std::cout << (text.empty() ? "No line about request " + _words[1] + ".\n" : text);
+	return text.empty() ? ExitCode::Failed : ExitCode::Done;
+}
+
 bool readCustomers(const std::string& _text, std::vector<LoadCustomer>& _customers)
 {
 	std::vector<std::string> list;
@@ -207,6 +239,10 @@
 	{
 		return printKeys();
 	}
+	if ("explain" == words.front())
+	{
+		return explain(words);
+	}
 	OperatorOptions options;
 	if (!readNodes(values["node"].as<std::string>(), options.nodes))
 	{
--- /dev/null
+++ b/packages/ctl/src/requeststory.cpp
@@ -0,0 +1,190 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <ctl/requeststory.h>
+
+#include <wire/json.h>
+
+#include <google/protobuf/struct.pb.h>
+
+#include <boost/algorithm/string.hpp>
+#include <boost/date_time/posix_time/posix_time.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <istream>
+#include <set>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// What a node said of a target so long before and after the request's own lines may belong to its story: a target is
+/// found dead within some tens of milliseconds, and is passed over for some seconds.
+constexpr int64_t kAroundMicros = 1000000;
+
+constexpr int64_t kMicrosPerSecond = 1000000;
+
+/// @returns microseconds since 1970 of "2026-12-02T18:00:00.123456Z", -1 if it is no such text.
+int64_t microsOf(std::string _time)
+{
+	boost::erase_tail(_time, boost::ends_with(_time, "Z") ? 1 : 0);
+	try
+	{
+		const boost::posix_time::ptime read = boost::posix_time::from_iso_extended_string(_time);
+		const boost::posix_time::ptime epoch(boost::gregorian::date(1970, 1, 1));
+		return (read - epoch).total_microseconds();
+	}
+	catch (const std::exception&)
+	{
+		return -1; // the caller passes the line over and says so
+	}
+}
+
+/// @returns the targets that a path of the form instance/hall/layers,... goes over.
+std::set<std::string> targetsOf(const std::string& _path)
+{
+	std::set<std::string> targets;
+	std::vector<std::string> parts;
+	boost::split(parts, _path, boost::is_any_of(","));
+	for (const std::string& part : parts)
+	{
+		targets.insert(part.substr(0, part.find('/')));
+	}
+	return targets;
+}
+
+/// @returns the value of a field, empty if there is none.
+std::string valueOf(const LogRecord& _record, const std::string& _name)
+{
+	for (const LogField& field : _record.fields)
+	{
+		if (_name == field.name)
+		{
+			return field.value;
+		}
+	}
+	return std::string();
+}
+
+std::string lineOf(const LogRecord& _record, int64_t _since)
+{
+	char time[32];
+	const double seconds = static_cast<double>(_record.micros - _since) / kMicrosPerSecond;
+	std::snprintf(time, sizeof(time), "%+10.3f s  ", seconds);
+	std::string line = time + _record.node + "  " + _record.message;
+	for (const LogField& field : _record.fields)
+	{
+		line += field.value.empty() ? "" : "  " + field.name + '=' + field.value;
+	}
+	return line + '\n';
+}
+
+} // namespace
+
+bool readLogRecord(const std::string& _line, LogRecord& _record)
+{
+	const std::size_t begin = _line.find('{');
+	google::protobuf::Struct object;
+	if (std::string::npos == begin || !fromJson(_line.substr(begin), object))
+	{
+		return false;
+	}
+	const auto take = [&object](const char* _name)
+	{
+		const auto field = object.fields().find(_name);
+		return object.fields().end() == field ? std::string() : field->second.string_value();
+	};
+	_record = LogRecord{};
+	_record.micros = microsOf(take("time"));
+	_record.node = take("node");
+	_record.part = take("part");
+	_record.message = take("message");
+	_record.request = take("request");
+	const std::set<std::string> known{"time", "node", "level", "part", "message", "request"};
+	for (const auto& field : object.fields())
+	{
+		if (0 == known.count(field.first))
+		{
+			_record.fields.push_back(LogField{field.first, field.second.string_value()});
+		}
+	}
+	std::sort(_record.fields.begin(), _record.fields.end(),
+	          [](const LogField& _a, const LogField& _b)
+	          {
+		          return _a.name < _b.name;
+	          });
+	return 0 <= _record.micros && !_record.message.empty();
+}
+
+RequestStory::RequestStory(const std::string& _request) : request_(_request)
+{
+}
+
+void RequestStory::read(std::istream& _log)
+{
+	std::string line;
+	while (std::getline(_log, line))
+	{
+		const bool mayMatter =
+		    std::string::npos != line.find(request_) || std::string::npos != line.find("\"target\":");
+		LogRecord record;
+		if (!mayMatter || !readLogRecord(line, record))
+		{
+			continue;
+		}
+		if (request_ == record.request)
+		{
+			own_.push_back(record);
+		}
+		else if (record.request.empty() && !valueOf(record, "target").empty())
+		{
+			around_.push_back(record);
+		}
+	}
+}
+
+std::vector<LogRecord> RequestStory::records() const
+{
+	std::vector<LogRecord> story = own_;
+	std::set<std::string> nodes;
+	std::set<std::string> targets;
+	int64_t first = INT64_MAX;
+	int64_t last = INT64_MIN;
+	for (const LogRecord& record : own_)
+	{
+		nodes.insert(record.node);
+		targets.merge(targetsOf(valueOf(record, "path")));
+		targets.insert(valueOf(record, "target"));
+		first = std::min(first, record.micros);
+		last = std::max(last, record.micros);
+	}
+	for (const LogRecord& record : around_)
+	{
+		const bool inTime = first - kAroundMicros <= record.micros && record.micros <= last + kAroundMicros;
+		if (inTime && 0 < nodes.count(record.node) && 0 < targets.count(valueOf(record, "target")))
+		{
+			story.push_back(record);
+		}
+	}
+	std::stable_sort(story.begin(), story.end(),
+	                 [](const LogRecord& _a, const LogRecord& _b)
+	                 {
+		                 return _a.micros < _b.micros;
+	                 });
+	return story;
+}
+
+std::string RequestStory::text() const
+{
+	const std::vector<LogRecord> story = records();
+	std::string text;
+	for (const LogRecord& record : story)
+	{
+		text += lineOf(record, own_.front().micros);
+	}
+	return text;
+}
+
+} // namespace sedgecart
--- a/packages/entry/include/entry/keyedlog.h
+++ b/packages/entry/include/entry/keyedlog.h
@@ -59,8 +59,8 @@
 {
 	StoreState::Enum state = StoreState::Unknown;
 	std::vector<KeyedRecord> records;
-	Offset end;           //!< Offset that the next record gets.
-	bool partial = false; //!< More keys follow the last one.
+	Offset end;            //!< Offset that the next record gets.
+	bool partial = false;  //!< More keys follow the last one.
 	Duration age;          //!< Of the proof that nothing stands behind the end, when the read was sent.
 	bool handedOn = false; //!< Another node read it from the store.
 };
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -78,8 +78,8 @@
 	/// @param _bound without an answer by then it counts as not answering.
 	virtual void probe(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
 
-	/// Asks a target for its state as `probe` does, but over a connection that is kept for the next time: no answer says
-	/// nothing of the target.
+	/// Asks a target for its state as `probe` does, but over a connection that is kept for the next time: no answer
+	/// says nothing of the target.
 	virtual void poll(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
 
 	/// Gets the state, and "ip:port" of the part that is not there if the target names one.
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -14,8 +14,8 @@
 {
 
 /// How the operator's topic is followed: a change comes at once. An answer without news proves that there was none when
-/// its read was sent, so that the proof in hand is never older than two such waits; keys may be used for 4.5 s on it. Only
-/// the hub of a hall reads, and the others are as much later as its answers.
+/// its read was sent, so that the proof in hand is never older than two such waits; keys may be used for 4.5 s on it.
+/// Only the hub of a hall reads, and the others are as much later as its answers.
 constexpr FollowPlan kFollowOperator{KeyedTopic::Operator, Duration::fromMillis(1000), Duration{}, Duration{}};
 
 /// Records of targets lapse after three of their reports, 3.6 s; without a proof for less none has.
@@ -26,7 +26,8 @@
 constexpr FollowPlan kFollowRunners{KeyedTopic::Runners, Duration{}, Duration::fromMillis(900), kRecordsMayLapse};
 
 /// How the nodes' topic is followed: its only use is to share out bounds, which change as slowly as nodes come.
-constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500), Duration{}};
+constexpr FollowPlan kFollowNodes{KeyedTopic::Nodes, Duration::fromMillis(20000), Duration::fromMillis(500),
+                                  Duration{}};
 
 /// How the layout's topic is followed: changes come at once, and are rare.
 constexpr FollowPlan kFollowLayout{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}, Duration{}};
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-/// Between two reports. A stream takes about two seconds, so that loads change by a tenth until a total is back; news of
-/// the store are late by as much.
+/// Between two reports. A stream takes about two seconds, so that loads change by a tenth until a total is back; news
+/// of the store are late by as much.
 constexpr Duration kReportPause = Duration::fromMillis(150);
 
 /// A hub that has not answered for so long is passed over: three reports. Together with the age that news may have
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -31,10 +31,10 @@
 class HallReport;
 } // namespace wire
 
-/// What the nodes tell each other. In each hall one node is the hub: the others report their loads to it several times a
-/// second and get back the sum of all nodes' loads and the news of the store, so that few nodes read the store and the
-/// traffic grows with the nodes, not with their square. Hubs tell each other their halls' sums. Control thread only, but
-/// for the link's calls.
+/// What the nodes tell each other. In each hall one node is the hub: the others report their loads to it several times
+/// a second and get back the sum of all nodes' loads and the news of the store, so that few nodes read the store and
+/// the traffic grows with the nodes, not with their square. Hubs tell each other their halls' sums. Control thread
+/// only, but for the link's calls.
 class HallExchange : public PeerHandlerI, public StoreWatchI
 {
 public:
@@ -94,8 +94,8 @@
 	std::vector<std::string> connected_; //!< Addresses.
 	LoadBoard board_;
 	std::deque<Sent> sent_;
-	uint64_t reports_ = 0;      //!< Number of the last one.
-	Time askedAt_;              //!< First report to the hub that has no answer yet; 0: none.
+	uint64_t reports_ = 0; //!< Number of the last one.
+	Time askedAt_;         //!< First report to the hub that has no answer yet; 0: none.
 	std::atomic<bool> isHub_{false};
 	std::atomic<bool> reads_{false}; //!< This node reads the store, and the store answers.
 	std::unique_ptr<PeerLink> link_;
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -9,8 +9,8 @@
 {
 
 /// How old the hub's proof of a topic may be. Its reads of the operator's topic wait 1 s, those of the targets' topic
-/// are 0.9 s apart, and a slow store takes 0.2 s; a change must be known within two seconds also when the hub fails. The
-/// other topics' reads wait 20 s; while those two are fresh, they are.
+/// are 0.9 s apart, and a slow store takes 0.2 s; a change must be known within two seconds also when the hub fails.
+/// The other topics' reads wait 20 s; while those two are fresh, they are.
 constexpr Duration kMostAge[] = {
     Duration::fromMillis(2500),  // Operator
     Duration::fromMillis(1500),  // Runners
--- a/packages/entry/src/halllog_p.h
+++ b/packages/entry/src/halllog_p.h
@@ -24,8 +24,8 @@
 	virtual void onStoreRead(bool _answered) = 0;
 };
 
-/// The store, read through the hub of the hall: of a hall's nodes one reads, and hands on. Reads wait for the hub's next
-/// answer; without a hub that reads, they go to the store. Everything else goes there always. Control thread only.
+/// The store, read through the hub of the hall: of a hall's nodes one reads, and hands on. Reads wait for the hub's
+/// next answer; without a hub that reads, they go to the store. Everything else goes there always. Control thread only.
 class HallLog : public KeyedLogI
 {
 public:
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -34,8 +34,8 @@
 /// Silence before the first event that is news: a first event takes 140 ms in 99 of 100, and 500 ms makes it late.
 constexpr Duration kFirstSilence = Duration::fromMillis(200);
 
-/// A target answers within some milliseconds; the rest is for the work of a weak node: with 16 ms, nodes of 0.12 cores took
-/// 25 sound targets as dead in three calm seconds.
+/// A target answers within some milliseconds; the rest is for the work of a weak node: with 16 ms, nodes of 0.12 cores
+/// took 25 sound targets as dead in three calm seconds.
 constexpr Duration kAnswerBound = Duration::fromMillis(30);
 
 /// A target is not asked again within this time; twice as long after each answer that did not help, up to the longest.
--- a/packages/entry/src/topiccache.cpp
+++ b/packages/entry/src/topiccache.cpp
@@ -12,8 +12,9 @@
 /// node that is further behind reads the store itself.
 constexpr std::size_t kMostBytes = 512UL * 1024;
 
-/// Most bytes of records that are handed on at once. A hub hands them to some twenty nodes several times a second; more,
-/// such as a desired state of thousands of routes, each node reads from the store, which has the bandwidth for it.
+/// Most bytes of records that are handed on at once. A hub hands them to some twenty nodes several times a second;
+/// more, such as a desired state of thousands of routes, each node reads from the store, which has the bandwidth for
+/// it.
 constexpr std::size_t kMostHandedOn = 48UL * 1024;
 
 std::size_t sizeOf(const KeyedRecord& _record)
--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -37,8 +37,8 @@
 	return signals;
 }
 
-/// Between two looks whether the settings file has changed: it may change without a signal, and bounds that it sets count
-/// in seconds.
+/// Between two looks whether the settings file has changed: it may change without a signal, and bounds that it sets
+/// count in seconds.
 constexpr timespec kSettingsLook{2, 0};
 
 /// Dumps the state on SIGUSR1, returns on SIGTERM and SIGINT.
@@ -97,8 +97,8 @@
 	logEvent(LogPart::Node, LogLevel::Error, "Settings cannot be used, the last ones stay.", {{"cause", message}});
 }
 
-/// Dumps the state on SIGUSR1, takes the settings anew on SIGHUP and when their file has changed, returns on SIGTERM and
-/// SIGINT.
+/// Dumps the state on SIGUSR1, takes the settings anew on SIGHUP and when their file has changed, returns on SIGTERM
+/// and SIGINT.
 void serveUntilStop(const sigset_t& _signals, SettingsFile& _file, EntryNode& _node)
 {
 	while (true)
