At most three nodes of a hall are asked before a node reads the store itself

Change: the first three in the order and the node itself are candidates. Test: HubChoiceTest.fewAreAskedBeforeOneReadsItself, failed before (8 asked).

--- a/packages/core/src/hubchoice.cpp
+++ b/packages/core/src/hubchoice.cpp
@@ -25,6 +25,10 @@
 /// Nodes of a hall that try often: one more than the hub, in case the store turns that one away.
 constexpr std::size_t kOftenTrying = 2;
 
+/// Nodes that are asked before a node reads itself. Each costs a report, or three where it is silent, and a change must
+/// be known within two seconds.
+constexpr std::size_t kMostAsked = 3;
+
 } // namespace
 
 void sortHubCandidates(std::vector<HubCandidate>& _candidates)
@@ -52,7 +56,14 @@
 		_candidates.push_back(HubCandidate{self_, 0});
 	}
 	sortHubCandidates(_candidates);
-	order_ = std::move(_candidates);
+	order_.clear();
+	for (const HubCandidate& candidate : _candidates)
+	{
+		if (order_.size() < kMostAsked || self_ == candidate.name)
+		{
+			order_.push_back(candidate);
+		}
+	}
 }
 
 Hub HubChoice::choose(Time _now) const
--- a/packages/core/tests/hubchoicetest.cpp
+++ b/packages/core/tests/hubchoicetest.cpp
@@ -28,6 +28,7 @@
 	CPPUNIT_TEST(aSilentNodeIsPassedOver);
 	CPPUNIT_TEST(aNodeThatTheStoreTurnsAwayIsPassedOver);
 	CPPUNIT_TEST(aStoreThatIsOutIsTriedByTheFirstOnes);
+	CPPUNIT_TEST(fewAreAskedBeforeOneReadsItself);
 	CPPUNIT_TEST(somebodyIsAlwaysChosen);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,25 @@
 		CPPUNIT_ASSERT(third.choose(after(2050)).reads);
 	}
 
+	/// A node that cannot reach the hub must not ask each of twenty others, none of which reads.
+	void fewAreAskedBeforeOneReadsItself()
+	{
+		HubChoice choice("n9");
+		std::vector<HubCandidate> all;
+		for (const char* const name : {"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"})
+		{
+			all.push_back(HubCandidate{name, 0.25});
+		}
+		choice.setCandidates(all);
+		uint32_t asked = 0;
+		while ("n9" != choice.choose(kStart).name)
+		{
+			choice.onAnswer(choice.choose(kStart).name, false, kStart);
+			++asked;
+		}
+		CPPUNIT_ASSERT_EQUAL(3U, asked);
+	}
+
 	void somebodyIsAlwaysChosen()
 	{
 		CPPUNIT_ASSERT(
