--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -120,16 +120,21 @@
 }
 
 void HallExchange::onNodesChanged()
+{
+	choice_.setCandidates(candidatesOf(hall_));
+}
+
+std::vector<HubCandidate> HallExchange::candidatesOf(const std::string& _hall) const
 {
 	std::vector<HubCandidate> candidates;
 	for (const auto& row : fleet_.nodes())
 	{
-		if (hall_ == row.second.hall)
+		if (_hall == row.second.hall)
 		{
 			candidates.push_back(HubCandidate{row.first, row.second.cpuShare});
 		}
 	}
-	choice_.setCandidates(std::move(candidates));
+	return candidates;
 }
 
 void HallExchange::tick()
@@ -280,14 +285,7 @@
 
 std::vector<std::string> HallExchange::firstNodes(const std::string& _hall) const
 {
-	std::vector<HubCandidate> candidates;
-	for (const auto& row : fleet_.nodes())
-	{
-		if (_hall == row.second.hall)
-		{
-			candidates.push_back(HubCandidate{row.first, row.second.cpuShare});
-		}
-	}
+	std::vector<HubCandidate> candidates = candidatesOf(_hall);
 	sortHubCandidates(candidates);
 	std::vector<std::string> names;
 	for (std::size_t index = 0; index < std::min(kLikelyHubs, candidates.size()); ++index)
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -72,7 +72,8 @@
 	void tellHubs(const LoadTable& _hall);
 	std::vector<std::string> otherHubs() const;
 	std::vector<std::string> firstNodes(const std::string& _hall) const;
-	void connect(const std::vector<std::string>& _nodes);
+	std::vector<HubCandidate> candidatesOf(const std::string& _hall) const;
+	void connect(const std::vector<std::string>& _addresses);
 	std::string addressOf(const std::string& _node) const;
 	void answer(const wire::HallReport& _report, wire::HallAnswer& _answer);
 	void onAnswer(const wire::HallAnswer& _answer);
