Answers take room for their mean length; own evidence and idle holders mend the layout

Cause: refusals for room, 3 to 8 in 100, while parts had room: an answer was counted with its whole length from its first token.

--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -17,7 +17,8 @@
 {
 	uint32_t hall = 0;
 	CardKind card;
-	LayerSpan held; //!< What it holds or has been ordered to hold; empty if nothing.
+	LayerSpan held;      //!< What it holds or has been ordered to hold; empty if nothing.
+	uint64_t tokens = 0; //!< Of the requests under way over it.
 };
 
 /// Give a target these layers to hold.
@@ -36,8 +37,8 @@
 /// How memory is shared between layers and requests.
 struct LayoutPolicy
 {
-	/// Room that the holders of each layer in a hall have together, as a multiple of what the operator means a target to
-	/// have (`EngineSpec::roomTokens`); the rest of the memory holds second copies. 0, or an operator that names no
+	/// Room that the holders of each layer in a hall have together, as a multiple of what the operator means a target
+	/// to have (`EngineSpec::roomTokens`); the rest of the memory holds second copies. 0, or an operator that names no
 	/// room: as much as memory allows. Mean worth of five days with trouble, four seeds each, by this multiple: 0.553
 	/// at 1.1, 0.563 at 1.25, 0.567 at 1.35, 0.518 at 1.6; without second copies 0.492.
 	double roomShare = 1.25;
--- a/packages/core/src/layoutrepair.cpp
+++ b/packages/core/src/layoutrepair.cpp
@@ -184,8 +184,8 @@
 		}
 	}
 
-	/// @returns targets that hold nothing, or only what others hold too; those that fit the most layers first among the
-	/// slowest, so that few of them leave their second copies.
+	/// @returns targets that hold nothing, or only what others hold too. Those with least under way first: a target
+	/// gives layers up only once the requests over them have ended, which takes seconds where it is busy.
 	Members freeMembers() const
 	{
 		Members found;
@@ -197,7 +197,7 @@
 		std::stable_sort(others.begin(), others.end(),
 		                 [this](uint32_t _a, uint32_t _b)
 		                 {
-			                 return targets_[_b].card.stepFactor < targets_[_a].card.stepFactor;
+			                 return targets_[_a].tokens < targets_[_b].tokens;
 		                 });
 		std::vector<uint32_t> held = coverage(engine_, targets_, members_);
 		for (const uint32_t member : others)
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -125,6 +125,7 @@
 	CPPUNIT_TEST(everyLayerHasItsRoom);
 	CPPUNIT_TEST(secondCopiesProtectAgainstLosses);
 	CPPUNIT_TEST(holdersOfSecondCopiesTakeOver);
+	CPPUNIT_TEST(theLeastBusyTakesOver);
 	CPPUNIT_TEST(largeHallsGetShortChains);
 	CPPUNIT_TEST(hallsTooSmallShareAChain);
 	CPPUNIT_TEST(anEmptyTargetTakesWhatIsLost);
@@ -195,6 +196,33 @@
 		CPPUNIT_ASSERT_EQUAL(80U, covered(targets, 0));
 	}
 
+	/// A busy target gives its layers up only after seconds.
+	void theLeastBusyTakesOver()
+	{
+		std::vector<LayoutTarget> targets;
+		add(targets, 0, CardKind{"fast", 72000, 2.4, 3.2}, 1);
+		add(targets, 0, CardKind{"small", 14400, 5.3, 7.9}, 6);
+		add(targets, 0, CardKind{"slow", 21600, 16, 8.2}, 6);
+		carryOut(targets, planLayout(engine(), targets, kPolicy));
+		std::vector<LayoutTarget> left;
+		uint32_t lost = 0;
+		for (uint32_t index = 0; index < targets.size() && left.empty(); ++index)
+		{
+			left = targets;
+			left.erase(left.begin() + index);
+			lost = index;
+			left = 80 == covered(left, 0) || 0 == index ? std::vector<LayoutTarget>() : left;
+		}
+		CPPUNIT_ASSERT(!left.empty()); // some target's loss leaves a hole
+		const std::vector<LayoutOrder> idle = repairLayout(engine(), left, kPolicy, RepairScope{});
+		CPPUNIT_ASSERT(!idle.empty());
+		left[idle[0].target].tokens = 50000;
+		const std::vector<LayoutOrder> busy = repairLayout(engine(), left, kPolicy, RepairScope{});
+		CPPUNIT_ASSERT(!busy.empty());
+		CPPUNIT_ASSERT(idle[0].target != busy[0].target);
+		CPPUNIT_ASSERT(lost < targets.size());
+	}
+
 	/// A hall of more targets than a path may have parts is laid out in several chains, each of which a path can go.
 	void largeHallsGetShortChains()
 	{
--- a/packages/entry/include/entry/entrysettings.h
+++ b/packages/entry/include/entry/entrysettings.h
@@ -5,6 +5,7 @@
 
 #include <base/units.h>
 #include <core/retryshare.h>
+#include <entry/mechanisms.h>
 
 #include <cstdint>
 #include <string>
@@ -28,6 +29,7 @@
 	Duration keyBound = Duration::fromMillis(5000);  //!< A key taken away must not work longer than this.
 	bool keyBoundStrict = false;                     //!< It holds also for nodes that cannot reach the store.
 	Duration stopBound = Duration::fromMillis(8000); //!< From the stop signal to the kill.
+	Mechanisms mechanisms;
 };
 
 /// @returns "ip:port" that the node hears other nodes on.
--- /dev/null
+++ b/packages/entry/include/entry/mechanisms.h
@@ -0,0 +1,58 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
+#define SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
+
+#include <bitset>
+#include <string>
+
+namespace sedgecart
+{
+
+/// A policy of a node that can be switched off alone, to measure what it is worth.
+struct Mechanism
+{
+	enum Enum
+	{
+		SecondCopies, //!< Memory that requests do not need holds second copies of layers.
+		OwnEvidence,  //!< What nodes found dead counts as gone for the layout before its record lapses.
+		PathWatch,    //!< Paths that fall silent are asked who is dead.
+		PacePolls,    //!< Targets are asked how slow they are.
+		HeadSlots,    //!< Slots of a path's first target count in its price.
+		MoveSpread,   //!< Requests that move choose among like heads by chance.
+		MeanAnswer,   //!< An answer takes room for half of its length, which it has as a mean.
+		BusyLast,     //!< Of the holders of second copies those with least under way take over a lost range.
+		LapseGrace,   //!< Records that lapse while the store is away are kept for a while.
+
+		Count
+	};
+};
+
+/// @returns the name that the setting uses: "second-copies" and so on.
+const char* nameOf(Mechanism::Enum _mechanism);
+
+/// Which mechanisms are on: all, but for those that a setting switches off.
+class Mechanisms
+{
+public:
+	bool on(Mechanism::Enum _mechanism) const
+	{
+		return !off_.test(_mechanism);
+	}
+
+	/// Switches off what a text names, and nothing else.
+	/// @param _names separated by commas; "none" or nothing switches nothing off.
+	/// @param _unknown set to the first name that there is not.
+	/// @returns false if there is such a name; nothing is changed then.
+	bool setOff(const std::string& _names, std::string& _unknown);
+
+	/// @returns the names of what is off, separated by commas.
+	std::string off() const;
+
+private:
+	std::bitset<Mechanism::Count> off_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -201,17 +201,18 @@
       runnerFollower_(_loop, log_, _clock, kFollowRunners, *runnerNews_),
       nodeFollower_(_loop, log_, _clock, kFollowNodes, *nodeNews_),
       layoutFollower_(_loop, log_, _clock, kFollowLayout, *layoutNews_),
-      layout_(_loop, log_, _orders, _clock, fleet_, _settings.name),
+      layout_(_loop, log_, _orders, _clock, fleet_, _settings),
       exchange_(_loop, _settings, _clock, fleet_, log_, cache_),
       paces_(_loop, _orders, fleet_, _settings.hall,
              [this]
              {
-	             return exchange_.isHub();
+	             return settings_.mechanisms.on(Mechanism::PacePolls) && exchange_.isHub();
              }),
       announceTimer_(_loop),
       lapseTimer_(_loop),
       onReady_(std::move(_onReady))
 {
+	fleet_.keepLapsed(settings_.mechanisms.on(Mechanism::LapseGrace));
 }
 
 EntryControl::~EntryControl() = default;
--- a/packages/entry/src/entrysettings.cpp
+++ b/packages/entry/src/entrysettings.cpp
@@ -80,6 +80,17 @@
 		return "true" == value;
 	}
 
+	/// Reads the names of mechanisms; none are off where the setting is missing.
+	void switchedOff(const char* _name, Mechanisms& _mechanisms)
+	{
+		const std::string value = values_.count(_name) ? values_[_name].as<std::string>() : std::string();
+		std::string unknown;
+		if (!_mechanisms.setOff(value, unknown))
+		{
+			fault(_name, unknown, "names of mechanisms, separated by commas");
+		}
+	}
+
 	/// Reads "first,last".
 	void ports(const char* _name, uint16_t& _first, uint16_t& _last)
 	{
@@ -126,9 +137,9 @@
 options::options_description description()
 {
 	options::options_description all;
-	for (const char* const name :
-	     {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports", "store-address", "retry-ratio",
-	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s", "cpu-share"})
+	for (const char* const name : {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports",
+	                               "store-address", "retry-ratio", "retry-slack", "retry-window-s", "key-bound-ms",
+	                               "key-bound-strict", "stop-bound-s", "cpu-share", "switched-off"})
 	{
 		all.add_options()(name, options::value<std::string>());
 	}
@@ -161,6 +172,7 @@
 	const bool ports = _before.firstPeerPort != _after.firstPeerPort || _before.lastPeerPort != _after.lastPeerPort;
 	note(ports, "peer-ports");
 	note(_before.cpuShare != _after.cpuShare, "cpu-share");
+	note(_before.mechanisms.off() != _after.mechanisms.off(), "switched-off");
 	return names;
 }
 
@@ -201,6 +213,7 @@
 	constexpr double kLeastCpuShare = 0.001;
 	constexpr double kMostCpuShare = 1024;
 	_settings.cpuShare = reader.number("cpu-share", kLeastCpuShare, kMostCpuShare);
+	reader.switchedOff("switched-off", _settings.mechanisms);
 	return reader.sound();
 }
 
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -58,7 +58,7 @@
 	const auto known = runners_.find(_record.key);
 	if (_record.removed)
 	{
-		if (runners_.end() != known && storeWasOut_ && !known->second.draining)
+		if (keepsLapsed_ && runners_.end() != known && storeWasOut_ && !known->second.draining)
 		{
 			lapsed_.insert(_record.key);
 		}
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -45,6 +45,13 @@
 	/// @returns true if the store has just come back and some records lapsed: `dropLapsed` is due after `kLapseGrace`.
 	bool onRunnersCurrent();
 
+	/// Whether records that lapse while the store is away are kept for `kLapseGrace` after its return. They are, unless
+	/// this switches it off.
+	void keepLapsed(bool _keep)
+	{
+		keepsLapsed_ = _keep;
+	}
+
 	/// Drops the targets whose records lapsed while the store was away and did not come back.
 	void dropLapsed();
 
@@ -109,6 +116,7 @@
 	Time fleetChangedAt_;
 	bool storeWasOut_ = false; //!< It could not be read since the last time that it was read to its end.
 	bool runnersKnown_ = false;
+	bool keepsLapsed_ = true;
 	bool changed_ = false;
 };
 
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -22,6 +22,11 @@
 /// Number of the data hall that this node stands in.
 constexpr uint32_t kHomeHall = 0;
 
+/// Suspicion that a target is dead: of a node that got no answer in time, and with which a target counts as dead. Who
+/// finds that nobody listens there is sure alone.
+constexpr uint32_t kWeakSuspicion = 1;
+constexpr uint32_t kSureSuspicion = 2;
+
 /// What is under way at a target. Lives as long as somebody knows the target.
 struct TargetLoad
 {
@@ -30,9 +35,25 @@
 	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
 	std::atomic<uint64_t> othersTokenLayers{0}; //!< The same.
 	std::atomic<int64_t> avoidedUntil{0};       //!< Steady clock, microseconds; it failed a moment ago.
+	std::atomic<uint32_t> suspicion{0};         //!< How sure this node is that it is dead, until `suspectedUntil`.
+	std::atomic<int64_t> suspectedUntil{0};     //!< Steady clock, microseconds.
+	std::atomic<uint32_t> othersSuspicion{0};   //!< Sum of the other nodes', by their last word.
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
 
+	/// @returns this node's suspicion at a moment.
+	uint32_t ownSuspicion(Time _now) const
+	{
+		const bool lasts = _now.micros < suspectedUntil.load(std::memory_order_relaxed);
+		return lasts ? suspicion.load(std::memory_order_relaxed) : 0;
+	}
+
+	/// @returns true if the target is taken as dead: nobody listens there, or two nodes got no answer.
+	bool isDead(Time _now) const
+	{
+		return kSureSuspicion <= ownSuspicion(_now) + othersSuspicion.load(std::memory_order_relaxed);
+	}
+
 	/// @returns how many times slower than usual the target is.
 	double pace() const
 	{
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -40,7 +40,7 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
-		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.pace()};
+		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
 	}
 	return table;
 }
@@ -54,6 +54,7 @@
 		out->set_token_layers(row.second.tokenLayers);
 		out->set_requests(row.second.requests);
 		out->set_pace(row.second.pace);
+		out->set_suspicion(row.second.suspicion);
 	}
 }
 
@@ -403,12 +404,14 @@
 LoadTable HallExchange::ownLoads() const
 {
 	LoadTable loads;
+	const Time now = clock_.now();
 	for (const auto& row : fleet_.loads())
 	{
 		const double pace = row.second->polledPace.load(std::memory_order_relaxed);
 		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
-		                        row.second->requests.load(std::memory_order_relaxed), kUsualPace < pace ? pace : 0};
-		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.pace)
+		                        row.second->requests.load(std::memory_order_relaxed), row.second->ownSuspicion(now),
+		                        kUsualPace < pace ? pace : 0};
+		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.pace)
 		{
 			loads[row.first] = amount;
 		}
@@ -424,6 +427,7 @@
 		const LoadAmount amount = _others.end() == found ? LoadAmount{} : found->second;
 		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
 		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
+		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
 		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
 	}
 }
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -4,6 +4,7 @@
 
 #include "fleetcontroller_p.h"
 
+#include <entry/entrysettings.h>
 #include <logging/logging.h>
 #include <wire/sedgecart.pb.h>
 
@@ -17,10 +18,10 @@
 {
 
 /// Between two looks at the layout. A lost range is mended in some seconds, of which loading takes the most.
-constexpr Duration kLookPause = Duration::fromMillis(400);
+constexpr Duration kLookPause = Duration::fromMillis(200);
 
 /// What each node waits for the one whose turn is before its own: a record takes some tens of milliseconds to be seen.
-constexpr Duration kTurn = Duration::fromMillis(500);
+constexpr Duration kTurn = Duration::fromMillis(250);
 
 /// Longest wait for one's turn, in turns. Beyond it nodes may try at once; one of them wins.
 constexpr std::size_t kMostTurns = 6;
@@ -43,6 +44,16 @@
 /// room: 0.563 against 0.577 of the worth on five days with trouble, four seeds each.
 constexpr Duration kDoubleAfter = Duration::fromMillis(800);
 
+/// A hall of fewer targets for each that seems dead is taken as cut off: racks are some eighth of a hall.
+constexpr uint32_t kLeastHallPerDead = 5;
+
+/// Targets of a hall.
+struct HallCount
+{
+	uint32_t targets = 0; //!< That hold layers.
+	uint32_t dead = 0;    //!< That nodes found dead.
+};
+
 /// The layout topic has one key: its newest record.
 constexpr const char* kKey = "newest";
 
@@ -54,14 +65,19 @@
 } // namespace
 
 LayoutKeeper::LayoutKeeper(boost::asio::io_context& _loop, KeyedLogI& _log, RunnerOrdersI& _orders,
-                           const ClockI& _clock, const FleetController& _fleet, const std::string& _node)
+                           const ClockI& _clock, const FleetController& _fleet, const EntrySettings& _settings)
     : timer_(_loop),
       log_(_log),
       orders_(_orders),
       clock_(_clock),
       fleet_(_fleet),
-      node_(_node)
+      node_(_settings.name),
+      mechanisms_(_settings.mechanisms)
 {
+	if (!mechanisms_.on(Mechanism::SecondCopies))
+	{
+		policy_.roomShare = 0;
+	}
 }
 
 void LayoutKeeper::start()
@@ -130,17 +146,62 @@
 	return counts ? ordered->second.layers : _target.layers;
 }
 
+/// @returns targets that nodes found dead and whose records have not lapsed yet. Where much of a hall seems dead at
+/// once it is cut off rather, and what its targets hold is left to the registry.
+std::set<std::string> LayoutKeeper::lostTargets() const
+{
+	std::set<std::string> lost;
+	if (!mechanisms_.on(Mechanism::OwnEvidence))
+	{
+		return lost;
+	}
+	const Time now = clock_.now();
+	std::map<std::string, HallCount> halls;
+	for (const auto& row : fleet_.runners())
+	{
+		const auto load = fleet_.loads().find(row.first);
+		const bool dead = fleet_.loads().end() != load && load->second->isDead(now);
+		HallCount& hall = halls[row.second.hall];
+		hall.targets += 0 < row.second.layers.size() ? 1 : 0;
+		hall.dead += dead ? 1 : 0;
+		if (dead)
+		{
+			lost.insert(row.first);
+		}
+	}
+	for (auto row = lost.begin(); lost.end() != row;)
+	{
+		const HallCount& hall = halls[fleet_.runners().at(*row).hall];
+		row = hall.targets < kLeastHallPerDead * hall.dead ? lost.erase(row) : std::next(row);
+	}
+	return lost;
+}
+
+/// @returns the tokens of the requests under way over a target.
+uint64_t LayoutKeeper::tokensAt(const std::string& _target, LayerSpan _held) const
+{
+	const auto row = fleet_.loads().find(_target);
+	if (fleet_.loads().end() == row || 0 == _held.size() || !mechanisms_.on(Mechanism::BusyLast))
+	{
+		return 0;
+	}
+	const uint64_t own = row->second->tokenLayers.load(std::memory_order_relaxed);
+	const uint64_t others = row->second->othersTokenLayers.load(std::memory_order_relaxed);
+	return (own + others) / _held.size();
+}
+
 LayoutKeeper::Scene LayoutKeeper::scene() const
 {
 	Scene scene;
 	std::map<std::string, uint32_t> halls;
+	const std::set<std::string> lost = lostTargets();
 	for (const auto& row : fleet_.runners())
 	{
 		const RunnerRecord& record = row.second;
 		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
 		const bool inLayers = nullptr != service && service->hasEngine;
 		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
-		if (nullptr == card || record.draining)
+		if (nullptr == card || record.draining || 0 < lost.count(row.first))
 		{
 			continue;
 		}
@@ -148,7 +209,7 @@
 		const LayerSpan held = effectiveLayers(record);
 		scene.engine = &service->engine;
 		scene.anyHeld = scene.anyHeld || 0 < held.size();
-		scene.targets.push_back(LayoutTarget{hall, *card, held});
+		scene.targets.push_back(LayoutTarget{hall, *card, held, tokensAt(row.first, held)});
 		scene.records.push_back(record);
 	}
 	return scene;
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -7,12 +7,14 @@
 #include <base/incarnation.h>
 #include <core/layoutplan.h>
 #include <entry/keyedlog.h>
+#include <entry/mechanisms.h>
 #include <entry/runnerorders.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,7 @@
 {
 
 class FleetController;
+struct EntrySettings;
 
 /// Keeps the model laid out over the targets. Every node looks; none leads. A change is a record that is appended only
 /// if the layout topic still ends where its author has read it, so of two authors one wins. The author sends the orders
@@ -29,7 +32,7 @@
 {
 public:
 	LayoutKeeper(boost::asio::io_context& _loop, KeyedLogI& _log, RunnerOrdersI& _orders, const ClockI& _clock,
-	             const FleetController& _fleet, const std::string& _node);
+	             const FleetController& _fleet, const EntrySettings& _settings);
 
 	/// Begins to look.
 	void start();
@@ -66,6 +69,8 @@
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
+	std::set<std::string> lostTargets() const;
+	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
 
 	boost::asio::steady_timer timer_;
 	KeyedLogI& log_;
@@ -73,6 +78,7 @@
 	const ClockI& clock_;
 	const FleetController& fleet_;
 	std::string node_;
+	Mechanisms mechanisms_;
 	LayoutPolicy policy_;
 	Incarnation incarnation_;
 	Offset end_; //!< Of the layout topic, as far as it was read.
--- a/packages/entry/src/loadboard.cpp
+++ b/packages/entry/src/loadboard.cpp
@@ -26,6 +26,7 @@
 		LoadAmount& amount = _sum[row.first];
 		amount.tokenLayers += row.second.tokenLayers;
 		amount.requests += row.second.requests;
+		amount.suspicion += row.second.suspicion;
 		amount.pace = std::max(amount.pace, row.second.pace);
 	}
 }
@@ -41,6 +42,7 @@
 		}
 		amount->second.tokenLayers -= std::min(amount->second.tokenLayers, row.second.tokenLayers);
 		amount->second.requests -= std::min(amount->second.requests, row.second.requests);
+		amount->second.suspicion -= std::min(amount->second.suspicion, row.second.suspicion);
 	}
 }
 
--- a/packages/entry/src/loadboard_p.h
+++ b/packages/entry/src/loadboard_p.h
@@ -20,7 +20,8 @@
 {
 	uint64_t tokenLayers = 0;
 	uint32_t requests = 0;
-	double pace = 0; //!< How many times slower than usual the target is; 0: not known, or as usual.
+	uint32_t suspicion = 0; //!< That the target is dead, of all nodes together.
+	double pace = 0;        //!< How many times slower than usual the target is; 0: not known, or as usual.
 };
 
 /// Loads by the target's instance; targets without any are left out.
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -230,6 +230,7 @@
 	if (_refused)
 	{
 		asked.notBefore = now + kSilentPause;
+		suspect(_target, kSureSuspicion);
 		passOver(_target, kDeadFor);
 		tellPaths(_target, "nobody listens");
 	}
@@ -256,6 +257,10 @@
 	for (const FleetTarget& target : _round.silent)
 	{
 		passOver(target, sure ? kDeadFor : kDoubtFor);
+		if (sure)
+		{
+			suspect(target, kWeakSuspicion);
+		}
 	}
 	for (const FleetTarget& target : _round.silent)
 	{
@@ -289,6 +294,13 @@
 	_target.load->avoidedUntil.store((clock_.now() + _span).micros, std::memory_order_relaxed);
 }
 
+/// Other nodes hear of it, and the layout goes by it once it is sure.
+void PathWatch::suspect(const FleetTarget& _target, uint32_t _suspicion)
+{
+	_target.load->suspicion.store(_suspicion, std::memory_order_relaxed);
+	_target.load->suspectedUntil.store((clock_.now() + kDeadFor).micros, std::memory_order_relaxed);
+}
+
 void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause)
 {
 	uint32_t users = 0;
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -90,6 +90,7 @@
 	void onStalled(const std::vector<std::string>& _addresses);
 	void closeRound(const Round& _round);
 	void passOver(const FleetTarget& _target, Duration _span);
+	void suspect(const FleetTarget& _target, uint32_t _suspicion);
 	void tellPaths(const FleetTarget& _target, const char* _cause);
 	std::vector<std::shared_ptr<WatchedPathI>> live();
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -68,7 +68,7 @@
 void RequestRelay::begin()
 {
 	startTimer();
-	if (RequestKind::Stream == plan_.facts.kind)
+	if (RequestKind::Stream == plan_.facts.kind && context_.mechanisms.on(Mechanism::PathWatch))
 	{
 		context_.watch.add(shared_from_this());
 	}
@@ -109,11 +109,19 @@
 	return service_->targets[_part.candidate];
 }
 
+/// @returns the tokens that the request takes at each of its layers, as a mean over its time there: answers grow from
+/// nothing to their length.
+uint64_t RequestRelay::heldTokens() const
+{
+	const bool mean = context_.mechanisms.on(Mechanism::MeanAnswer);
+	return plan_.caller.promptTokens + (mean ? plan_.caller.hintedTokens * 13 / 20 : plan_.caller.hintedTokens);
+}
+
 ChoiceQuery RequestRelay::choiceQuery() const
 {
-	const double tokens = plan_.caller.promptTokens + plan_.caller.hintedTokens;
+	const auto tokens = static_cast<double>(heldTokens());
 	const bool moves = 0 < machine_.events();
-	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now(), moves};
+	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now(), context_.mechanisms, moves};
 }
 
 bool RequestRelay::choose(SendOutcome::Enum& _outcome)
@@ -200,7 +208,7 @@
 
 void RequestRelay::holdLoad()
 {
-	hold_.take(*service_, choice_, plan_.caller.promptTokens + plan_.caller.hintedTokens);
+	hold_.take(*service_, choice_, heldTokens());
 }
 
 void RequestRelay::cancelSend()
@@ -298,7 +306,7 @@
 	          {"customer", plan_.customer},
 	          {"path", path},
 	          {"room_taken_percent", std::to_string(static_cast<int>(room * kPercent))},
-	          {"tokens", std::to_string(plan_.caller.promptTokens + plan_.caller.hintedTokens)},
+	          {"tokens", std::to_string(heldTokens())},
 	          {"resumes", _resumes ? "true" : "false"},
 	          {"sends", std::to_string(machine_.sends() + 1)},
 	          {"left_ms", std::to_string((plan_.giveUpAt - context_.clock.now()).millis())}},
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -49,6 +49,7 @@
 	Metrics& metrics;
 	PathWatch& watch;
 	RunnerOrdersI& orders;
+	const Mechanisms& mechanisms;
 };
 
 /// What is fixed of a request when it is let in.
@@ -104,6 +105,7 @@
 private:
 	const FleetTarget& target(const PathPart& _part) const;
 	bool choose(SendOutcome::Enum& _outcome);
+	uint64_t heldTokens() const;
 	ChoiceQuery choiceQuery() const;
 	std::vector<PathStop> stopsOf(const Choice& _choice) const;
 	void repath();
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -128,7 +128,8 @@
 	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
 	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
 	const double step = (nullptr == _target.card ? 1 : _target.card->stepFactor) * _target.load->pace();
-	candidate.costOfLead = kLeadPrice * loadPrice(slotsTaken(_target));
+	const bool slotsCount = _query.mechanisms.on(Mechanism::HeadSlots);
+	candidate.costOfLead = slotsCount ? kLeadPrice * loadPrice(slotsTaken(_target)) : 0;
 	const double taken = roomTaken(_target, _query);
 	candidate.usable = candidate.usable && taken < kFull;
 	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + loadPrice(taken));
@@ -209,7 +210,8 @@
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
 {
 	std::vector<PathCandidate> candidates = candidatesOf(_query);
-	for (std::size_t index = 0; _query.moves && index < candidates.size(); ++index)
+	const bool spread = _query.moves && _query.mechanisms.on(Mechanism::MoveSpread);
+	for (std::size_t index = 0; spread && index < candidates.size(); ++index)
 	{
 		candidates[index].costOfLead += static_cast<double>(_random.below(kMoveSpread));
 	}
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -8,6 +8,7 @@
 #include <base/random.h>
 #include <core/layerpath.h>
 #include <core/relaymachine.h>
+#include <entry/mechanisms.h>
 
 #include <set>
 #include <string>
@@ -30,6 +31,7 @@
 	uint32_t nodes = 1;                  //!< Entry nodes that share the targets.
 	double tokens = 0;                   //!< That the request takes at each of its layers.
 	Time now;
+	const Mechanisms& mechanisms;
 	bool moves = false; //!< It leaves a path that failed, as many others may at this moment.
 };
 
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -121,6 +121,8 @@
 	CPPUNIT_TEST(aNodeThatStoodStillBlamesNobody);
 	CPPUNIT_TEST(allDeadArePassedOverBeforePathsMove);
 	CPPUNIT_TEST(slowPathsAreNotSilent);
+	CPPUNIT_TEST(oneNodeThatGotNoAnswerIsNotSure);
+	CPPUNIT_TEST(whereNobodyListensOneNodeIsSure);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +181,31 @@
 		CPPUNIT_ASSERT(orders_.calls.empty());
 	}
 
+	/// The answer may have been lost, or this node be weak: the layout does not change on its word alone.
+	void oneNodeThatGotNoAnswerIsNotSure()
+	{
+		fallSilent();
+		orders_.answer(true);
+		clock_.advance(30);
+		orders_.answer(false);
+		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
+		CPPUNIT_ASSERT_EQUAL(kWeakSuspicion, b_.load->ownSuspicion(clock_.now()));
+		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
+		b_.load->othersSuspicion = kWeakSuspicion;
+		CPPUNIT_ASSERT(b_.load->isDead(clock_.now()));
+	}
+
+	void whereNobodyListensOneNodeIsSure()
+	{
+		fallSilent();
+		orders_.answer(true);
+		constexpr bool kRefused = true;
+		orders_.answer(false, kRefused);
+		CPPUNIT_ASSERT(b_.load->isDead(clock_.now()));
+		clock_.advance(5000); // its record has lapsed by now, or it lives
+		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
+	}
+
 private:
 	/// Lets a look happen after some time on the hand clock.
 	void look(int64_t _millis)
--- a/packages/entry/tests/settingsfiletest.cpp
+++ b/packages/entry/tests/settingsfiletest.cpp
@@ -35,6 +35,8 @@
 	CPPUNIT_TEST(wrongSettingIsNamed);
 	CPPUNIT_TEST(wrongFileLeavesTheLastSettings);
 	CPPUNIT_TEST(tellsWhatTakesARestart);
+	CPPUNIT_TEST(mechanismsAreSwitchedOff);
+	CPPUNIT_TEST(everyMechanismHasAName);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +96,34 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("hall peer-ports"), settingsThatTakeARestart(before, after));
 	}
 
+	void mechanismsAreSwitchedOff()
+	{
+		write(std::string(kText) + "switched-off=own-evidence,busy-last\n");
+		CPPUNIT_ASSERT(SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT(!settings_.mechanisms.on(Mechanism::OwnEvidence));
+		CPPUNIT_ASSERT(!settings_.mechanisms.on(Mechanism::BusyLast));
+		CPPUNIT_ASSERT(settings_.mechanisms.on(Mechanism::SecondCopies));
+		CPPUNIT_ASSERT_EQUAL(std::string("own-evidence,busy-last"), settings_.mechanisms.off());
+		write(std::string(kText) + "switched-off=none\n");
+		CPPUNIT_ASSERT(SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT_EQUAL(std::string(), settings_.mechanisms.off());
+		write(std::string(kText) + "switched-off=everything\n");
+		CPPUNIT_ASSERT(!SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT(std::string::npos != message_.find("switched-off is 'everything'"));
+	}
+
+	void everyMechanismHasAName()
+	{
+		for (int index = 0; index < Mechanism::Count; ++index)
+		{
+			Mechanisms mechanisms;
+			std::string unknown;
+			const char* const name = nameOf(static_cast<Mechanism::Enum>(index));
+			CPPUNIT_ASSERT(mechanisms.setOff(name, unknown));
+			CPPUNIT_ASSERT(!mechanisms.on(static_cast<Mechanism::Enum>(index)));
+		}
+	}
+
 private:
 	void write(const std::string& _text)
 	{
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -38,7 +38,7 @@
 
 	ChoiceQuery query(double _tokens)
 	{
-		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, false};
+		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, mechanisms, false};
 	}
 
 	TargetLoad& load(uint32_t _target)
@@ -59,6 +59,7 @@
 
 	FleetService service;
 	std::set<std::string> failed;
+	Mechanisms mechanisms;
 
 private:
 	ServiceSpec spec_;
@@ -114,6 +115,10 @@
 		fleet.load(4).tokenLayers = 100; // a little fuller
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(4U, choice.parts[0].candidate);
+		std::string unknown;
+		CPPUNIT_ASSERT(fleet.mechanisms.setOff("head-slots", unknown));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
 	}
 
 	/// A hall's chain is lost: its requests must not all go to the same one of the others.
