A node that starts alone gets its share of slots once it sees the others

Cause of StopProof.allNodesReplacedInTurn failing at times: a node that has just started sees itself before the others. Its limit on a target, 1.5 times the even share, is capped at the target's slots (8 of 12), and scaled down to three nodes it ends at 2.7 where the others have 4. Six callers on that node then wait for five slots and are refused as overloaded, while it is ready. Ruled out: health that is told too early (the node answers a request before it is called healthy). Change: a limit at its cap is scaled to the first limit of the new number of nodes.

--- a/packages/core/src/limiter.cpp
+++ b/packages/core/src/limiter.cpp
@@ -24,21 +24,32 @@
 	return static_cast<uint32_t>(std::clamp<uint64_t>(_limitMilli, kMilli, most));
 }
 
+/// @returns the even share of a target's slots, with headroom.
+uint32_t firstLimit(uint32_t _slots, uint32_t _nodes)
+{
+	const uint64_t share = static_cast<uint64_t>(_slots) * kMilli * kHeadroomPercent / 100 / std::max(1U, _nodes);
+	return clampLimit(share, _slots);
+}
+
 } // namespace
 
 void Limiter::start(TargetHandle _target, uint32_t _slots, uint32_t _liveNodes)
 {
 	TargetCounters& counters = board_.at(_target);
 	uint32_t unset = 0;
-	const uint64_t share = static_cast<uint64_t>(_slots) * kMilli * kHeadroomPercent / 100 / std::max(1U, _liveNodes);
-	counters.limitMilli.compare_exchange_strong(unset, clampLimit(share, _slots), kRelaxed);
+	counters.limitMilli.compare_exchange_strong(unset, firstLimit(_slots, _liveNodes), kRelaxed);
 }
 
 void Limiter::rescale(TargetHandle _target, uint32_t _slots, uint32_t _nodesBefore, uint32_t _nodesNow)
 {
 	TargetCounters& counters = board_.at(_target);
-	const uint64_t scaled = static_cast<uint64_t>(counters.limitMilli.load(kRelaxed)) * _nodesBefore / _nodesNow;
-	counters.limitMilli.store(clampLimit(scaled, _slots), kRelaxed);
+	const uint32_t limit = counters.limitMilli.load(kRelaxed);
+	const uint64_t scaled = static_cast<uint64_t>(limit) * _nodesBefore / _nodesNow;
+	// A limit at the target's slots was cut to them, and scaled down it would lose its headroom: a node that had just
+	// started, and saw itself before the others, kept two slots of eight where three nodes have four each.
+	const bool wasCapped = clampLimit(UINT64_MAX, _slots) <= limit;
+	const uint64_t least = wasCapped ? firstLimit(_slots, _nodesNow) : 0;
+	counters.limitMilli.store(clampLimit(std::max(scaled, least), _slots), kRelaxed);
 }
 
 void Limiter::succeed(TargetHandle _target, uint32_t _slots)
