A node short of processor blames no target; what other nodes are sure of is left; questions use kept connections

Only looks that were 35 ms late counted as standing still. Ruled out: the layout (no target was lost), the retry allowance (one repeat was left). Change: a look that is more than 10 ms late while a question is open voids the silence, and the target is asked again. A node that is always late leaves what other nodes are sure of. A question goes over a kept connection, and once more over a new one if that is silent. PathWatchTest: aLateLookVoidsTheSilence and whatOtherNodesAreSureOfIsLeft fail without the change; the other cases now let looks happen while time passes, as at a node with processor.

--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -56,6 +56,7 @@
 {
 	bool answered = false;
 	bool refused = false;             //!< Nobody listens at its address any more.
+	uint32_t tries = 1;               //!< Each waited for the question's bound, if none was answered.
 	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
 	double pace = 1;                  //!< So many times slower than usual, some hundred ms ago.
 };
@@ -75,7 +76,8 @@
 	using ProbeCall = std::function<void(const ProbeAnswer&)>;
 
 	/// Asks a target for its state.
-	/// @param _bound without an answer by then it counts as not answering.
+	/// @param _bound without an answer by then it counts as not answering. Where a kept connection is silent for so
+	/// long, the question is put once more over a new one.
 	virtual void probe(const std::string& _address, Duration _bound, ProbeCall _call) = 0;
 
 	/// Asks a target for its state as `probe` does, but over a connection that is kept for the next time: no answer
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -54,6 +54,11 @@
 /// A look that is late by more shows that this node stood still, and that silence says nothing of others.
 constexpr Duration kLate = Duration::fromMillis(35);
 
+/// A look that is late by more while a question is open shows that this node had too little processor to take the answer
+/// in time: who did not answer is asked again. Nodes of 0.12 cores that read a desired state of 249 routes took sound
+/// targets as dead, and broke streams off that had left two of them.
+constexpr Duration kLateLook = Duration::fromMillis(10);
+
 /// A question's bound that is noticed later than this shows that this node had no processor: answers may be waiting.
 constexpr Duration kLateAnswer = Duration::fromMillis(10);
 
@@ -122,10 +127,34 @@
 	}
 	const Time now = clock_.now();
 	awakeAt_ = lookAt_ + kLate < now ? now : awakeAt_;
+	lateAt_ = lookAt_ + kLateLook < now ? now : lateAt_;
+	leaveToldDead(paths, now);
 	look(paths);
 	start();
 }
 
+/// Paths leave targets that other nodes are sure of. A node that is too weak to find out itself hears it so.
+void PathWatch::leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
+{
+	std::vector<FleetTarget> told;
+	for (const auto& path : _paths)
+	{
+		for (const FleetTarget* const target : path->pathTargets())
+		{
+			const bool avoided = _now.micros < target->load->avoidedUntil.load(std::memory_order_relaxed);
+			if (!avoided && kSureSuspicion <= target->load->othersSuspicion.load(std::memory_order_relaxed))
+			{
+				passOver(*target, kDeadFor);
+				told.push_back(*target);
+			}
+		}
+	}
+	for (const FleetTarget& target : told)
+	{
+		tellPaths(target, "other nodes found it dead");
+	}
+}
+
 bool PathWatch::isSilent(const WatchedPathI& _path, Time _now) const
 {
 	const Time last = _path.lastProgress() < awakeAt_ ? awakeAt_ : _path.lastProgress();
@@ -211,13 +240,13 @@
 	asked.answered = asked.answered || _answer.answered;
 	if (0 == asked.open)
 	{
-		onSettled(_target, _round, _answer.refused);
+		onSettled(_target, _round, _answer);
 	}
 	onStalled(_answer.stalled);
 }
 
 /// All questions to a target are answered or have passed their bound.
-void PathWatch::onSettled(const FleetTarget& _target, Round& _round, bool _refused)
+void PathWatch::onSettled(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
 	Asked& asked = asked_[_target.record.instance.text];
 	const Time now = clock_.now();
@@ -227,16 +256,17 @@
 		closeRound(_round);
 		return;
 	}
-	if (_refused)
+	const Duration bound{kAnswerBound.micros * static_cast<int64_t>(_answer.tries)};
+	if (_answer.refused)
 	{
 		asked.notBefore = now + kSilentPause;
 		suspect(_target, kSureSuspicion);
 		passOver(_target, kDeadFor);
 		tellPaths(_target, "nobody listens");
 	}
-	else if (_round.at + kAnswerBound + kLateAnswer < now)
+	else if (_round.at + bound + kLateAnswer < now || !(lateAt_ < _round.at) || lookAt_ + kLateLook < now)
 	{
-		asked.notBefore = now; // the bound was noticed late: an answer may have come meanwhile
+		asked.notBefore = now; // this node was late: an answer may have come meanwhile
 	}
 	else
 	{
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -82,11 +82,12 @@
 
 	void tick();
 	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
+	void leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now);
 	bool isSilent(const WatchedPathI& _path, Time _now) const;
 	Duration silence() const;
 	void ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round);
 	void onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
-	void onSettled(const FleetTarget& _target, Round& _round, bool _refused);
+	void onSettled(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
 	void onStalled(const std::vector<std::string>& _addresses);
 	void closeRound(const Round& _round);
 	void passOver(const FleetTarget& _target, Duration _span);
@@ -102,6 +103,7 @@
 	std::map<std::string, Asked> asked_; //!< By instance.
 	Time lookAt_;                        //!< When the next look is due.
 	Time awakeAt_;                       //!< Since when this node has not stood still.
+	Time lateAt_{INT64_MIN};             //!< When a look was last late.
 	double usualGap_ = 22000; //!< Between two events, microseconds, as lately seen; at first as on small sites.
 	bool ticking_ = false;
 };
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
@@ -123,6 +124,8 @@
 	CPPUNIT_TEST(slowPathsAreNotSilent);
 	CPPUNIT_TEST(oneNodeThatGotNoAnswerIsNotSure);
 	CPPUNIT_TEST(whereNobodyListensOneNodeIsSure);
+	CPPUNIT_TEST(aLateLookVoidsTheSilence);
+	CPPUNIT_TEST(whatOtherNodesAreSureOfIsLeft);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,7 +141,7 @@
 		fallSilent();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), orders_.calls.size());
 		orders_.answer(true);
-		clock_.advance(30);
+		pass(30);
 		orders_.answer(false);
 		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
 	}
@@ -159,7 +162,7 @@
 	void allDeadArePassedOverBeforePathsMove()
 	{
 		fallSilent();
-		clock_.advance(30);
+		pass(30);
 		orders_.answer(false);
 		CPPUNIT_ASSERT(path_->dead.empty()); // the other question is still open
 		orders_.answer(false);
@@ -186,7 +189,7 @@
 	{
 		fallSilent();
 		orders_.answer(true);
-		clock_.advance(30);
+		pass(30);
 		orders_.answer(false);
 		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
 		CPPUNIT_ASSERT_EQUAL(kWeakSuspicion, b_.load->ownSuspicion(clock_.now()));
@@ -206,6 +209,30 @@
 		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
 	}
 
+	/// The node is short of processor while its question is open: the answer may wait to be read.
+	void aLateLookVoidsTheSilence()
+	{
+		fallSilent();
+		orders_.answer(true);
+		look(22); // due after 8 ms
+		clock_.advance(8);
+		orders_.answer(false);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now()));
+	}
+
+	void whatOtherNodesAreSureOfIsLeft()
+	{
+		a_.load->othersSuspicion = kWeakSuspicion;
+		look(8);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		a_.load->othersSuspicion = kSureSuspicion;
+		look(8);
+		CPPUNIT_ASSERT((std::vector<std::string>{"a"}) == path_->dead);
+		look(8);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), path_->dead.size()); // told once
+	}
+
 private:
 	/// Lets a look happen after some time on the hand clock.
 	void look(int64_t _millis)
@@ -215,6 +242,16 @@
 		loop_.run_one();
 	}
 
+	/// Lets time pass as at a node that has the processor whenever a look is due.
+	void pass(int64_t _millis)
+	{
+		constexpr int64_t kLookMs = 8;
+		for (int64_t left = _millis; 0 < left; left -= kLookMs)
+		{
+			look(std::min(kLookMs, left));
+		}
+	}
+
 	/// Looks until something was asked, at most for 120 ms.
 	void fallSilent()
 	{
