--- a/packages/ctl/completion/sedgecart.bash
+++ b/packages/ctl/completion/sedgecart.bash
@@ -10,9 +10,9 @@
     release | take | move | holds) choices="route" ;;
     who) choices="holds" ;;
     halls | links | customers | routes | targets | nodes | requests | changes) choices="where" ;;
-    apply | explain) mapfile -t COMPREPLY < <(compgen -f -- "$word"); return ;;
+    apply | explain | losses) mapfile -t COMPREPLY < <(compgen -f -- "$word"); return ;;
     sedgecart | --json | --dry-run | --follow)
-      choices="show who add remove drain resume release take move undo apply dump load explain keygen" ;;
+      choices="show who add remove drain resume release take move undo apply dump load explain losses keygen" ;;
   esac
   [[ $word == -* ]] && choices="--help --version --node --operator-key --author --wait-ms --dry-run --follow --json
     --customers --rate --seconds --tokens --prompt-bytes --deadline-ms --seed"
--- a/packages/ctl/include/ctl/requeststory.h
+++ b/packages/ctl/include/ctl/requeststory.h
@@ -29,6 +29,9 @@
 	std::vector<LogField> fields;
 };
 
+/// @returns the value of a field, empty if there is none.
+std::string valueOf(const LogRecord& _record, const std::string& _name);
+
 /// Reads a line of a log. What stands before the JSON object, such as a collector's prefix, is passed over.
 /// @returns false if the line holds none of our records.
 bool readLogRecord(const std::string& _line, LogRecord& _record);
--- a/packages/ctl/main/sedgecart.cpp
+++ b/packages/ctl/main/sedgecart.cpp
@@ -3,6 +3,7 @@
 #include <ctl/loadplan.h>
 #include <ctl/loadreport.h>
 #include <ctl/loadrunner.h>
+#include <ctl/lossledger.h>
 #include <ctl/operatorclient.h>
 #include <ctl/requeststory.h>
 #include <peer/peerlink.h>
@@ -34,6 +35,8 @@
                                       customers are given as --customers name:key:share,...
   sedgecart explain ID [FILE...]    tells one request's story from the logs of nodes on the users' platform, in FILEs or
                                       standard input
+  sedgecart losses [FILE...]        tells from such logs where requests were lost or late, and why; see --window-s,
+                                      --first-ms, --csv
   sedgecart keygen                  makes a key pair for the nodes' own traffic
 
 )";
@@ -58,6 +61,9 @@
 	    "tokens", po::value<uint32_t>()->default_value(32), "load: mean length of an answer, 1 to 2048.")(
 	    "prompt-bytes", po::value<uint32_t>()->default_value(64), "load: length of a prompt, up to 65536.")(
 	    "deadline-ms", po::value<uint32_t>()->default_value(30000), "load: deadline of each request, 1 to 3600000.")(
+	    "window-s", po::value<double>()->default_value(2), "losses: length of a window, 0.1 to 86400.")(
+	    "first-ms", po::value<uint32_t>()->default_value(500), "losses: a later first event is late, 1 to 3600000.")(
+	    "csv", po::bool_switch(), "losses: print rows for a spreadsheet or a plot.")(
 	    "seed", po::value<uint64_t>()->default_value(1),
 	    "load: the same seed sends the same requests.")("words", po::value<std::vector<std::string>>(), "");
 	return description;
@@ -102,6 +108,51 @@
 	return ExitCode::Done;
 }
 
+/// Reads log files, standard input if there are none.
+/// @returns false if one cannot be read.
+template <typename Reader>
+bool readLogs(const std::vector<std::string>& _words, std::size_t _firstFile, Reader& _reader)
+{
+	for (std::size_t index = _firstFile; index < _words.size(); ++index)
+	{
+		std::ifstream log(_words[index]);
+		if (!log)
+		{
+			std::cerr << "sedgecart: log file '" << _words[index] << "' cannot be read\n";
+			return false;
+		}
+		_reader.read(log);
+	}
+	if (_firstFile == _words.size())
+	{
+		_reader.read(std::cin);
+	}
+	return true;
+}
+
+/// @param _words "losses", names of log files.
+int losses(const po::variables_map& _values, const std::vector<std::string>& _words)
+{
+	constexpr double kLeastWindow = 0.1;
+	constexpr double kMostWindow = 86400;
+	constexpr double kMicrosPerSecond = 1e6;
+	const double window = _values["window-s"].as<double>();
+	const uint32_t firstMs = _values["first-ms"].as<uint32_t>();
+	if (!(kLeastWindow <= window && window <= kMostWindow) || 0 == firstMs)
+	{
+		std::cerr << "sedgecart: --window-s is " << window << ", allowed: 0.1 to 86400; --first-ms is " << firstMs
+		          << ", allowed: 1 to 3600000\n";
+		return ExitCode::BadUsage;
+	}
+	LossLedger ledger(static_cast<int64_t>(window * kMicrosPerSecond), firstMs);
+	if (!readLogs(_words, 1, ledger))
+	{
+		return ExitCode::BadUsage;
+	}
+	std::cout << (_values["csv"].as<bool>() ? ledger.csv() : ledger.table());
+	return ExitCode::Done;
+}
+
 /// @param _words "explain", the request's id, names of log files.
 int explain(const std::vector<std::string>& _words)
 {
@@ -111,19 +162,9 @@
 		return ExitCode::BadUsage;
 	}
 	RequestStory story(_words[1]);
-	for (std::size_t index = 2; index < _words.size(); ++index)
+	if (!readLogs(_words, 2, story))
 	{
-		std::ifstream log(_words[index]);
-		if (!log)
-		{
-			std::cerr << "sedgecart: log file '" << _words[index] << "' cannot be read\n";
-			return ExitCode::BadUsage;
-		}
-		story.read(log);
-	}
-	if (2 == _words.size())
-	{
-		story.read(std::cin);
+		return ExitCode::BadUsage;
 	}
 	const std::string text = story.text();
 	std::cout << (text.empty() ? "No line about request " + _words[1] + ".\n" : text);
@@ -239,6 +280,10 @@
 	{
 		return printKeys();
 	}
+	if ("losses" == words.front())
+	{
+		return losses(values, words);
+	}
 	if ("explain" == words.front())
 	{
 		return explain(words);
--- a/packages/ctl/src/requeststory.cpp
+++ b/packages/ctl/src/requeststory.cpp
@@ -55,19 +55,6 @@
 	return targets;
 }
 
-/// @returns the value of a field, empty if there is none.
-std::string valueOf(const LogRecord& _record, const std::string& _name)
-{
-	for (const LogField& field : _record.fields)
-	{
-		if (_name == field.name)
-		{
-			return field.value;
-		}
-	}
-	return std::string();
-}
-
 std::string lineOf(const LogRecord& _record, int64_t _since)
 {
 	char time[32];
@@ -83,6 +70,18 @@
 
 } // namespace
 
+std::string valueOf(const LogRecord& _record, const std::string& _name)
+{
+	for (const LogField& field : _record.fields)
+	{
+		if (_name == field.name)
+		{
+			return field.value;
+		}
+	}
+	return std::string();
+}
+
 bool readLogRecord(const std::string& _line, LogRecord& _record)
 {
 	const std::size_t begin = _line.find('{');
