Hops between halls are priced by the link that the operator names

Cause: the price was 30 ms, the time of a prompt over the link of one site. TargetChooserTest.theLinkBetweenHallsHasItsPrice.

--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -54,9 +54,9 @@
 /// A look that is late by more shows that this node stood still, and that silence says nothing of others.
 constexpr Duration kLate = Duration::fromMillis(35);
 
-/// A look that is late by more while a question is open shows that this node had too little processor to take the answer
-/// in time: who did not answer is asked again. Nodes of 0.12 cores that read a desired state of 249 routes took sound
-/// targets as dead, and broke streams off that had left two of them.
+/// A look that is late by more while a question is open shows that this node had too little processor to take the
+/// answer in time: who did not answer is asked again. Nodes of 0.12 cores that read a desired state of 249 routes took
+/// sound targets as dead, and broke streams off that had left two of them.
 constexpr Duration kLateLook = Duration::fromMillis(10);
 
 /// A question's bound that is noticed later than this shows that this node had no processor: answers may be waiting.
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -20,11 +20,16 @@
 /// Extra of a target that failed a moment ago, requests: it is used when all others are as bad.
 constexpr double kAvoidedRequests = 1000;
 
-/// Price of a hop of activations, microseconds. In a hall: its delay and the work of one more target. Between halls a
-/// prompt of 1,000 tokens takes 23 ms of a pipe that all share (22.9 kB a token over 7,900 Mbit/s), once, and a token
-/// next to nothing; a hall that lacks one part borrows it only when the other halls
-/// are nearly full: more than some forty prompts a second would jam the pipe.
-constexpr HopCosts kHops{500, 30000};
+/// Price of a hop of activations in a hall, microseconds: its delay and the work of one more target.
+constexpr double kHop = 500;
+
+/// Price of a hop between halls, in times that a usual prompt takes the link which all share; a token takes next to
+/// nothing. Others use the link as well: a hall that lacks one part borrows it only when the other halls are nearly
+/// full.
+constexpr double kLinkTimes = 1.6;
+
+/// The same where the operator names no link, microseconds.
+constexpr double kUnknownLink = 30000;
 
 /// Price of the way to the first part, microseconds. To another hall only the request itself goes, some kilobytes, but
 /// its stream is lost when the halls are cut from each other: another hall is used when its chain is half a step
@@ -161,6 +166,18 @@
 	return crossings;
 }
 
+/// @returns the price of hops by what the operator says of the link between halls.
+HopCosts hopCosts(const EngineSpec& _engine)
+{
+	if (_engine.hallLinkMbps <= 0)
+	{
+		return HopCosts{kHop, kUnknownLink};
+	}
+	constexpr double kBitsPerByte = 8; // bits over Mbit/s are microseconds
+	const double prompt = _engine.usualPromptTokens * _engine.hopBytesPerToken * kBitsPerByte / _engine.hallLinkMbps;
+	return HopCosts{kHop, kHop + kLinkTimes * prompt};
+}
+
 PathQuery pathQuery(const FleetService& _service)
 {
 	PathQuery query;
@@ -168,7 +185,7 @@
 	query.halls = _service.halls;
 	query.homeHall = kHomeHall;
 	query.entry = kEntry;
-	query.hops = kHops;
+	query.hops = hopCosts(_service.spec->engine);
 	return query;
 }
 
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -41,6 +41,11 @@
 		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, mechanisms, false};
 	}
 
+	EngineSpec& engine()
+	{
+		return spec_.engine;
+	}
+
 	TargetLoad& load(uint32_t _target)
 	{
 		return *service.targets[_target].load;
@@ -80,6 +85,7 @@
 	CPPUNIT_TEST(requestsThatMoveSpread);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
+	CPPUNIT_TEST(theLinkBetweenHallsHasItsPrice);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -205,6 +211,24 @@
 		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
 	}
 
+	/// A hall that lacks a part borrows it over a wide link; over a narrow one its requests go to the other hall as a
+	/// whole.
+	void theLinkBetweenHallsHasItsPrice()
+	{
+		Fleet fleet;
+		fleet.failed = {"i-1"};
+		fleet.engine().usualPromptTokens = 1000;
+		fleet.engine().hopBytesPerToken = 20000;
+		Choice choice;
+		fleet.engine().hallLinkMbps = 1000000;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
+		fleet.engine().hallLinkMbps = 5000;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+	}
+
 	void plainServiceTakesTheIdlest()
 	{
 		Fleet fleet;
