--- /dev/null
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -0,0 +1,236 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/fleetcontroller_p.h"
+#include "../src/layoutkeeper_p.h"
+
+#include <entry/entrysettings.h>
+#include <wire/sedgecart.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr uint32_t kLayers = 80;
+
+/// Documents of one hall: a target's record is "card begin end".
+class HallDocuments : public DocumentsI
+{
+public:
+	bool isDesiredState(const std::string&) const override
+	{
+		return true;
+	}
+
+	bool readDesiredState(const std::string&, DesiredState& _state) const override
+	{
+		_state.version = StateVersion{1};
+		ServiceSpec service;
+		service.name = "engine";
+		service.hasEngine = true;
+		service.engine.layers = kLayers;
+		service.engine.layerMb = 1750;
+		service.engine.kvBytesPerToken = 590000;
+		service.engine.roomTokens = 100000;
+		service.engine.kinds = {CardKind{"fast", 72000, 2.4, 3.2}, CardKind{"small", 14400, 5.3, 7.9},
+		                        CardKind{"slow", 21600, 16, 8.2}};
+		_state.services.push_back(service);
+		return true;
+	}
+
+	bool readRunner(const std::string& _key, const std::string& _text, RunnerRecord& _record) const override
+	{
+		std::istringstream words(_text);
+		_record.instance = InstanceId{_key};
+		_record.service = "engine";
+		_record.hall = "hall";
+		words >> _record.card >> _record.layers.begin >> _record.layers.end;
+		return true;
+	}
+};
+
+class StillClock : public ClockI
+{
+public:
+	Time now() const override
+	{
+		return Time{60000000};
+	}
+};
+
+/// Remembers what is appended.
+class RememberedLog : public KeyedLogI
+{
+public:
+	void setAddress(const std::string&) override
+	{
+	}
+	void newest(KeyedTopic::Enum, const std::string&, PageCall) override
+	{
+	}
+	void read(KeyedTopic::Enum, Offset, Duration, PageCall) override
+	{
+	}
+	void append(KeyedTopic::Enum, const std::string&, const std::string& _value, std::optional<Offset>,
+	            AppendCall) override
+	{
+		appended.push_back(_value);
+	}
+
+	std::vector<std::string> appended;
+};
+
+class NoOrders : public RunnerOrdersI
+{
+public:
+	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
+	{
+	}
+	void probe(const std::string&, Duration, ProbeCall) override
+	{
+	}
+	void poll(const std::string&, Duration, ProbeCall) override
+	{
+	}
+	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
+	{
+	}
+};
+
+} // namespace
+
+/// What the layout does at its first look, on the word of the nodes.
+class LayoutKeeperTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(LayoutKeeperTest);
+	CPPUNIT_TEST(whatIsFoundDeadIsMendedAtOnce);
+	CPPUNIT_TEST(oneWeakWordChangesNothing);
+	CPPUNIT_TEST(aHallThatSeemsCutOffIsLeftAlone);
+	CPPUNIT_TEST(switchedOffItWaitsForTheRegistry);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		fleet_.onOperatorRecord(KeyedRecord{"config", "1", false, Offset{0}});
+		add("fast", 1);
+		add("small", 6);
+		add("slow", 6);
+		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
+		for (const LayoutOrder& order : planLayout(engine, targets_, LayoutPolicy{}))
+		{
+			targets_[order.target].held = order.layers;
+		}
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const LayoutTarget& target = targets_[index];
+			const std::string text =
+			    target.card.name + ' ' + std::to_string(target.held.begin) + ' ' + std::to_string(target.held.end);
+			fleet_.onRunnerRecord(KeyedRecord{nameOf(index), text, false, Offset{index}});
+		}
+		fleet_.onRunnersCurrent();
+	}
+
+	/// Its record has not lapsed, and the range that only it held goes to holders of second copies.
+	void whatIsFoundDeadIsMendedAtOnce()
+	{
+		suspect(alone(), kSureSuspicion);
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		wire::LayoutChange change;
+		CPPUNIT_ASSERT(change.ParseFromString(log_.appended.front()));
+		CPPUNIT_ASSERT(0 < change.holds_size());
+		for (const wire::LayoutHold& hold : change.holds())
+		{
+			CPPUNIT_ASSERT(nameOf(alone()) != hold.target());
+		}
+	}
+
+	void oneWeakWordChangesNothing()
+	{
+		suspect(alone(), kWeakSuspicion);
+		look();
+		CPPUNIT_ASSERT(log_.appended.empty());
+	}
+
+	/// Three of thirteen at once: the link to the hall is gone, and its targets hold what they held.
+	void aHallThatSeemsCutOffIsLeftAlone()
+	{
+		suspect(alone(), kSureSuspicion);
+		suspect(1, kSureSuspicion);
+		suspect(2, kSureSuspicion);
+		look();
+		CPPUNIT_ASSERT(log_.appended.empty());
+	}
+
+	void switchedOffItWaitsForTheRegistry()
+	{
+		std::string unknown;
+		CPPUNIT_ASSERT(settings_.mechanisms.setOff("own-evidence", unknown));
+		suspect(alone(), kSureSuspicion);
+		look();
+		CPPUNIT_ASSERT(log_.appended.empty());
+	}
+
+private:
+	static std::string nameOf(std::size_t _target)
+	{
+		return "t" + std::to_string(_target);
+	}
+
+	void add(const char* _card, int _count)
+	{
+		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
+		for (int index = 0; index < _count; ++index)
+		{
+			targets_.push_back(LayoutTarget{0, *findKind(engine, _card), LayerSpan{}, 0});
+		}
+	}
+
+	/// @returns the target that holds the last layer; spares lie at the first ones.
+	std::size_t alone() const
+	{
+		std::size_t found = 0;
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			found = kLayers == targets_[index].held.end ? index : found;
+		}
+		return found;
+	}
+
+	void suspect(std::size_t _target, uint32_t _suspicion)
+	{
+		TargetLoad& load = *fleet_.loads().at(nameOf(_target));
+		load.suspicion = _suspicion;
+		load.suspectedUntil = INT64_MAX;
+	}
+
+	void look()
+	{
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.onCurrent(Offset{0});
+		keeper.start();
+	}
+
+	boost::asio::io_context loop_;
+	HallDocuments documents_;
+	FleetCell cell_;
+	StillClock clock_;
+	RememberedLog log_;
+	NoOrders orders_;
+	EntrySettings settings_;
+	FleetController fleet_{documents_, cell_, clock_, "hall"};
+	std::vector<LayoutTarget> targets_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LayoutKeeperTest);
+
+} // namespace sedgecart
