The proof of a node that still reads the log holds the state that it looks at

Cause: NotRunProof.nodeThatStillReadsTheLog looked for a state that lasted one read of a log slowed to 0.7 s; on a busy machine it was over before the test looked. Ruled out: a slower log (1.5 s did not end within 120 s beside load). Change: the stand-in gives out half of the records until the test lets it go on (switch hold_from), so that the node stays half-way for as long as the test looks. The test asks the same and sees more of the state: as strict.

--- a/tests/proof/notrunproof.cpp
+++ b/tests/proof/notrunproof.cpp
@@ -223,13 +223,15 @@
 
 	void nodeThatStillReadsTheLog()
 	{
-		// More records than one read brings, and a log that is slow: between two reads the node knows half of the keys.
+		// More records than one read brings, and a log that gives out half of them: until it goes on, the node knows
+		// half of the keys.
+		constexpr uint64_t kHeldFrom = 150;
 		for (int turn = 0; turn < 300; ++turn)
 		{
 			callService(cluster_.at("n1"), "filing", "old-" + std::to_string(turn), "call");
 		}
 		cluster_.node("n2").process->kill();
-		cluster_.setSwitch("platform", "slow_ms", 700);
+		cluster_.setSwitch("platform", "hold_from", kHeldFrom);
 		cluster_.restartNode("n2");
 		CPPUNIT_ASSERT(eventually(
 		    [this]
@@ -239,7 +241,7 @@
 			    note(answer);
 			    return "catching_up" == answer.errorKind;
 		    }));
-		cluster_.setSwitch("platform", "slow_ms", 0);
+		cluster_.setSwitch("platform", "hold_from", 0);
 		CPPUNIT_ASSERT(eventually(
 		    [this]
 		    {
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -9,6 +9,7 @@
 #include <wire/json.h>
 
 #include <algorithm>
+#include <limits>
 #include <thread>
 
 namespace sedgecart
@@ -121,13 +122,20 @@
 		const Stream& stream = streams_[_name];
 		return from < stream.first + stream.records.size();
 	};
-	appended_.wait_for(lock, std::chrono::milliseconds(waitMs), there);
+	const uint64_t held = switches_.get("hold_from");
+	const uint64_t givenOut = 0 == held ? std::numeric_limits<uint64_t>::max() : held;
+	const auto given = [&there, from, givenOut]
+	{
+		return from < givenOut && there();
+	};
+	appended_.wait_for(lock, std::chrono::milliseconds(waitMs), given);
 	const Stream& stream = streams_[_name];
 	wire::LogReadReply reply;
 	reply.set_identity(identity_);
 	reply.set_first(stream.first);
 	reply.set_next(stream.first + stream.records.size());
-	for (uint64_t offset = std::max(from, stream.first); offset < reply.next() && 0 < most; ++offset)
+	const uint64_t end = std::min(reply.next(), givenOut);
+	for (uint64_t offset = std::max(from, stream.first); offset < end && 0 < most; ++offset)
 	{
 		if (most <= static_cast<uint64_t>(reply.entries_size()))
 		{
--- a/tests/standin/platform.h
+++ b/tests/standin/platform.h
@@ -20,7 +20,8 @@
 
 /// Emulates the platform: log streams, the VM list and the weight store.
 /// Switches: outage, slow_ms, lose_answers (counts down: the append takes effect, its answer is lost), retention
-/// (records kept a stream), appends_per_second, vm_lag_ms, weights_per_second.
+/// (records kept a stream), appends_per_second, vm_lag_ms, weights_per_second, hold_from (records of a stream from this
+/// offset on exist but are not given out; 0: all are).
 class Platform : public Standin
 {
 public:
