--- a/packages/entry/include/entry/entrysettings.h
+++ b/packages/entry/include/entry/entrysettings.h
@@ -25,6 +25,7 @@
 	uint16_t lastPeerPort = 0;
 	std::string storeAddress; //!< "ip:port" of the platform's store.
 	double cpuShare = 1;      //!< Of a core, that this node may use.
+	double linkMbps = 1000;   //!< Of this VM, each way.
 	RetryAllowance retries;
 	Duration keyBound = Duration::fromMillis(5000);  //!< A key taken away must not work longer than this.
 	bool keyBoundStrict = false;                     //!< It holds also for nodes that cannot reach the store.
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -2,6 +2,7 @@
 
 #include "entrycontrol_p.h"
 
+#include <base/digest.h>
 #include <logging/logging.h>
 #include <wire/sedgecart.pb.h>
 
@@ -32,6 +33,14 @@
 /// How the layout's topic is followed: changes come at once, and are rare.
 constexpr FollowPlan kFollowLayout{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}, Duration{}};
 
+/// @returns how a node follows a topic.
+FollowPlan planOf(const FollowPlan& _plan, const std::string& _node)
+{
+	FollowPlan plan = _plan;
+	plan.seed = hash64(_node, _plan.topic);
+	return plan;
+}
+
 /// Between two tries to write this node's record.
 constexpr Duration kAnnounceRetry = Duration::fromMillis(1500);
 
@@ -147,6 +156,7 @@
 	void onCurrent(Time) override
 	{
 		outages_.onCurrent();
+		control_.follow();
 	}
 
 	void onOut(StoreState::Enum _state) override
@@ -191,16 +201,16 @@
                            RunnerOrdersI& _orders, const DocumentsI& _documents, const ClockI& _clock, FleetCell& _cell,
                            std::function<void()> _onReady)
     : settings_(_settings),
-      log_(_log, _clock, cache_),
+      log_(_log, _clock, cache_, _settings.name),
       fleet_(_documents, _cell, _clock, _settings.hall),
       operatorNews_(std::make_unique<OperatorNews>(*this)),
       runnerNews_(std::make_unique<RunnerNews>(*this)),
       nodeNews_(std::make_unique<NodeNews>(*this)),
       layoutNews_(std::make_unique<LayoutNews>(*this)),
-      operatorFollower_(_loop, log_, _clock, kFollowOperator, *operatorNews_),
-      runnerFollower_(_loop, log_, _clock, kFollowRunners, *runnerNews_),
-      nodeFollower_(_loop, log_, _clock, kFollowNodes, *nodeNews_),
-      layoutFollower_(_loop, log_, _clock, kFollowLayout, *layoutNews_),
+      operatorFollower_(_loop, log_, _clock, planOf(kFollowOperator, _settings.name), *operatorNews_),
+      runnerFollower_(_loop, log_, _clock, planOf(kFollowRunners, _settings.name), *runnerNews_),
+      nodeFollower_(_loop, log_, _clock, planOf(kFollowNodes, _settings.name), *nodeNews_),
+      layoutFollower_(_loop, log_, _clock, planOf(kFollowLayout, _settings.name), *layoutNews_),
       layout_(_loop, log_, _orders, _clock, fleet_, _settings),
       exchange_(_loop, _settings, _clock, fleet_, log_, cache_),
       paces_(_loop, _orders, fleet_, _settings.hall,
@@ -213,22 +223,37 @@
       onReady_(std::move(_onReady))
 {
 	fleet_.keepLapsed(settings_.mechanisms.on(Mechanism::LapseGrace));
+	log_.shareLoads(settings_.mechanisms.on(Mechanism::HallLoads));
 }
 
 EntryControl::~EntryControl() = default;
 
 void EntryControl::start()
 {
-	operatorFollower_.start();
-	runnerFollower_.start();
 	nodeFollower_.start();
-	layoutFollower_.start();
+	if (!log_.sharesLoads())
+	{
+		follow();
+	}
 	layout_.start();
-	exchange_.start();
 	paces_.start();
 	announce();
 }
 
+/// Begins to follow the other topics, once: through the hub of the hall, so after the nodes are known.
+void EntryControl::follow()
+{
+	if (follows_)
+	{
+		return;
+	}
+	follows_ = true;
+	exchange_.start();
+	operatorFollower_.start();
+	runnerFollower_.start();
+	layoutFollower_.start();
+}
+
 void EntryControl::announce()
 {
 	wire::NodePlace place;
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -47,6 +47,7 @@
 
 	void announce();
 	void checkReady();
+	void follow();
 	void dropLapsedLater();
 
 	EntrySettings settings_;
@@ -66,6 +67,7 @@
 	PacePoll paces_;
 	boost::asio::steady_timer announceTimer_;
 	boost::asio::steady_timer lapseTimer_;
+	bool follows_ = false; //!< The topics beside the nodes' are followed.
 	std::function<void()> onReady_;
 };
 
--- a/packages/entry/src/entrysettings.cpp
+++ b/packages/entry/src/entrysettings.cpp
@@ -139,7 +139,7 @@
 	options::options_description all;
 	for (const char* const name : {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports",
 	                               "store-address", "retry-ratio", "retry-slack", "retry-window-s", "key-bound-ms",
-	                               "key-bound-strict", "stop-bound-s", "cpu-share", "switched-off"})
+	                               "key-bound-strict", "stop-bound-s", "cpu-share", "link-mbps", "switched-off"})
 	{
 		all.add_options()(name, options::value<std::string>());
 	}
@@ -172,6 +172,7 @@
 	const bool ports = _before.firstPeerPort != _after.firstPeerPort || _before.lastPeerPort != _after.lastPeerPort;
 	note(ports, "peer-ports");
 	note(_before.cpuShare != _after.cpuShare, "cpu-share");
+	note(_before.linkMbps != _after.linkMbps, "link-mbps");
 	note(_before.mechanisms.off() != _after.mechanisms.off(), "switched-off");
 	return names;
 }
@@ -213,6 +214,9 @@
 	constexpr double kLeastCpuShare = 0.001;
 	constexpr double kMostCpuShare = 1024;
 	_settings.cpuShare = reader.number("cpu-share", kLeastCpuShare, kMostCpuShare);
+	constexpr double kLeastLinkMbps = 0.1;
+	constexpr double kMostLinkMbps = 1e6;
+	_settings.linkMbps = reader.number("link-mbps", kLeastLinkMbps, kMostLinkMbps);
 	reader.switchedOff("switched-off", _settings.mechanisms);
 	return reader.sound();
 }
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -25,7 +25,8 @@
       clock_(_clock),
       plan_(_plan),
       handler_(_handler),
-      retry_(kFirstRetry)
+      retry_(kFirstRetry),
+      random_(static_cast<std::minstd_rand::result_type>(_plan.seed))
 {
 }
 
@@ -38,7 +39,24 @@
 {
 	found_.clear();
 	loadFirst_ = true;
-	load(std::string());
+	loadAfter_.clear();
+	load(loadAfter_);
+}
+
+/// The pages that came before a failure still hold: what changed since is read behind the end of the first one.
+void Follower::resumeLoad()
+{
+	load(loadAfter_);
+}
+
+/// @returns the next pause: the longer the more reads in a row failed, and from half of it to one and a half, so that
+/// nodes that failed together do not come back together.
+Duration Follower::nextRetry()
+{
+	const Duration pause = retry_;
+	retry_ = std::min(kLastRetry, retry_ + retry_);
+	std::uniform_int_distribution<int64_t> spread(pause.micros / 2, pause.micros / 2 + pause.micros);
+	return Duration{spread(random_)};
 }
 
 void Follower::load(const std::string& _afterKey)
@@ -56,8 +74,7 @@
 	if (StoreState::Done != _page.state)
 	{
 		handler_.onOut(_page.state);
-		later(retry_, &Follower::startLoad);
-		retry_ = std::min(kLastRetry, retry_ + retry_);
+		later(nextRetry(), &Follower::resumeLoad);
 		return;
 	}
 	retry_ = kFirstRetry;
@@ -66,7 +83,7 @@
 		// Pages are no snapshot: what changed since the first one is read again behind its end.
 		loadFirst_ = false;
 		loadEnd_ = _page.end;
-		loadSentAt_ = _sentAt;
+		loadSentAt_ = Time{_sentAt.micros - _page.age.micros};
 	}
 	for (const KeyedRecord& record : _page.records)
 	{
@@ -75,7 +92,8 @@
 	}
 	if (_page.partial && !_page.records.empty())
 	{
-		load(_page.records.back().key);
+		loadAfter_ = _page.records.back().key;
+		load(loadAfter_);
 		return;
 	}
 	finishLoad();
@@ -157,8 +175,7 @@
 {
 	failing_ = true;
 	handler_.onOut(_state);
-	later(retry_, &Follower::read);
-	retry_ = std::min(kLastRetry, retry_ + retry_);
+	later(nextRetry(), &Follower::read);
 }
 
 void Follower::take(const KeyedRecord& _record)
--- a/packages/entry/src/follower_p.h
+++ b/packages/entry/src/follower_p.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -21,9 +22,10 @@
 struct FollowPlan
 {
 	KeyedTopic::Enum topic = KeyedTopic::Operator;
-	Duration wait;  //!< The store holds a read for so long when there is no news; 0: it answers at once.
-	Duration pause; //!< Between two reads.
-	Duration quiet; //!< Without a proof for longer the store counts as having been out; 0: no matter.
+	Duration wait;     //!< The store holds a read for so long when there is no news; 0: it answers at once.
+	Duration pause;    //!< Between two reads.
+	Duration quiet;    //!< Without a proof for longer the store counts as having been out; 0: no matter.
+	uint64_t seed = 0; //!< Spreads retries: each node's is another.
 };
 
 /// What a follower calls, on the control thread.
@@ -73,6 +75,8 @@
 	void take(const KeyedRecord& _record);
 	void later(Duration _pause, void (Follower::*_step)());
 	void startLoad();
+	void resumeLoad();
+	Duration nextRetry();
 	void fail(StoreState::Enum _state);
 
 	boost::asio::steady_timer timer_;
@@ -87,6 +91,8 @@
 	Time provenAt_; //!< When the read was sent that last found nothing more.
 	Time loadSentAt_;
 	Duration retry_;
+	std::minstd_rand random_;
+	std::string loadAfter_; //!< Last key that the load under way has shown.
 	bool loadFirst_ = true;
 	bool loaded_ = false;
 	bool failing_ = false; //!< The last read failed.
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -2,6 +2,8 @@
 
 #include "hallexchange_p.h"
 
+#include "recordpack_p.h"
+
 #include <logging/logging.h>
 #include <wire/sedgecart.pb.h>
 
@@ -33,6 +35,15 @@
 /// A target that is slower than usual by less is as usual: it costs no row in a report.
 constexpr double kUsualPace = 1.05;
 
+/// Part of its link that a hub gives to large news, so that the requests that it carries and the answers to reports,
+/// which are small, stay as quick as before.
+constexpr double kHandOnShare = 0.5;
+
+/// News of fewer bytes are always handed on: a report's answer without news has about as many.
+constexpr std::size_t kSmallNews = 4UL * 1024;
+
+constexpr double kBytesPerMbit = 1e6 / 8;
+
 using LoadRows = google::protobuf::RepeatedPtrField<wire::FleetLoadRow>;
 
 LoadTable tableOf(const LoadRows& _rows)
@@ -68,13 +79,14 @@
 	_news.set_known(_found.known);
 	_news.set_end(_found.end.value);
 	_news.set_age_us(static_cast<uint64_t>(std::max<int64_t>(0, (_now - _found.provenAt).micros)));
+	if (_found.packed)
+	{
+		_news.set_packed(*_found.packed);
+		return;
+	}
 	for (const KeyedRecord& record : _found.records)
 	{
-		wire::TopicRecord* const out = _news.add_records();
-		out->set_key(record.key);
-		out->set_value(record.value);
-		out->set_removed(record.removed);
-		out->set_offset(record.offset.value);
+		putRecord(record, *_news.add_records());
 	}
 }
 
@@ -83,14 +95,20 @@
 	HallLog::News news;
 	news.topic = static_cast<KeyedTopic::Enum>(_news.topic());
 	news.from = Offset{_news.from()};
+	news.whole = _news.whole();
 	news.known = _news.known();
 	news.page.state = StoreState::Done;
 	news.page.end = Offset{_news.end()};
 	news.page.age = Duration{static_cast<int64_t>(_news.age_us())};
 	for (const wire::TopicRecord& record : _news.records())
 	{
-		news.page.records.push_back(
-		    KeyedRecord{record.key(), record.value(), record.removed(), Offset{record.offset()}});
+		news.page.records.push_back(recordOf(record));
+	}
+	if (!_news.packed().empty() && !unpackRecords(_news.packed(), news.page.records))
+	{
+		logEvent(LogPart::Store, LogLevel::Error, "Records that a hub handed on cannot be read, the store is asked.",
+		         {{"topic", std::to_string(_news.topic())}, {"bytes", std::to_string(_news.packed().size())}});
+		news.known = false;
 	}
 	return news;
 }
@@ -107,7 +125,8 @@
       fleet_(_fleet),
       log_(_log),
       cache_(_cache),
-      choice_(_settings.name)
+      choice_(_settings.name),
+      handOn_(_settings.linkMbps * kBytesPerMbit * kHandOnShare)
 {
 	_log.setWatch(*this);
 	PeerSettings settings;
@@ -181,6 +200,7 @@
 		logEvent(LogPart::Store, LogLevel::Info, "Hub of the hall is chosen.",
 		         {{"hub", _hub.name}, {"before", hub_.name}, {"reads", _hub.reads ? "true" : "false"}});
 		askedAt_ = Time{};
+		answered_ = reports_; // what another hub still answers counts no more
 		hub_ = _hub;
 	}
 	isHub_.store(isSelf);
@@ -212,11 +232,12 @@
 	report->set_node(name_);
 	report->set_number(++reports_);
 	putRows(_own, *report->mutable_loads());
-	for (const HallLog::Question& question : log_.questions())
+	for (const HallLog::Question& question : log_.questions(reports_))
 	{
 		wire::TopicQuestion* const out = report->add_questions();
 		out->set_topic(question.topic);
 		out->set_from(question.from.value);
+		out->set_whole(question.whole);
 	}
 	link_->send(address, message);
 	sent_.push_back(Sent{reports_, _own});
@@ -350,25 +371,44 @@
 	}
 	for (const wire::TopicQuestion& question : _report.questions())
 	{
-		if (!isTopic(question.topic()))
-		{
-			continue; // of a newer version; its author reads the store itself
-		}
-		const auto topic = static_cast<KeyedTopic::Enum>(question.topic());
-		wire::TopicNews* const news = _answer.add_news();
-		news->set_topic(question.topic());
-		news->set_from(question.from());
-		putNews(cache_.find(topic, Offset{question.from()}), now, *news);
+		answerQuestion(question, _answer);
+	}
+}
+
+/// Link's thread. What is not answered is asked again with the next report, until its author goes to the store.
+void HallExchange::answerQuestion(const wire::TopicQuestion& _question, wire::HallAnswer& _answer)
+{
+	if (!isTopic(_question.topic()))
+	{
+		return; // of a newer version; its author reads the store itself
+	}
+	const Time now = clock_.now();
+	const auto topic = static_cast<KeyedTopic::Enum>(_question.topic());
+	const TopicCache::Found found =
+	    _question.whole() ? cache_.findWhole(topic) : cache_.find(topic, Offset{_question.from()});
+	if (!found.begun)
+	{
+		return; // this node is still loading it
+	}
+	const std::size_t bytes = found.packed ? found.packed->size() : 0;
+	if (found.known && kSmallNews < bytes && !handOn_.take(bytes, now))
+	{
+		return; // the link has enough to do
 	}
+	wire::TopicNews* const news = _answer.add_news();
+	news->set_topic(_question.topic());
+	news->set_from(_question.from());
+	news->set_whole(_question.whole());
+	putNews(found, now, *news);
 }
 
 void HallExchange::onAnswer(const wire::HallAnswer& _answer)
 {
-	if (hub_.name != _answer.node() || reports_ != _answer.number())
+	if (hub_.name != _answer.node() || _answer.number() <= answered_ || reports_ < _answer.number())
 	{
-		return; // late; the next one is under way
+		return; // of a hub that was left
 	}
-	askedAt_ = Time{};
+	noteAnswered(_answer.number());
 	const bool fresh = _answer.reads() && takeNews(_answer);
 	choice_.onAnswer(_answer.node(), fresh, clock_.now());
 	if (_answer.is_hub())
@@ -377,14 +417,22 @@
 	}
 }
 
+/// An answer that comes after the next report was sent is as good: a hub that sends much at once is late, not silent.
+void HallExchange::noteAnswered(uint64_t _number)
+{
+	answered_ = _number;
+	askedAt_ = reports_ == _number ? Time{} : clock_.now();
+}
+
 /// @returns false if something is too old to go by.
 bool HallExchange::takeNews(const wire::HallAnswer& _answer)
 {
 	bool fresh = true;
 	for (const wire::TopicNews& news : _answer.news())
 	{
-		fresh = !isTopic(news.topic()) || log_.onNews(newsOf(news)) ? fresh : false;
+		fresh = !isTopic(news.topic()) || log_.onNews(newsOf(news), _answer.number()) ? fresh : false;
 	}
+	log_.releaseOverdue();
 	return fresh;
 }
 
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -8,6 +8,7 @@
 #include "loadboard_p.h"
 
 #include <base/clock.h>
+#include <core/bytebudget.h>
 #include <core/hubchoice.h>
 #include <entry/entrysettings.h>
 #include <peer/peerlink.h>
@@ -29,6 +30,7 @@
 {
 class HallAnswer;
 class HallReport;
+class TopicQuestion;
 } // namespace wire
 
 /// What the nodes tell each other. In each hall one node is the hub: the others report their loads to it several times
@@ -76,8 +78,10 @@
 	void connect(const std::vector<std::string>& _addresses);
 	std::string addressOf(const std::string& _node) const;
 	void answer(const wire::HallReport& _report, wire::HallAnswer& _answer);
+	void answerQuestion(const wire::TopicQuestion& _question, wire::HallAnswer& _answer);
 	void onAnswer(const wire::HallAnswer& _answer);
 	bool takeNews(const wire::HallAnswer& _answer);
+	void noteAnswered(uint64_t _number);
 	void takeTotals(const wire::HallAnswer& _answer);
 	LoadTable ownLoads() const;
 	void setOthers(const LoadTable& _others);
@@ -95,10 +99,13 @@
 	std::vector<std::string> connected_; //!< Addresses.
 	LoadBoard board_;
 	std::deque<Sent> sent_;
-	uint64_t reports_ = 0; //!< Number of the last one.
-	Time askedAt_;         //!< First report to the hub that has no answer yet; 0: none.
+	uint64_t reports_ = 0;  //!< Number of the last one.
+	uint64_t answered_ = 0; //!< Number of the last one that this hub has answered.
+	Time askedAt_;          //!< Since when the hub has owed an answer and sent none; 0: it owes none.
+	ByteBudget handOn_;     //!< For large news. Link's thread only.
 	std::atomic<bool> isHub_{false};
-	std::atomic<bool> reads_{false}; //!< This node reads the store, and the store answers.
+	/// This node reads the store, and the store answers. Whoever asks a node that starts waits for it.
+	std::atomic<bool> reads_{true};
 	std::unique_ptr<PeerLink> link_;
 };
 
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -2,6 +2,8 @@
 
 #include "halllog_p.h"
 
+#include <base/digest.h>
+
 namespace sedgecart
 {
 
@@ -19,12 +21,25 @@
 };
 static_assert(KeyedTopic::Count == sizeof(kMostAge) / sizeof(kMostAge[0]), "each topic needs its bound");
 
+/// How long a read waits for a hub that answers other questions, at least and at most. A hub loads within some tenths
+/// of a second; what it cannot hand on must come from the store well before the two seconds in which news count. Spread
+/// over the nodes, so that those of a hall do not go to the store together.
+constexpr Duration kLeastPatience = Duration::fromMillis(800);
+constexpr Duration kMostPatience = Duration::fromMillis(1600);
+
+Duration patienceOf(const std::string& _node)
+{
+	const auto spread = static_cast<uint64_t>(kMostPatience.micros - kLeastPatience.micros);
+	return Duration{kLeastPatience.micros + static_cast<int64_t>(hash64(_node) % spread)};
+}
+
 } // namespace
 
-HallLog::HallLog(KeyedLogI& _store, const ClockI& _clock, TopicCache& _cache)
+HallLog::HallLog(KeyedLogI& _store, const ClockI& _clock, TopicCache& _cache, const std::string& _node)
     : store_(_store),
       clock_(_clock),
-      cache_(_cache)
+      cache_(_cache),
+      patience_(patienceOf(_node))
 {
 }
 
@@ -40,7 +55,16 @@
 
 void HallLog::newest(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call)
 {
-	store_.newest(_topic, _afterKey, std::move(_call));
+	// Where nodes are is asked first, and of the store: before it is known there is no hub.
+	const bool begins = _afterKey.empty();
+	if (!begins || !sharesLoads_ || KeyedTopic::Nodes == _topic)
+	{
+		loadStore(_topic, _afterKey, std::move(_call));
+		return;
+	}
+	Waiting load{Offset{}, Duration{}, std::move(_call), clock_.now()};
+	load.whole = true;
+	ask(_topic, std::move(load));
 }
 
 void HallLog::append(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value,
@@ -51,19 +75,33 @@
 
 void HallLog::read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call)
 {
-	Waiting read{_from, _wait, std::move(_call), clock_.now()};
+	ask(_topic, Waiting{_from, _wait, std::move(_call), clock_.now()});
+}
+
+void HallLog::ask(KeyedTopic::Enum _topic, Waiting&& _read)
+{
 	if (Way::Store == way_)
 	{
-		readStore(_topic, std::move(read));
+		toStore(_topic, std::move(_read));
 		return;
 	}
-	waiting_[_topic] = std::move(read);
+	waiting_[_topic] = std::move(_read);
 	if (Way::Try == way_)
 	{
 		tryOne();
 	}
 }
 
+void HallLog::toStore(KeyedTopic::Enum _topic, Waiting&& _read)
+{
+	if (_read.whole)
+	{
+		loadStore(_topic, std::string(), std::move(_read.call));
+		return;
+	}
+	readStore(_topic, std::move(_read));
+}
+
 void HallLog::readStore(KeyedTopic::Enum _topic, Waiting&& _read)
 {
 	const Time sentAt = clock_.now();
@@ -71,7 +109,6 @@
 	store_.read(_topic, from, _read.wait,
 	            [this, _topic, from, sentAt, call = std::move(_read.call)](KeyedPage&& _page)
 	            {
-		            trying_ = false;
 		            if (StoreState::Done == _page.state)
 		            {
 			            cache_.take(_topic, from, _page, sentAt);
@@ -80,14 +117,52 @@
 		            {
 			            cache_.forget(_topic);
 		            }
-		            if (nullptr != watch_)
-		            {
-			            watch_->onStoreRead(StoreState::Done == _page.state || StoreState::Gone == _page.state);
-		            }
+		            noteStore(_page.state);
 		            call(std::move(_page));
 	            });
 }
 
+void HallLog::loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call)
+{
+	const Time sentAt = clock_.now();
+	const bool first = _afterKey.empty();
+	store_.newest(_topic, _afterKey,
+	              [this, _topic, first, sentAt, call = std::move(_call)](KeyedPage&& _page)
+	              {
+		              if (StoreState::Done == _page.state)
+		              {
+			              takeLoaded(_topic, first, _page, sentAt);
+		              }
+		              noteStore(_page.state);
+		              call(std::move(_page));
+	              });
+}
+
+void HallLog::takeLoaded(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt)
+{
+	Loading& loading = loading_[_topic];
+	if (_first)
+	{
+		loading = Loading{{}, _page.end, _sentAt};
+	}
+	loading.records.insert(loading.records.end(), _page.records.begin(), _page.records.end());
+	if (_page.partial && !_page.records.empty())
+	{
+		return;
+	}
+	cache_.takeWhole(_topic, loading.records, loading.end, loading.sentAt);
+	loading = Loading{};
+}
+
+void HallLog::noteStore(StoreState::Enum _state)
+{
+	trying_ = false;
+	if (nullptr != watch_)
+	{
+		watch_->onStoreRead(StoreState::Done == _state || StoreState::Gone == _state);
+	}
+}
+
 void HallLog::setWay(Way::Enum _way)
 {
 	way_ = _way;
@@ -110,7 +185,7 @@
 	}
 	Waiting read = std::move(*slot);
 	slot.reset();
-	readStore(_topic, std::move(read));
+	toStore(_topic, std::move(read));
 }
 
 /// The operator's topic first: keys depend on its proof.
@@ -127,23 +202,30 @@
 	}
 }
 
-std::vector<HallLog::Question> HallLog::questions() const
+std::vector<HallLog::Question> HallLog::questions(uint64_t _report)
 {
 	std::vector<Question> questions;
 	for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
 	{
-		if (waiting_[topic])
+		std::optional<Waiting>& slot = waiting_[topic];
+		if (!slot)
 		{
-			questions.push_back(Question{static_cast<KeyedTopic::Enum>(topic), waiting_[topic]->from});
+			continue;
 		}
+		slot->report = 0 == slot->report ? _report : slot->report;
+		questions.push_back(Question{static_cast<KeyedTopic::Enum>(topic), slot->from, slot->whole});
 	}
 	return questions;
 }
 
-bool HallLog::onNews(News&& _news)
+bool HallLog::onNews(News&& _news, uint64_t _report)
 {
 	std::optional<Waiting>& slot = waiting_[_news.topic];
-	if (!slot || !(slot->from == _news.from))
+	if (!slot || !(slot->from == _news.from) || slot->whole != _news.whole)
+	{
+		return true;
+	}
+	if (0 == slot->report || _report < slot->report)
 	{
 		return true;
 	}
@@ -160,10 +242,29 @@
 	slot.reset();
 	// The hub answered after this read began, so that its proof is no older than this.
 	const Time provenAt = Time{read.since.micros - _news.page.age.micros};
-	cache_.take(_news.topic, read.from, _news.page, provenAt);
+	if (read.whole)
+	{
+		cache_.takeWhole(_news.topic, _news.page.records, _news.page.end, provenAt);
+	}
+	else
+	{
+		cache_.take(_news.topic, read.from, _news.page, provenAt);
+	}
 	_news.page.handedOn = true;
 	read.call(std::move(_news.page));
 	return true;
 }
 
+void HallLog::releaseOverdue()
+{
+	const Time now = clock_.now();
+	for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
+	{
+		if (waiting_[topic] && waiting_[topic]->since + patience_ < now)
+		{
+			release(static_cast<KeyedTopic::Enum>(topic));
+		}
+	}
+}
+
 } // namespace sedgecart
--- a/packages/entry/src/halllog_p.h
+++ b/packages/entry/src/halllog_p.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace sedgecart
@@ -25,7 +26,9 @@
 };
 
 /// The store, read through the hub of the hall: of a hall's nodes one reads, and hands on. Reads wait for the hub's
-/// next answer; without a hub that reads, they go to the store. Everything else goes there always. Control thread only.
+/// next answer; without a hub that reads, they go to the store. So do loads of a whole topic: that all nodes of a
+/// fleet which start together load from the store keeps it busy for seconds, and starts some of them anew. Appends go
+/// to the store always. Control thread only.
 class HallLog : public KeyedLogI
 {
 public:
@@ -47,6 +50,7 @@
 	{
 		KeyedTopic::Enum topic = KeyedTopic::Operator;
 		Offset from;
+		bool whole = false; //!< The newest record of each key.
 	};
 
 	/// What the hub answered to one question.
@@ -54,11 +58,24 @@
 	{
 		KeyedTopic::Enum topic = KeyedTopic::Operator;
 		Offset from;
+		bool whole = false; //!< The newest record of each key.
 		bool known = false; //!< The hub has every record from there on.
 		KeyedPage page;
 	};
 
-	HallLog(KeyedLogI& _store, const ClockI& _clock, TopicCache& _cache);
+	/// @param _node name of this node; spreads when nodes give up on a hub.
+	HallLog(KeyedLogI& _store, const ClockI& _clock, TopicCache& _cache, const std::string& _node);
+
+	/// Whether whole topics are loaded through the hub. They are, unless this switches it off.
+	void shareLoads(bool _share)
+	{
+		sharesLoads_ = _share;
+	}
+
+	bool sharesLoads() const
+	{
+		return sharesLoads_;
+	}
 
 	void setWatch(StoreWatchI& _watch);
 
@@ -70,11 +87,17 @@
 
 	void setWay(Way::Enum _way);
 
+	/// @param _report number of the report that asks them; numbers rise.
 	/// @returns the reads that wait.
-	std::vector<Question> questions() const;
+	std::vector<Question> questions(uint64_t _report);
 
+	/// @param _report number of the report that this answers: an answer to an earlier one proves nothing for a read
+	/// that began later.
 	/// @returns false if what the hub says is too old to go by.
-	bool onNews(News&& _news);
+	bool onNews(News&& _news, uint64_t _report);
+
+	/// A hub that reads the store has answered: what has waited too long for it goes to the store.
+	void releaseOverdue();
 
 private:
 	struct Waiting
@@ -83,9 +106,24 @@
 		Duration wait;
 		PageCall call;
 		Time since;
+		bool whole = false;
+		uint64_t report = 0; //!< The first one that asked it; 0: none yet.
+	};
+
+	/// A topic that is being loaded from the store.
+	struct Loading
+	{
+		std::vector<KeyedRecord> records;
+		Offset end; //!< Of the first page.
+		Time sentAt;
 	};
 
+	void ask(KeyedTopic::Enum _topic, Waiting&& _read);
+	void toStore(KeyedTopic::Enum _topic, Waiting&& _read);
 	void readStore(KeyedTopic::Enum _topic, Waiting&& _read);
+	void loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call);
+	void takeLoaded(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt);
+	void noteStore(StoreState::Enum _state);
 	void release(KeyedTopic::Enum _topic);
 	void tryOne();
 
@@ -94,6 +132,9 @@
 	TopicCache& cache_;
 	StoreWatchI* watch_ = nullptr;
 	Way::Enum way_ = Way::Store;
+	Duration patience_; //!< With a hub that answers, but not this.
+	bool sharesLoads_ = true;
+	std::array<Loading, KeyedTopic::Count> loading_;
 	bool trying_ = false; //!< A read has gone to the store to see whether it answers.
 	std::array<std::optional<Waiting>, KeyedTopic::Count> waiting_;
 };
--- a/packages/entry/src/mechanisms.cpp
+++ b/packages/entry/src/mechanisms.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* kNames[Mechanism::Count] = {
     "second-copies", "own-evidence", "path-watch", "pace-polls",  "head-slots",
-    "move-spread",   "mean-answer",  "busy-last",  "lapse-grace",
+    "move-spread",   "mean-answer",  "busy-last",  "lapse-grace", "hall-loads",
 };
 
 constexpr const char* kNothing = "none";
--- a/packages/entry/src/topiccache_p.h
+++ b/packages/entry/src/topiccache_p.h
@@ -9,22 +9,28 @@
 #include <array>
 #include <cstddef>
 #include <deque>
+#include <map>
+#include <memory>
 #include <mutex>
+#include <string>
 
 namespace sedgecart
 {
 
-/// The last records of each topic that this node has read, kept for the nodes that read through it. Any thread.
+/// The last records of each topic that this node has read, and the newest of each key, kept for the nodes that read
+/// through it. Any thread.
 class TopicCache
 {
 public:
-	/// What is at hand from an offset on.
+	/// What is at hand from an offset on, or of the whole topic.
 	struct Found
 	{
-		bool known = false; //!< Every record from there on is at hand, and they are few enough to hand on.
+		bool begun = false; //!< Something of the topic is at hand.
+		bool known = false; //!< Every record asked for is at hand, and they are few enough to hand on.
 		std::vector<KeyedRecord> records;
-		Offset end;    //!< Behind the last record at hand.
-		Time provenAt; //!< When the read was sent that found nothing behind the end.
+		std::shared_ptr<const std::string> packed; //!< In place of records where these are large; else null.
+		Offset end;                                //!< Behind the last record at hand.
+		Time provenAt;                             //!< When the read was sent that found nothing behind the end.
 	};
 
 	/// Takes what a read of a topic gave.
@@ -32,12 +38,30 @@
 	/// @param _provenAt when it was sent, less the age of what came.
 	void take(KeyedTopic::Enum _topic, Offset _from, const KeyedPage& _page, Time _provenAt);
 
+	/// Takes the newest record of each key.
+	/// @param _end what comes behind it is not contained.
+	/// @param _provenAt when the read was sent that found this end, less the age of what came.
+	void takeWhole(KeyedTopic::Enum _topic, const std::vector<KeyedRecord>& _records, Offset _end, Time _provenAt);
+
 	/// Forgets a topic, because its records are no more what they were.
 	void forget(KeyedTopic::Enum _topic);
 
+	/// @returns the records from an offset on.
 	Found find(KeyedTopic::Enum _topic, Offset _from) const;
 
+	/// @returns the newest record of each key, packed; not known before the topic was read whole.
+	Found findWhole(KeyedTopic::Enum _topic) const;
+
 private:
+	/// Records that were packed once for many nodes.
+	struct Pack
+	{
+		std::shared_ptr<const std::string> bytes;
+		Offset from;
+		Offset end;
+		Time provenAt;
+	};
+
 	struct Row
 	{
 		bool known = false;
@@ -46,9 +70,14 @@
 		Offset end;
 		Time provenAt;
 		std::size_t bytes = 0;
+		bool whole = false;                        //!< `newest` is the topic's state at the end.
+		std::map<std::string, KeyedRecord> newest; //!< By key.
+		mutable Pack wholePack;
+		mutable Pack newsPack;
 	};
 
 	static void append(Row& _row, const KeyedRecord& _record);
+	static void takeNewest(Row& _row, const KeyedRecord& _record);
 	static void trim(Row& _row);
 
 	mutable std::mutex mutex_;
--- a/packages/entry/tests/followertest.cpp
+++ b/packages/entry/tests/followertest.cpp
@@ -104,6 +104,7 @@
 	CPPUNIT_TEST(pagesThenNews);
 	CPPUNIT_TEST(afterAFailureReadsDoNotWait);
 	CPPUNIT_TEST(droppedHistoryIsLoadedAnew);
+	CPPUNIT_TEST(aLoadGoesOnWhereItFailed);
 	CPPUNIT_TEST(aGapInTheProofsIsAnOutage);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -128,6 +129,17 @@
 		CPPUNIT_ASSERT_EQUAL(2U, notes_.outs);
 	}
 
+	/// What has come is not asked for again: nodes that load anew keep a busy store busy.
+	void aLoadGoesOnWhereItFailed()
+	{
+		log_.newestPages = {page(StoreState::Done, 5, {record("a", "1", 3)}, true), page(StoreState::Unknown, 0),
+		                    page(StoreState::Done, 7, {record("b", "1", 6)})};
+		run();
+		CPPUNIT_ASSERT((std::vector<std::string>{"", "a", "a"}) == log_.afterKeys);
+		CPPUNIT_ASSERT((std::vector<std::string>{"a=1", "b=1"}) == notes_.seen);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(5), log_.froms.at(0));
+	}
+
 	void droppedHistoryIsLoadedAnew()
 	{
 		log_.newestPages = {page(StoreState::Done, 2, {record("a", "1", 0), record("b", "1", 1)}),
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -1,9 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
 #include "../src/halllog_p.h"
+#include "../src/recordpack_p.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
 #include <vector>
 
 namespace sedgecart
@@ -46,8 +48,9 @@
 	{
 	}
 
-	void newest(KeyedTopic::Enum, const std::string&, PageCall) override
+	void newest(KeyedTopic::Enum _topic, const std::string&, PageCall _call) override
 	{
+		loads.push_back(Read{_topic, Offset{}, Duration{}, std::move(_call)});
 	}
 
 	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override
@@ -65,6 +68,7 @@
 	}
 
 	std::vector<Read> reads;
+	std::vector<Read> loads;
 };
 
 class Watch : public StoreWatchI
@@ -78,6 +82,9 @@
 	std::vector<bool> answers;
 };
 
+/// Number of the report that asks what waits.
+constexpr uint64_t kReport = 7;
+
 KeyedPage page(StoreState::Enum _state, uint64_t _end, std::vector<KeyedRecord> _records = {})
 {
 	KeyedPage made;
@@ -116,6 +123,13 @@
 	CPPUNIT_TEST(whatWasReadIsAtHandForOthers);
 	CPPUNIT_TEST(cacheDoesNotJoinWhatIsNotContiguous);
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
+	CPPUNIT_TEST(recordsThatShrinkAreHandedOnPacked);
+	CPPUNIT_TEST(whatIsNoPackIsNotRead);
+	CPPUNIT_TEST(wholeTopicsComeFromTheHub);
+	CPPUNIT_TEST(theHubLoadsFromTheStore);
+	CPPUNIT_TEST(whatTheHubDoesNotHandOnComesFromTheStore);
+	CPPUNIT_TEST(answersToEarlierReportsDoNotCount);
+	CPPUNIT_TEST(wholeTopicFollowsItsRecords);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,29 +148,31 @@
 		log_.setWay(HallLog::Way::Hub);
 		read(3);
 		CPPUNIT_ASSERT(store_.reads.empty());
-		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions().size());
-		CPPUNIT_ASSERT(log_.onNews(news(3, 700, page(StoreState::Done, 4, {record(3)}))));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions(kReport).size());
+		CPPUNIT_ASSERT(log_.onNews(news(3, 700, page(StoreState::Done, 4, {record(3)})), kReport));
 		CPPUNIT_ASSERT(pages_.at(0).handedOn);
 		CPPUNIT_ASSERT_EQUAL(int64_t(700), pages_[0].age.millis());
-		CPPUNIT_ASSERT(log_.questions().empty());
+		CPPUNIT_ASSERT(log_.questions(kReport).empty());
 	}
 
 	void oldNewsAreNotTaken()
 	{
 		log_.setWay(HallLog::Way::Hub);
 		read(3);
-		CPPUNIT_ASSERT(!log_.onNews(news(3, 2600, page(StoreState::Done, 4, {record(3)}))));
+		log_.questions(kReport);
+		CPPUNIT_ASSERT(!log_.onNews(news(3, 2600, page(StoreState::Done, 4, {record(3)})), kReport));
 		CPPUNIT_ASSERT(pages_.empty());
-		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions().size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions(kReport).size());
 	}
 
 	void whoIsTooFarBehindReadsTheStore()
 	{
 		log_.setWay(HallLog::Way::Hub);
 		read(3);
+		log_.questions(kReport);
 		HallLog::News unknown = news(3, 0, page(StoreState::Done, 9));
 		unknown.known = false;
-		CPPUNIT_ASSERT(log_.onNews(std::move(unknown)));
+		CPPUNIT_ASSERT(log_.onNews(std::move(unknown), kReport));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.reads.size());
 	}
 
@@ -213,18 +229,155 @@
 	void largeRecordsAreNotHandedOn()
 	{
 		KeyedRecord large = record(3);
-		large.value.assign(100000, 'x');
+		large.value = noise(600000);
 		cache_.take(KeyedTopic::Operator, Offset{3}, page(StoreState::Done, 5, {large, record(4)}), clock_.now());
 		CPPUNIT_ASSERT(!cache_.find(KeyedTopic::Operator, Offset{3}).known);
 		CPPUNIT_ASSERT(cache_.find(KeyedTopic::Operator, Offset{4}).known);
 	}
 
+	/// A desired state of a thousand routes shrinks to what a hub can hand to each node of its hall; packed once.
+	void recordsThatShrinkAreHandedOnPacked()
+	{
+		KeyedRecord large = record(3);
+		for (int route = 0; route < 1000; ++route)
+		{
+			large.value +=
+			    R"({"name":"extra-)" + std::to_string(route) + R"(","kind":"idempotent","timeout_ms":20000},)";
+		}
+		cache_.take(KeyedTopic::Operator, Offset{3}, page(StoreState::Done, 4, {large}), clock_.now());
+		const TopicCache::Found found = cache_.find(KeyedTopic::Operator, Offset{3});
+		CPPUNIT_ASSERT(found.known);
+		CPPUNIT_ASSERT(found.packed && found.packed->size() < large.value.size() / 5);
+		CPPUNIT_ASSERT(found.packed == cache_.find(KeyedTopic::Operator, Offset{3}).packed);
+		std::vector<KeyedRecord> records;
+		CPPUNIT_ASSERT(unpackRecords(*found.packed, records));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.size());
+		CPPUNIT_ASSERT(large.value == records[0].value);
+	}
+
+	void whatIsNoPackIsNotRead()
+	{
+		std::vector<KeyedRecord> records;
+		std::string packed = packRecords({record(1), record(2)});
+		for (const std::string& text : {std::string(), noise(100), packed.substr(0, packed.size() - 3), packed + "x"})
+		{
+			CPPUNIT_ASSERT(!unpackRecords(text, records));
+			CPPUNIT_ASSERT(records.empty());
+		}
+		packed[packed.size() / 2] = static_cast<char>(packed[packed.size() / 2] ^ 0x55);
+		unpackRecords(packed, records); // whatever comes of it, nothing breaks
+	}
+
+	/// All nodes of a fleet start together: one of a hall loads, the others get the whole topic from it.
+	void wholeTopicsComeFromTheHub()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		load();
+		CPPUNIT_ASSERT(store_.loads.empty());
+		const std::vector<HallLog::Question> asked = log_.questions(kReport);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), asked.size());
+		CPPUNIT_ASSERT(asked[0].whole);
+		HallLog::News whole = news(0, 300, page(StoreState::Done, 9, {record(3)}));
+		whole.whole = true;
+		CPPUNIT_ASSERT(log_.onNews(std::move(whole), kReport));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+		CPPUNIT_ASSERT_EQUAL(uint64_t(9), pages_[0].end.value);
+		CPPUNIT_ASSERT_EQUAL(int64_t(300), pages_[0].age.millis());
+		CPPUNIT_ASSERT(cache_.findWhole(KeyedTopic::Operator).known); // it may be a hub next
+	}
+
+	/// The hub asks the store; so does every node for the places of nodes, without which it knows no hub.
+	void theHubLoadsFromTheStore()
+	{
+		load();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.loads.size());
+		CPPUNIT_ASSERT(!cache_.findWhole(KeyedTopic::Operator).begun);
+		store_.loads.back().call(page(StoreState::Done, 9, {record(3), record(8)}));
+		const TopicCache::Found found = cache_.findWhole(KeyedTopic::Operator);
+		CPPUNIT_ASSERT(found.known);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(9), found.end.value);
+		CPPUNIT_ASSERT(cache_.find(KeyedTopic::Operator, Offset{9}).known); // what follows can be asked as well
+		log_.setWay(HallLog::Way::Hub);
+		log_.newest(KeyedTopic::Nodes, std::string(), [](KeyedPage&&) {});
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), store_.loads.size());
+	}
+
+	/// A hub that answers but cannot hand something on does not hold its hall up.
+	void whatTheHubDoesNotHandOnComesFromTheStore()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		load();
+		log_.questions(kReport);
+		clock_.advance(700);
+		log_.releaseOverdue();
+		CPPUNIT_ASSERT(store_.loads.empty());
+		clock_.advance(1000);
+		log_.releaseOverdue();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.loads.size());
+	}
+
+	/// An answer that the hub gave before a read began proves nothing for it.
+	void answersToEarlierReportsDoNotCount()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		read(3);
+		CPPUNIT_ASSERT(log_.onNews(news(3, 0, page(StoreState::Done, 3)), kReport));
+		log_.questions(kReport + 1);
+		CPPUNIT_ASSERT(log_.onNews(news(3, 0, page(StoreState::Done, 3)), kReport));
+		CPPUNIT_ASSERT(pages_.empty());
+		CPPUNIT_ASSERT(log_.onNews(news(3, 0, page(StoreState::Done, 3)), kReport + 1));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+	}
+
+	/// What came behind a whole topic is contained, in whatever order both were taken.
+	void wholeTopicFollowsItsRecords()
+	{
+		KeyedRecord changed = record(4);
+		changed.value = "changed";
+		KeyedRecord gone = record(5);
+		gone.key = "other";
+		gone.value.clear();
+		gone.removed = true;
+		KeyedRecord other = record(2);
+		other.key = "other";
+		cache_.take(KeyedTopic::Runners, Offset{3}, page(StoreState::Done, 5, {record(3), changed}), clock_.now());
+		cache_.takeWhole(KeyedTopic::Runners, {other, record(3)}, Offset{4}, clock_.now());
+		cache_.take(KeyedTopic::Runners, Offset{5}, page(StoreState::Done, 6, {gone}), clock_.now());
+		const TopicCache::Found found = cache_.findWhole(KeyedTopic::Runners);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(6), found.end.value);
+		std::vector<KeyedRecord> records;
+		CPPUNIT_ASSERT(unpackRecords(*found.packed, records));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.size());
+		CPPUNIT_ASSERT_EQUAL(std::string("changed"), records[0].value);
+	}
+
 	void setUp() override
 	{
 		log_.setWatch(watch_);
 	}
 
 private:
+	/// @returns bytes that do not shrink.
+	static std::string noise(std::size_t _size)
+	{
+		std::minstd_rand random(5);
+		std::string bytes;
+		while (bytes.size() < _size)
+		{
+			bytes += static_cast<char>(random() >> 8U);
+		}
+		return bytes;
+	}
+
+	void load()
+	{
+		log_.newest(KeyedTopic::Operator, std::string(),
+		            [this](KeyedPage&& _page)
+		            {
+			            pages_.push_back(std::move(_page));
+		            });
+	}
+
 	void read(uint64_t _from)
 	{
 		log_.read(KeyedTopic::Operator, Offset{_from}, Duration::fromMillis(1000),
@@ -238,7 +391,7 @@
 	HeldStore store_;
 	Watch watch_;
 	TopicCache cache_;
-	HallLog log_{store_, clock_, cache_};
+	HallLog log_{store_, clock_, cache_, "n1"};
 	std::vector<KeyedPage> pages_;
 };
 
--- a/packages/entry/tests/settingsfiletest.cpp
+++ b/packages/entry/tests/settingsfiletest.cpp
@@ -18,7 +18,7 @@
 const char* const kText = "name=n1\nhall=h1\ncaller-address=10.0.0.1:1\nready-address=10.0.0.1:2\nip=10.0.0.1\n"
                           "peer-ports=7000,7010\nstore-address=10.0.0.9:3\nretry-ratio=0.2\nretry-slack=100\n"
                           "retry-window-s=10\nkey-bound-ms=5000\nkey-bound-strict=true\nstop-bound-s=8\n"
-                          "cpu-share=0.25\nsomething-new=1\n";
+                          "cpu-share=0.25\nlink-mbps=20.5\nsomething-new=1\n";
 
 std::string replaced(const std::string& _from, const std::string& _to)
 {
@@ -58,6 +58,7 @@
 		SettingsFile file(path_);
 		CPPUNIT_ASSERT(file.read(settings_, message_));
 		CPPUNIT_ASSERT_EQUAL(0.25, settings_.cpuShare);
+		CPPUNIT_ASSERT_EQUAL(20.5, settings_.linkMbps);
 		CPPUNIT_ASSERT(!file.changed());
 		write(replaced("retry-slack=100", "retry-slack=50"));
 		CPPUNIT_ASSERT(file.changed());
