A tight hall keeps its own chain where that serves more than its part of a shared one

Each hall's memory holds the model and some ten requests; under 20,000 tokens of room a hall counted as too small, all halls shared one chain, and each prompt crossed a link that bears two a second of the fifteen that came. Ruled out: another constant for the least room; it says nothing about the link. Change: below 20,000 tokens the requests a second that the hall's own chain bears (room, usual request, speed of its cards) are weighed against its part of what the link between halls bears, all from the operator's figures; one tight hall by itself is laid out, which it was not. LayoutPlanTest: two of the three new tests fail on the code before. Left: a hall that has lost a target sends its streams over the link again.

--- a/packages/core/src/layoutroom.cpp
+++ b/packages/core/src/layoutroom.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-/// Least room that a part is planned with, tokens: some 20 requests of a usual size. Below it a part refuses in any
-/// burst, and a chain through another hall serves better.
+/// Room with which a hall's own chain is taken without a closer look, tokens: some 20 requests of a usual size. Below
+/// it `servesBetterAlone` decides.
 constexpr double kLeastRoom = 20000;
 
 /// Parts that a chain is planned with at most. Targets accept 32; a path that goes around a lost part needs some more
@@ -35,11 +35,24 @@
 	return _engine.kvBytesPerToken / _engine.layers / kBytesPerMb;
 }
 
-/// @returns the most room up to `_most` that passes a test which less room passes more easily, below 0 if even the
-/// least does not.
-double searchRoom(double _most, const std::function<bool(double)>& _fits)
+/// @returns tokens that a usual request has at its end; 0 if the operator names none.
+double usualTokens(const EngineSpec& _engine)
 {
-	if (!_fits(kLeastRoom))
+	return 0 < _engine.usualPromptTokens ? _engine.usualPromptTokens + _engine.usualAnswerTokens : 0;
+}
+
+/// @returns the least room that is of use, tokens: for one usual request.
+double leastRoom(const EngineSpec& _engine)
+{
+	const double usual = usualTokens(_engine);
+	return 0 < usual ? std::min(kLeastRoom, usual) : kLeastRoom;
+}
+
+/// @returns the most room from `_least` up to `_most` that passes a test which less room passes more easily, below 0 if
+/// even the least does not.
+double searchRoom(double _least, double _most, const std::function<bool(double)>& _fits)
+{
+	if (!_fits(_least))
 	{
 		return -1;
 	}
@@ -47,7 +60,7 @@
 	{
 		return _most;
 	}
-	double low = kLeastRoom;
+	double low = _least;
 	double high = _most;
 	for (int step = 0; step < kRoomSteps; ++step)
 	{
@@ -171,6 +184,53 @@
 	return counts;
 }
 
+/// @returns seconds that a usual request takes alone in a chain over the members with this room.
+double usualSeconds(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const Members& _members,
+                    double _room)
+{
+	constexpr double kMillisPerSecond = 1000;
+	double layers = 0;
+	double steps = 0;
+	double reading = 0;
+	for (const uint32_t member : _members)
+	{
+		const CardKind& card = _targets[member].card;
+		const double held = layersThatFit(_engine, card, _room);
+		layers += held;
+		steps += held * card.stepFactor;
+		reading += held * card.readFactor;
+	}
+	const double answer = _engine.usualAnswerTokens * _engine.stepMs / kMillisPerSecond * steps / layers;
+	const bool readsKnown = 0 < _engine.readTokensPerSecond;
+	return answer + (readsKnown ? _engine.usualPromptTokens / _engine.readTokensPerSecond * reading / layers : 0);
+}
+
+/// Whether a hall whose own chain would be tight serves more requests with it than with its part of a chain that halls
+/// share. A shared chain has much room, but each prompt crosses between halls, and all share that link: beyond what it
+/// bears everything queues there, while the memory stays empty.
+/// @param _room of the hall's own chain.
+/// @param _sharing halls that would share a chain.
+bool servesBetterAlone(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const Members& _hall,
+                       double _room, std::size_t _sharing)
+{
+	constexpr double kBitsPerMbit = 1e6;
+	constexpr double kBitsPerByte = 8;
+	if (_sharing < 2)
+	{
+		return true;
+	}
+	const double seconds = usualSeconds(_engine, _targets, _hall, _room);
+	const double bits = usualTokens(_engine) * _engine.hopBytesPerToken * kBitsPerByte;
+	if (_engine.hallLinkMbps <= 0 || bits <= 0 || seconds <= 0)
+	{
+		return false;
+	}
+	const double meanTokens = _engine.usualPromptTokens + _engine.usualAnswerTokens / 2;
+	const double alone = _room / meanTokens / seconds;
+	const double shared = _engine.hallLinkMbps * kBitsPerMbit / bits / static_cast<double>(_sharing);
+	return shared <= alone;
+}
+
 /// Takes targets out of a group's only chain, the slowest first, as long as the others still hold the model with their
 /// help.
 void moveToDoubles(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, double _room, GroupDeal& _deal)
@@ -226,7 +286,7 @@
 double mostRoom(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const Members& _members,
                 uint32_t _layers)
 {
-	return searchRoom(kAllRoom,
+	return searchRoom(leastRoom(_engine), kAllRoom,
 	                  [&](double _room)
 	                  {
 		                  return _layers <= layersThatFitAll(_engine, _targets, _members, _room);
@@ -240,16 +300,26 @@
 	{
 		halls[_targets[index].hall].push_back(index);
 	}
+	std::map<uint32_t, double> rooms;
+	std::size_t tight = 0;
+	for (const auto& row : halls)
+	{
+		rooms[row.first] = mostRoom(_engine, _targets, row.second, _engine.layers);
+		tight += rooms[row.first] < kLeastRoom ? 1 : 0;
+	}
 	std::vector<Members> groups;
 	Members rest;
 	for (const auto& row : halls)
 	{
-		if (mostRoom(_engine, _targets, row.second, _engine.layers) < 0)
+		const double room = rooms[row.first];
+		const bool alone =
+		    kLeastRoom <= room || (0 <= room && servesBetterAlone(_engine, _targets, row.second, room, tight));
+		if (alone)
 		{
-			rest.insert(rest.end(), row.second.begin(), row.second.end());
+			groups.push_back(row.second);
 			continue;
 		}
-		groups.push_back(row.second);
+		rest.insert(rest.end(), row.second.begin(), row.second.end());
 	}
 	if (!rest.empty())
 	{
@@ -264,7 +334,7 @@
 	const bool asked = 0 < _engine.roomTokens && 0 < _policy.roomShare;
 	const double wanted = asked ? std::max(kLeastRoom, _engine.roomTokens * _policy.roomShare) : kAllRoom;
 	const Members members = fastestFirst(_targets, _group);
-	const double room = searchRoom(wanted,
+	const double room = searchRoom(kLeastRoom, wanted,
 	                               [&](double _room)
 	                               {
 		                               return isShort(firstThatHold(_engine, _targets, members, _room), members);
@@ -300,7 +370,7 @@
 
 double sharedRoom(double _room)
 {
-	return std::max(kLeastRoom, _room / 2);
+	return std::max(std::min(kLeastRoom, _room), _room / 2);
 }
 
 uint32_t doubledLayers(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const Members& _doubles,
--- a/packages/core/src/layoutroom_p.h
+++ b/packages/core/src/layoutroom_p.h
@@ -24,7 +24,8 @@
 	Members doubles;             //!< Hold second copies, from the first layer on.
 };
 
-/// @returns the targets that share chains: those of a hall, and together those of all halls too small for the model.
+/// @returns the targets that share chains: those of a hall, and together those of all halls that are too small for the
+/// model or serve more requests together.
 std::vector<Members> chainGroups(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets);
 
 /// @returns the room that each target of a group keeps for requests, tokens: what the policy asks for, less where the
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -61,6 +61,32 @@
 	return targets;
 }
 
+/// Halls whose memory holds the model and little beside: 20, 3 times 12 and 3 times 8 layers.
+std::vector<LayoutTarget> tightHalls(uint32_t _halls)
+{
+	std::vector<LayoutTarget> targets;
+	for (uint32_t hall = 0; hall < _halls; ++hall)
+	{
+		add(targets, hall, kLarge, 1);
+		add(targets, hall, kMiddle, 3);
+		add(targets, hall, kSmall, 3);
+	}
+	return targets;
+}
+
+/// An engine whose usual requests and whose link between halls the operator has named.
+EngineSpec engineBesideLink(double _linkMbps)
+{
+	EngineSpec made = engine();
+	made.stepMs = 0.85;
+	made.readTokensPerSecond = 252000;
+	made.hopBytesPerToken = 22900;
+	made.usualPromptTokens = 760;
+	made.usualAnswerTokens = 140;
+	made.hallLinkMbps = _linkMbps;
+	return made;
+}
+
 void carryOut(std::vector<LayoutTarget>& _targets, const std::vector<LayoutOrder>& _orders)
 {
 	for (const LayoutOrder& order : _orders)
@@ -122,6 +148,9 @@
 	CPPUNIT_TEST(theLeastBusyTakesOver);
 	CPPUNIT_TEST(largeHallsGetShortChains);
 	CPPUNIT_TEST(hallsTooSmallShareAChain);
+	CPPUNIT_TEST(tightHallsKeepTheirOwnChainsBesideANarrowLink);
+	CPPUNIT_TEST(tightHallsShareAChainOverAWideLink);
+	CPPUNIT_TEST(oneTightHallIsLaidOut);
 	CPPUNIT_TEST(anEmptyTargetTakesWhatIsLost);
 	CPPUNIT_TEST(anEmptyTargetTakesWhatOneChainLost);
 	CPPUNIT_TEST(chainShiftsOverALostRange);
@@ -260,6 +289,39 @@
 		CPPUNIT_ASSERT_EQUAL(80U, covered(targets, 0));
 	}
 
+	/// Each hall's memory holds the model and some ten requests; a link between halls carries two prompts a second. A
+	/// chain that halls share serves next to nothing: of 15 requests a second no stream was served.
+	void tightHallsKeepTheirOwnChainsBesideANarrowLink()
+	{
+		std::vector<LayoutTarget> targets = tightHalls(5);
+		carryOut(targets, planLayout(engineBesideLink(290), targets, kPolicy));
+		for (uint32_t hall = 0; hall < 5; ++hall)
+		{
+			CPPUNIT_ASSERT_EQUAL(80U, covered(targets, hall));
+		}
+	}
+
+	/// Over a link that bears all prompts the room of one shared chain serves more.
+	void tightHallsShareAChainOverAWideLink()
+	{
+		std::vector<LayoutTarget> targets = tightHalls(5);
+		carryOut(targets, planLayout(engineBesideLink(1e6), targets, kPolicy));
+		uint32_t whole = 0;
+		for (uint32_t hall = 0; hall < 5; ++hall)
+		{
+			whole += 80 == covered(targets, hall) ? 1 : 0;
+		}
+		CPPUNIT_ASSERT_EQUAL(0U, whole);
+	}
+
+	/// Nobody is there to share with: a tight chain is better than none.
+	void oneTightHallIsLaidOut()
+	{
+		std::vector<LayoutTarget> targets = tightHalls(1);
+		carryOut(targets, planLayout(engineBesideLink(1e6), targets, kPolicy));
+		CPPUNIT_ASSERT_EQUAL(80U, covered(targets, 0));
+	}
+
 	void anEmptyTargetTakesWhatIsLost()
 	{
 		std::vector<LayoutTarget> targets = site();
