--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -23,6 +23,7 @@
 		MeanAnswer,   //!< An answer takes room for half of its length, which it has as a mean.
 		BusyLast,     //!< Of the holders of second copies those with least under way take over a lost range.
 		LapseGrace,   //!< Records that lapse while the store is away are kept for a while.
+		LinkBound,    //!< New requests cross between halls only while the link bears them.
 		HallLoads,    //!< A node that starts loads the topics of the store from a node of its hall.
 
 		Count
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -67,8 +67,8 @@
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      ready_(*wire_, metrics_),
-	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, pool_, random_, retries_, metrics_, watch_,
-	                          *pathOrders_, settings_.mechanisms},
+	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
+	                          watch_, *pathOrders_, settings_.mechanisms},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -91,6 +91,12 @@
 		return fleetChangedAt_;
 	}
 
+	/// @returns how much of the link between halls is taken.
+	LinkUse& link() const
+	{
+		return cell_.link;
+	}
+
 	/// @returns true once a desired state and the targets are known.
 	bool ready() const
 	{
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -6,6 +6,7 @@
 #include <base/rcucell.h>
 #include <base/runner.h>
 #include <base/units.h>
+#include <core/linkuse.h>
 #include <core/routetable.h>
 
 #include <algorithm>
@@ -91,6 +92,7 @@
 struct FleetCell
 {
 	RcuCell<FleetView> view;
+	LinkUse link;                             //!< Between data halls.
 	std::atomic<int64_t> provenAt{INT64_MIN}; //!< When the read was sent that showed the desired state to be newest.
 };
 
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -32,6 +32,9 @@
 /// Nodes of another hall that are told its sums while its hub is not known.
 constexpr std::size_t kLikelyHubs = 2;
 
+/// Name of the row that tells how much of the link between halls is taken; no target is named so.
+constexpr const char* kLinkRow = "link between halls";
+
 /// A target that is slower than usual by less is as usual: it costs no row in a report.
 constexpr double kUsualPace = 1.05;
 
@@ -464,6 +467,11 @@
 			loads[row.first] = amount;
 		}
 	}
+	const Duration link = fleet_.link().own(now);
+	if (0 < link.micros)
+	{
+		loads[kLinkRow].tokenLayers = static_cast<uint64_t>(link.micros);
+	}
 	return loads;
 }
 
@@ -478,6 +486,8 @@
 		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
 		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
 	}
+	const auto link = _others.find(kLinkRow);
+	fleet_.link().setOthers(Duration{_others.end() == link ? 0 : static_cast<int64_t>(link->second.tokenLayers)});
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -126,7 +126,8 @@
 {
 	const auto tokens = static_cast<double>(heldTokens());
 	const bool moves = 0 < machine_.events();
-	return ChoiceQuery{*service_, failed_, nodes_, tokens, context_.clock.now(), context_.mechanisms, moves};
+	const Time now = context_.clock.now();
+	return ChoiceQuery{*service_, failed_, nodes_, tokens, now, context_.mechanisms, context_.link.taken(now), moves};
 }
 
 bool RequestRelay::choose(SendOutcome::Enum& _outcome)
@@ -214,6 +215,10 @@
 void RequestRelay::holdLoad()
 {
 	hold_.take(*service_, choice_, heldTokens());
+	if (service_->spec->hasEngine)
+	{
+		context_.link.add(linkTime(choiceQuery(), choice_), context_.clock.now());
+	}
 }
 
 void RequestRelay::cancelSend()
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -43,6 +43,7 @@
 	const ClockI& clock;
 	const WireFormatI& wire;
 	const FleetCell& cell;
+	LinkUse& link;
 	TargetPool& pool;
 	RandomI& random;
 	RetryLedger& retries;
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -166,26 +166,44 @@
 	return crossings;
 }
 
-/// @returns the price of hops by what the operator says of the link between halls.
-HopCosts hopCosts(const EngineSpec& _engine)
+/// @returns microseconds that so many tokens take the link between halls; 0 if the operator names none.
+double crossingTime(const EngineSpec& _engine, double _tokens)
 {
-	if (_engine.hallLinkMbps <= 0)
+	constexpr double kBitsPerByte = 8; // bits over Mbit/s are microseconds
+	const bool named = 0 < _engine.hallLinkMbps;
+	return named ? _tokens * _engine.hopBytesPerToken * kBitsPerByte / _engine.hallLinkMbps : 0;
+}
+
+/// @returns true if the link between halls takes no more new requests: one more would only make the others late.
+bool isLinkFull(const ChoiceQuery& _query)
+{
+	return _query.mechanisms.on(Mechanism::LinkBound) && 1 <= _query.linkTaken;
+}
+
+/// @returns the price of hops by what the operator says of the link between halls, and by how much of it is taken. A
+/// request that moves may always cross: it has been worked on.
+HopCosts hopCosts(const ChoiceQuery& _query)
+{
+	const EngineSpec& engine = _query.service.spec->engine;
+	if (engine.hallLinkMbps <= 0)
 	{
 		return HopCosts{kHop, kUnknownLink};
 	}
-	constexpr double kBitsPerByte = 8; // bits over Mbit/s are microseconds
-	const double prompt = _engine.usualPromptTokens * _engine.hopBytesPerToken * kBitsPerByte / _engine.hallLinkMbps;
-	return HopCosts{kHop, kHop + kLinkTimes * prompt};
+	if (!_query.moves && isLinkFull(_query))
+	{
+		return HopCosts{kHop, std::numeric_limits<double>::infinity()};
+	}
+	return HopCosts{kHop, kHop + kLinkTimes * crossingTime(engine, engine.usualPromptTokens)};
 }
 
-PathQuery pathQuery(const FleetService& _service)
+PathQuery pathQuery(const ChoiceQuery& _query)
 {
 	PathQuery query;
-	query.layers = _service.spec->engine.layers;
-	query.halls = _service.halls;
+	query.layers = _query.service.spec->engine.layers;
+	query.halls = _query.service.halls;
 	query.homeHall = kHomeHall;
 	query.entry = kEntry;
-	query.hops = hopCosts(_service.spec->engine);
+	query.hops = hopCosts(_query);
 	return query;
 }
 
@@ -232,7 +250,7 @@
 	{
 		candidates[index].costOfLead += static_cast<double>(_random.below(kMoveSpread));
 	}
-	const PathQuery query = pathQuery(_query.service);
+	const PathQuery query = pathQuery(_query);
 	if (findPath(candidates, query, _choice.parts))
 	{
 		return SendOutcome::Begun;
@@ -243,7 +261,13 @@
 	                              {
 		                              return isFull(_target, _query);
 	                              });
-	return full ? SendOutcome::NoRoom : SendOutcome::NoTargets;
+	return full || isLinkFull(_query) ? SendOutcome::NoRoom : SendOutcome::NoTargets;
+}
+
+Duration linkTime(const ChoiceQuery& _query, const Choice& _choice)
+{
+	const uint32_t crossings = hallCrossings(_query.service, _choice);
+	return Duration{static_cast<int64_t>(crossings * crossingTime(_query.service.spec->engine, _query.tokens))};
 }
 
 double tightestRoom(const ChoiceQuery& _query, const Choice& _choice)
@@ -262,7 +286,7 @@
 	const uint32_t crossings = hallCrossings(_query.service, _choice);
 	std::vector<PathCandidate> candidates = candidatesOf(_query);
 	candidates[head.candidate].usable = false; // a target has one part of a path
-	PathQuery query = pathQuery(_query.service);
+	PathQuery query = pathQuery(_query);
 	query.firstLayer = head.layers.end;
 	query.homeHall = _query.service.targets[head.candidate].hall;
 	std::vector<PathPart> rest;
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -32,7 +32,8 @@
 	double tokens = 0;                   //!< That the request takes at each of its layers.
 	Time now;
 	const Mechanisms& mechanisms;
-	bool moves = false; //!< It leaves a path that failed, as many others may at this moment.
+	double linkTaken = 0; //!< Part of the link between halls that requests took lately.
+	bool moves = false;   //!< It leaves a path that failed, as many others may at this moment.
 };
 
 /// Chooses a target of a plain service: the one with least under way from here, in this data hall first.
@@ -41,6 +42,9 @@
 /// Chooses a path through a model's layers, in this data hall if it can.
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
 
+/// @returns the time that a choice takes the link between halls with the request's prompt and answer.
+Duration linkTime(const ChoiceQuery& _query, const Choice& _choice);
+
 /// @returns the part of its room that the fullest target of a choice has taken.
 double tightestRoom(const ChoiceQuery& _query, const Choice& _choice);
 
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -38,7 +38,7 @@
 
 	ChoiceQuery query(double _tokens)
 	{
-		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, mechanisms, false};
+		return ChoiceQuery{service, failed, 1, _tokens, Time{1000000}, mechanisms, linkTaken, false};
 	}
 
 	EngineSpec& engine()
@@ -64,6 +64,7 @@
 
 	FleetService service;
 	std::set<std::string> failed;
+	double linkTaken = 0;
 	Mechanisms mechanisms;
 
 private:
@@ -86,6 +87,7 @@
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
 	CPPUNIT_TEST(theLinkBetweenHallsHasItsPrice);
+	CPPUNIT_TEST(theLinkBetweenHallsTakesNoMoreThanItBears);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +231,26 @@
 		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
 	}
 
+	/// A hall has lost a part and borrows it: what the link does not bear is refused at once, with every target idle,
+	/// and does not queue there. Requests that move have been worked on; they cross all the same.
+	void theLinkBetweenHallsTakesNoMoreThanItBears()
+	{
+		Fleet fleet;
+		fleet.failed = {"i-1", "i-2"};
+		fleet.engine().usualPromptTokens = 1000;
+		fleet.engine().hopBytesPerToken = 20000;
+		fleet.engine().hallLinkMbps = 5000;
+		Choice choice;
+		fleet.linkTaken = 0.99;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(int64_t(320), linkTime(fleet.query(10), choice).micros);
+		fleet.linkTaken = 1.01;
+		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(10), random_, choice));
+		ChoiceQuery moving = fleet.query(10);
+		moving.moves = true;
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(moving, random_, choice));
+	}
+
 	void plainServiceTakesTheIdlest()
 	{
 		Fleet fleet;
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -289,13 +289,19 @@
 	waitReady(*node_);
 }
 
+const std::string& EntryHarness::secondStoreAddress()
+{
+	static const std::string address = "127.0.0.1:2";
+	return address;
+}
+
 const EntrySettings& EntryHarness::startSecond()
 {
 	secondSettings_ = settings_;
 	secondSettings_.name = "n2";
 	secondSettings_.callerAddress = freeAddress();
 	secondSettings_.readyAddress = freeAddress();
-	secondSettings_.storeAddress = "127.0.0.1:2";
+	secondSettings_.storeAddress = secondStoreAddress();
 	secondSettings_.firstPeerPort = portOf(freeAddress());
 	second_ = std::make_unique<EntryNode>(secondSettings_, *ports_);
 	waitReady(*second_);
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -89,6 +89,9 @@
 	/// Starts the node and waits until it is ready.
 	void start();
 
+	/// Under which a second node will know the store.
+	static const std::string& secondStoreAddress();
+
 	/// Starts a second node in the same hall and waits until it is ready.
 	/// @returns its settings.
 	const EntrySettings& startSecond();
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -170,6 +170,7 @@
 	CPPUNIT_TEST(routeTimeEndsTheWait);
 	CPPUNIT_TEST(requestsDuringAStopEndWhole);
 	CPPUNIT_TEST(oneNodeOfAHallReadsTheStore);
+	CPPUNIT_TEST(nodeThatStartsLoadsThroughItsHall);
 	CPPUNIT_TEST(hubGoneTheOtherReads);
 	CPPUNIT_TEST(changedSettingsAreInForce);
 	CPPUNIT_TEST(nodeThatTheStoreTurnsAwayStaysCurrent);
@@ -201,6 +202,17 @@
 		CPPUNIT_ASSERT(harness.callUntil(request("/plain/"), 200));
 	}
 
+	/// It gets no topic from the store itself, and serves all the same.
+	void nodeThatStartsLoadsThroughItsHall()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		harness.store().refuseLoads(EntryHarness::secondStoreAddress());
+		const EntrySettings& second = harness.startSecond();
+		CPPUNIT_ASSERT(EntryHarness::callUntilAt(second.callerAddress, request("/plain/"), 200));
+	}
+
 	void hubGoneTheOtherReads()
 	{
 		EntryHarness harness;
--- a/tests/entry/memorylog.cpp
+++ b/tests/entry/memorylog.cpp
@@ -60,6 +60,18 @@
 	turnedAway_.insert(_address);
 }
 
+void MemoryStore::refuseLoads(const std::string& _address)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	loadsRefused_.insert(_address);
+}
+
+bool MemoryStore::refusesLoad(const std::string& _address, KeyedTopic::Enum _topic) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	return KeyedTopic::Nodes != _topic && 0 < loadsRefused_.count(_address);
+}
+
 bool MemoryStore::out(const std::string& _address) const
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
@@ -102,7 +114,13 @@
 	boost::asio::post(loop_,
 	                  [this, _topic, _call]
 	                  {
-		                  _call(pageFrom(store_, address_, _topic, Offset{0}));
+		                  KeyedPage page = pageFrom(store_, address_, _topic, Offset{0});
+		                  if (store_.refusesLoad(address_, _topic))
+		                  {
+			                  page = KeyedPage{};
+			                  page.state = StoreState::Refused;
+		                  }
+		                  _call(std::move(page));
 	                  });
 }
 
--- a/tests/entry/memorylog.h
+++ b/tests/entry/memorylog.h
@@ -29,8 +29,13 @@
 	/// From now on it turns the node away that knows it under an address.
 	void turnAway(const std::string& _address);
 
+	/// From now on it gives that node no whole topic, but for the places of nodes.
+	void refuseLoads(const std::string& _address);
+
 	bool out(const std::string& _address) const;
 
+	bool refusesLoad(const std::string& _address, KeyedTopic::Enum _topic) const;
+
 	/// Counts a read of the node that knows it under an address.
 	void countRead(const std::string& _address);
 
@@ -44,6 +49,7 @@
 	std::array<std::vector<KeyedRecord>, KeyedTopic::Count> topics_;
 	bool out_ = false;
 	std::set<std::string> turnedAway_;
+	std::set<std::string> loadsRefused_;
 	std::map<std::string, uint64_t> reads_;
 };
 
