Turns for layout changes double; a read that hangs is renewed; an old view changes nothing

(1) Nodes from the seventh place on all tried at the same moment, 1.5 s after a loss. (2) The hub's read of the layout had hung since the store's outage (18 to 26 s): reads that wait 20 s for rare news show a dead connection at their end only, so that the hall missed a change until 40 s and tried against it again and again. Change: ChangeTurn, pure: places in an order that mixes halls and changes with each change, twice as many at each turn; a node that the store does not answer pauses longer each time (0.4 to 6.4 s), where it tried at each look. When the store is back, or says that the topic ends further on, the read is renewed. A node whose proof is over 3 s old makes no changes.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -62,13 +62,16 @@
 		}
 	}
 
-	void onCurrent()
+	/// @returns true if the store did not answer before.
+	bool onCurrent()
 	{
-		if (out_)
+		const bool was = out_;
+		out_ = false;
+		if (was)
 		{
-			out_ = false;
 			logEvent(LogPart::Store, LogLevel::Info, "Store answers again.", {{"reading", what_}});
 		}
+		return was;
 	}
 
 private:
@@ -92,7 +95,10 @@
 
 	void onCurrent(Time _sentAt) override
 	{
-		outages_.onCurrent();
+		if (outages_.onCurrent())
+		{
+			control_.renewLongReads();
+		}
 		control_.fleet_.onOperatorCurrent(_sentAt);
 		control_.checkReady();
 	}
@@ -223,6 +229,11 @@
       onReady_(std::move(_onReady))
 {
 	fleet_.keepLapsed(settings_.mechanisms.on(Mechanism::LapseGrace));
+	layout_.setOnBehind(
+	    [this]
+	    {
+		    layoutFollower_.renew();
+	    });
 	log_.shareLoads(settings_.mechanisms.on(Mechanism::HallLoads));
 }
 
@@ -254,6 +265,13 @@
 	layoutFollower_.start();
 }
 
+/// Reads that wait long for rare news were sent before the store went away, and may hang to their end.
+void EntryControl::renewLongReads()
+{
+	nodeFollower_.renew();
+	layoutFollower_.renew();
+}
+
 void EntryControl::announce()
 {
 	wire::NodePlace place;
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -48,6 +48,7 @@
 	void announce();
 	void checkReady();
 	void follow();
+	void renewLongReads();
 	void dropLapsedLater();
 
 	EntrySettings settings_;
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -8,6 +8,7 @@
 
 #include <entry/documents.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -91,6 +92,12 @@
 		return fleetChangedAt_;
 	}
 
+	/// @returns when the read was sent that showed the desired state to be newest; long ago if none has.
+	Time provenAt() const
+	{
+		return Time{std::max<int64_t>(0, cell_.provenAt.load(std::memory_order_relaxed))};
+	}
+
 	/// @returns how much of the link between halls is taken.
 	LinkUse& link() const
 	{
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -38,6 +38,8 @@
 void Follower::startLoad()
 {
 	found_.clear();
+	++reading_;
+	loading_ = true;
 	loadFirst_ = true;
 	loadAfter_.clear();
 	load(loadAfter_);
@@ -119,6 +121,7 @@
 	}
 	next_ = loadEnd_;
 	loaded_ = true;
+	loading_ = false;
 	provenAt_ = loadSentAt_;
 	handler_.onCurrent(loadSentAt_);
 	read();
@@ -129,13 +132,26 @@
 	const Time sentAt = clock_.now();
 	// While the store is out a read that waits could hang for its whole wait after the store is back.
 	const Duration wait = failing_ ? Duration{} : plan_.wait;
+	const uint64_t number = ++reading_;
 	log_.read(plan_.topic, next_, wait,
-	          [this, sentAt](KeyedPage&& _page)
+	          [this, sentAt, number](KeyedPage&& _page)
 	          {
-		          onRead(std::move(_page), sentAt);
+		          if (number == reading_)
+		          {
+			          onRead(std::move(_page), sentAt);
+		          }
 	          });
 }
 
+void Follower::renew()
+{
+	if (loaded_ && !loading_)
+	{
+		timer_.cancel();
+		read();
+	}
+}
+
 void Follower::onRead(KeyedPage&& _page, Time _sentAt)
 {
 	if (StoreState::Gone == _page.state)
--- a/packages/entry/src/follower_p.h
+++ b/packages/entry/src/follower_p.h
@@ -55,6 +55,10 @@
 
 	void start();
 
+	/// Gives up on the read under way and reads anew: its connection may have fallen silent, which shows only after the
+	/// whole wait that was asked for.
+	void renew();
+
 	/// @returns the offset of the next record, if the topic has been read to its end.
 	Offset end() const
 	{
@@ -93,8 +97,10 @@
 	Duration retry_;
 	std::minstd_rand random_;
 	std::string loadAfter_; //!< Last key that the load under way has shown.
+	uint64_t reading_ = 0;  //!< Number of the read under way; the answer to an earlier one is passed over.
 	bool loadFirst_ = true;
 	bool loaded_ = false;
+	bool loading_ = false; //!< A load is under way, the first one or one anew.
 	bool failing_ = false; //!< The last read failed.
 };
 
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -4,6 +4,7 @@
 
 #include "fleetcontroller_p.h"
 
+#include <base/digest.h>
 #include <entry/entrysettings.h>
 #include <logging/logging.h>
 #include <wire/sedgecart.pb.h>
@@ -20,11 +21,9 @@
 /// Between two looks at the layout. A lost range is mended in some seconds, of which loading takes the most.
 constexpr Duration kLookPause = Duration::fromMillis(200);
 
-/// What each node waits for the one whose turn is before its own: a record takes some tens of milliseconds to be seen.
-constexpr Duration kTurn = Duration::fromMillis(250);
-
-/// Longest wait for one's turn, in turns. Beyond it nodes may try at once; one of them wins.
-constexpr std::size_t kMostTurns = 6;
+/// A node whose proof of the desired state is older sees a fleet of long ago, and mostly cannot reach the store: others
+/// mend the layout. While the store answers, proofs are at most two waits of a second and a hub's answer old.
+constexpr Duration kFreshView = Duration::fromMillis(3000);
 
 /// The first layout waits until no target has come for so long: targets appear within some seconds of each other.
 constexpr Duration kSettled = Duration::fromMillis(1600);
@@ -87,7 +86,8 @@
 
 void LayoutKeeper::tick()
 {
-	if (known_ && !appending_ && fleet_.ready())
+	const bool fresh = clock_.now() < fleet_.provenAt() + kFreshView;
+	if (known_ && fresh && !appending_ && fleet_.ready())
 	{
 		look();
 	}
@@ -120,7 +120,7 @@
 	const Time now = clock_.now();
 	const bool own = incarnation_.text() == change.author();
 	const bool fresh = now < appendedAt_ + kOrdersFresh;
-	wantedAt_ = Time{};
+	turn_.setWanted(false, now);
 	logEvent(LogPart::Layout, LogLevel::Info, "Layout changes.",
 	         {{"offset", std::to_string(_record.offset.value)},
 	          {"author", change.author()},
@@ -251,14 +251,17 @@
 	}
 }
 
-bool LayoutKeeper::isMyTurn(Time _now) const
+/// @returns this node's place among all, in an order that is another with each change and mixes the halls, so that a
+/// node or a hall that is gone delays only some changes.
+std::size_t LayoutKeeper::place() const
 {
-	const auto& nodes = fleet_.nodes();
-	const auto place = static_cast<std::size_t>(std::distance(nodes.begin(), nodes.lower_bound(node_)));
-	const std::size_t count = std::max<std::size_t>(1, nodes.size());
-	// The turn goes round with each change, so that a node that is gone delays only some of them.
-	const std::size_t turn = std::min((place + end_.value) % count, kMostTurns);
-	return !(_now < wantedAt_ + Duration{kTurn.micros * static_cast<int64_t>(turn)});
+	const uint64_t own = hash64(node_, end_.value);
+	std::size_t before = 0;
+	for (const auto& row : fleet_.nodes())
+	{
+		before += hash64(row.first, end_.value) < own ? 1 : 0;
+	}
+	return before;
 }
 
 void LayoutKeeper::look()
@@ -266,13 +269,8 @@
 	const Scene seen = scene();
 	const std::vector<LayoutOrder> orders = wantedOrders(seen);
 	const Time now = clock_.now();
-	if (orders.empty())
-	{
-		wantedAt_ = Time{};
-		return;
-	}
-	wantedAt_ = 0 == wantedAt_.micros ? now : wantedAt_;
-	if (isMyTurn(now))
+	turn_.setWanted(!orders.empty(), now);
+	if (!orders.empty() && turn_.isDue(place(), now))
 	{
 		append(seen, orders);
 	}
@@ -295,7 +293,12 @@
 	            [this](const KeyedAppend& _outcome)
 	            {
 		            appending_ = false;
-		            wantedAt_ = clock_.now(); // whatever came of it, the next try waits for its turn
+		            const bool conflict = StoreState::Conflict == _outcome.state;
+		            turn_.onOutcome(conflict || StoreState::Done == _outcome.state, clock_.now());
+		            if (conflict && end_ < _outcome.end && onBehind_)
+		            {
+			            onBehind_();
+		            }
 		            logEvent(LogPart::Layout, LogLevel::Info, "Layout change was appended.",
 		                     {{"outcome", nameOf(_outcome.state)},
 		                      {"offset", std::to_string(_outcome.offset.value)},
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -5,6 +5,7 @@
 
 #include <base/clock.h>
 #include <base/incarnation.h>
+#include <core/changeturn.h>
 #include <core/layoutplan.h>
 #include <entry/keyedlog.h>
 #include <entry/mechanisms.h>
@@ -13,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -37,6 +39,12 @@
 	/// Begins to look.
 	void start();
 
+	/// @param _call when the store says that the layout topic ends further on than this node has read.
+	void setOnBehind(std::function<void()> _call)
+	{
+		onBehind_ = std::move(_call);
+	}
+
 	/// Takes a record of the layout topic.
 	void onRecord(const KeyedRecord& _record);
 
@@ -65,7 +73,7 @@
 	Scene scene() const;
 	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
 	void noteHole(const Scene& _scene, bool _unmended, Time _now);
-	bool isMyTurn(Time _now) const;
+	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
@@ -83,7 +91,8 @@
 	Incarnation incarnation_;
 	Offset end_; //!< Of the layout topic, as far as it was read.
 	std::map<std::string, Ordered> ordered_;
-	Time wantedAt_;          //!< Since when a change has been wanted; 0: none is.
+	ChangeTurn turn_;
+	std::function<void()> onBehind_;
 	Time holeAt_;            //!< Since when layers have been missing; 0: none are.
 	Time appendedAt_;        //!< When this node last tried to append.
 	bool known_ = false;     //!< The layout topic has been read to its end.
--- a/packages/entry/tests/followertest.cpp
+++ b/packages/entry/tests/followertest.cpp
@@ -45,13 +45,15 @@
 	std::vector<std::string> afterKeys;
 	std::vector<uint64_t> froms;
 	std::vector<int64_t> waits;
+	std::vector<PageCall> hanging; //!< Calls without an answer.
 
 private:
 	/// Without a page left it never answers, which ends the test's loop.
-	static void answer(std::deque<KeyedPage>& _pages, const PageCall& _call)
+	void answer(std::deque<KeyedPage>& _pages, const PageCall& _call)
 	{
 		if (_pages.empty())
 		{
+			hanging.push_back(_call);
 			return;
 		}
 		KeyedPage page = std::move(_pages.front());
@@ -105,6 +107,7 @@
 	CPPUNIT_TEST(afterAFailureReadsDoNotWait);
 	CPPUNIT_TEST(droppedHistoryIsLoadedAnew);
 	CPPUNIT_TEST(aLoadGoesOnWhereItFailed);
+	CPPUNIT_TEST(aReadThatHangsIsRenewed);
 	CPPUNIT_TEST(aGapInTheProofsIsAnOutage);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -140,6 +143,21 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(5), log_.froms.at(0));
 	}
 
+	/// A connection that fell silent shows only at the end of a long wait; its late answer changes nothing then.
+	void aReadThatHangsIsRenewed()
+	{
+		log_.newestPages = {page(StoreState::Done, 5, {record("a", "1", 3)})};
+		const FollowPlan plan{KeyedTopic::Layout, Duration::fromMillis(20000), Duration{}, Duration{}, 0};
+		Follower follower(loop_, log_, clock_, plan, notes_);
+		follower.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.hanging.size());
+		log_.readPages = {page(StoreState::Done, 6, {record("a", "2", 5)})};
+		follower.renew();
+		CPPUNIT_ASSERT((std::vector<std::string>{"a=1", "a=2"}) == notes_.seen);
+		log_.hanging.front()(page(StoreState::Unknown, 0));
+		CPPUNIT_ASSERT_EQUAL(0U, notes_.outs);
+	}
+
 	void droppedHistoryIsLoadedAnew()
 	{
 		log_.newestPages = {page(StoreState::Done, 2, {record("a", "1", 0), record("b", "1", 1)}),
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -80,12 +80,14 @@
 	{
 	}
 	void append(KeyedTopic::Enum, const std::string&, const std::string& _value, std::optional<Offset>,
-	            AppendCall) override
+	            AppendCall _call) override
 	{
 		appended.push_back(_value);
+		calls.push_back(std::move(_call));
 	}
 
 	std::vector<std::string> appended;
+	std::vector<AppendCall> calls;
 };
 
 class NoOrders : public RunnerOrdersI
@@ -115,6 +117,8 @@
 	CPPUNIT_TEST(oneWeakWordChangesNothing);
 	CPPUNIT_TEST(aHallThatSeemsCutOffIsLeftAlone);
 	CPPUNIT_TEST(switchedOffItWaitsForTheRegistry);
+	CPPUNIT_TEST(whoIsBehindIsTold);
+	CPPUNIT_TEST(anOldViewChangesNothing);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +141,7 @@
 			fleet_.onRunnerRecord(KeyedRecord{nameOf(index), text, false, Offset{index}});
 		}
 		fleet_.onRunnersCurrent();
+		fleet_.onOperatorCurrent(clock_.now());
 	}
 
 	/// Its record has not lapsed, and the range that only it held goes to holders of second copies.
@@ -161,6 +166,33 @@
 		CPPUNIT_ASSERT(log_.appended.empty());
 	}
 
+	/// A change was made that this node has not read: its read of the topic may hang, and it would lose each try.
+	void whoIsBehindIsTold()
+	{
+		uint32_t told = 0;
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.setOnBehind(
+		    [&told]
+		    {
+			    ++told;
+		    });
+		keeper.onCurrent(Offset{3});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.calls.size());
+		log_.calls.front()(KeyedAppend{StoreState::Conflict, Offset{}, Offset{5}});
+		CPPUNIT_ASSERT_EQUAL(1U, told);
+	}
+
+	/// A node that the store turns away tried at each look, which cost a call each.
+	void anOldViewChangesNothing()
+	{
+		suspect(alone(), kSureSuspicion);
+		fleet_.onOperatorCurrent(Time{clock_.now().micros - 10000000});
+		look();
+		CPPUNIT_ASSERT(log_.appended.empty());
+	}
+
 	/// Three of thirteen at once: the link to the hall is gone, and its targets hold what they held.
 	void aHallThatSeemsCutOffIsLeftAlone()
 	{
