A read that was given up as hanging says nothing of the store; comments name unit and method

Cause, found by reading: a long read that was renewed fails at its own end, up to 20 s later, and HallLog told that failure as the store's, so that the hub would be passed over for 0.3 to 2 s while the store answers. Ruled out: ignoring failures by time; a store that falls silent would then be seen later. Change: what a read says of the store counts only if no later read of its topic was sent. HallLogTest.aReadThatWasGivenUpSaysNothingOfTheStore fails on the code before and passes.

--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -39,13 +39,14 @@
 {
 	/// Room that the holders of each layer in a hall have together, as a multiple of what the operator means a target
 	/// to have (`EngineSpec::roomTokens`); the rest of the memory holds second copies. 0, or an operator that names no
-	/// room: as much as memory allows. Mean worth of five days with trouble, four seeds each, by this multiple: 0.553
-	/// at 1.1, 0.563 at 1.25, 0.567 at 1.35, 0.518 at 1.6; without second copies 0.492.
+	/// room: as much as memory allows. Worth of what was served (1: all in time; mean of 20 runs in which targets,
+	/// nodes and the store fail), by this multiple: 0.553 at 1.1, 0.563 at 1.25, 0.567 at 1.35, 0.518 at 1.6; without
+	/// second copies 0.492.
 	double roomShare = 1.25;
 
 	/// Whether a hall whose own chain would be tight keeps it where that serves more requests than its part of a chain
-	/// that halls share; else such halls always share. Five days with trouble of a site of 23 nodes and 40 targets in
-	/// five halls: streams served from none to 0.59.
+	/// that halls share; else such halls always share. Share of requests served by 23 nodes and 40 targets in five
+	/// halls whose link bears two prompts a second, with targets lost: 0.06 without, 0.55 with.
 	bool tightAlone = true;
 };
 
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -106,8 +106,9 @@
 {
 	const Time sentAt = clock_.now();
 	const Offset from = _read.from;
+	const uint64_t number = ++sent_[_topic];
 	store_.read(_topic, from, _read.wait,
-	            [this, _topic, from, sentAt, call = std::move(_read.call)](KeyedPage&& _page)
+	            [this, _topic, from, sentAt, number, call = std::move(_read.call)](KeyedPage&& _page)
 	            {
 		            if (StoreState::Done == _page.state)
 		            {
@@ -117,7 +118,7 @@
 		            {
 			            cache_.forget(_topic);
 		            }
-		            noteStore(_page.state);
+		            noteStore(_topic, number, _page.state);
 		            call(std::move(_page));
 	            });
 }
@@ -126,14 +127,15 @@
 {
 	const Time sentAt = clock_.now();
 	const bool first = _afterKey.empty();
+	const uint64_t number = ++sent_[_topic];
 	store_.newest(_topic, _afterKey,
-	              [this, _topic, first, sentAt, call = std::move(_call)](KeyedPage&& _page)
+	              [this, _topic, first, sentAt, number, call = std::move(_call)](KeyedPage&& _page)
 	              {
 		              if (StoreState::Done == _page.state)
 		              {
 			              takeLoaded(_topic, first, _page, sentAt);
 		              }
-		              noteStore(_page.state);
+		              noteStore(_topic, number, _page.state);
 		              call(std::move(_page));
 	              });
 }
@@ -154,8 +156,13 @@
 	loading = Loading{};
 }
 
-void HallLog::noteStore(StoreState::Enum _state)
+/// A read that another of its topic has replaced hung on its connection, so that its end says nothing of the store.
+void HallLog::noteStore(KeyedTopic::Enum _topic, uint64_t _number, StoreState::Enum _state)
 {
+	if (_number != sent_[_topic])
+	{
+		return;
+	}
 	trying_ = false;
 	if (nullptr != watch_)
 	{
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -40,7 +40,7 @@
 
 /// An empty target that nothing needs is left alone for so long after the last coming or going, so that one that was
 /// replaced may leave first. A load costs little, and a target that waits for 4 s instead leaves its hall without its
-/// room: 0.563 against 0.577 of the worth on five days with trouble, four seeds each.
+/// room: worth of what was served 0.563 against 0.577 (1: all in time; mean of 20 runs with failing targets).
 constexpr Duration kDoubleAfter = Duration::fromMillis(800);
 
 /// A hall of fewer targets for each that seems dead is taken as cut off: racks are some eighth of a hall.
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -35,8 +35,9 @@
 constexpr Duration kComeBack = Duration::fromMillis(250);
 
 /// An answer takes room for this part of its hinted length, one in so many: it grows from nothing, so that half is its
-/// mean. Counted whole, requests are refused while room is free: 0.564 against 0.600 of the worth on five days with
-/// trouble, four seeds each. Targets then run out of memory at times: up to 152 requests a day are read again.
+/// mean. Counted whole, requests are refused while room is free: worth of what was served 0.564 against 0.600 (1: all
+/// in time; mean of 20 runs with failing targets). Targets then run out of memory at times: up to 152 requests in one
+/// of the runs are read again.
 constexpr uint64_t kMeanPart = 2;
 
 /// Bytes that a caller may leave untaken before its stream is given up.
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -120,6 +120,7 @@
 	CPPUNIT_TEST(whoIsTooFarBehindReadsTheStore);
 	CPPUNIT_TEST(whatWaitsGoesToTheStoreWhenTheHubGoes);
 	CPPUNIT_TEST(oneReadTriesTheStore);
+	CPPUNIT_TEST(aReadThatWasGivenUpSaysNothingOfTheStore);
 	CPPUNIT_TEST(whatWasReadIsAtHandForOthers);
 	CPPUNIT_TEST(cacheDoesNotJoinWhatIsNotContiguous);
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
@@ -201,6 +202,17 @@
 		CPPUNIT_ASSERT((std::vector<bool>{false}) == watch_.answers);
 	}
 
+	/// Its connection hung; the read that took its place was answered long ago.
+	void aReadThatWasGivenUpSaysNothingOfTheStore()
+	{
+		read(3);
+		read(3);
+		store_.answerLast(page(StoreState::Done, 3));
+		store_.reads.front().call(page(StoreState::Unknown, 0));
+		CPPUNIT_ASSERT((std::vector<bool>{true}) == watch_.answers);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), pages_.size());
+	}
+
 	void whatWasReadIsAtHandForOthers()
 	{
 		read(3);
