Sight: a stream that is broken off says who ended its last send and why it was not sent again

What the logs lacked to tell the incident's hypotheses apart: 'Stream is broken off.' and refusals name how the last send ended and what barred another; 'Target is taken as dead.' names how much of the last 200 ms this node was awake for.

--- a/packages/base/include/base/units.h
+++ b/packages/base/include/base/units.h
@@ -50,6 +50,11 @@
 	return Duration{_a.micros + _b.micros};
 }
 
+constexpr Duration operator-(Duration _a, Duration _b)
+{
+	return Duration{_a.micros - _b.micros};
+}
+
 constexpr bool operator<(Time _a, Time _b)
 {
 	return _a.micros < _b.micros;
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -58,6 +58,30 @@
 	};
 };
 
+/// Why a request whose send failed is not sent again.
+struct ResendBar
+{
+	enum Enum
+	{
+		None,           //!< It was sent again, or no send has failed.
+		NotRepeatable,  //!< It may have run, and may not run twice.
+		RunsSpent,      //!< It has run on as many targets as its route allows.
+		SendsSpent,     //!< Too many targets turned it away or could not be reached.
+		AllowanceSpent, //!< The retry budget allows no more repeats for now.
+		NoTargets,      //!< There is no other target or path.
+		NoRoom,         //!< All others are full.
+		TimeUp,         //!< Its time is over.
+
+		Count
+	};
+};
+
+/// @returns "runs_spent" and so on.
+const char* nameOf(ResendBar::Enum _bar);
+
+/// @returns "not_sent" and so on.
+const char* nameOf(SendBreak::Enum _how);
+
 /// What a RelayMachine has done for it. None of these calls back into the machine.
 class RelayActionsI
 {
@@ -148,6 +172,18 @@
 		return sends_;
 	}
 
+	/// @returns how its last send failed; meaningful once one has.
+	SendBreak::Enum lastBreak() const
+	{
+		return lastBreak_;
+	}
+
+	/// @returns why it is not sent again.
+	ResendBar::Enum bar() const
+	{
+		return bar_;
+	}
+
 	/// @returns true if some target may have begun it.
 	bool mayHaveRun() const
 	{
@@ -156,6 +192,7 @@
 
 private:
 	bool repeatable() const;
+	bool payRepeat();
 	void send(bool _repeat);
 	void afterNotRun();
 	void afterRun(ErrorKind::Enum _otherwise);
@@ -168,7 +205,9 @@
 	std::string whole_; //!< Bytes that end with a whole event.
 	RelayHead head_;
 	uint32_t sends_ = 0;
-	uint32_t runs_ = 0;     //!< Ended sends that may have run.
+	uint32_t runs_ = 0; //!< Ended sends that may have run.
+	SendBreak::Enum lastBreak_ = SendBreak::NotSent;
+	ResendBar::Enum bar_ = ResendBar::None;
 	bool underWay_ = false; //!< A send is under way and bytes may have reached its target.
 	bool streaming_ = false;
 	bool headPassed_ = false;
--- /dev/null
+++ b/packages/core/src/awaketime.cpp
@@ -0,0 +1,82 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/awaketime.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Timers fire a little late also where the processor is free.
+constexpr Duration kTimerSlack = Duration::fromMillis(1);
+
+/// Span over which `stretch` is taken: some dozen looks, and no longer than a burst of other work lasts.
+constexpr Duration kStretchSpan = Duration::fromMillis(200);
+
+/// Largest stretch: a node that gets less of the processor knows too little to judge others at all.
+constexpr double kMostStretch = 8;
+
+} // namespace
+
+AwakeTime::AwakeTime(Duration _pause) : pause_{_pause.micros + kTimerSlack.micros}
+{
+}
+
+void AwakeTime::look(Time _now)
+{
+	if (marks_.empty())
+	{
+		marks_.push_back(Mark{_now, Duration{}});
+		return;
+	}
+	const Duration gap = _now - marks_.back().at;
+	marks_.push_back(Mark{_now, marks_.back().awake + std::min(gap, pause_)});
+	while (marks_.front().at + kRemembered < _now && 2 < marks_.size())
+	{
+		marks_.pop_front();
+	}
+}
+
+void AwakeTime::restart()
+{
+	marks_.clear();
+}
+
+Duration AwakeTime::since(Time _moment) const
+{
+	if (marks_.empty() || !(_moment < marks_.back().at))
+	{
+		return Duration{};
+	}
+	const auto after = std::lower_bound(marks_.begin(), marks_.end(), _moment,
+	                                    [](const Mark& _mark, Time _one)
+	                                    {
+		                                    return _mark.at < _one;
+	                                    });
+	const Duration whole = marks_.back().awake - after->awake;
+	if (marks_.begin() == after)
+	{
+		return whole;
+	}
+	// Of the gap that the moment lies in only what surely came behind it counts.
+	const Duration gap = after->at - std::prev(after)->at;
+	const Duration part = after->at - _moment;
+	return gap.micros <= pause_.micros ? whole + part : whole;
+}
+
+double AwakeTime::stretch() const
+{
+	if (marks_.size() < 2)
+	{
+		return 1;
+	}
+	const Time from{std::max(marks_.front().at.micros, marks_.back().at.micros - kStretchSpan.micros)};
+	const double passed = static_cast<double>((marks_.back().at - from).micros);
+	const double awake = static_cast<double>(std::max<int64_t>(1, since(from).micros));
+	return std::clamp(passed / awake, 1.0, kMostStretch);
+}
+
+} // namespace sedgecart
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -14,8 +14,24 @@
 /// Sends beside those that ran: a target that refused, or could not be reached, costs a caller little time.
 constexpr uint32_t kSendsNotRun = 3;
 
+constexpr const char* kBarNames[ResendBar::Count] = {
+    "none", "not_repeatable", "runs_spent", "sends_spent", "allowance_spent", "no_targets", "no_room", "time_up",
+};
+
+constexpr const char* kBreakNames[SendBreak::Count] = {"not_sent", "broken", "silent"};
+
 } // namespace
 
+const char* nameOf(ResendBar::Enum _bar)
+{
+	return kBarNames[_bar];
+}
+
+const char* nameOf(SendBreak::Enum _how)
+{
+	return kBreakNames[_how];
+}
+
 RelayMachine::RelayMachine(const RelayFacts& _facts, RelayActionsI& _actions)
     : facts_(_facts),
       actions_(_actions),
@@ -28,6 +44,13 @@
 	return RequestKind::Idempotent == facts_.kind || (RequestKind::Stream == facts_.kind && facts_.resumable);
 }
 
+bool RelayMachine::payRepeat()
+{
+	const bool paid = actions_.payRepeat();
+	bar_ = paid ? ResendBar::None : ResendBar::AllowanceSpent;
+	return paid;
+}
+
 void RelayMachine::begin()
 {
 	send(false);
@@ -42,8 +65,10 @@
 	if (SendOutcome::Begun == outcome)
 	{
 		++sends_;
+		bar_ = ResendBar::None;
 		return;
 	}
+	bar_ = SendOutcome::NoRoom == outcome ? ResendBar::NoRoom : ResendBar::NoTargets;
 	if (_repeat && 0 < runs_)
 	{
 		fail(ErrorKind::TargetLost);
@@ -119,7 +144,7 @@
 		return;
 	}
 	const bool again = kFirstServerError <= head_.status && repeatable() && runs_ + 1 < facts_.maxRuns;
-	if (again && actions_.payRepeat())
+	if (again && payRepeat())
 	{
 		++runs_;
 		send(true);
@@ -135,6 +160,7 @@
 	{
 		return;
 	}
+	lastBreak_ = _how;
 	if (SendBreak::NotSent == _how || head_.notRun)
 	{
 		afterNotRun();
@@ -147,7 +173,8 @@
 {
 	underWay_ = false;
 	const bool again = sends_ < facts_.maxRuns + kSendsNotRun;
-	if (again && actions_.payRepeat())
+	bar_ = again ? ResendBar::None : ResendBar::SendsSpent;
+	if (again && payRepeat())
 	{
 		send(true);
 		return;
@@ -160,7 +187,8 @@
 	++runs_;
 	underWay_ = false;
 	const bool again = repeatable() && runs_ < facts_.maxRuns;
-	if (again && actions_.payRepeat())
+	bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
+	if (again && payRepeat())
 	{
 		splitter_.continueElsewhere();
 		send(true);
@@ -186,6 +214,7 @@
 		return;
 	}
 	const bool ran = mayHaveRun();
+	bar_ = ResendBar::TimeUp;
 	actions_.cancelSend();
 	fail(ran ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineTooShort);
 }
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -72,13 +72,18 @@
     : timer_(_loop),
       clock_(_clock),
       orders_(_orders),
-      metrics_(_metrics)
+      metrics_(_metrics),
+      awake_(kLook)
 {
 }
 
 void PathWatch::add(const std::shared_ptr<WatchedPathI>& _path)
 {
 	paths_.push_back(_path);
+	if (!ticking_)
+	{
+		awake_.restart();
+	}
 	start();
 }
 
@@ -126,6 +131,7 @@
 		return;
 	}
 	const Time now = clock_.now();
+	awake_.look(now);
 	awakeAt_ = lookAt_ + kLate < now ? now : awakeAt_;
 	lateAt_ = lookAt_ + kLateLook < now ? now : lateAt_;
 	leaveToldDead(paths, now);
@@ -347,6 +353,7 @@
 			path->onTargetDead(_target, _sure);
 		}
 	}
+	constexpr double kPercent = 100;
 	const Time avoided{_target.load->avoidedUntil.load(std::memory_order_relaxed)};
 	logEvent(LogPart::Targets, LogLevel::Warning, "Target is taken as dead.",
 	         {{"target", _target.record.instance.text},
@@ -354,6 +361,7 @@
 	          {"sure", _sure ? "true" : "false"},
 	          {"hall", _target.record.hall},
 	          {"avoid_ms", std::to_string((avoided - clock_.now()).millis())},
+	          {"node_awake_percent", std::to_string(static_cast<int>(kPercent / awake_.stretch()))},
 	          {"requests", std::to_string(users)}});
 }
 
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -6,6 +6,7 @@
 #include "fleetview_p.h"
 
 #include <base/clock.h>
+#include <core/awaketime.h>
 #include <entry/runnerorders.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -103,6 +104,7 @@
 	Metrics& metrics_;
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
 	std::map<std::string, Asked> asked_; //!< By instance.
+	AwakeTime awake_;                    //!< By its looks.
 	Time lookAt_;                        //!< When the next look is due.
 	Time awakeAt_;                       //!< Since when this node has not stood still.
 	Time lateAt_{INT64_MIN};             //!< When a look was last late.
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -295,7 +295,7 @@
 void RequestRelay::breakOff()
 {
 	context_.metrics.add(Counter::BrokenStreams);
-	logOutcome("Stream is broken off.", LogLevel::Warning, "no target could continue it");
+	logOutcome("Stream is broken off.", LogLevel::Warning, nameOf(machine_.lastBreak()));
 	caller_->abort();
 }
 
@@ -343,6 +343,7 @@
 	const bool chosen = service_ && !choice_.parts.empty();
 	logEvent(LogPart::Requests, _level, _sentence,
 	         {{"cause", _cause},
+	          {"not_sent_again", nameOf(machine_.bar())},
 	          {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
 	          {"sends", std::to_string(machine_.sends())},
 	          {"events", std::to_string(machine_.events())},
