--- a/packages/aio/include/aio/clientconnection.h
+++ b/packages/aio/include/aio/clientconnection.h
@@ -37,6 +37,7 @@
 	enum Enum
 	{
 		NotConnected, //!< No connection came up; not a byte was sent.
+		Refused,      //!< The same: the peer's machine says that nobody listens there.
 		Cut,          //!< The connection ended before the answer did.
 		Garbled,      //!< What came is no answer.
 
--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -138,7 +138,8 @@
 		timer_.cancel();
 		if (_error)
 		{
-			fail(ExchangeBreak::NotConnected);
+			const bool refused = asio::error::connection_refused == _error;
+			fail(refused ? ExchangeBreak::Refused : ExchangeBreak::NotConnected);
 			return;
 		}
 		up_ = true;
--- a/packages/core/include/core/awaketime.h
+++ b/packages/core/include/core/awaketime.h
@@ -26,11 +26,11 @@
 	/// Forgets all: there was nothing to look at for a while, so that the pause since the last look says nothing.
 	void restart();
 
-	/// @returns the time since a moment in which this node was awake, up to the last look; what is older than
-	/// `kRemembered` counts as that old.
-	Duration since(Time _moment) const;
+	/// @returns the time from a moment until now in which this node was awake; what is older than `kRemembered` counts
+	/// as that old.
+	Duration since(Time _moment, Time _now) const;
 
-	/// @returns how many times longer things take here than at a node that is never late, at least 1.
+	/// @returns how many times longer things take here of late than at a node that is never late, at least 1.
 	double stretch() const;
 
 	/// Looks that are older are forgotten.
@@ -44,7 +44,9 @@
 		Duration awake; //!< In sum, since the first look.
 	};
 
-	Duration pause_;
+	Duration untilLastLook(Time _moment) const;
+
+	Duration pause_;         //!< Longest time between two looks that counts whole.
 	std::deque<Mark> marks_; //!< In order of time.
 };
 
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -88,10 +88,14 @@
 public:
 	virtual ~RelayActionsI() = default;
 
-	/// Chooses a target or path that this request has not failed on, and sends.
+	/// Chooses a target or path that this request has not failed on, and sends. A send under way is given up for it, so
+	/// that its target stops working on it; if nothing is found, it goes on.
 	/// @param _resumeAfter the stream continues behind this event.
 	virtual SendOutcome::Enum send(std::optional<uint64_t> _resumeAfter) = 0;
 
+	/// @returns true if `send` would find a target or path now.
+	virtual bool hasOther() const = 0;
+
 	/// Gives the send under way up, so that its target stops working on it.
 	virtual void cancelSend() = 0;
 
@@ -142,6 +146,11 @@
 
 	void onBroken(SendBreak::Enum _how);
 
+	/// A target of the send under way is suspected to be dead. The suspicion may be wrong, so it never ends the answer:
+	/// the request moves if it may be sent again and another target or path is there, else the send under way goes on.
+	/// @returns true if it has moved.
+	bool onSuspected();
+
 	/// The caller went away.
 	void onCallerGone();
 
@@ -193,6 +202,9 @@
 private:
 	bool repeatable() const;
 	bool payRepeat();
+	bool mayMove();
+	std::optional<uint64_t> resumePoint() const;
+	void noteSend();
 	void send(bool _repeat);
 	void afterNotRun();
 	void afterRun(ErrorKind::Enum _otherwise);
--- a/packages/core/src/awaketime.cpp
+++ b/packages/core/src/awaketime.cpp
@@ -45,7 +45,18 @@
 	marks_.clear();
 }
 
-Duration AwakeTime::since(Time _moment) const
+Duration AwakeTime::since(Time _moment, Time _now) const
+{
+	if (marks_.empty() || _now < _moment)
+	{
+		return Duration{};
+	}
+	const Time last = marks_.back().at < _moment ? _moment : marks_.back().at;
+	const Duration sinceLook = std::max(Duration{}, _now - last);
+	return untilLastLook(_moment) + std::min(sinceLook, pause_);
+}
+
+Duration AwakeTime::untilLastLook(Time _moment) const
 {
 	if (marks_.empty() || !(_moment < marks_.back().at))
 	{
@@ -75,7 +86,7 @@
 	}
 	const Time from{std::max(marks_.front().at.micros, marks_.back().at.micros - kStretchSpan.micros)};
 	const double passed = static_cast<double>((marks_.back().at - from).micros);
-	const double awake = static_cast<double>(std::max<int64_t>(1, since(from).micros));
+	const double awake = static_cast<double>(std::max<int64_t>(1, untilLastLook(from).micros));
 	return std::clamp(passed / awake, 1.0, kMostStretch);
 }
 
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -56,16 +56,26 @@
 	send(false);
 }
 
-void RelayMachine::send(bool _repeat)
+std::optional<uint64_t> RelayMachine::resumePoint() const
+{
+	return headPassed_ ? splitter_.lastId() : facts_.resumeAfter;
+}
+
+void RelayMachine::noteSend()
 {
+	++sends_;
 	underWay_ = false;
 	streaming_ = false;
 	head_ = RelayHead{};
-	const SendOutcome::Enum outcome = actions_.send(headPassed_ ? splitter_.lastId() : facts_.resumeAfter);
+	bar_ = ResendBar::None;
+}
+
+void RelayMachine::send(bool _repeat)
+{
+	const SendOutcome::Enum outcome = actions_.send(resumePoint());
 	if (SendOutcome::Begun == outcome)
 	{
-		++sends_;
-		bar_ = ResendBar::None;
+		noteSend();
 		return;
 	}
 	bar_ = SendOutcome::NoRoom == outcome ? ResendBar::NoRoom : ResendBar::NoTargets;
@@ -197,6 +207,41 @@
 	fail(_otherwise);
 }
 
+/// @returns true if the send under way may be followed by another while it has not failed.
+bool RelayMachine::mayMove()
+{
+	if (!underWay_)
+	{
+		bar_ = ResendBar::SendsSpent;
+		return sends_ < facts_.maxRuns + kSendsNotRun;
+	}
+	bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
+	return repeatable() && runs_ + 1 < facts_.maxRuns;
+}
+
+bool RelayMachine::onSuspected()
+{
+	if (done_ || !mayMove())
+	{
+		return false;
+	}
+	bar_ = ResendBar::NoTargets;
+	if (!actions_.hasOther() || !payRepeat())
+	{
+		return false;
+	}
+	if (SendOutcome::Begun != actions_.send(resumePoint()))
+	{
+		bar_ = ResendBar::NoTargets;
+		return false;
+	}
+	runs_ += underWay_ ? 1 : 0;
+	lastBreak_ = SendBreak::Silent;
+	splitter_.continueElsewhere();
+	noteSend();
+	return true;
+}
+
 void RelayMachine::onCallerGone()
 {
 	if (done_)
--- a/packages/core/tests/awaketimetest.cpp
+++ b/packages/core/tests/awaketimetest.cpp
@@ -24,7 +24,7 @@
 	CPPUNIT_TEST(timeOfANodeThatIsNeverLateCountsWhole);
 	CPPUNIT_TEST(standstillCountsAsOneLook);
 	CPPUNIT_TEST(halfOfTheProcessorStretchesTwice);
-	CPPUNIT_TEST(momentsBehindTheLastLookCountNothing);
+	CPPUNIT_TEST(withoutLooksNothingCounts);
 	CPPUNIT_TEST(afterARestartThePauseIsNoLateness);
 	CPPUNIT_TEST(neverMoreThanPassed);
 	CPPUNIT_TEST_SUITE_END();
@@ -34,8 +34,8 @@
 	{
 		AwakeTime awake(kPause);
 		looks(awake, 0, 8, 20);
-		CPPUNIT_ASSERT_EQUAL(int64_t(40), awake.since(at(120)).millis());
-		CPPUNIT_ASSERT_EQUAL(int64_t(43), awake.since(at(117)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(40), awake.since(at(120), at(160)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(43), awake.since(at(117), at(160)).millis());
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, awake.stretch(), 0.01);
 	}
 
@@ -44,8 +44,9 @@
 		AwakeTime awake(kPause);
 		looks(awake, 0, 8, 10); // to 80
 		awake.look(at(580));
-		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(90)).millis()); // nothing of the gap is sure
-		CPPUNIT_ASSERT_EQUAL(int64_t(9), awake.since(at(80)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(90), at(580)).millis()); // nothing of the gap is sure
+		CPPUNIT_ASSERT_EQUAL(int64_t(9), awake.since(at(80), at(580)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(18), awake.since(at(80), at(900)).millis()); // nor the time without a look
 		CPPUNIT_ASSERT(8 <= awake.stretch());
 	}
 
@@ -56,13 +57,14 @@
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, awake.stretch(), 0.2);
 	}
 
-	void momentsBehindTheLastLookCountNothing()
+	void withoutLooksNothingCounts()
 	{
 		AwakeTime awake(kPause);
-		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(0)).micros);
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(0), at(5)).micros);
 		awake.look(at(10));
-		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(10)).micros);
-		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(50)).micros);
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(10), at(10)).micros);
+		CPPUNIT_ASSERT_EQUAL(int64_t(4), awake.since(at(12), at(16)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), awake.since(at(50), at(16)).micros);
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, awake.stretch(), 0);
 	}
 
@@ -73,7 +75,7 @@
 		awake.restart();
 		looks(awake, 5000, 8, 10);
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, awake.stretch(), 0.01);
-		CPPUNIT_ASSERT_EQUAL(int64_t(80), awake.since(at(80)).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(80), awake.since(at(80), at(5080)).millis());
 	}
 
 	void neverMoreThanPassed()
@@ -91,7 +93,7 @@
 				                         awake.look(at(now));
 			                         }
 			                         const int64_t moment = *rc::gen::inRange<int64_t>(0, now + 100);
-			                         const Duration counted = awake.since(at(moment));
+			                         const Duration counted = awake.since(at(moment), at(now));
 			                         RC_ASSERT(0 <= counted.micros);
 			                         RC_ASSERT(counted.millis() <= std::max<int64_t>(0, now - moment));
 			                         RC_ASSERT(1 <= awake.stretch());
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -32,6 +32,10 @@
 		}
 		return outcome;
 	}
+	bool hasOther() const override
+	{
+		return SendOutcome::Begun == outcome;
+	}
 	void cancelSend() override
 	{
 		++cancels;
@@ -111,6 +115,11 @@
 	CPPUNIT_TEST(streamEndingWithinAnEventIsNotWhole);
 	CPPUNIT_TEST(timeUpSaysWhetherItMayHaveRun);
 	CPPUNIT_TEST(noBudgetEndsAtOnce);
+	CPPUNIT_TEST(suspicionMovesWhatMayBeSentAgain);
+	CPPUNIT_TEST(suspicionOfTheLastRunEndsNothing);
+	CPPUNIT_TEST(suspicionWithoutAnotherTargetEndsNothing);
+	CPPUNIT_TEST(suspicionWithoutAllowanceEndsNothing);
+	CPPUNIT_TEST(suspicionBeforeAnythingWasSentCostsNoRun);
 	CPPUNIT_TEST(anyOrderOfEventsKeepsThePromises);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -244,6 +253,71 @@
 
 	/// A random target, caller and clock: one final answer at most, "not run" only if true, at most once if it must be,
 	/// and a stream that is a prefix of the events, whole when it ends as complete.
+	void suspicionMovesWhatMayBeSentAgain()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0));
+		CPPUNIT_ASSERT(machine.onSuspected());
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(0), *notes.resumedAfter);
+		CPPUNIT_ASSERT(SendBreak::Silent == machine.lastBreak());
+	}
+
+	void suspicionOfTheLastRunEndsNothing()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0));
+		machine.onBroken(SendBreak::Broken);
+		stream(machine);
+		CPPUNIT_ASSERT(!machine.onSuspected());
+		CPPUNIT_ASSERT(ResendBar::RunsSpent == machine.bar());
+		machine.onBody(event(1));
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(1U, notes.ends);
+		CPPUNIT_ASSERT_EQUAL(event(0) + event(1), notes.body);
+	}
+
+	void suspicionWithoutAnotherTargetEndsNothing()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		notes.outcome = SendOutcome::NoTargets;
+		CPPUNIT_ASSERT(!machine.onSuspected());
+		CPPUNIT_ASSERT(ResendBar::NoTargets == machine.bar());
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals() + notes.cancels);
+	}
+
+	void suspicionWithoutAllowanceEndsNothing()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		notes.mayRepeat = false;
+		CPPUNIT_ASSERT(!machine.onSuspected());
+		CPPUNIT_ASSERT(ResendBar::AllowanceSpent == machine.bar());
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals() + notes.cancels);
+	}
+
+	void suspicionBeforeAnythingWasSentCostsNoRun()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 1), notes);
+		machine.begin();
+		CPPUNIT_ASSERT(machine.onSuspected());
+		CPPUNIT_ASSERT(!machine.mayHaveRun());
+		stream(machine);
+		CPPUNIT_ASSERT(!machine.onSuspected());
+	}
+
 	void anyOrderOfEventsKeepsThePromises()
 	{
 		CPPUNIT_ASSERT(rc::check(
@@ -262,6 +336,12 @@
 				    notes.mayRepeat = 0 != *rc::gen::inRange<int>(0, 4);
 				    notes.outcome = static_cast<SendOutcome::Enum>(
 				        0 == *rc::gen::inRange<int>(0, 8) ? *rc::gen::inRange<int>(0, SendOutcome::Count) : 0);
+				    if (0 == *rc::gen::inRange<int>(0, 5))
+				    {
+					    machine.onSuspected();
+					    RC_ASSERT(!machine.done());
+					    continue;
+				    }
 				    target.step(*rc::gen::inRange<int>(0, 10));
 			    }
 			    RC_ASSERT(notes.finals() <= 1U);
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -55,10 +55,17 @@
 struct ProbeAnswer
 {
 	bool answered = false;
-	bool refused = false;             //!< Nobody listens at its address any more.
-	uint32_t tries = 1;               //!< Each waited for the question's bound, if none was answered.
+	bool cut = false;     //!< Somebody ended the connection before an answer: the target is there, but full.
+	bool refused = false; //!< Nobody listens at its address any more.
+	uint32_t tries = 1;   //!< Each waited for the question's bound, if none was answered.
 	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
 	double pace = 1;                  //!< So many times slower than usual, some hundred ms ago.
+
+	/// @returns true if it shows that the target lives.
+	bool lives() const
+	{
+		return answered || cut;
+	}
 };
 
 /// Orders to targets that run a model in layers. Calls return at once; answers come on the loop's thread.
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -51,16 +51,9 @@
 /// Where none of several targets answered the fault may be this node's, and passing over them all must end soon.
 constexpr Duration kDoubtFor = Duration::fromMillis(600);
 
-/// A look that is late by more shows that this node stood still, and that silence says nothing of others.
-constexpr Duration kLate = Duration::fromMillis(35);
-
-/// A look that is late by more while a question is open shows that this node had too little processor to take the
-/// answer in time: who did not answer is asked again. Nodes of 0.12 cores that read a desired state of 249 routes took
-/// sound targets as dead, and broke streams off that had left two of them.
-constexpr Duration kLateLook = Duration::fromMillis(10);
-
-/// A question's bound that is noticed later than this shows that this node had no processor: answers may be waiting.
-constexpr Duration kLateAnswer = Duration::fromMillis(10);
+/// Part of a question's bound that this node must have been awake for, so that silence counts; the rest is for looks
+/// that are not exact.
+constexpr double kAwakePart = 0.8;
 
 /// Questions at once to a target in another hall: links between halls may lose a packet, and a lost first packet is
 /// sent again only after a second.
@@ -94,7 +87,6 @@
 		return;
 	}
 	ticking_ = true;
-	lookAt_ = clock_.now() + kLook;
 	timer_.expires_after(std::chrono::microseconds(kLook.micros));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
@@ -132,8 +124,6 @@
 	}
 	const Time now = clock_.now();
 	awake_.look(now);
-	awakeAt_ = lookAt_ + kLate < now ? now : awakeAt_;
-	lateAt_ = lookAt_ + kLateLook < now ? now : lateAt_;
 	leaveToldDead(paths, now);
 	look(paths);
 	start();
@@ -157,14 +147,30 @@
 	}
 	for (const FleetTarget& target : told)
 	{
-		tellPaths(target, "other nodes found it dead", true);
+		tellPaths(target, "other nodes found it dead");
 	}
 }
 
 bool PathWatch::isSilent(const WatchedPathI& _path, Time _now) const
 {
-	const Time last = _path.lastProgress() < awakeAt_ ? awakeAt_ : _path.lastProgress();
-	return last + (_path.begun() ? silence() : kFirstSilence) < _now;
+	const Duration bound = _path.begun() ? silence() : kFirstSilence;
+	return bound < awake_.since(_path.lastProgress(), _now);
+}
+
+/// @returns true if some path has moved on since a moment: this node hears.
+bool PathWatch::hasHeardSince(Time _moment)
+{
+	const std::vector<std::shared_ptr<WatchedPathI>> paths = live();
+	return std::any_of(paths.begin(), paths.end(),
+	                   [_moment](const std::shared_ptr<WatchedPathI>& _path)
+	                   {
+		                   return _path->begun() && _moment < _path->lastProgress();
+	                   });
+}
+
+Duration PathWatch::stretched(Duration _usual) const
+{
+	return Duration{static_cast<int64_t>(static_cast<double>(_usual.micros) * awake_.stretch())};
 }
 
 Duration PathWatch::silence() const
@@ -206,7 +212,7 @@
 		}
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			if (seen[target->load.get()] + silence() < now)
+			if (silence() < awake_.since(seen[target->load.get()], now))
 			{
 				ask(*target, round);
 			}
@@ -228,9 +234,10 @@
 	++_round->asked;
 	++_round->open;
 	const FleetTarget target = _target;
+	const Duration bound = stretched(kAnswerBound);
 	for (uint32_t question = asked.open; 0 < question; --question)
 	{
-		orders_.probe(target.record.address, kAnswerBound,
+		orders_.probe(target.record.address, bound,
 		              [this, target, _round](const ProbeAnswer& _answer)
 		              {
 			              onAnswer(target, *_round, _answer);
@@ -242,8 +249,8 @@
 {
 	Asked& asked = asked_[_target.record.instance.text];
 	asked.open -= 0 < asked.open ? 1 : 0;
-	_round.answered += !asked.answered && _answer.answered ? 1 : 0;
-	asked.answered = asked.answered || _answer.answered;
+	_round.answered += !asked.answered && _answer.lives() ? 1 : 0;
+	asked.answered = asked.answered || _answer.lives();
 	if (0 == asked.open)
 	{
 		onSettled(_target, _round, _answer);
@@ -262,17 +269,17 @@
 		closeRound(_round);
 		return;
 	}
-	const Duration bound{kAnswerBound.micros * static_cast<int64_t>(_answer.tries)};
+	const double needed = kAwakePart * static_cast<double>(kAnswerBound.micros) * _answer.tries;
 	if (_answer.refused)
 	{
 		asked.notBefore = now + kSilentPause;
 		suspect(_target, kSureSuspicion);
 		passOver(_target, kDeadFor);
-		tellPaths(_target, "nobody listens", true);
+		tellPaths(_target, "nobody listens");
 	}
-	else if (_round.at + bound + kLateAnswer < now || !(lateAt_ < _round.at) || lookAt_ + kLateLook < now)
+	else if (static_cast<double>(awake_.since(_round.at, now).micros) < needed)
 	{
-		asked.notBefore = now; // this node was late: an answer may have come meanwhile
+		asked.notBefore = now; // this node was late: an answer may be waiting
 	}
 	else
 	{
@@ -289,18 +296,18 @@
 	{
 		return;
 	}
-	const bool sure = 0 < _round.answered || 1 == _round.asked;
+	const bool hears = 0 < _round.answered || hasHeardSince(_round.at);
 	for (const FleetTarget& target : _round.silent)
 	{
-		passOver(target, sure ? kDeadFor : kDoubtFor);
-		if (sure)
+		passOver(target, hears ? kDeadFor : kDoubtFor);
+		if (hears)
 		{
 			suspect(target, kWeakSuspicion);
 		}
 	}
 	for (const FleetTarget& target : _round.silent)
 	{
-		tellPaths(target, "no answer", target.load->isDead(clock_.now()));
+		tellPaths(target, "no answer");
 	}
 }
 
@@ -316,7 +323,7 @@
 				{
 					const FleetTarget stalled = *target;
 					passOver(stalled, kDoubtFor);
-					tellPaths(stalled, "a neighbour waits for it", false);
+					tellPaths(stalled, "a neighbour waits for it");
 					return;
 				}
 			}
@@ -337,7 +344,7 @@
 	_target.load->suspectedUntil.store((clock_.now() + kDeadFor).micros, std::memory_order_relaxed);
 }
 
-void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause, bool _sure)
+void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause)
 {
 	uint32_t users = 0;
 	for (const auto& path : live())
@@ -350,7 +357,7 @@
 		if (std::any_of(targets.begin(), targets.end(), isIt))
 		{
 			++users;
-			path->onTargetDead(_target, _sure);
+			path->onTargetDead(_target);
 		}
 	}
 	constexpr double kPercent = 100;
@@ -358,7 +365,7 @@
 	logEvent(LogPart::Targets, LogLevel::Warning, "Target is taken as dead.",
 	         {{"target", _target.record.instance.text},
 	          {"cause", _cause},
-	          {"sure", _sure ? "true" : "false"},
+	          {"sure", _target.load->isDead(clock_.now()) ? "true" : "false"},
 	          {"hall", _target.record.hall},
 	          {"avoid_ms", std::to_string((avoided - clock_.now()).millis())},
 	          {"node_awake_percent", std::to_string(static_cast<int>(kPercent / awake_.stretch()))},
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -41,15 +41,15 @@
 	/// @returns true once its first event has come.
 	virtual bool begun() const = 0;
 
-	/// A target of its path does not answer, or its neighbours wait for it.
-	/// @param _sure nobody listens there, or several nodes say so; else it may live, and a path that has no other way
-	/// is better off to stay.
-	virtual void onTargetDead(const FleetTarget& _target, bool _sure) = 0;
+	/// A target of its path does not answer, or its neighbours wait for it. It may live all the same.
+	/// @param _target not of the path's own: it holds while the path changes.
+	virtual void onTargetDead(const FleetTarget& _target) = 0;
 };
 
 /// Finds the target to blame when paths fall silent, long before the targets themselves give a request up. A target
 /// that some request moved over a moment ago lives; of a silent path the others are asked, and who does not answer is
-/// dead. Loop thread only.
+/// dead. Time counts for all this only as far as this node was awake: one that lacks the processor, say while it reads
+/// a large desired state, hears answers late and must not blame others. Loop thread only.
 class PathWatch
 {
 public:
@@ -63,6 +63,12 @@
 	/// Learns how far apart events usually come.
 	void noteGap(Duration _gap);
 
+	/// @returns how long to wait here for what takes so long at a node that is never late.
+	Duration stretched(Duration _usual) const;
+
+	/// Looks once at all paths; its timer does so again and again while there are any.
+	void tick();
+
 private:
 	/// What is known of a target that was asked.
 	struct Asked
@@ -80,13 +86,13 @@
 		uint32_t asked = 0;
 		uint32_t answered = 0;
 		uint32_t open = 0;               //!< Targets whose questions are not all settled.
-		std::vector<FleetTarget> silent; //!< Settled without an answer.
+		std::vector<FleetTarget> silent; //!< Settled without a sign of life.
 	};
 
-	void tick();
 	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
 	void leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now);
 	bool isSilent(const WatchedPathI& _path, Time _now) const;
+	bool hasHeardSince(Time _moment);
 	Duration silence() const;
 	void ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round);
 	void onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
@@ -95,7 +101,7 @@
 	void closeRound(const Round& _round);
 	void passOver(const FleetTarget& _target, Duration _span);
 	void suspect(const FleetTarget& _target, uint32_t _suspicion);
-	void tellPaths(const FleetTarget& _target, const char* _cause, bool _sure);
+	void tellPaths(const FleetTarget& _target, const char* _cause);
 	std::vector<std::shared_ptr<WatchedPathI>> live();
 
 	boost::asio::steady_timer timer_;
@@ -105,9 +111,6 @@
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
 	std::map<std::string, Asked> asked_; //!< By instance.
 	AwakeTime awake_;                    //!< By its looks.
-	Time lookAt_;                        //!< When the next look is due.
-	Time awakeAt_;                       //!< Since when this node has not stood still.
-	Time lateAt_{INT64_MIN};             //!< When a look was last late.
 	double usualGap_ = 22000; //!< Between two events, microseconds, as lately seen; at first as on small sites.
 	bool ticking_ = false;
 };
--- /dev/null
+++ b/packages/entry/src/relaycontext_p.h
@@ -0,0 +1,45 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace sedgecart
+{
+
+class ClockI;
+class LinkUse;
+class Mechanisms;
+class Metrics;
+class PathWatch;
+class RandomI;
+class RetryLedger;
+class RunnerOrdersI;
+class TargetPool;
+class WireFormatI;
+struct FleetCell;
+
+/// What the requests of one loop share.
+struct RelayContext
+{
+	boost::asio::io_context& loop;
+	const ClockI& clock;
+	const WireFormatI& wire;
+	const FleetCell& cell;
+	LinkUse& link;
+	TargetPool& pool;
+	RandomI& random;
+	RetryLedger& retries;
+	Metrics& metrics;
+	PathWatch& watch;
+	RunnerOrdersI& orders;
+	const Mechanisms& mechanisms;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/relaylog.cpp
@@ -0,0 +1,72 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "relaylog_p.h"
+
+#include "relayplan_p.h"
+#include "requestpath_p.h"
+
+#include <base/clock.h>
+
+namespace sedgecart
+{
+
+RelayLog::RelayLog(const ClockI& _clock, const RelayPlan& _plan, const RelayMachine& _machine, const RequestPath& _path)
+    : clock_(_clock),
+      plan_(_plan),
+      machine_(_machine),
+      path_(_path)
+{
+}
+
+void RelayLog::sent(bool _resumes) const
+{
+	constexpr double kPercent = 100;
+	const int room = static_cast<int>(path_.tightestRoom() * kPercent);
+	logEvent(LogPart::Requests, LogLevel::Info, "Request is sent.",
+	         {{"service", plan_.service},
+	          {"customer", plan_.customer},
+	          {"path", path_.text()},
+	          {"room_taken_percent", std::to_string(room)},
+	          {"tokens", std::to_string(path_.heldTokens())},
+	          {"resumes", _resumes ? "true" : "false"},
+	          {"sends", std::to_string(machine_.sends() + 1)},
+	          {"left_ms", std::to_string((plan_.giveUpAt - clock_.now()).millis())}},
+	         plan_.caller.id);
+}
+
+void RelayLog::passedOn(uint16_t _status, const AnswerTimes& _times) const
+{
+	logEvent(LogPart::Requests, LogLevel::Info, "Answer is passed on.",
+	         {{"status", std::to_string(_status)},
+	          {"first_ms", std::to_string((_times.firstAt - plan_.arrivedAt).millis())},
+	          {"longest_pause_ms", std::to_string(_times.longestPause.millis())},
+	          {"events", std::to_string(machine_.events())},
+	          {"sends", std::to_string(machine_.sends())},
+	          {"held_ms", std::to_string((clock_.now() - plan_.arrivedAt).millis())}},
+	         plan_.caller.id);
+}
+
+void RelayLog::outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause,
+                       const std::string& _atFault) const
+{
+	const Time now = clock_.now();
+	logEvent(LogPart::Requests, _level, _sentence,
+	         {{"cause", _cause},
+	          {"not_sent_again", nameOf(machine_.bar())},
+	          {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
+	          {"sends", std::to_string(machine_.sends())},
+	          {"events", std::to_string(machine_.events())},
+	          {"service", plan_.service},
+	          {"target", headName()},
+	          {"at_fault", _atFault},
+	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
+	          {"left_ms", std::to_string((plan_.giveUpAt - now).millis())}},
+	         plan_.caller.id);
+}
+
+std::string RelayLog::headName() const
+{
+	return path_.chosen() ? path_.head().record.instance.text : std::string();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/relayplan_p.h
@@ -0,0 +1,33 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
+
+#include <aio/serverconnection.h>
+#include <base/units.h>
+#include <core/relaymachine.h>
+#include <entry/wireformat.h>
+
+#include <cstdint>
+#include <string>
+
+namespace sedgecart
+{
+
+/// What is fixed of a request when it is let in.
+struct RelayPlan
+{
+	ServerRequest request;
+	CallerRequest caller;
+	std::string customer;
+	std::string service;
+	RelayFacts facts;
+	uint32_t urgency = 5;
+	Duration pauseObjective; //!< A longer pause makes a stream late; 0: none given.
+	Time arrivedAt;
+	Time giveUpAt;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -2,11 +2,11 @@
 
 #include "requestrelay_p.h"
 
+#include "pathwatch_p.h"
 #include "retryledger_p.h"
 #include "targetpool_p.h"
 
 #include <base/clock.h>
-#include <logging/logging.h>
 #include <metrics/metrics.h>
 
 #include <boost/asio/io_context.hpp>
@@ -34,12 +34,6 @@
 /// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
 constexpr Duration kComeBack = Duration::fromMillis(250);
 
-/// An answer takes room for this part of its hinted length, one in so many: it grows from nothing, so that half is its
-/// mean. Counted whole, requests are refused while room is free: worth of what was served 0.564 against 0.600 (1: all
-/// in time; mean of 20 runs with failing targets). Targets then run out of memory at times: up to 152 requests in one
-/// of the runs are read again.
-constexpr uint64_t kMeanPart = 2;
-
 /// Bytes that a caller may leave untaken before its stream is given up.
 constexpr std::size_t kMostBacklog = 4UL * 1024 * 1024;
 
@@ -65,7 +59,9 @@
       caller_(std::move(_caller)),
       onDone_(std::move(_onDone)),
       machine_(plan_.facts, *this),
-      timer_(_context.loop)
+      timer_(_context.loop),
+      path_(context_, plan_),
+      log_(context_.clock, plan_, machine_, path_)
 {
 }
 
@@ -110,61 +106,13 @@
 	finishIfDone();
 }
 
-const FleetTarget& RequestRelay::target(const PathPart& _part) const
-{
-	return service_->targets[_part.candidate];
-}
-
-/// @returns the tokens that the request takes at each of its layers, as a mean over its time there: answers grow from
-/// nothing to their length.
-uint64_t RequestRelay::heldTokens() const
-{
-	const bool mean = context_.mechanisms.on(Mechanism::MeanAnswer);
-	return plan_.caller.promptTokens + (mean ? plan_.caller.hintedTokens / kMeanPart : plan_.caller.hintedTokens);
-}
-
-ChoiceQuery RequestRelay::choiceQuery() const
-{
-	const auto tokens = static_cast<double>(heldTokens());
-	const bool moves = 0 < machine_.events();
-	const Time now = context_.clock.now();
-	return ChoiceQuery{*service_, failed_, nodes_, tokens, now, context_.mechanisms, context_.link.taken(now), moves};
-}
-
-bool RequestRelay::choose(SendOutcome::Enum& _outcome)
-{
-	choice_ = Choice{}; // its indices are the last service's
-	{
-		const RcuCell<FleetView>::Reader view(context_.cell.view);
-		const auto row = view->services.find(plan_.service);
-		service_ = view->services.end() == row ? nullptr : row->second;
-		nodes_ = view->nodes;
-	}
-	if (!service_)
-	{
-		_outcome = SendOutcome::NoTargets;
-		return false;
-	}
-	const ChoiceQuery query = choiceQuery();
-	_outcome = service_->spec->hasEngine ? choosePath(query, context_.random, choice_)
-	                                     : chooseTarget(query, context_.random, choice_);
-	if (SendOutcome::Begun != _outcome)
-	{
-		choice_ = Choice{};
-		return false;
-	}
-	return true;
-}
-
 SendOutcome::Enum RequestRelay::send(std::optional<uint64_t> _resumeAfter)
 {
-	hold_.release();
-	SendOutcome::Enum outcome = SendOutcome::NoTargets;
-	if (!choose(outcome))
+	const SendOutcome::Enum outcome = path_.choose(0 < machine_.events());
+	if (SendOutcome::Begun != outcome)
 	{
 		return outcome;
 	}
-	holdLoad();
 	context_.metrics.add(Counter::Sends);
 	answer_ = TargetAnswer{};
 	answerSound_ = true;
@@ -173,67 +121,55 @@
 	eventsAtSend_ = machine_.events();
 	repathsLeft_ = kMostRepaths;
 	repathing_ = false;
-	logSend(_resumeAfter.has_value());
-	connection_ = context_.pool.take(target(choice_.parts.front()).record);
+	log_.sent(_resumeAfter.has_value());
+	connection_ = context_.pool.take(path_.head().record); // one under way is closed with this
 	// The exchange begins from the loop: a failure must not call into the machine while it decides.
 	const std::shared_ptr<RequestRelay> self = shared_from_this();
+	const uint32_t number = machine_.sends() + 1;
 	boost::asio::post(context_.loop,
-	                  [self, _resumeAfter]
+	                  [self, _resumeAfter, number]
 	                  {
-		                  if (!self->machine_.done() && self->connection_)
+		                  if (!self->machine_.done() && self->connection_ && number == self->machine_.sends())
 		                  {
-			                  self->connection_->exchange(self->requestText(_resumeAfter), *self, kConnectBound);
+			                  const Duration bound = self->context_.watch.stretched(kConnectBound);
+			                  self->connection_->exchange(self->requestText(_resumeAfter), *self, bound);
 		                  }
 	                  });
 	return outcome;
 }
 
-std::vector<PathStop> RequestRelay::stopsOf(const Choice& _choice) const
+bool RequestRelay::hasOther() const
 {
-	std::vector<PathStop> stops;
-	for (const PathPart& part : _choice.parts)
-	{
-		stops.push_back(PathStop{target(part).record.address, part.layers});
-	}
-	return stops;
+	return path_.hasOther(0 < machine_.events());
 }
 
 std::string RequestRelay::requestText(std::optional<uint64_t> _resumeAfter) const
 {
 	TargetCall call;
-	call.expected = target(choice_.parts.front()).record.instance;
+	call.expected = path_.head().record.instance;
 	call.customer = plan_.customer;
 	call.urgency = plan_.urgency;
 	call.resumeAfter = _resumeAfter;
 	call.budget = plan_.giveUpAt - context_.clock.now();
-	if (service_->spec->hasEngine)
+	if (path_.hasEngine())
 	{
-		call.path = stopsOf(choice_);
+		call.path = path_.stops();
 	}
 	return context_.wire.targetRequest(plan_.request, call);
 }
 
-void RequestRelay::holdLoad()
-{
-	hold_.take(*service_, choice_, heldTokens());
-	if (service_->spec->hasEngine)
-	{
-		context_.link.add(linkTime(choiceQuery(), choice_), context_.clock.now());
-	}
-}
-
 void RequestRelay::cancelSend()
 {
 	if (connection_)
 	{
 		connection_->close();
 	}
-	hold_.release();
+	path_.release();
 }
 
 bool RequestRelay::payRepeat()
 {
-	if (!context_.retries.take(plan_.service, nodes_, context_.clock.now()))
+	if (!context_.retries.take(plan_.service, path_.nodes(), context_.clock.now()))
 	{
 		return false;
 	}
@@ -262,15 +198,15 @@
 void RequestRelay::passEnd()
 {
 	context_.metrics.add(Counter::Answers);
-	logAnswer();
+	log_.passedOn(head_.status, times_);
 	caller_->finish();
 }
 
 void RequestRelay::passWhole()
 {
 	context_.metrics.add(Counter::Answers);
-	firstAt_ = context_.clock.now();
-	logAnswer();
+	times_.firstAt = context_.clock.now();
+	log_.passedOn(head_.status, times_);
 	AnswerStart start;
 	start.status = head_.status;
 	start.headers = context_.wire.callerHeaders(head_.headers);
@@ -299,60 +235,9 @@
 	caller_->abort();
 }
 
-/// Tells where the request goes and what decided it.
-void RequestRelay::logSend(bool _resumes) const
-{
-	std::string path;
-	for (const PathPart& part : choice_.parts)
-	{
-		const FleetTarget& stop = target(part);
-		path += path.empty() ? "" : ",";
-		path += stop.record.instance.text + '/' + stop.record.hall + '/' + std::to_string(part.layers.begin) + '-' +
-		        std::to_string(part.layers.end);
-	}
-	const double room = tightestRoom(choiceQuery(), choice_);
-	constexpr double kPercent = 100;
-	logEvent(LogPart::Requests, LogLevel::Info, "Request is sent.",
-	         {{"service", plan_.service},
-	          {"customer", plan_.customer},
-	          {"path", path},
-	          {"room_taken_percent", std::to_string(static_cast<int>(room * kPercent))},
-	          {"tokens", std::to_string(heldTokens())},
-	          {"resumes", _resumes ? "true" : "false"},
-	          {"sends", std::to_string(machine_.sends() + 1)},
-	          {"left_ms", std::to_string((plan_.giveUpAt - context_.clock.now()).millis())}},
-	         plan_.caller.id);
-}
-
-/// Tells how an answer that was passed on went.
-void RequestRelay::logAnswer() const
-{
-	logEvent(LogPart::Requests, LogLevel::Info, "Answer is passed on.",
-	         {{"status", std::to_string(head_.status)},
-	          {"first_ms", std::to_string((firstAt_ - plan_.arrivedAt).millis())},
-	          {"longest_pause_ms", std::to_string(longestPause_.millis())},
-	          {"events", std::to_string(machine_.events())},
-	          {"sends", std::to_string(machine_.sends())},
-	          {"held_ms", std::to_string((context_.clock.now() - plan_.arrivedAt).millis())}},
-	         plan_.caller.id);
-}
-
 void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
 {
-	const Time now = context_.clock.now();
-	const bool chosen = service_ && !choice_.parts.empty();
-	logEvent(LogPart::Requests, _level, _sentence,
-	         {{"cause", _cause},
-	          {"not_sent_again", nameOf(machine_.bar())},
-	          {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
-	          {"sends", std::to_string(machine_.sends())},
-	          {"events", std::to_string(machine_.events())},
-	          {"service", plan_.service},
-	          {"target", chosen ? target(choice_.parts.front()).record.instance.text : std::string()},
-	          {"at_fault", answer_.atFault},
-	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
-	          {"left_ms", std::to_string((plan_.giveUpAt - now).millis())}},
-	         plan_.caller.id);
+	log_.outcome(_sentence, _level, _cause, answer_.atFault);
 }
 
 void RequestRelay::onSent()
@@ -401,33 +286,36 @@
 void RequestRelay::noteProgress()
 {
 	const Time now = context_.clock.now();
-	const bool paused =
-	    0 < plan_.pauseObjective.micros && 0 < machine_.events() && eventAt_ + plan_.pauseObjective < now;
 	if (0 == machine_.events())
 	{
-		firstAt_ = now;
+		times_.firstAt = now;
 		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
 	}
 	else
 	{
-		context_.watch.noteGap(now - eventAt_);
-		longestPause_ = std::max(longestPause_, now - eventAt_);
+		notePause(now - times_.lastAt);
 	}
-	if (paused)
+	times_.lastAt = now;
+	progressAt_ = now;
+}
+
+void RequestRelay::notePause(Duration _pause)
+{
+	context_.watch.noteGap(_pause);
+	times_.longestPause = std::max(times_.longestPause, _pause);
+	if (0 < plan_.pauseObjective.micros && plan_.pauseObjective < _pause)
 	{
-		context_.metrics.observe(Timing::Pause, now - eventAt_);
-		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string((now - eventAt_).millis()) + " ms");
+		context_.metrics.observe(Timing::Pause, _pause);
+		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string(_pause.millis()) + " ms");
 	}
-	eventAt_ = now;
-	progressAt_ = now;
 }
 
 void RequestRelay::onWhole()
 {
-	hold_.release();
+	path_.release();
 	if (connection_)
 	{
-		context_.pool.giveBack(target(choice_.parts.front()).record, std::move(connection_));
+		context_.pool.giveBack(path_.head().record, std::move(connection_));
 	}
 	if (answer_.notRun)
 	{
@@ -435,7 +323,7 @@
 	}
 	else if (kFirstServerError <= head_.status)
 	{
-		failed_.insert(target(choice_.parts.front()).record.instance.text); // sent again, it goes elsewhere
+		path_.passOver(path_.head()); // sent again, it goes elsewhere
 	}
 	if (answerSound_)
 	{
@@ -450,21 +338,17 @@
 
 void RequestRelay::onBroken(ExchangeBreak::Enum _how)
 {
-	hold_.release();
+	path_.release();
 	avoidAtFault();
-	machine_.onBroken(ExchangeBreak::NotConnected == _how ? SendBreak::NotSent : SendBreak::Broken);
+	const bool notSent = ExchangeBreak::NotConnected == _how || ExchangeBreak::Refused == _how;
+	machine_.onBroken(notSent ? SendBreak::NotSent : SendBreak::Broken);
 	finishIfDone();
 }
 
 std::vector<const FleetTarget*> RequestRelay::pathTargets() const
 {
-	std::vector<const FleetTarget*> targets;
-	const bool watched = !machine_.done() && connection_ && service_ && service_->spec->hasEngine && !repathing_;
-	for (std::size_t index = 0; watched && index < choice_.parts.size(); ++index)
-	{
-		targets.push_back(&target(choice_.parts[index]));
-	}
-	return targets;
+	const bool watched = !machine_.done() && connection_ && path_.hasEngine() && !repathing_;
+	return watched ? path_.targets() : std::vector<const FleetTarget*>();
 }
 
 Time RequestRelay::lastProgress() const
@@ -477,100 +361,88 @@
 	return eventsAtSend_ < machine_.events();
 }
 
-/// @returns true if some path avoids the targets that failed this request.
-bool RequestRelay::hasOtherPath() const
-{
-	Choice other;
-	return SendOutcome::Begun == choosePath(choiceQuery(), context_.random, other);
-}
-
-void RequestRelay::onTargetDead(const FleetTarget& _target, bool _sure)
+void RequestRelay::onTargetDead(const FleetTarget& _target)
 {
 	if (machine_.done() || !connection_)
 	{
 		return;
 	}
-	failed_.insert(_target.record.instance.text);
-	if (!_sure && !hasOtherPath())
-	{
-		// It may live, and without it the stream ends for certain.
-		logOutcome("Request stays with a silent target.", LogLevel::Info, "no other path");
-		failed_.erase(_target.record.instance.text);
-		return;
-	}
-	if (target(choice_.parts.front()).load == _target.load)
+	path_.passOver(_target);
+	const bool isHead = path_.head().load == _target.load;
+	if (isHead || !repath(_target))
 	{
-		leave();
-		return;
+		move(_target);
 	}
-	repath();
 }
 
-/// Gives the send under way up and lets the machine decide on another.
-void RequestRelay::leave()
+/// Sends the request elsewhere if it may be sent again. Else it stays: the suspicion may be wrong, and ending the send
+/// ends the answer for certain.
+void RequestRelay::move(const FleetTarget& _suspect)
 {
-	cancelSend();
-	machine_.onBroken(SendBreak::Silent);
-	finishIfDone();
+	if (machine_.onSuspected())
+	{
+		return;
+	}
+	path_.forgive(_suspect);
+	logOutcome("Request stays with a silent target.", LogLevel::Info, nameOf(machine_.bar()));
 }
 
-void RequestRelay::repath()
+/// Asks the first target to go on over other parts.
+/// @returns false if there are none, or too many were tried.
+bool RequestRelay::repath(const FleetTarget& _suspect)
 {
-	Choice other = choice_;
-	if (0 == repathsLeft_ || !chooseRest(choiceQuery(), other))
+	Choice other;
+	if (0 == repathsLeft_ || !path_.chooseRest(other))
 	{
-		leave();
-		return;
+		return false;
 	}
 	--repathsLeft_;
 	repathing_ = true;
 	const std::weak_ptr<RequestRelay> weak = weak_from_this();
 	const uint32_t send = machine_.sends();
-	context_.orders.repath(target(choice_.parts.front()).record.address, plan_.caller.id, stopsOf(other),
-	                       [weak, other, send](RepathState::Enum _state, const std::string& _atFault)
+	const FleetTarget suspect = _suspect;
+	context_.orders.repath(path_.head().record.address, plan_.caller.id, path_.stopsOf(other),
+	                       [weak, other, send, suspect](RepathState::Enum _state, const std::string& _atFault)
 	                       {
 		                       const std::shared_ptr<RequestRelay> self = weak.lock();
 		                       if (self && !self->machine_.done() && send == self->machine_.sends())
 		                       {
-			                       self->onRepathed(other, _state, _atFault);
+			                       self->onRepathed(suspect, other, _state, _atFault);
 		                       }
 	                       });
+	return true;
 }
 
-void RequestRelay::onRepathed(const Choice& _choice, RepathState::Enum _state, const std::string& _atFault)
+void RequestRelay::onRepathed(const FleetTarget& _suspect, const Choice& _choice, RepathState::Enum _state,
+                              const std::string& _atFault)
 {
 	repathing_ = false;
 	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
 	if (RepathState::Moved == _state)
 	{
 		context_.metrics.add(Counter::PathChanges);
-		choice_ = _choice;
-		holdLoad();
+		path_.changeTo(_choice);
 		progressAt_ = context_.clock.now();
 		return;
 	}
-	for (const PathPart& part : _choice.parts)
+	const FleetTarget* const missing = RepathState::NoPart == _state ? path_.findByAddress(_choice, _atFault) : nullptr;
+	if (nullptr != missing)
 	{
-		if (RepathState::NoPart == _state && _atFault == target(part).record.address)
+		path_.passOver(*missing);
+		if (repath(_suspect))
 		{
-			failed_.insert(target(part).record.instance.text);
-			repath();
 			return;
 		}
 	}
-	leave();
+	move(_suspect);
 }
 
 /// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
 void RequestRelay::avoidAtFault()
 {
-	const PathPart* atFault = &choice_.parts.front();
-	for (const PathPart& part : choice_.parts)
-	{
-		atFault = target(part).record.address == answer_.atFault ? &part : atFault;
-	}
-	const FleetTarget& failed = target(*atFault);
-	failed_.insert(failed.record.instance.text);
+	const FleetTarget* const named = path_.findByAddress(path_.choice(), answer_.atFault);
+	const FleetTarget& failed = nullptr == named ? path_.head() : *named;
+	path_.passOver(failed);
 	const Duration span = answer_.notRun ? kFullFor : kAvoidedFor;
 	failed.load->avoidedUntil.store((context_.clock.now() + span).micros, std::memory_order_relaxed);
 	logOutcome("Target failed a request.", LogLevel::Info, failed.record.instance.text);
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -44,9 +44,10 @@
 	{
 	}
 
-	void probe(const std::string& _address, Duration, ProbeCall _call) override
+	void probe(const std::string& _address, Duration _bound, ProbeCall _call) override
 	{
 		addresses.push_back(_address);
+		bounds.push_back(_bound);
 		calls.push_back(std::move(_call));
 	}
 
@@ -59,17 +60,19 @@
 	}
 
 	/// Answers the oldest question.
-	void answer(bool _answered, bool _refused = false)
+	void answer(bool _answered, bool _refused = false, bool _cut = false)
 	{
 		const ProbeCall call = std::move(calls.front());
 		calls.pop_front();
 		ProbeAnswer answer;
 		answer.answered = _answered;
 		answer.refused = _refused;
+		answer.cut = _cut;
 		call(answer);
 	}
 
 	std::vector<std::string> addresses;
+	std::vector<Duration> bounds;
 	std::deque<ProbeCall> calls;
 };
 
@@ -89,9 +92,8 @@
 	{
 		return true;
 	}
-	void onTargetDead(const FleetTarget& _target, bool _sure) override
+	void onTargetDead(const FleetTarget& _target) override
 	{
-		sure.push_back(_sure);
 		dead.push_back(_target.record.instance.text);
 		for (const FleetTarget* const target : targets)
 		{
@@ -102,7 +104,6 @@
 	std::vector<const FleetTarget*> targets;
 	Time progress;
 	std::vector<std::string> dead;
-	std::vector<bool> sure;  //!< Whether the watch was, at each call.
 	int avoidedWhenTold = 0; //!< Targets of the path that were passed over already, at each call.
 };
 
@@ -127,6 +128,9 @@
 	CPPUNIT_TEST(oneNodeThatGotNoAnswerIsNotSure);
 	CPPUNIT_TEST(whereNobodyListensOneNodeIsSure);
 	CPPUNIT_TEST(aLateLookVoidsTheSilence);
+	CPPUNIT_TEST(shortOfProcessorItWaitsLonger);
+	CPPUNIT_TEST(whoEndsTheConnectionLives);
+	CPPUNIT_TEST(aNodeThatHearsNothingTellsNobody);
 	CPPUNIT_TEST(whatOtherNodesAreSureOfIsLeft);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -196,7 +200,6 @@
 		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
 		CPPUNIT_ASSERT_EQUAL(kWeakSuspicion, b_.load->ownSuspicion(clock_.now()));
 		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
-		CPPUNIT_ASSERT(std::vector<bool>{false} == path_->sure);
 		b_.load->othersSuspicion = kWeakSuspicion;
 		CPPUNIT_ASSERT(b_.load->isDead(clock_.now()));
 	}
@@ -208,7 +211,7 @@
 		constexpr bool kRefused = true;
 		orders_.answer(false, kRefused);
 		CPPUNIT_ASSERT(b_.load->isDead(clock_.now()));
-		CPPUNIT_ASSERT(std::vector<bool>{true} == path_->sure);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
 		clock_.advance(5000); // its record has lapsed by now, or it lives
 		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
 	}
@@ -225,6 +228,48 @@
 		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now()));
 	}
 
+	/// Each look comes 8 ms late, as beside a thread that has half of a weak processor: less than any single lateness
+	/// that shows a node standing still, and yet an answer takes twice its time. The question waits twice as long, and
+	/// an answer that comes by then counts.
+	void shortOfProcessorItWaitsLonger()
+	{
+		for (int step = 0; step < 40 && orders_.calls.empty(); ++step)
+		{
+			look(16);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), orders_.calls.size());
+		CPPUNIT_ASSERT(50 <= orders_.bounds.front().millis());
+		look(16);
+		look(16);
+		orders_.answer(false); // as after a bound of 32 ms: only half of it was this node awake for
+		orders_.answer(true);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
+	}
+
+	/// A target with too many connections ends new ones at once. It lives, and streams over it go on.
+	void whoEndsTheConnectionLives()
+	{
+		fallSilent();
+		constexpr bool kCut = true;
+		orders_.answer(false, false, kCut);
+		orders_.answer(false, false, kCut);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
+	}
+
+	/// Its only question got no answer and no other stream brought anything: the fault may be its own link.
+	void aNodeThatHearsNothingTellsNobody()
+	{
+		path_->targets = {&a_};
+		fallSilent();
+		pass(30);
+		orders_.answer(false);
+		CPPUNIT_ASSERT((std::vector<std::string>{"a"}) == path_->dead);
+		CPPUNIT_ASSERT_EQUAL(0U, a_.load->ownSuspicion(clock_.now()));
+		CPPUNIT_ASSERT(a_.load->avoidedUntil.load() < (clock_.now() + Duration::fromMillis(1000)).micros);
+	}
+
 	void whatOtherNodesAreSureOfIsLeft()
 	{
 		a_.load->othersSuspicion = kWeakSuspicion;
