--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -400,16 +400,16 @@
 	repathing_ = true;
 	const std::weak_ptr<RequestRelay> weak = weak_from_this();
 	const uint32_t send = machine_.sends();
-	const FleetTarget suspect = _suspect;
-	context_.orders.repath(path_.head().record.address, plan_.caller.id, path_.stopsOf(other),
-	                       [weak, other, send, suspect](RepathState::Enum _state, const std::string& _atFault)
-	                       {
-		                       const std::shared_ptr<RequestRelay> self = weak.lock();
-		                       if (self && !self->machine_.done() && send == self->machine_.sends())
-		                       {
-			                       self->onRepathed(suspect, other, _state, _atFault);
-		                       }
-	                       });
+	context_.orders.repath(
+	    path_.head().record.address, plan_.caller.id, path_.stopsOf(other),
+	    [weak, other, send, suspect = _suspect](RepathState::Enum _state, const std::string& _atFault)
+	    {
+		    const std::shared_ptr<RequestRelay> self = weak.lock();
+		    if (self && !self->machine_.done() && send == self->machine_.sends())
+		    {
+			    self->onRepathed(suspect, other, _state, _atFault);
+		    }
+	    });
 	return true;
 }
 
