--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -165,12 +165,12 @@
 }
 
 /// Ends a send. It may be on the stack: it is freed by the loop.
-void RequestRelay::retire(std::shared_ptr<RelaySend> _send)
+void RequestRelay::retire(std::shared_ptr<RelaySend>&& _send)
 {
 	if (_send)
 	{
 		_send->close();
-		boost::asio::post(context_.loop, [_send] {});
+		boost::asio::post(context_.loop, [send = std::move(_send)] {});
 	}
 }
 
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -71,7 +71,7 @@
 	}
 
 	void startSend(std::optional<uint64_t> _resumeAfter);
-	void retire(std::shared_ptr<RelaySend> _send);
+	void retire(std::shared_ptr<RelaySend>&& _send);
 	void move(const FleetTarget& _suspect);
 	bool repath(const FleetTarget& _suspect);
 	void onRepathed(const FleetTarget& _suspect, const Choice& _choice, RepathState::Enum _state,
