HallExchange held four jobs: split by what happens, no change of behaviour

Now: LoadReports (own loads, others' loads), ReportAnswers (a hub's answers), HubFollower (which hub, its silence, its news), HallNodes (the registry of nodes by hall), loadrows and topicnews (loads and news on the wire); HallExchange sends and takes messages. HubFollower and ReportAnswers need no socket, so that a hall can be played in virtual time.

Moved, not changed: the only difference is that a report's number and the moment since when an answer is owed are set together, before the report is sent instead of around it.

--- /dev/null
+++ b/packages/entry/src/hallnodes.cpp
@@ -0,0 +1,77 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "hallnodes_p.h"
+
+#include "fleetcontroller_p.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Nodes of another hall that are told this hall's sums while its hub is not known.
+constexpr std::size_t kLikelyHubs = 2;
+
+} // namespace
+
+std::vector<HubCandidate> HallNodes::candidates(const std::string& _hall) const
+{
+	std::vector<HubCandidate> candidates;
+	for (const auto& row : fleet_.nodes())
+	{
+		if (_hall == row.second.hall)
+		{
+			candidates.push_back(HubCandidate{row.first, row.second.cpuShare});
+		}
+	}
+	return candidates;
+}
+
+std::string HallNodes::addressOf(const std::string& _node) const
+{
+	const auto node = fleet_.nodes().find(_node);
+	return fleet_.nodes().end() == node ? std::string() : node->second.address;
+}
+
+std::vector<std::string> HallNodes::hubsOutside(const std::string& _hall, const std::vector<std::string>& _heard) const
+{
+	std::vector<std::string> hubs;
+	std::set<std::string> halls{_hall};
+	for (const std::string& hub : _heard)
+	{
+		const auto node = fleet_.nodes().find(hub);
+		if (fleet_.nodes().end() != node)
+		{
+			hubs.push_back(hub);
+			halls.insert(node->second.hall);
+		}
+	}
+	for (const auto& row : fleet_.nodes())
+	{
+		if (!halls.insert(row.second.hall).second)
+		{
+			continue;
+		}
+		const std::vector<std::string> likely = firstNodes(row.second.hall);
+		hubs.insert(hubs.end(), likely.begin(), likely.end());
+	}
+	return hubs;
+}
+
+std::vector<std::string> HallNodes::firstNodes(const std::string& _hall) const
+{
+	std::vector<HubCandidate> nodes = candidates(_hall);
+	sortHubCandidates(nodes);
+	std::vector<std::string> names;
+	for (std::size_t index = 0; index < std::min(kLikelyHubs, nodes.size()); ++index)
+	{
+		names.push_back(nodes[index].name);
+	}
+	return names;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/hubfollower.cpp
@@ -0,0 +1,122 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "hubfollower_p.h"
+
+#include "topicnews_p.h"
+
+#include <logging/logging.h>
+#include <wire/sedgecart.pb.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A hub that has not answered for so long is passed over: three reports. Together with the age that news may have
+/// (HallLog) it keeps a change known within two seconds when a hub dies.
+constexpr Duration kSilent = Duration::fromMillis(450);
+
+} // namespace
+
+HubFollower::HubFollower(const std::string& _self, const ClockI& _clock, HallLog& _log)
+    : self_(_self),
+      clock_(_clock),
+      log_(_log),
+      choice_(_self)
+{
+	_log.setWatch(*this);
+}
+
+void HubFollower::setCandidates(std::vector<HubCandidate> _candidates)
+{
+	choice_.setCandidates(std::move(_candidates));
+}
+
+const Hub& HubFollower::update()
+{
+	const Time now = clock_.now();
+	noteSilence(now);
+	follow(choice_.choose(now));
+	return hub_;
+}
+
+void HubFollower::noteSilence(Time _now)
+{
+	if (0 != askedAt_.micros && askedAt_ + kSilent < _now)
+	{
+		choice_.onSilent(hub_.name, _now);
+		askedAt_ = Time{};
+	}
+}
+
+void HubFollower::follow(const Hub& _hub)
+{
+	const bool changed = hub_.name != _hub.name || hub_.reads != _hub.reads;
+	const bool isSelf = self_ == _hub.name;
+	if (changed)
+	{
+		logEvent(LogPart::Store, LogLevel::Info, "Hub of the hall is chosen.",
+		         {{"hub", _hub.name}, {"before", hub_.name}, {"reads", _hub.reads ? "true" : "false"}});
+		askedAt_ = Time{};
+		answered_ = reports_; // what another hub still answers counts no more
+		hub_ = _hub;
+	}
+	isHub_.store(isSelf);
+	reads_.store(isSelf && _hub.reads && choice_.storeAnswers());
+	if (isSelf && _hub.reads)
+	{
+		log_.setWay(choice_.storeAnswers() ? HallLog::Way::Store : HallLog::Way::Try);
+		return;
+	}
+	log_.setWay(HallLog::Way::Hub);
+}
+
+void HubFollower::beginReport(wire::HallReport& _report)
+{
+	askedAt_ = 0 == askedAt_.micros ? clock_.now() : askedAt_;
+	_report.set_node(self_);
+	_report.set_number(++reports_);
+	for (const HallLog::Question& question : log_.questions(reports_))
+	{
+		wire::TopicQuestion* const out = _report.add_questions();
+		out->set_topic(question.topic);
+		out->set_from(question.from.value);
+		out->set_whole(question.whole);
+	}
+}
+
+/// An answer that comes after the next report was sent is as good: a hub that sends much at once is late, not silent.
+bool HubFollower::takeAnswer(const wire::HallAnswer& _answer)
+{
+	if (hub_.name != _answer.node() || _answer.number() <= answered_ || reports_ < _answer.number())
+	{
+		return false;
+	}
+	answered_ = _answer.number();
+	askedAt_ = reports_ == answered_ ? Time{} : clock_.now();
+	const bool fresh = _answer.reads() && takeNews(_answer);
+	choice_.onAnswer(_answer.node(), fresh, clock_.now());
+	return true;
+}
+
+/// @returns false if something is too old to go by.
+bool HubFollower::takeNews(const wire::HallAnswer& _answer)
+{
+	bool fresh = true;
+	for (const wire::TopicNews& news : _answer.news())
+	{
+		fresh = !isKnownTopic(news.topic()) || log_.onNews(topicNewsOf(news), _answer.number()) ? fresh : false;
+	}
+	log_.releaseOverdue();
+	return fresh;
+}
+
+void HubFollower::onStoreRead(bool _answered)
+{
+	const Time now = clock_.now();
+	choice_.onStore(_answered, now);
+	follow(choice_.choose(now));
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/loadreports.cpp
@@ -0,0 +1,86 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "loadreports_p.h"
+
+#include "fleetcontroller_p.h"
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Reports that are kept to be taken off the totals that contain them.
+constexpr std::size_t kKeptReports = 8;
+
+/// Name of the row that tells how much of the link between halls is taken; no target is named so.
+constexpr const char* kLinkRow = "link between halls";
+
+/// A target that is slower than usual by less is as usual: it costs no row in a report.
+constexpr double kUsualPace = 1.05;
+
+} // namespace
+
+LoadTable LoadReports::own() const
+{
+	LoadTable loads;
+	const Time now = clock_.now();
+	for (const auto& row : fleet_.loads())
+	{
+		const double pace = row.second->polledPace.load(std::memory_order_relaxed);
+		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
+		                        row.second->requests.load(std::memory_order_relaxed), row.second->ownSuspicion(now),
+		                        kUsualPace < pace ? pace : 0};
+		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.pace)
+		{
+			loads[row.first] = amount;
+		}
+	}
+	const Duration link = fleet_.link().own(now);
+	if (0 < link.micros)
+	{
+		loads[kLinkRow].tokenLayers = static_cast<uint64_t>(link.micros);
+	}
+	return loads;
+}
+
+void LoadReports::keep(uint64_t _number, const LoadTable& _own)
+{
+	sent_.push_back(Sent{_number, _own});
+	if (kKeptReports < sent_.size())
+	{
+		sent_.pop_front();
+	}
+}
+
+void LoadReports::takeTotals(LoadTable&& _totals, uint64_t _counted)
+{
+	LoadTable others = std::move(_totals);
+	for (const Sent& sent : sent_)
+	{
+		if (sent.number == _counted)
+		{
+			subtractLoads(others, sent.loads);
+		}
+	}
+	setOthers(others);
+}
+
+void LoadReports::setOthers(const LoadTable& _others)
+{
+	for (const auto& row : fleet_.loads())
+	{
+		const auto found = _others.find(row.first);
+		const LoadAmount amount = _others.end() == found ? LoadAmount{} : found->second;
+		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
+		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
+		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
+		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
+	}
+	const auto link = _others.find(kLinkRow);
+	fleet_.link().setOthers(Duration{_others.end() == link ? 0 : static_cast<int64_t>(link->second.tokenLayers)});
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/loadrows.cpp
@@ -0,0 +1,33 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "loadrows_p.h"
+
+#include <wire/sedgecart.pb.h>
+
+namespace sedgecart
+{
+
+void putLoadRows(const LoadTable& _table, LoadRows& _rows)
+{
+	for (const auto& row : _table)
+	{
+		wire::FleetLoadRow* const out = _rows.Add();
+		out->set_target(row.first);
+		out->set_token_layers(row.second.tokenLayers);
+		out->set_requests(row.second.requests);
+		out->set_pace(row.second.pace);
+		out->set_suspicion(row.second.suspicion);
+	}
+}
+
+LoadTable loadTableOf(const LoadRows& _rows)
+{
+	LoadTable table;
+	for (const wire::FleetLoadRow& row : _rows)
+	{
+		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
+	}
+	return table;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/loadrows_p.h
@@ -0,0 +1,29 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
+
+#include "loadboard_p.h"
+
+#include <google/protobuf/repeated_ptr_field.h>
+
+namespace sedgecart
+{
+
+namespace wire
+{
+class FleetLoadRow;
+} // namespace wire
+
+/// Loads as nodes tell them to each other.
+using LoadRows = google::protobuf::RepeatedPtrField<wire::FleetLoadRow>;
+
+/// Writes a table behind the rows that are there.
+void putLoadRows(const LoadTable& _table, LoadRows& _rows);
+
+/// @returns the table that was written.
+LoadTable loadTableOf(const LoadRows& _rows);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
--- /dev/null
+++ b/packages/entry/src/reportanswers_p.h
@@ -0,0 +1,51 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_REPORTANSWERS_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_REPORTANSWERS_P_H_HEADER_GUARD
+
+#include <base/clock.h>
+#include <core/bytebudget.h>
+
+#include <string>
+
+namespace sedgecart
+{
+
+namespace wire
+{
+class HallAnswer;
+class HallReport;
+class TopicQuestion;
+} // namespace wire
+
+class HubFollower;
+class LoadBoard;
+class TopicCache;
+struct EntrySettings;
+
+/// Answers the reports of the nodes of the hall, as their hub: the loads of all nodes, and news of the store, of which
+/// it hands on large ones as fast as a part of its link allows. Link's thread only.
+class ReportAnswers
+{
+public:
+	/// @param _hub says whether this node is the hub and reads the store.
+	ReportAnswers(const EntrySettings& _settings, const ClockI& _clock, const HubFollower& _hub, LoadBoard& _board,
+	              const TopicCache& _cache);
+
+	void answer(const wire::HallReport& _report, wire::HallAnswer& _answer);
+
+private:
+	void answerLoads(const wire::HallReport& _report, wire::HallAnswer& _answer);
+	void answerQuestion(const wire::TopicQuestion& _question, wire::HallAnswer& _answer);
+
+	std::string self_;
+	const ClockI& clock_;
+	const HubFollower& hub_;
+	LoadBoard& board_;
+	const TopicCache& cache_;
+	ByteBudget handOn_; //!< For large news.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_REPORTANSWERS_P_H_HEADER_GUARD
