--- a/packages/aio/include/aio/clientconnection.h
+++ b/packages/aio/include/aio/clientconnection.h
@@ -38,6 +38,7 @@
 	{
 		NotConnected, //!< No connection came up; not a byte was sent.
 		Refused,      //!< The same: the peer's machine says that nobody listens there.
+		TurnedAway,   //!< The same: the peer ended the connection as soon as it came up.
 		Cut,          //!< The connection ended before the answer did.
 		Garbled,      //!< What came is no answer.
 
@@ -45,6 +46,12 @@
 	};
 };
 
+/// @returns true if not a byte of the request was sent.
+constexpr bool isUnsent(ExchangeBreak::Enum _how)
+{
+	return ExchangeBreak::Cut != _how && ExchangeBreak::Garbled != _how;
+}
+
 /// What a connection calls on its thread. After `onWhole` or `onBroken` it calls no more for this exchange.
 class ExchangeHandlerI
 {
--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -52,6 +52,16 @@
 	return Duration::fromMillis(seconds * 1000);
 }
 
+ExchangeBreak::Enum breakOf(const boost::system::error_code& _error)
+{
+	if (asio::error::connection_refused == _error)
+	{
+		return ExchangeBreak::Refused;
+	}
+	// Seen late, a connection that came up and was reset fails as if it had not come up.
+	return asio::error::connection_reset == _error ? ExchangeBreak::TurnedAway : ExchangeBreak::NotConnected;
+}
+
 } // namespace
 
 class ClientConnection::Impl : public std::enable_shared_from_this<ClientConnection::Impl>
@@ -138,8 +148,7 @@
 		timer_.cancel();
 		if (_error)
 		{
-			const bool refused = asio::error::connection_refused == _error;
-			fail(refused ? ExchangeBreak::Refused : ExchangeBreak::NotConnected);
+			fail(breakOf(_error));
 			return;
 		}
 		up_ = true;
--- /dev/null
+++ b/packages/aio/tests/clientconnectiontest.cpp
@@ -0,0 +1,111 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <aio/clientconnection.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr Duration kBound = Duration::fromMillis(800);
+
+/// Notes how an exchange ends.
+class Ending : public ExchangeHandlerI
+{
+public:
+	void onSent() override
+	{
+	}
+	HeadVerdict::Enum onHead(MessageHead&) override
+	{
+		return HeadVerdict::Take;
+	}
+	void onBody(std::string_view) override
+	{
+	}
+	void onWhole() override
+	{
+		ended = true;
+	}
+	void onBroken(ExchangeBreak::Enum _how) override
+	{
+		how = _how;
+		ended = true;
+	}
+
+	ExchangeBreak::Enum how = ExchangeBreak::Count;
+	bool ended = false;
+};
+
+std::string textOf(const Tcp::endpoint& _endpoint)
+{
+	return "127.0.0.1:" + std::to_string(_endpoint.port());
+}
+
+} // namespace
+
+class ClientConnectionTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(ClientConnectionTest);
+	CPPUNIT_TEST(whereNobodyListensItIsRefused);
+	CPPUNIT_TEST(aResetThatIsSeenLateIsNoRefusal);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void whereNobodyListensItIsRefused()
+	{
+		Tcp::acceptor acceptor(server_, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+		const std::string address = textOf(acceptor.local_endpoint());
+		acceptor.close();
+		CPPUNIT_ASSERT(ExchangeBreak::Refused == exchange(address, std::chrono::milliseconds(0)));
+	}
+
+	/// A peer with too many connections takes one and resets it. A node that looks only then sees the connect fail: the
+	/// peer lives all the same.
+	void aResetThatIsSeenLateIsNoRefusal()
+	{
+		Tcp::acceptor acceptor(server_, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+		std::thread peer(
+		    [&acceptor]
+		    {
+			    Tcp::socket one = acceptor.accept();
+			    one.set_option(boost::asio::socket_base::linger(true, 0));
+			    one.close();
+		    });
+		const ExchangeBreak::Enum how = exchange(textOf(acceptor.local_endpoint()), std::chrono::milliseconds(50));
+		peer.join();
+		CPPUNIT_ASSERT(ExchangeBreak::TurnedAway == how || ExchangeBreak::Cut == how);
+	}
+
+private:
+	/// @param _late how long the loop does not run after the exchange has begun.
+	ExchangeBreak::Enum exchange(const std::string& _address, std::chrono::milliseconds _late)
+	{
+		Ending ending;
+		ClientConnection connection(loop_, _address);
+		connection.exchange("GET / HTTP/1.1\r\n\r\n", ending, kBound);
+		std::this_thread::sleep_for(_late);
+		while (!ending.ended && 0 < loop_.run_one())
+		{
+		}
+		return ending.how;
+	}
+
+	boost::asio::io_context server_;
+	boost::asio::io_context loop_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientConnectionTest);
+
+} // namespace sedgecart
--- a/packages/core/include/core/eventsplitter.h
+++ b/packages/core/include/core/eventsplitter.h
@@ -21,7 +21,7 @@
 
 	/// Takes bytes as they came.
 	/// @param _whole set to the bytes that end with a whole event and may be passed on; may be empty.
-	/// @returns false if the events do not follow what was passed on before: nothing of these bytes may be passed on.
+	/// @returns false if an event does not follow the one before: nothing from it on may be passed on.
 	bool feed(std::string_view _bytes, std::string& _whole);
 
 	/// Another target continues: what stands half read is dropped.
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -247,6 +247,8 @@
 	uint32_t sends_ = 0;
 	uint32_t runs_ = 0; //!< Ended sends that may have run, and the one that is kept.
 	std::optional<KeptSend> kept_;
+	bool arrived_ = false; //!< Some send has reached a target.
+	bool prepaid_ = false; //!< A repeat is paid for that has not reached a target yet.
 	SendBreak::Enum lastBreak_ = SendBreak::NotSent;
 	ResendBar::Enum bar_ = ResendBar::None;
 	bool underWay_ = false; //!< A send is under way and bytes may have reached its target.
--- a/packages/core/src/eventsplitter.cpp
+++ b/packages/core/src/eventsplitter.cpp
@@ -47,34 +47,32 @@
 	_whole.clear();
 	rest_.append(_bytes);
 	std::size_t begin = 0;
+	bool sound = true;
 	for (std::size_t end = rest_.find(kBoundary); std::string::npos != end; end = rest_.find(kBoundary, begin))
 	{
 		const std::size_t next = end + kBoundary.size();
 		if (!accept(std::string_view(rest_).substr(begin, next - begin)))
 		{
-			return false;
+			sound = false;
+			break;
 		}
 		begin = next;
 	}
 	_whole.assign(rest_, 0, begin);
 	rest_.erase(0, begin);
-	return true;
+	return sound;
 }
 
 bool EventSplitter::accept(std::string_view _event)
 {
 	const std::optional<uint64_t> id = idOf(_event);
-	++events_;
-	if (!id)
-	{
-		return true; // comments and the like carry none
-	}
 	const bool first = !lastId_.has_value();
-	if (!first && *lastId_ + 1 != *id)
+	if (id && !first && *lastId_ + 1 != *id)
 	{
 		return false;
 	}
-	lastId_ = id;
+	++events_;
+	lastId_ = id ? id : lastId_; // comments and the like carry none
 	return true;
 }
 
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -44,9 +44,11 @@
 	return RequestKind::Idempotent == facts_.kind || (RequestKind::Stream == facts_.kind && facts_.resumable);
 }
 
+/// The allowance is for sends that reach targets, beyond the first: what could not be connected is not paid for.
 bool RelayMachine::payRepeat()
 {
-	const bool paid = actions_.payRepeat();
+	const bool paid = !arrived_ || prepaid_ || actions_.payRepeat();
+	prepaid_ = paid && arrived_;
 	bar_ = paid ? ResendBar::None : ResendBar::AllowanceSpent;
 	return paid;
 }
@@ -89,6 +91,8 @@
 
 void RelayMachine::onSent()
 {
+	arrived_ = true;
+	prepaid_ = false;
 	underWay_ = true;
 }
 
@@ -114,17 +118,17 @@
 	{
 		return;
 	}
-	if (!splitter_.feed(_bytes, whole_))
-	{
-		actions_.cancelSend();
-		onBroken(SendBreak::Broken);
-		return;
-	}
+	const bool sound = splitter_.feed(_bytes, whole_);
 	if (!whole_.empty())
 	{
 		dropKept();
 		actions_.passBody(whole_);
 	}
+	if (!sound)
+	{
+		actions_.cancelSend();
+		onBroken(SendBreak::Broken);
+	}
 }
 
 void RelayMachine::onWhole()
@@ -225,7 +229,7 @@
 		return sends_ < facts_.maxRuns + kSendsNotRun;
 	}
 	bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
-	return repeatable() && runs_ + 1 < facts_.maxRuns;
+	return repeatable() && runs_ + 1 < facts_.maxRuns && sends_ < facts_.maxRuns + kSendsNotRun;
 }
 
 bool RelayMachine::onSuspected()
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -141,6 +141,9 @@
 	CPPUNIT_TEST(suspectedSendThatSpeaksFirstGoesOn);
 	CPPUNIT_TEST(suspectedSendIsReturnedToWhenAllElseFails);
 	CPPUNIT_TEST(anotherHeadEndsTheSuspectedSend);
+	CPPUNIT_TEST(whatReachedNoTargetNeedsNoAllowance);
+	CPPUNIT_TEST(aRepeatThatReachedNoTargetIsPaidOnce);
+	CPPUNIT_TEST(eventsBeforeAGapArePassedOn);
 	CPPUNIT_TEST(anyOrderOfEventsKeepsThePromises);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -272,8 +275,6 @@
 		CPPUNIT_ASSERT_EQUAL(1U, notes.finals());
 	}
 
-	/// A random target, caller and clock: one final answer at most, "not run" only if true, at most once if it must be,
-	/// and a stream that is a prefix of the events, whole when it ends as complete.
 	void suspicionMovesWhatMayBeSentAgain()
 	{
 		Notes notes;
@@ -401,6 +402,51 @@
 		CPPUNIT_ASSERT(!notes.keeps);
 	}
 
+	/// The allowance bounds what arrives at targets beyond the first: a first send that could not be connected is no
+	/// arrival.
+	void whatReachedNoTargetNeedsNoAllowance()
+	{
+		Notes notes;
+		notes.mayRepeat = false;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		machine.onBroken(SendBreak::NotSent);
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		machine.onSent();
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.finals());
+	}
+
+	void aRepeatThatReachedNoTargetIsPaidOnce()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBroken(SendBreak::Broken);
+		notes.mayRepeat = false; // the allowance is spent by now
+		machine.onBroken(SendBreak::NotSent);
+		CPPUNIT_ASSERT_EQUAL(3U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals());
+	}
+
+	/// A target brings a good event and a wrong one in the same bytes: the stream goes on behind the good one, which
+	/// has to have been passed on.
+	void eventsBeforeAGapArePassedOn()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0) + event(7));
+		CPPUNIT_ASSERT_EQUAL(event(0), notes.body);
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(0), *notes.resumedAfter);
+	}
+
+	/// A random target, caller and clock: one final answer at most, "not run" only if true, at most once if it must be,
+	/// and a stream that is a prefix of the events, whole when it ends as complete.
 	void anyOrderOfEventsKeepsThePromises()
 	{
 		CPPUNIT_ASSERT(rc::check(
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -57,6 +57,7 @@
 	bool answered = false;
 	bool cut = false;     //!< Somebody ended the connection before an answer: the target is there, but full.
 	bool refused = false; //!< Nobody listens at its address any more.
+	bool unasked = false; //!< The question did not get out, by a fault of this node or of its link.
 	uint32_t tries = 1;   //!< Each waited for the question's bound, if none was answered.
 	std::vector<std::string> stalled; //!< "ip:port" of targets on whom its requests wait.
 	double pace = 1;                  //!< So many times slower than usual, some hundred ms ago.
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -59,6 +59,16 @@
 /// sent again only after a second.
 constexpr uint32_t kFarQuestions = 2;
 
+bool goesOver(const WatchedPathI& _path, const FleetTarget& _target)
+{
+	const std::vector<const FleetTarget*> targets = _path.pathTargets();
+	return std::any_of(targets.begin(), targets.end(),
+	                   [&_target](const FleetTarget* _one)
+	                   {
+		                   return _one->load == _target.load;
+	                   });
+}
+
 } // namespace
 
 PathWatch::PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics)
@@ -120,34 +130,37 @@
 	const std::vector<std::shared_ptr<WatchedPathI>> paths = live();
 	if (paths.empty())
 	{
+		awake_.restart(); // the next look is not due until there is a path again
 		return;
 	}
 	const Time now = clock_.now();
 	awake_.look(now);
 	leaveToldDead(paths, now);
-	look(paths);
+	look(paths, now);
 	start();
 }
 
 /// Paths leave targets that other nodes are sure of. A node that is too weak to find out itself hears it so.
 void PathWatch::leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
 {
-	std::vector<FleetTarget> told;
+	std::vector<FleetTarget> left;
+	const Time recent{_now.micros - silence().micros}; // what this node hears itself goes before others' word
 	for (const auto& path : _paths)
 	{
 		for (const FleetTarget* const target : path->pathTargets())
 		{
 			const bool avoided = _now.micros < target->load->avoidedUntil.load(std::memory_order_relaxed);
-			if (!avoided && kSureSuspicion <= target->load->othersSuspicion.load(std::memory_order_relaxed))
+			const bool told = kSureSuspicion <= target->load->othersSuspicion.load(std::memory_order_relaxed);
+			if (!avoided && told && !hasHeardOver(*target, recent))
 			{
 				passOver(*target, kDeadFor);
-				told.push_back(*target);
+				left.push_back(*target);
 			}
 		}
 	}
-	for (const FleetTarget& target : told)
+	for (const FleetTarget& target : left)
 	{
-		tellPaths(target, "other nodes found it dead");
+		tellPaths(target, "other nodes found it dead", recent);
 	}
 }
 
@@ -168,6 +181,17 @@
 	                   });
 }
 
+/// @returns true if a path over a target has moved on since a moment: the target lives.
+bool PathWatch::hasHeardOver(const FleetTarget& _target, Time _since)
+{
+	const std::vector<std::shared_ptr<WatchedPathI>> paths = live();
+	return std::any_of(paths.begin(), paths.end(),
+	                   [&_target, _since](const std::shared_ptr<WatchedPathI>& _path)
+	                   {
+		                   return _path->begun() && _since < _path->lastProgress() && goesOver(*_path, _target);
+	                   });
+}
+
 Duration PathWatch::stretched(Duration _usual) const
 {
 	return Duration{static_cast<int64_t>(static_cast<double>(_usual.micros) * awake_.stretch())};
@@ -184,18 +208,23 @@
 	usualGap_ += (static_cast<double>(_gap.micros) - usualGap_) * kGapWeight;
 }
 
-void PathWatch::look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths)
+/// @param _now as `awake_` was told: what is asked now is measured from there.
+void PathWatch::look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
 {
-	const Time now = clock_.now();
 	std::map<const TargetLoad*, Time> seen;
 	bool anySilent = false;
 	for (const auto& path : _paths)
 	{
-		anySilent = anySilent || isSilent(*path, now);
+		anySilent = anySilent || isSilent(*path, _now);
 		for (const FleetTarget* const target : path->pathTargets())
 		{
 			Time& last = seen.emplace(target->load.get(), Time{}).first->second;
 			last = path->begun() && last < path->lastProgress() ? path->lastProgress() : last;
+			const int64_t until = target->load->suspectedUntil.load(std::memory_order_relaxed);
+			if (until - kDeadFor.micros < last.micros)
+			{
+				withdraw(*target); // heard since it was suspected
+			}
 		}
 	}
 	if (!anySilent)
@@ -203,34 +232,33 @@
 		return;
 	}
 	const auto round = std::make_shared<Round>();
-	round->at = now;
+	round->at = _now;
 	for (const auto& path : _paths)
 	{
-		if (!isSilent(*path, now))
+		if (!isSilent(*path, _now))
 		{
 			continue;
 		}
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			if (silence() < awake_.since(seen[target->load.get()], now))
+			if (silence() < awake_.since(seen[target->load.get()], _now))
 			{
-				ask(*target, round);
+				ask(*target, _now, round);
 			}
 		}
 	}
 }
 
-void PathWatch::ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round)
+void PathWatch::ask(const FleetTarget& _target, Time _now, const std::shared_ptr<Round>& _round)
 {
 	Asked& asked = asked_[_target.record.instance.text];
-	const Time now = clock_.now();
-	if (now < asked.notBefore)
+	if (_now < asked.notBefore || 0 < asked.open)
 	{
 		return;
 	}
-	const bool again = 0 < asked.pause.micros && now < asked.notBefore + kLongestAskPause;
+	const bool again = 0 < asked.pause.micros && _now < asked.notBefore + kLongestAskPause;
 	const Duration pause = again ? std::min(kLongestAskPause, asked.pause + asked.pause) : kAskPause;
-	asked = Asked{now + pause, pause, kHomeHall == _target.hall ? 1 : kFarQuestions, false};
+	asked = Asked{_now + pause, pause, kHomeHall == _target.hall ? 1 : kFarQuestions, false};
 	++_round->asked;
 	++_round->open;
 	const FleetTarget target = _target;
@@ -251,6 +279,10 @@
 	asked.open -= 0 < asked.open ? 1 : 0;
 	_round.answered += !asked.answered && _answer.lives() ? 1 : 0;
 	asked.answered = asked.answered || _answer.lives();
+	if (_answer.lives())
+	{
+		withdraw(_target);
+	}
 	if (0 == asked.open)
 	{
 		onSettled(_target, _round, _answer);
@@ -275,11 +307,15 @@
 		asked.notBefore = now + kSilentPause;
 		suspect(_target, kSureSuspicion);
 		passOver(_target, kDeadFor);
-		tellPaths(_target, "nobody listens");
+		tellPaths(_target, "nobody listens", _round.at);
+	}
+	else if (_answer.unasked)
+	{
+		// It says nothing of the target; it is asked again after the usual pause.
 	}
 	else if (static_cast<double>(awake_.since(_round.at, now).micros) < needed)
 	{
-		asked.notBefore = now; // this node was late: an answer may be waiting
+		asked.notBefore = now + stretched(kAnswerBound); // this node was late: an answer may have been waiting
 	}
 	else
 	{
@@ -297,17 +333,24 @@
 		return;
 	}
 	const bool hears = 0 < _round.answered || hasHeardSince(_round.at);
+	std::vector<FleetTarget> dead;
 	for (const FleetTarget& target : _round.silent)
 	{
+		// An event that came over it since it was asked shows that it lives.
+		if (hasHeardOver(target, _round.at))
+		{
+			continue;
+		}
+		dead.push_back(target);
 		passOver(target, hears ? kDeadFor : kDoubtFor);
 		if (hears)
 		{
 			suspect(target, kWeakSuspicion);
 		}
 	}
-	for (const FleetTarget& target : _round.silent)
+	for (const FleetTarget& target : dead)
 	{
-		tellPaths(target, "no answer");
+		tellPaths(target, "no answer", _round.at);
 	}
 }
 
@@ -321,9 +364,8 @@
 			{
 				if (address == target->record.address)
 				{
-					const FleetTarget stalled = *target;
-					passOver(stalled, kDoubtFor);
-					tellPaths(stalled, "a neighbour waits for it");
+					const FleetTarget stalled = *target; // telling the paths may end the one that it stands in
+					onStalled(stalled);
 					return;
 				}
 			}
@@ -331,6 +373,17 @@
 	}
 }
 
+/// What a neighbour says is some hundred milliseconds old: what this node has heard since goes before it.
+void PathWatch::onStalled(const FleetTarget& _target)
+{
+	const Time recent{clock_.now().micros - silence().micros};
+	if (!hasHeardOver(_target, recent))
+	{
+		passOver(_target, kDoubtFor);
+		tellPaths(_target, "a neighbour waits for it", recent);
+	}
+}
+
 void PathWatch::passOver(const FleetTarget& _target, Duration _span)
 {
 	metrics_.add(Counter::DeadTargets);
@@ -344,17 +397,24 @@
 	_target.load->suspectedUntil.store((clock_.now() + kDeadFor).micros, std::memory_order_relaxed);
 }
 
-void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause)
+/// A sign of life came: what this node alone suspected is wrong. That nobody listens there stays.
+void PathWatch::withdraw(const FleetTarget& _target)
+{
+	if (kWeakSuspicion == _target.load->ownSuspicion(clock_.now()))
+	{
+		_target.load->suspectedUntil.store(0, std::memory_order_relaxed);
+		_target.load->avoidedUntil.store(0, std::memory_order_relaxed);
+	}
+}
+
+/// @param _since a path that has moved on since then has shown that its targets live, and stays.
+void PathWatch::tellPaths(const FleetTarget& _target, const char* _cause, Time _since)
 {
 	uint32_t users = 0;
 	for (const auto& path : live())
 	{
-		const auto targets = path->pathTargets();
-		const auto isIt = [&_target](const FleetTarget* _one)
-		{
-			return _one->load == _target.load;
-		};
-		if (std::any_of(targets.begin(), targets.end(), isIt))
+		const bool moved = path->begun() && _since < path->lastProgress();
+		if (!moved && goesOver(*path, _target))
 		{
 			++users;
 			path->onTargetDead(_target);
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -89,19 +89,22 @@
 		std::vector<FleetTarget> silent; //!< Settled without a sign of life.
 	};
 
-	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths);
+	void look(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now);
 	void leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now);
 	bool isSilent(const WatchedPathI& _path, Time _now) const;
 	bool hasHeardSince(Time _moment);
+	bool hasHeardOver(const FleetTarget& _target, Time _since);
+	void withdraw(const FleetTarget& _target);
 	Duration silence() const;
-	void ask(const FleetTarget& _target, const std::shared_ptr<Round>& _round);
+	void ask(const FleetTarget& _target, Time _now, const std::shared_ptr<Round>& _round);
 	void onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
 	void onSettled(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer);
 	void onStalled(const std::vector<std::string>& _addresses);
+	void onStalled(const FleetTarget& _target);
 	void closeRound(const Round& _round);
 	void passOver(const FleetTarget& _target, Duration _span);
 	void suspect(const FleetTarget& _target, uint32_t _suspicion);
-	void tellPaths(const FleetTarget& _target, const char* _cause);
+	void tellPaths(const FleetTarget& _target, const char* _cause, Time _since);
 	std::vector<std::shared_ptr<WatchedPathI>> live();
 
 	boost::asio::steady_timer timer_;
--- a/packages/entry/src/requestpath.cpp
+++ b/packages/entry/src/requestpath.cpp
@@ -57,6 +57,20 @@
 	                                       : chooseTarget(wanted, context_.random, _place.choice);
 }
 
+/// As `find`, without what the request takes where it is: it leaves that, and a part that both paths go over must not
+/// be taken as full of it.
+SendOutcome::Enum RequestPath::findOther(bool _moves, Place& _place) const
+{
+	if (!place_.hold)
+	{
+		return find(_moves, _place);
+	}
+	place_.hold->release();
+	const SendOutcome::Enum outcome = find(_moves, _place);
+	place_.hold->take(*place_.service, place_.choice, heldTokens());
+	return outcome;
+}
+
 SendOutcome::Enum RequestPath::choose(bool _moves)
 {
 	Place place;
@@ -72,7 +86,7 @@
 SendOutcome::Enum RequestPath::chooseBeside(bool _moves)
 {
 	Place place;
-	const SendOutcome::Enum outcome = find(_moves, place);
+	const SendOutcome::Enum outcome = findOther(_moves, place);
 	if (SendOutcome::Begun == outcome)
 	{
 		kept_ = std::make_unique<Place>(std::move(place_));
@@ -93,10 +107,20 @@
 	kept_.reset();
 }
 
+bool RequestPath::sharesHeadWithKept() const
+{
+	if (!kept_ || kept_->choice.parts.empty())
+	{
+		return false;
+	}
+	const FleetTarget& before = kept_->service->targets[kept_->choice.parts.front().candidate];
+	return before.record.instance == head().record.instance;
+}
+
 bool RequestPath::hasOther(bool _moves) const
 {
 	Place place;
-	return SendOutcome::Begun == find(_moves, place);
+	return SendOutcome::Begun == findOther(_moves, place);
 }
 
 bool RequestPath::chooseRest(Choice& _rest) const
--- a/packages/entry/src/requestpath_p.h
+++ b/packages/entry/src/requestpath_p.h
@@ -41,6 +41,9 @@
 	/// What was kept counts no more.
 	void dropKept();
 
+	/// @returns true if what was kept has the same first target as what was chosen beside it.
+	bool sharesHeadWithKept() const;
+
 	/// The request is where it was before `chooseBeside`, and only there.
 	void returnToKept();
 
@@ -119,6 +122,7 @@
 
 	ChoiceQuery query(const Place& _place, bool _moves) const;
 	SendOutcome::Enum find(bool _moves, Place& _place) const;
+	SendOutcome::Enum findOther(bool _moves, Place& _place) const;
 	const FleetTarget& target(const PathPart& _part) const;
 	void hold();
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -394,8 +394,7 @@
 	}
 	path_.release();
 	avoidAtFault();
-	const bool notSent = ExchangeBreak::NotConnected == _how || ExchangeBreak::Refused == _how;
-	machine_.onBroken(notSent ? SendBreak::NotSent : SendBreak::Broken);
+	machine_.onBroken(isUnsent(_how) ? SendBreak::NotSent : SendBreak::Broken);
 	finishIfDone();
 }
 
@@ -435,6 +434,10 @@
 {
 	if (machine_.onSuspected())
 	{
+		if (path_.sharesHeadWithKept())
+		{
+			machine_.onKeptEnded(false); // a target knows a request by its id, and must not have it twice
+		}
 		return;
 	}
 	path_.forgive(_suspect);
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -24,22 +24,47 @@
 public:
 	Time now() const override
 	{
+		now_.micros += runs_ ? 1 : 0;
 		return now_;
 	}
 
+	/// From now on time passes between two readings, as it does within one look.
+	void run()
+	{
+		runs_ = true;
+	}
+
+	void advanceMicros(int64_t _micros)
+	{
+		now_.micros += _micros;
+	}
+
 	void advance(int64_t _millis)
 	{
 		now_ = now_ + Duration::fromMillis(_millis);
 	}
 
 private:
-	Time now_{1000000};
+	mutable Time now_{1000000};
+	bool runs_ = false;
 };
 
 /// Keeps questions until the test answers them.
 class HeldOrders : public RunnerOrdersI
 {
 public:
+	/// A question that is open.
+	struct Question
+	{
+		std::string address;
+		Time endsAt; //!< Its bound.
+		ProbeCall call;
+	};
+
+	explicit HeldOrders(const HandClock& _clock) : clock_(_clock)
+	{
+	}
+
 	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
 	{
 	}
@@ -48,7 +73,7 @@
 	{
 		addresses.push_back(_address);
 		bounds.push_back(_bound);
-		calls.push_back(std::move(_call));
+		calls.push_back(Question{_address, clock_.now() + _bound, std::move(_call)});
 	}
 
 	void poll(const std::string&, Duration, ProbeCall) override
@@ -60,20 +85,24 @@
 	}
 
 	/// Answers the oldest question.
-	void answer(bool _answered, bool _refused = false, bool _cut = false)
+	void answer(bool _answered, bool _refused = false, bool _cut = false, bool _unasked = false)
 	{
-		const ProbeCall call = std::move(calls.front());
+		const ProbeCall call = std::move(calls.front().call);
 		calls.pop_front();
 		ProbeAnswer answer;
 		answer.answered = _answered;
 		answer.refused = _refused;
 		answer.cut = _cut;
+		answer.unasked = _unasked;
 		call(answer);
 	}
 
 	std::vector<std::string> addresses;
 	std::vector<Duration> bounds;
-	std::deque<ProbeCall> calls;
+	std::deque<Question> calls;
+
+private:
+	const HandClock& clock_;
 };
 
 /// A path over some targets whose last event came when the test says.
@@ -131,6 +160,13 @@
 	CPPUNIT_TEST(shortOfProcessorItWaitsLonger);
 	CPPUNIT_TEST(whoEndsTheConnectionLives);
 	CPPUNIT_TEST(aNodeThatHearsNothingTellsNobody);
+	CPPUNIT_TEST(aPathThatMovedOnSinceTheQuestionStays);
+	CPPUNIT_TEST(aSignOfLifeEndsTheSuspicion);
+	CPPUNIT_TEST(ownEarsGoBeforeOthersWord);
+	CPPUNIT_TEST(aQuestionThatDidNotGetOutIsNotPutAtEachLook);
+	CPPUNIT_TEST(nobodyIsAskedWhileAQuestionIsOpen);
+	CPPUNIT_TEST(afterARestLatenessIsForgotten);
+	CPPUNIT_TEST(aDeadTargetIsFoundByANodeThatIsAlwaysLate);
 	CPPUNIT_TEST(whatOtherNodesAreSureOfIsLeft);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -270,8 +306,107 @@
 		CPPUNIT_ASSERT(a_.load->avoidedUntil.load() < (clock_.now() + Duration::fromMillis(1000)).micros);
 	}
 
+	/// An event that came over a target since it was asked shows that it lives, whatever became of the answer.
+	void aPathThatMovedOnSinceTheQuestionStays()
+	{
+		fallSilent();
+		pass(16);
+		path_->progress = clock_.now();
+		pass(14);
+		orders_.answer(true);
+		orders_.answer(false);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now()));
+	}
+
+	void aSignOfLifeEndsTheSuspicion()
+	{
+		fallSilent();
+		orders_.answer(true);
+		pass(30);
+		orders_.answer(false);
+		CPPUNIT_ASSERT_EQUAL(kWeakSuspicion, b_.load->ownSuspicion(clock_.now()));
+		clock_.advance(1);
+		path_->progress = clock_.now();
+		look(8);
+		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now()));
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), b_.load->avoidedUntil.load());
+	}
+
+	void ownEarsGoBeforeOthersWord()
+	{
+		look(8);
+		path_->progress = clock_.now();
+		a_.load->othersSuspicion = kSureSuspicion;
+		look(8);
+		CPPUNIT_ASSERT(path_->dead.empty());
+	}
+
+	/// No descriptor, no route: it says nothing of the target, and asking at each look would take what is lacking.
+	void aQuestionThatDidNotGetOutIsNotPutAtEachLook()
+	{
+		constexpr bool kUnasked = true;
+		for (int step = 0; step < 63; ++step)
+		{
+			look(8);
+			while (!orders_.calls.empty())
+			{
+				orders_.answer(false, false, false, kUnasked);
+			}
+		}
+		CPPUNIT_ASSERT(std::count(orders_.addresses.begin(), orders_.addresses.end(), "b:1") <= 3);
+		CPPUNIT_ASSERT(path_->dead.empty());
+	}
+
+	void nobodyIsAskedWhileAQuestionIsOpen()
+	{
+		fallSilent();
+		pass(600);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), orders_.calls.size());
+	}
+
+	void afterARestLatenessIsForgotten()
+	{
+		for (int step = 0; step < 12; ++step)
+		{
+			path_->progress = clock_.now();
+			look(80);
+		}
+		path_.reset();
+		look(8); // finds nothing to watch
+		clock_.advance(60000);
+		CPPUNIT_ASSERT_EQUAL(int64_t(150), watch_.stretched(Duration::fromMillis(150)).millis());
+	}
+
+	/// Looks that come late by the same span each time, while the clock goes on within them: the bound stretches as
+	/// much as is needed, and what is dead is found.
+	void aDeadTargetIsFoundByANodeThatIsAlwaysLate()
+	{
+		clock_.run();
+		for (const int64_t gapMicros : {8000, 9100, 9500, 11000, 14000, 20000, 40000, 60000})
+		{
+			path_->dead.clear();
+			b_.load->suspectedUntil = 0;
+			for (int step = 0; step < 400; ++step)
+			{
+				path_->progress = clock_.now();
+				lookAfter(gapMicros);
+			}
+			const Time died = clock_.now();
+			while (path_->dead.empty() && clock_.now() < died + Duration::fromMillis(1000))
+			{
+				lookAfter(gapMicros);
+			}
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(gapMicros), std::size_t(1), path_->dead.size());
+			CPPUNIT_ASSERT_EQUAL(std::string("b"), path_->dead.front());
+			path_->dead.clear();
+		}
+	}
+
+	/// At once, where this node has heard nothing over it for as long as is news.
 	void whatOtherNodesAreSureOfIsLeft()
 	{
+		pass(48);
 		a_.load->othersSuspicion = kWeakSuspicion;
 		look(8);
 		CPPUNIT_ASSERT(path_->dead.empty());
@@ -291,6 +426,28 @@
 		loop_.run_one();
 	}
 
+	/// Lets some time pass, in which `a` answers and `b` does not, and looks.
+	void lookAfter(int64_t _micros)
+	{
+		const Time until{clock_.now().micros + _micros};
+		for (std::size_t left = orders_.calls.size(); 0 < left; --left)
+		{
+			HeldOrders::Question question = std::move(orders_.calls.front());
+			orders_.calls.pop_front();
+			const bool isA = "a:1" == question.address;
+			if (!isA && until < question.endsAt)
+			{
+				orders_.calls.push_back(std::move(question));
+				continue;
+			}
+			ProbeAnswer answer;
+			answer.answered = isA;
+			question.call(answer);
+		}
+		clock_.advanceMicros(until.micros - clock_.now().micros);
+		watch_.tick();
+	}
+
 	/// Lets time pass as at a node that has the processor whenever a look is due.
 	void pass(int64_t _millis)
 	{
@@ -312,7 +469,7 @@
 
 	boost::asio::io_context loop_;
 	HandClock clock_;
-	HeldOrders orders_;
+	HeldOrders orders_{clock_};
 	Metrics metrics_;
 	FleetTarget a_ = target("a");
 	FleetTarget b_ = target("b");
--- /dev/null
+++ b/packages/entry/tests/requestpathtest.cpp
@@ -0,0 +1,209 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/requestpath_p.h"
+
+#include "../src/pathwatch_p.h"
+#include "../src/relayplan_p.h"
+#include "../src/retryledger_p.h"
+#include "../src/targetpool_p.h"
+
+#include <base/seededrandom.h>
+#include <base/steadyclock.h>
+#include <core/layoutplan.h>
+#include <metrics/metrics.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+class NoWire : public WireFormatI
+{
+public:
+	bool asksReady(const MessageHead&) const override
+	{
+		return false;
+	}
+	bool readRequest(const ServerRequest&, CallerRequest&) const override
+	{
+		return false;
+	}
+	std::string targetRequest(const ServerRequest&, const TargetCall&) const override
+	{
+		return std::string();
+	}
+	TargetAnswer readAnswer(const MessageHead&) const override
+	{
+		return TargetAnswer{};
+	}
+	HeaderList callerHeaders(const HeaderList& _answer) const override
+	{
+		return _answer;
+	}
+	HeaderList ownHeaders(const std::string&, Duration) const override
+	{
+		return HeaderList{};
+	}
+};
+
+class NoOrders : public RunnerOrdersI
+{
+public:
+	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
+	{
+	}
+	void probe(const std::string&, Duration, ProbeCall) override
+	{
+	}
+	void poll(const std::string&, Duration, ProbeCall) override
+	{
+	}
+	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
+	{
+	}
+};
+
+constexpr uint32_t kPromptTokens = 10;
+
+/// A service of a model of 8 layers, and a request for it.
+class Scene
+{
+public:
+	Scene()
+	{
+		spec_.name = "engine";
+		spec_.hasEngine = true;
+		spec_.engine.layers = 8;
+		spec_.engine.layerMb = 100;
+		spec_.engine.kvBytesPerToken = 8e6; // a megabyte a token and layer
+		spec_.engine.stepMs = 10;
+		service_->spec = &spec_;
+		service_->halls = 2;
+		plan.service = spec_.name;
+		plan.caller.promptTokens = kPromptTokens;
+	}
+
+	TargetLoad& add(uint32_t _hall, LayerSpan _layers)
+	{
+		FleetTarget target;
+		target.record.instance = InstanceId{"i-" + std::to_string(service_->targets.size())};
+		target.record.layers = _layers;
+		target.hall = _hall;
+		target.card = &card_;
+		target.load = std::make_shared<TargetLoad>();
+		service_->targets.push_back(target);
+		return *target.load;
+	}
+
+	void publish()
+	{
+		auto view = std::make_unique<FleetView>();
+		view->services.emplace(spec_.name, service_);
+		cell_.view.publish(std::move(view));
+	}
+
+	/// @returns token layers that a target with 4 layers has room for.
+	double room() const
+	{
+		constexpr uint32_t kLayers = 4;
+		return roomFor(spec_.engine, card_, kLayers) * kLayers;
+	}
+
+	RelayPlan plan;
+
+private:
+	ServiceSpec spec_;
+	CardKind card_{"card", 1000, 1, 1};
+	std::shared_ptr<FleetService> service_ = std::make_shared<FleetService>();
+	boost::asio::io_context loop_;
+	SteadyClock clock_;
+	NoWire wire_;
+	NoOrders orders_;
+	FleetCell cell_;
+	TargetPool pool_{loop_, clock_};
+	SeededRandom random_{7};
+	RetryLedger retries_{RetryAllowance{}};
+	Metrics metrics_;
+	PathWatch watch_{loop_, clock_, orders_, metrics_};
+	Mechanisms mechanisms_;
+
+public:
+	const RelayContext context{loop_,   clock_,   wire_,    cell_,  cell_.link, pool_,
+	                           random_, retries_, metrics_, watch_, orders_,    mechanisms_};
+};
+
+} // namespace
+
+class RequestPathTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(RequestPathTest);
+	CPPUNIT_TEST(aRequestThatMovesDoesNotCountAgainstItself);
+	CPPUNIT_TEST(whatIsKeptCountsUntilItIsDropped);
+	CPPUNIT_TEST(aSharedFirstTargetIsSeen);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// The part that both paths go over is nearly full, and this request is in it already.
+	void aRequestThatMovesDoesNotCountAgainstItself()
+	{
+		Scene scene;
+		scene.add(0, LayerSpan{0, 4});
+		scene.add(0, LayerSpan{0, 4});
+		TargetLoad& shared = scene.add(0, LayerSpan{4, 8});
+		constexpr double kNearlyFull = 0.94;
+		shared.othersTokenLayers = static_cast<uint64_t>(scene.room() * kNearlyFull) - 4 * kPromptTokens;
+		scene.publish();
+		RequestPath path(scene.context, scene.plan);
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.choose(false));
+		path.passOver(path.head());
+		CPPUNIT_ASSERT(path.hasOther(true));
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.chooseBeside(true));
+	}
+
+	void whatIsKeptCountsUntilItIsDropped()
+	{
+		Scene scene;
+		TargetLoad& first = scene.add(0, LayerSpan{0, 8});
+		TargetLoad& second = scene.add(0, LayerSpan{0, 8});
+		scene.publish();
+		RequestPath path(scene.context, scene.plan);
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.choose(false));
+		path.passOver(path.head());
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.chooseBeside(true));
+		CPPUNIT_ASSERT_EQUAL(2U, first.requests + second.requests);
+		path.returnToKept();
+		CPPUNIT_ASSERT_EQUAL(1U, first.requests + second.requests);
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.chooseBeside(true));
+		path.dropKept();
+		CPPUNIT_ASSERT_EQUAL(1U, first.requests + second.requests);
+		path.release();
+		CPPUNIT_ASSERT_EQUAL(0U, first.requests + second.requests);
+	}
+
+	/// The only other holder of the second part is in another hall: the way there begins at the same target.
+	void aSharedFirstTargetIsSeen()
+	{
+		Scene scene;
+		scene.add(0, LayerSpan{0, 4});
+		scene.add(0, LayerSpan{4, 8});
+		scene.add(1, LayerSpan{4, 8});
+		scene.publish();
+		RequestPath path(scene.context, scene.plan);
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.choose(false));
+		path.passOver(*path.targets().back());
+		CPPUNIT_ASSERT(SendOutcome::Begun == path.chooseBeside(true));
+		CPPUNIT_ASSERT(path.sharesHeadWithKept());
+		path.dropKept();
+		CPPUNIT_ASSERT(!path.sharesHeadWithKept());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestPathTest);
+
+} // namespace sedgecart
