--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -2,8 +2,12 @@
 
 #include "../src/fleetcontroller_p.h"
 
+#include <wire/sedgecart.pb.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 namespace sedgecart
 {
 
@@ -55,6 +59,7 @@
 	CPPUNIT_TEST(drainingTargetsGetNothing);
 	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
 	CPPUNIT_TEST(versionsOnlyRise);
+	CPPUNIT_TEST(aNodeThatNamesNoPlaceIsNone);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,7 +113,36 @@
 		CPPUNIT_ASSERT(StateVersion{5} == fleet_.routes()->state().version);
 	}
 
+	/// Nodes connect to the address of a record and sort by its share of processor: neither may be odd. A record that
+	/// cannot be read leaves the place that is known, since its node may be of another version.
+	void aNodeThatNamesNoPlaceIsNone()
+	{
+		placeNode("n1", "10.0.0.1:80", "h1", 0.5);
+		for (const char* const address : {"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000", "a b:1", "10.0.0.1:80 "})
+		{
+			placeNode("odd", address, "h1", 0.5);
+		}
+		placeNode("odd", "10.0.0.2:80", "", 0.5);
+		for (const double share : {-1.0, std::numeric_limits<double>::quiet_NaN(), 1e300})
+		{
+			placeNode("odd", "10.0.0.2:80", "h1", share);
+			placeNode("n1", "10.0.0.9:80", "h1", share);
+		}
+		fleet_.onNodeRecord(KeyedRecord{"n1", "\xff\xff", false, Offset{0}});
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.nodes().size());
+		CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), fleet_.nodes().at("n1").address);
+	}
+
 private:
+	void placeNode(const char* _name, const char* _address, const char* _hall, double _share)
+	{
+		wire::NodePlace place;
+		place.set_address(_address);
+		place.set_hall(_hall);
+		place.set_cpu_share(_share);
+		fleet_.onNodeRecord(KeyedRecord{_name, place.SerializeAsString(), false, Offset{0}});
+	}
+
 	void put(const char* _instance, const char* _text)
 	{
 		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{0}});
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -126,6 +126,9 @@
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
 	CPPUNIT_TEST(recordsThatShrinkAreHandedOnPacked);
 	CPPUNIT_TEST(whatIsNoPackIsNotRead);
+	CPPUNIT_TEST(aPackOfTooManyRecordsIsNotRead);
+	CPPUNIT_TEST(newsFromTheFutureAreNotTaken);
+	CPPUNIT_TEST(newsThatContradictThemselvesAreNotTaken);
 	CPPUNIT_TEST(wholeTopicsComeFromTheHub);
 	CPPUNIT_TEST(theHubLoadsFromTheStore);
 	CPPUNIT_TEST(whatTheHubDoesNotHandOnComesFromTheStore);
@@ -166,6 +169,38 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions(kReport).size());
 	}
 
+	/// An age beyond what a signed number holds arrived as a negative one, and made the proof newer than any.
+	void newsFromTheFutureAreNotTaken()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		read(3);
+		log_.questions(kReport);
+		HallLog::News odd = news(3, 0, page(StoreState::Done, 4, {record(3)}));
+		odd.page.age = Duration{INT64_MIN};
+		CPPUNIT_ASSERT(!log_.onNews(std::move(odd), kReport));
+		CPPUNIT_ASSERT(pages_.empty());
+	}
+
+	/// Records that lie before what was asked for, beyond the end, or not in order would set the place from which this
+	/// node reads on back, or beyond records that it never saw. The store is read in place of them.
+	void newsThatContradictThemselvesAreNotTaken()
+	{
+		const std::vector<KeyedPage> odd = {
+		    page(StoreState::Done, 4, {record(2)}), page(StoreState::Done, 4, {record(4)}),
+		    page(StoreState::Done, 9, {record(5), record(4)}), page(StoreState::Done, 2)};
+		for (const KeyedPage& given : odd)
+		{
+			log_.setWay(HallLog::Way::Hub);
+			read(3);
+			log_.questions(kReport);
+			const std::size_t before = store_.reads.size();
+			KeyedPage copy = given;
+			log_.onNews(news(3, 0, std::move(copy)), kReport);
+			CPPUNIT_ASSERT(pages_.empty());
+			CPPUNIT_ASSERT_EQUAL(before + 1, store_.reads.size());
+		}
+	}
+
 	void whoIsTooFarBehindReadsTheStore()
 	{
 		log_.setWay(HallLog::Way::Hub);
@@ -281,6 +316,17 @@
 	}
 
 	/// All nodes of a fleet start together: one of a hall loads, the others get the whole topic from it.
+	/// A record without anything in it takes two bytes, which shrink to next to nothing when they are packed, and some
+	/// hundred in memory: a text of some thousand bytes would take gigabytes.
+	void aPackOfTooManyRecordsIsNotRead()
+	{
+		std::vector<KeyedRecord> read;
+		CPPUNIT_ASSERT(unpackRecords(packRecords(std::vector<KeyedRecord>(50000)), read));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(50000), read.size());
+		CPPUNIT_ASSERT(!unpackRecords(packRecords(std::vector<KeyedRecord>(1000000)), read));
+		CPPUNIT_ASSERT(read.empty());
+	}
+
 	void wholeTopicsComeFromTheHub()
 	{
 		log_.setWay(HallLog::Way::Hub);
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -119,6 +119,8 @@
 	CPPUNIT_TEST(switchedOffItWaitsForTheRegistry);
 	CPPUNIT_TEST(whoIsBehindIsTold);
 	CPPUNIT_TEST(anOldViewChangesNothing);
+	CPPUNIT_TEST(holdsThatNoTargetCanHaveAreNotCountedOn);
+	CPPUNIT_TEST(layersOutsideTheModelNameNoTarget);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,7 +214,65 @@
 		CPPUNIT_ASSERT(log_.appended.empty());
 	}
 
+	/// A record of the layout that another version of this program, or somebody else, wrote: layers that end before
+	/// they begin or lie outside the model. They were taken for what the target holds, and the planner went through
+	/// them.
+	void holdsThatNoTargetCanHaveAreNotCountedOn()
+	{
+		const std::vector<LayerSpan> odd = {LayerSpan{0, UINT32_MAX}, LayerSpan{UINT32_MAX, 0},
+		                                    LayerSpan{kLayers, kLayers + 1}, LayerSpan{60, 20}};
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		wire::LayoutChange change;
+		change.set_author("somebody");
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const LayerSpan span = odd[index % odd.size()];
+			wire::LayoutHold* const hold = change.add_holds();
+			hold->set_target(nameOf(index));
+			hold->set_begin(span.begin);
+			hold->set_end(span.end);
+		}
+		keeper.onRecord(KeyedRecord{"newest", change.SerializeAsString(), false, Offset{0}});
+		keeper.onRecord(KeyedRecord{"newest", "\xff\xff", false, Offset{1}});
+		keeper.onRecord(KeyedRecord{"newest", "", true, Offset{2}});
+		keeper.onCurrent(Offset{3});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		for (const LayerSpan span : orderedSpans())
+		{
+			CPPUNIT_ASSERT(span.begin < span.end && span.end <= kLayers);
+		}
+	}
+
+	/// Targets' entries that tell layers which the model does not have: the layout goes on without them.
+	void layersOutsideTheModelNameNoTarget()
+	{
+		suspect(alone(), kSureSuspicion);
+		fleet_.onRunnerRecord(KeyedRecord{"odd1", "slow 0 4000000000", false, Offset{90}});
+		fleet_.onRunnerRecord(KeyedRecord{"odd2", "slow 70 81", false, Offset{91}});
+		fleet_.onRunnerRecord(KeyedRecord{"odd3", "unheard-of 70 80", false, Offset{92}});
+		fleet_.onRunnersCurrent();
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		CPPUNIT_ASSERT_EQUAL(targets_.size(), view->services.at("engine")->targets.size());
+	}
+
 private:
+	/// @returns the layers that the last change names.
+	std::vector<LayerSpan> orderedSpans() const
+	{
+		wire::LayoutChange change;
+		CPPUNIT_ASSERT(change.ParseFromString(log_.appended.back()));
+		std::vector<LayerSpan> spans;
+		for (const wire::LayoutHold& hold : change.holds())
+		{
+			spans.push_back(LayerSpan{hold.begin(), hold.end()});
+		}
+		return spans;
+	}
+
 	static std::string nameOf(std::size_t _target)
 	{
 		return "t" + std::to_string(_target);
--- a/packages/entry/tests/loadboardtest.cpp
+++ b/packages/entry/tests/loadboardtest.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include "../src/fleetview_p.h"
 #include "../src/loadboard_p.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +14,7 @@
 	CPPUNIT_TEST(hallAndOtherHallsAddUp);
 	CPPUNIT_TEST(aSilentNodeCountsNoMore);
 	CPPUNIT_TEST(nothingFallsBelowZero);
+	CPPUNIT_TEST(sumsStopAtTheirMost);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +52,21 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sum.count("t2"));
 	}
 
+	/// A sum that wraps would make a target that nodes found dead sound, and a loaded one free.
+	void sumsStopAtTheirMost()
+	{
+		LoadTable sum{{"t1", {UINT64_MAX, UINT32_MAX, UINT32_MAX, 1}}};
+		addLoads(sum, LoadTable{{"t1", {2, 2, 2, 1}}});
+		CPPUNIT_ASSERT_EQUAL(uint64_t(UINT64_MAX), sum.at("t1").tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(uint32_t(UINT32_MAX), sum.at("t1").requests);
+		CPPUNIT_ASSERT_EQUAL(uint32_t(UINT32_MAX), sum.at("t1").suspicion);
+		TargetLoad load;
+		load.suspicion = kSureSuspicion;
+		load.suspectedUntil = INT64_MAX;
+		load.othersSuspicion = UINT32_MAX;
+		CPPUNIT_ASSERT(load.isDead(kNow));
+	}
+
 private:
 	static constexpr Time kNow{5000000};
 	LoadBoard board_;
--- a/packages/peer/tests/peerlinktest.cpp
+++ b/packages/peer/tests/peerlinktest.cpp
@@ -57,6 +57,7 @@
 	CPPUNIT_TEST(noKeyGetsNothing);
 	CPPUNIT_TEST(otherKeyGetsNothing);
 	CPPUNIT_TEST(malformedKeyIsTold);
+	CPPUNIT_TEST(whatIsNoAddressIsPassedOver);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,19 @@
 		CPPUNIT_ASSERT(!isPeerKey(std::string(40, '"')));
 	}
 
+	/// Addresses of nodes come from records in the store. Text that is no address ended the link's thread by an error
+	/// that nobody caught, and the process with it.
+	void whatIsNoAddressIsPassedOver()
+	{
+		Counting server;
+		Counting client;
+		const PeerLink listening(PeerSettings{kServer, std::string()}, server);
+		PeerLink calling(PeerSettings{kClient, std::string()}, client);
+		calling.setPeers({"not an address", "", "127.0.0.1:0", "127.0.0.1:99999", kServer});
+		beatUntilHeard(calling, server);
+		CPPUNIT_ASSERT(0 < server.beats);
+	}
+
 private:
 	/// @returns true if a client with one key is heard and answered by a server with another.
 	static bool heard(const std::string& _serverKey, const std::string& _clientKey)
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -166,6 +166,8 @@
 	CPPUNIT_TEST(callerGoneStopsTheTarget);
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
 	CPPUNIT_TEST(readyAndMetricsAreServed);
+	CPPUNIT_TEST(entriesOfOthersNameNoTarget);
+	CPPUNIT_TEST(aTargetWhoseEntryBreaksGetsNothingMore);
 	CPPUNIT_TEST(badInputHarmsNobody);
 	CPPUNIT_TEST(routeTimeEndsTheWait);
 	CPPUNIT_TEST(requestsDuringAStopEndWhole);
@@ -530,6 +532,54 @@
 		CPPUNIT_ASSERT_EQUAL(uint16_t(404), asker.receive().status);
 	}
 
+	/// Entries that somebody else wrote to the registry stand beside those of two targets. All of them tell the address
+	/// of a third one, which would answer: none may be sent a request, and the two others serve everything.
+	void entriesOfOthersNameNoTarget()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.addPlain(answers(200, "body"));
+		FakeTarget foreign(answers(200, "body"));
+		uint32_t number = 0;
+		for (const std::string& text : entriesOfOthers(foreign.address()))
+		{
+			harness.store().put(KeyedTopic::Runners, "odd-" + std::to_string(++number), text);
+		}
+		harness.store().put(KeyedTopic::Runners, "odd id\r\nX: 1", entryOf(foreign.address(), "ready", "8"));
+		harness.start();
+		for (int turn = 0; turn < 40; ++turn)
+		{
+			CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), foreign.requests().size());
+	}
+
+	/// The entry of a target in use turns into bytes that cannot be read: it names no target any more, so that the
+	/// other one gets all requests. The target's next own entry brings it back.
+	void aTargetWhoseEntryBreaksGetsNothingMore()
+	{
+		EntryHarness harness;
+		FakeTarget& broken = harness.addPlain(answers(200, "body"));
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		CPPUNIT_ASSERT(0 < sharedOut(harness, broken));
+		harness.store().put(KeyedTopic::Runners, EntryHarness::instanceOf(broken), "{\"service\":\"pl");
+		waitUntil(
+		    [&harness, &broken]
+		    {
+			    return 0 == sharedOut(harness, broken);
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sharedOut(harness, broken));
+		harness.store().put(KeyedTopic::Runners, EntryHarness::instanceOf(broken),
+		                    entryOf(broken.address(), "ready", "8"));
+		waitUntil(
+		    [&harness, &broken]
+		    {
+			    return 0 < sharedOut(harness, broken);
+		    });
+		CPPUNIT_ASSERT(0 < sharedOut(harness, broken));
+	}
+
 	void badInputHarmsNobody()
 	{
 		EntryHarness harness;
@@ -621,6 +671,47 @@
 	}
 
 private:
+	/// @returns an entry of the plain service.
+	/// @param _slots as JSON.
+	static std::string entryOf(const std::string& _address, const std::string& _state, const std::string& _slots)
+	{
+		return R"({"service":"plain","address":")" + _address + R"(","zone":"h1","slot_count":)" + _slots +
+		       R"(,"state":")" + _state + R"("})";
+	}
+
+	static std::vector<std::string> entriesOfOthers(const std::string& _address)
+	{
+		const std::string sound = entryOf(_address, "ready", "8");
+		std::vector<std::string> entries = {"\xff\xfe", "{", "[]", "7", sound + "}", sound.substr(0, sound.size() / 2)};
+		for (const char* const state : {"", "READY", "gone"})
+		{
+			entries.push_back(entryOf(_address, state, "8"));
+		}
+		for (const char* const slots : {"-1", "0", "9223372036854775808", "1e300", "\"8\"", "null", "{}", "2.5"})
+		{
+			entries.push_back(entryOf(_address, "ready", slots));
+		}
+		entries.push_back(R"({"address":")" + _address + R"(","zone":"h1","slot_count":8,"state":"ready"})");
+		entries.push_back(R"({"service":"plain","address":")" + _address + R"(","slot_count":8,"state":"ready"})");
+		entries.push_back(R"({"service":["plain"],"address":")" + _address + R"(","zone":"h1","slot_count":8})");
+		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"instance_id":"another"})");
+		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"layers":{"from":5,"target_version":2}})");
+		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"later":")" + std::string(100000, 'x') + R"("})");
+		return entries;
+	}
+
+	/// @returns how many of some calls came to a target.
+	static std::size_t sharedOut(const EntryHarness& _harness, const FakeTarget& _target)
+	{
+		constexpr int kCalls = 20;
+		const std::size_t before = _target.requests().size();
+		for (int turn = 0; turn < kCalls; ++turn)
+		{
+			CPPUNIT_ASSERT_EQUAL(uint16_t(200), _harness.call(request("/plain/")).status);
+		}
+		return _target.requests().size() - before;
+	}
+
 	template <typename Condition> static void waitUntil(Condition _holds)
 	{
 		const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
