Entries and records that others wrote are read with a typed result, and passed over by a closed list of reasons

Cause: an entry of the registry was taken if protobuf could read it. A state that there is not counted as draining, a missing or negative figure as 0 or as unreadable, any text as an address; an unreadable entry left the target in use; an id went into the head of requests as it was. Layers outside the model were counted on, so that a lost range was not mended. A page of the log with one record without a key was thrown away whole and read again and again; so was a page of newest records with one item of another type. A key went into a query as it was. Change: DocumentsI::readRunner gives a RecordFault (base); what depends on the desired state is judged by targetfit; an address is one target's (AddressClaims): the first keeps it, until it was silent for three entries of the other. Layout and node records are read by one function each. A bad log record keeps its offset and has no key. PassedOver counts by kind and reason, writes one line for each change of a reason, and is in the dump. Numbers of the desired state are bounded. A target whose entry breaks is out of use until its next sound one; a node's known place and the last desired state stay. DocumentsTest.runnerIsRead held that {"state":"draining"} alone is a target. By the users' words an entry with missing fields names none: it is a whole entry now, and RunnerEntryTest.eachFaultHasItsReason holds the rest.

--- a/packages/entry/include/entry/keyedlog.h
+++ b/packages/entry/include/entry/keyedlog.h
@@ -27,6 +27,9 @@
 	};
 };
 
+/// @returns "operator" and so on.
+const char* nameOf(KeyedTopic::Enum _topic);
+
 /// What is known of a call to the store.
 struct StoreState
 {
@@ -48,7 +51,7 @@
 /// One record of a keyed topic.
 struct KeyedRecord
 {
-	std::string key;
+	std::string key; //!< Empty: it could not be read. Such a record is there only for its offset.
 	std::string value;
 	bool removed = false; //!< The key has no value any more.
 	Offset offset;
--- /dev/null
+++ b/packages/entry/src/addressclaims.cpp
@@ -0,0 +1,55 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "addressclaims_p.h"
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Entries of a rival in a row, with none of the holder between, that take its address. Records of targets lapse after
+/// three reports of silence: whoever was silent for as many counts as ended.
+constexpr uint32_t kRivalsToTake = 3;
+
+} // namespace
+
+AddressClaims::Outcome AddressClaims::claim(const std::string& _address, const InstanceId& _target)
+{
+	const auto known = addressOf_.find(_target);
+	if (addressOf_.end() != known && known->second != _address)
+	{
+		release(_target);
+	}
+	Row& row = rows_[_address];
+	if (row.holder.text.empty() || row.holder == _target)
+	{
+		row = Row{_target, InstanceId{}, 0};
+		addressOf_[_target] = _address;
+		return Outcome{true, InstanceId{}};
+	}
+	row.rivals = row.rival == _target ? row.rivals + 1 : 1;
+	row.rival = _target;
+	if (row.rivals < kRivalsToTake)
+	{
+		return Outcome{};
+	}
+	const InstanceId displaced = row.holder;
+	addressOf_.erase(displaced);
+	addressOf_[_target] = _address;
+	row = Row{_target, InstanceId{}, 0};
+	return Outcome{true, displaced};
+}
+
+void AddressClaims::release(const InstanceId& _target)
+{
+	const auto known = addressOf_.find(_target);
+	if (addressOf_.end() == known)
+	{
+		return;
+	}
+	rows_.erase(known->second);
+	addressOf_.erase(known);
+}
+
+} // namespace sedgecart
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -78,6 +78,7 @@
 	      readyServer_(requestLoop_, _settings.readyAddress, ready_),
 	      callerServer_(requestLoop_, _settings.callerAddress, front_)
 	{
+		cell_.passedOver.setMetrics(metrics_);
 		logEvent(LogPart::Node, LogLevel::Info, "Node starts.",
 		         {{"hall", _settings.hall}, {"callers", _settings.callerAddress}, {"store", _settings.storeAddress}});
 		control_.start();
@@ -146,6 +147,7 @@
 		text += ",\"retries\":" + std::to_string(metrics_.value(Counter::Retries));
 		const bool known = INT64_MIN != proven;
 		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
+		text += ",\"passed_over\":" + cell_.passedOver.text();
 		return text + "}";
 	}
 
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -2,8 +2,9 @@
 
 #include "fleetcontroller_p.h"
 
+#include "targetfit_p.h"
+
 #include <logging/logging.h>
-#include <wire/sedgecart.pb.h>
 
 #include <algorithm>
 
@@ -28,10 +29,12 @@
 	auto state = std::make_shared<DesiredState>();
 	if (!documents_.readDesiredState(_record.value, *state))
 	{
+		cell_.passedOver.note(RecordKind::DesiredState, _record.key, RecordFault::Unreadable);
 		logEvent(LogPart::Config, LogLevel::Error, "Desired state cannot be read, the last one stays in force.",
 		         {{"offset", std::to_string(_record.offset.value)}});
 		return;
 	}
+	cell_.passedOver.noteSound(RecordKind::DesiredState, _record.key);
 	if (routes_ && state->version < routes_->state().version)
 	{
 		return;
@@ -42,6 +45,10 @@
 	          {"routes", std::to_string(state->routes.size())},
 	          {"customers", std::to_string(state->customers.size())}});
 	routes_ = std::make_shared<RouteTable>(std::move(state));
+	for (const auto& row : runners_)
+	{
+		noteFit(row.second);
+	}
 	publish();
 }
 
@@ -64,51 +71,116 @@
 		}
 		else
 		{
-			remove(_record.key);
+			drop(_record.key);
 		}
 		return;
 	}
 	RunnerRecord read;
-	if (!documents_.readRunner(_record.key, _record.value, read))
+	const RecordFault::Enum fault = readRunner(_record, read);
+	if (RecordFault::None != fault)
 	{
-		logEvent(LogPart::Targets, LogLevel::Error, "Target's record cannot be read.", {{"target", _record.key}});
+		passOver(InstanceId{_record.key}, fault);
 		return;
 	}
 	lapsed_.erase(_record.key);
+	noteFit(read);
+	take(read);
+}
+
+/// @returns why an entry names no target to use, whatever the desired state is.
+RecordFault::Enum FleetController::readRunner(const KeyedRecord& _record, RunnerRecord& _read)
+{
+	const RecordFault::Enum fault = documents_.readRunner(_record.key, _record.value, _read);
+	if (RecordFault::None != fault)
+	{
+		return fault;
+	}
+	const AddressClaims::Outcome claim = addresses_.claim(_read.address, _read.instance);
+	if (!claim.displaced.text.empty())
+	{
+		passOver(claim.displaced, RecordFault::AbsurdValue);
+	}
+	return claim.isOwn ? RecordFault::None : RecordFault::AbsurdValue;
+}
+
+/// An entry that is passed over names no target to use, also where it did before.
+void FleetController::passOver(const InstanceId& _target, RecordFault::Enum _fault)
+{
+	cell_.passedOver.note(RecordKind::Target, _target.text, _fault);
+	lapsed_.erase(_target.text);
+	addresses_.release(_target);
+	if (remove(_target.text))
+	{
+		logEvent(LogPart::Targets, LogLevel::Warning, "Target is out of use, its entry is passed over.",
+		         {{"target", _target.text}, {"reason", nameOf(_fault)}});
+	}
+}
+
+/// Tells whether the desired state has a use for a target. One for which it has none is kept, since the next desired
+/// state may name its service.
+void FleetController::noteFit(const RunnerRecord& _record)
+{
+	const RecordFault::Enum fault =
+	    routes_ ? fitFault(routes_->findService(_record.service), _record) : RecordFault::None;
+	if (RecordFault::None == fault)
+	{
+		cell_.passedOver.noteSound(RecordKind::Target, _record.instance.text);
+		return;
+	}
+	cell_.passedOver.note(RecordKind::Target, _record.instance.text, fault);
+}
+
+/// Takes a sound entry.
+void FleetController::take(const RunnerRecord& _read)
+{
+	const std::string& instance = _read.instance.text;
+	const auto known = runners_.find(instance);
 	const bool isNew = runners_.end() == known;
-	const bool differs = isNew || known->second.draining != read.draining || known->second.layers != read.layers ||
-	                     known->second.address != read.address || known->second.service != read.service;
+	const bool differs = isNew || known->second.draining != _read.draining || known->second.layers != _read.layers ||
+	                     known->second.address != _read.address || known->second.service != _read.service;
 	if (!differs)
 	{
 		return;
 	}
 	logEvent(LogPart::Targets, LogLevel::Info, isNew ? "Target came." : "Target changed.",
-	         {{"target", _record.key},
-	          {"service", read.service},
-	          {"address", read.address},
-	          {"hall", read.hall},
-	          {"card", read.card},
-	          {"draining", read.draining ? "true" : "false"},
-	          {"layers", std::to_string(read.layers.begin) + "-" + std::to_string(read.layers.end)}});
-	runners_[_record.key] = read;
+	         {{"target", instance},
+	          {"service", _read.service},
+	          {"address", _read.address},
+	          {"hall", _read.hall},
+	          {"card", _read.card},
+	          {"draining", _read.draining ? "true" : "false"},
+	          {"layers", std::to_string(_read.layers.begin) + "-" + std::to_string(_read.layers.end)}});
+	runners_[instance] = _read;
 	if (isNew)
 	{
-		loads_[_record.key] = std::make_shared<TargetLoad>();
+		loads_[instance] = std::make_shared<TargetLoad>();
 		fleetChangedAt_ = clock_.now();
 	}
 	changed_ = true;
 }
 
-void FleetController::remove(const std::string& _instance)
+/// @returns false if it was not in use.
+bool FleetController::remove(const std::string& _instance)
 {
 	if (0 == runners_.erase(_instance))
 	{
-		return;
+		return false;
 	}
-	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
 	loads_.erase(_instance);
 	fleetChangedAt_ = clock_.now();
 	changed_ = true;
+	return true;
+}
+
+/// A target's record is gone.
+void FleetController::drop(const std::string& _instance)
+{
+	cell_.passedOver.forget(RecordKind::Target, _instance);
+	addresses_.release(InstanceId{_instance});
+	if (remove(_instance))
+	{
+		logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
+	}
 }
 
 void FleetController::onRunnersOut()
@@ -136,7 +208,7 @@
 	}
 	for (const std::string& instance : lapsed_)
 	{
-		remove(instance);
+		drop(instance);
 	}
 	lapsed_.clear();
 	if (changed_ && routes_)
@@ -151,16 +223,20 @@
 	if (_record.removed)
 	{
 		nodes_.erase(_record.key);
+		cell_.passedOver.forget(RecordKind::Node, _record.key);
 	}
 	else
 	{
-		wire::NodePlace place;
-		if (!place.ParseFromString(_record.value))
+		NodeAddress node;
+		const RecordFault::Enum fault = readNodePlace(_record.value, node);
+		if (RecordFault::None != fault)
 		{
-			logEvent(LogPart::Node, LogLevel::Warning, "Record of a node cannot be read.", {{"node", _record.key}});
+			// The place that is known stays: its node may be of a version that writes more.
+			cell_.passedOver.note(RecordKind::Node, _record.key, fault);
 			return;
 		}
-		nodes_[_record.key] = NodeAddress{place.address(), place.hall(), place.cpu_share()};
+		cell_.passedOver.noteSound(RecordKind::Node, _record.key);
+		nodes_[_record.key] = node;
 	}
 	if (before != nodes_.size() && routes_)
 	{
@@ -192,7 +268,8 @@
 	for (const auto& row : runners_)
 	{
 		const RunnerRecord& record = row.second;
-		const bool usable = _spec.name == record.service && !record.draining;
+		const bool isIts = _spec.name == record.service && RecordFault::None == fitFault(&_spec, record);
+		const bool usable = isIts && !record.draining;
 		if (usable && (!_spec.hasEngine || 0 < record.layers.size()))
 		{
 			service->targets.push_back(buildTarget(_spec, record));
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -3,8 +3,10 @@
 #ifndef SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
 
+#include "addressclaims_p.h"
 #include "fleetview_p.h"
 #include "follower_p.h"
+#include "nodeplace_p.h"
 
 #include <entry/documents.h>
 
@@ -16,14 +18,6 @@
 namespace sedgecart
 {
 
-/// Where an entry node is.
-struct NodeAddress
-{
-	std::string address; //!< "ip:port" that it hears other nodes on.
-	std::string hall;
-	double cpuShare = 0; //!< Of a core.
-};
-
 /// Keeps the fleet's view true: takes the operator's desired state, the targets' records and the nodes' records, and
 /// publishes what the request path reads. Control thread only.
 class FleetController
@@ -104,6 +98,12 @@
 		return cell_.link;
 	}
 
+	/// @returns the records that are not gone by.
+	PassedOver& passedOver() const
+	{
+		return cell_.passedOver;
+	}
+
 	/// @returns true once a desired state and the targets are known.
 	bool ready() const
 	{
@@ -111,7 +111,12 @@
 	}
 
 private:
-	void remove(const std::string& _instance);
+	RecordFault::Enum readRunner(const KeyedRecord& _record, RunnerRecord& _read);
+	void take(const RunnerRecord& _read);
+	void passOver(const InstanceId& _target, RecordFault::Enum _fault);
+	bool remove(const std::string& _instance);
+	void drop(const std::string& _instance);
+	void noteFit(const RunnerRecord& _record);
 	void publish();
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
 	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
@@ -125,7 +130,8 @@
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
-	std::set<std::string> lapsed_;             //!< Instances that may come back.
+	AddressClaims addresses_;
+	std::set<std::string> lapsed_; //!< Instances that may come back.
 	Time fleetChangedAt_;
 	bool storeWasOut_ = false; //!< It could not be read since the last time that it was read to its end.
 	bool runnersKnown_ = false;
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -3,6 +3,8 @@
 #ifndef SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
 
+#include "passedover_p.h"
+
 #include <base/rcucell.h>
 #include <base/runner.h>
 #include <base/units.h>
@@ -52,7 +54,8 @@
 	/// @returns true if the target is taken as dead: nobody listens there, or two nodes got no answer.
 	bool isDead(Time _now) const
 	{
-		return kSureSuspicion <= ownSuspicion(_now) + othersSuspicion.load(std::memory_order_relaxed);
+		const uint64_t others = othersSuspicion.load(std::memory_order_relaxed);
+		return kSureSuspicion <= ownSuspicion(_now) + others;
 	}
 
 	/// @returns how many times slower than usual the target is.
@@ -93,6 +96,7 @@
 {
 	RcuCell<FleetView> view;
 	LinkUse link;                             //!< Between data halls.
+	PassedOver passedOver;                    //!< Records of the store that are not gone by.
 	std::atomic<int64_t> provenAt{INT64_MIN}; //!< When the read was sent that showed the desired state to be newest.
 };
 
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -3,6 +3,8 @@
 #include "layoutkeeper_p.h"
 
 #include "fleetcontroller_p.h"
+#include "layoutrecord_p.h"
+#include "targetfit_p.h"
 
 #include <base/digest.h>
 #include <entry/entrysettings.h>
@@ -111,39 +113,52 @@
 
 void LayoutKeeper::onRecord(const KeyedRecord& _record)
 {
-	wire::LayoutChange change;
-	if (_record.removed || !change.ParseFromString(_record.value))
+	LayoutRecord change;
+	const RecordFault::Enum fault = _record.removed ? RecordFault::Unreadable : readLayoutRecord(_record.value, change);
+	if (RecordFault::None != fault)
 	{
-		logEvent(LogPart::Layout, LogLevel::Warning, "Record of a layout change cannot be read.",
-		         {{"offset", std::to_string(_record.offset.value)}});
+		fleet_.passedOver().note(RecordKind::Layout, _record.key, fault);
 		return;
 	}
+	fleet_.passedOver().noteSound(RecordKind::Layout, _record.key);
 	const Time now = clock_.now();
-	const bool own = incarnation_.text() == change.author();
+	const bool own = incarnation_.text() == change.author;
 	const bool fresh = now < appendedAt_ + kOrdersFresh;
 	turn_.setWanted(false, now);
 	logEvent(LogPart::Layout, LogLevel::Info, "Layout changes.",
 	         {{"offset", std::to_string(_record.offset.value)},
-	          {"author", change.author()},
-	          {"holds", std::to_string(change.holds_size())},
+	          {"author", change.author},
+	          {"holds", std::to_string(change.holds.size())},
+	          {"holds_passed_over", std::to_string(change.passedOver)},
 	          {"orders_sent_here", own && fresh ? "true" : "false"}});
+	forgetShown(now);
 	// Fences count from 1: a target takes 0 for none.
 	const Offset fence{_record.offset.value + 1};
-	for (const wire::LayoutHold& hold : change.holds())
+	for (const LayoutHoldRecord& hold : change.holds)
 	{
-		const LayerSpan layers{hold.begin(), hold.end()};
-		ordered_[hold.target()] = Ordered{layers, now};
+		ordered_[hold.target.text] = Ordered{hold.layers, now};
 		if (own && fresh)
 		{
-			order(hold.target(), layers, fence);
+			order(hold.target.text, hold.layers, fence);
 		}
 	}
 }
 
-LayerSpan LayoutKeeper::effectiveLayers(const RunnerRecord& _target) const
+/// Forgets orders that are not counted on any more.
+void LayoutKeeper::forgetShown(Time _now)
+{
+	for (auto row = ordered_.begin(); ordered_.end() != row;)
+	{
+		row = row->second.at + kOrderShown < _now ? ordered_.erase(row) : std::next(row);
+	}
+}
+
+/// @returns what a target holds or was ordered to hold. Layers that its model does not have were ordered by nobody.
+LayerSpan LayoutKeeper::effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const
 {
 	const auto ordered = ordered_.find(_target.instance.text);
-	const bool counts = ordered_.end() != ordered && clock_.now() < ordered->second.at + kOrderShown;
+	const bool counts = ordered_.end() != ordered && clock_.now() < ordered->second.at + kOrderShown &&
+	                    isSpanOf(_service, ordered->second.layers);
 	return counts ? ordered->second.layers : _target.layers;
 }
 
@@ -200,14 +215,15 @@
 	{
 		const RunnerRecord& record = row.second;
 		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
-		const bool inLayers = nullptr != service && service->hasEngine;
+		const bool inLayers =
+		    nullptr != service && service->hasEngine && RecordFault::None == fitFault(service, record);
 		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
 		if (nullptr == card || record.draining || 0 < lost.count(row.first))
 		{
 			continue;
 		}
 		const uint32_t hall = halls.emplace(record.hall, static_cast<uint32_t>(halls.size())).first->second;
-		const LayerSpan held = effectiveLayers(record);
+		const LayerSpan held = effectiveLayers(record, *service);
 		scene.engine = &service->engine;
 		scene.anyHeld = scene.anyHeld || 0 < held.size();
 		scene.targets.push_back(LayoutTarget{hall, *card, held, tokensAt(row.first, held)});
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -76,7 +76,8 @@
 	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
-	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
+	void forgetShown(Time _now);
+	LayerSpan effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const;
 	std::set<std::string> lostTargets() const;
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
 
--- a/packages/entry/src/portnames.cpp
+++ b/packages/entry/src/portnames.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+constexpr const char* kTopicNames[] = {"operator", "targets", "nodes", "layout"};
+static_assert(KeyedTopic::Count == sizeof(kTopicNames) / sizeof(kTopicNames[0]), "each topic needs its name");
+
 constexpr const char* kStoreNames[] = {"done", "conflict", "gone", "refused", "unknown"};
 static_assert(StoreState::Count == sizeof(kStoreNames) / sizeof(kStoreNames[0]), "each state needs its name");
 
@@ -25,6 +28,11 @@
 	return kRepathNames[_state];
 }
 
+const char* nameOf(KeyedTopic::Enum _topic)
+{
+	return kTopicNames[_topic];
+}
+
 const char* nameOf(StoreState::Enum _state)
 {
 	return kStoreNames[_state];
--- /dev/null
+++ b/packages/entry/src/targetfit.cpp
@@ -0,0 +1,34 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "targetfit_p.h"
+
+#include <base/desiredstate.h>
+#include <base/runner.h>
+
+namespace sedgecart
+{
+
+bool isSpanOf(const ServiceSpec& _service, LayerSpan _span)
+{
+	return _span.begin <= _span.end && _span.end <= _service.engine.layers;
+}
+
+RecordFault::Enum fitFault(const ServiceSpec* _service, const RunnerRecord& _record)
+{
+	if (nullptr == _service)
+	{
+		return RecordFault::UnknownService;
+	}
+	if (!_service->hasEngine)
+	{
+		return RecordFault::None;
+	}
+	if (_record.card.empty())
+	{
+		return RecordFault::FieldMissing;
+	}
+	const bool isKnown = nullptr != findKind(_service->engine, _record.card);
+	return isKnown && isSpanOf(*_service, _record.layers) ? RecordFault::None : RecordFault::AbsurdValue;
+}
+
+} // namespace sedgecart
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -14,7 +14,8 @@
 namespace
 {
 
-/// Documents of one word: a target's record is its service, "!" before it says that it drains.
+/// Documents of one word: a target's record is its service, "!" before it says that it drains, "?" is no record. A
+/// key's address is the part before its dash.
 class PlainDocuments : public DocumentsI
 {
 public:
@@ -32,12 +33,18 @@
 		return true;
 	}
 
-	bool readRunner(const std::string& _key, const std::string& _text, RunnerRecord& _record) const override
+	RecordFault::Enum readRunner(const std::string& _key, const std::string& _text,
+	                             RunnerRecord& _record) const override
 	{
 		_record.instance = InstanceId{_key};
+		_record.address = _key.substr(0, _key.find('-'));
+		if ('?' == _text.front())
+		{
+			return RecordFault::WrongType;
+		}
 		_record.draining = '!' == _text.front();
 		_record.service = _record.draining ? _text.substr(1) : _text;
-		return true;
+		return RecordFault::None;
 	}
 };
 
@@ -60,6 +67,10 @@
 	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
 	CPPUNIT_TEST(versionsOnlyRise);
 	CPPUNIT_TEST(aNodeThatNamesNoPlaceIsNone);
+	CPPUNIT_TEST(aBrokenEntryNamesNoTarget);
+	CPPUNIT_TEST(aBrokenEntryIsNoLapsedOne);
+	CPPUNIT_TEST(anUnknownServiceMayBeNamedLater);
+	CPPUNIT_TEST(anotherTargetsAddressIsNotTaken);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +144,69 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), fleet_.nodes().at("n1").address);
 	}
 
+	/// It names no target to use, though it did before; the others hold, and its next sound entry brings it back.
+	void aBrokenEntryNamesNoTarget()
+	{
+		put("a", "?");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets()); // until all that was read is taken
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.runners().count("a"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.passedOver().count());
+		put("a", "plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.passedOver().count());
+		put("c", "?");
+		put("c", "");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.passedOver().count());
+	}
+
+	/// A record that lapsed while the store was away is waited for. One that came back broken is there, and names none.
+	void aBrokenEntryIsNoLapsedOne()
+	{
+		fleet_.onRunnersOut();
+		put("a", "");
+		put("a", "?");
+		CPPUNIT_ASSERT(!fleet_.onRunnersCurrent());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+	}
+
+	void anUnknownServiceMayBeNamedLater()
+	{
+		put("c", "later");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.passedOver().count());
+		CPPUNIT_ASSERT(std::string::npos != fleet_.passedOver().text().find("unknown_service"));
+		put("c", "plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), targets());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.passedOver().count());
+	}
+
+	/// An entry that tells the address of a target in use takes nothing from it. When that one's entry goes, or it is
+	/// silent while the other goes on, the address is the other's.
+	void anotherTargetsAddressIsNotTaken()
+	{
+		put("a-2", "plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.runners().count("a"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.runners().count("a-2"));
+		put("a", "");
+		put("a-2", "plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.runners().count("a-2"));
+		for (int beat = 0; beat < 3; ++beat)
+		{
+			put("a-3", "plain");
+		}
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.runners().count("a-3"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.runners().count("a-2"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+	}
+
 private:
 	void placeNode(const char* _name, const char* _address, const char* _hall, double _share)
 	{
--- /dev/null
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -0,0 +1,162 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/layoutrecord_p.h"
+#include "../src/nodeplace_p.h"
+#include "../src/recordpack_p.h"
+
+#include <base/endpointtext.h>
+#include <wire/sedgecart.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// @returns a text with some bytes of it changed.
+std::string changed(std::string _text)
+{
+	const auto changes = *rc::gen::inRange(1, 4);
+	for (int change = 0; change < changes; ++change)
+	{
+		const auto at = *rc::gen::inRange<std::size_t>(0, _text.size() + 1);
+		const auto size = *rc::gen::inRange<std::size_t>(0, 4);
+		_text.replace(at, size, *rc::gen::arbitrary<std::string>());
+	}
+	return _text;
+}
+
+std::string layoutChange(const std::vector<LayerSpan>& _spans)
+{
+	wire::LayoutChange change;
+	change.set_author("node-1");
+	for (const LayerSpan span : _spans)
+	{
+		wire::LayoutHold* const hold = change.add_holds();
+		hold->set_target("i-" + std::to_string(change.holds_size()));
+		hold->set_begin(span.begin);
+		hold->set_end(span.end);
+	}
+	return change.SerializeAsString();
+}
+
+std::string nodePlace()
+{
+	wire::NodePlace place;
+	place.set_address("10.1.0.9:7000");
+	place.set_hall("hall");
+	place.set_cpu_share(0.25);
+	return place.SerializeAsString();
+}
+
+} // namespace
+
+/// Records of the product's own topics that another version of it, or somebody else, wrote.
+class ForeignRecordTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(ForeignRecordTest);
+	CPPUNIT_TEST(layoutRecordsHaveTheirReasons);
+	CPPUNIT_TEST(oneBadHoldLosesNoOther);
+	CPPUNIT_TEST(changedLayoutRecordsAreBorne);
+	CPPUNIT_TEST(nodePlacesHaveTheirReasons);
+	CPPUNIT_TEST(changedNodePlacesAreBorne);
+	CPPUNIT_TEST(changedPacksAreBorne);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void layoutRecordsHaveTheirReasons()
+	{
+		LayoutRecord record;
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(layoutChange({LayerSpan{0, 40}}), record));
+		CPPUNIT_ASSERT_EQUAL(std::string("node-1"), record.author);
+		CPPUNIT_ASSERT_EQUAL(RecordFault::FieldMissing, readLayoutRecord(std::string(), record));
+		CPPUNIT_ASSERT_EQUAL(RecordFault::Unreadable, readLayoutRecord("\xff\xff", record));
+		const std::string whole = layoutChange({LayerSpan{0, 40}});
+		CPPUNIT_ASSERT_EQUAL(RecordFault::Unreadable, readLayoutRecord(whole.substr(0, whole.size() - 1), record));
+		CPPUNIT_ASSERT_EQUAL(RecordFault::TooLarge, readLayoutRecord(std::string(5UL << 20U, '\0'), record));
+		const std::vector<LayerSpan> rows(1000000);
+		CPPUNIT_ASSERT(RecordFault::None != readLayoutRecord(layoutChange(rows), record));
+	}
+
+	void oneBadHoldLosesNoOther()
+	{
+		LayoutRecord record;
+		const std::string text = layoutChange({LayerSpan{9, 3}, LayerSpan{0, 40}, LayerSpan{UINT32_MAX, 0}});
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(text, record));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), record.holds.size());
+		CPPUNIT_ASSERT_EQUAL(std::string("i-2"), record.holds.front().target.text);
+		CPPUNIT_ASSERT_EQUAL(2U, record.passedOver);
+	}
+
+	void changedLayoutRecordsAreBorne()
+	{
+		CPPUNIT_ASSERT(
+		    rc::check("a changed layout record",
+		              []
+		              {
+			              LayoutRecord record;
+			              const std::string text = changed(layoutChange({LayerSpan{0, 40}, LayerSpan{40, 80}}));
+			              if (RecordFault::None != readLayoutRecord(text, record))
+			              {
+				              return;
+			              }
+			              for (const LayoutHoldRecord& hold : record.holds)
+			              {
+				              RC_ASSERT(!hold.target.text.empty());
+				              RC_ASSERT(hold.layers.begin <= hold.layers.end);
+			              }
+		              }));
+	}
+
+	void nodePlacesHaveTheirReasons()
+	{
+		NodeAddress node;
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readNodePlace(nodePlace(), node));
+		CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9:7000"), node.address);
+		CPPUNIT_ASSERT_EQUAL(RecordFault::FieldMissing, readNodePlace(std::string(), node));
+		CPPUNIT_ASSERT_EQUAL(RecordFault::Unreadable, readNodePlace("{\"address\":\"10.1.0.9:7000\"}", node));
+		CPPUNIT_ASSERT_EQUAL(RecordFault::TooLarge, readNodePlace(std::string(100000, ' '), node));
+		CPPUNIT_ASSERT_EQUAL(std::string("hall"), node.hall); // the last sound one
+	}
+
+	void changedNodePlacesAreBorne()
+	{
+		CPPUNIT_ASSERT(rc::check("a changed place of a node",
+		                         []
+		                         {
+			                         NodeAddress node;
+			                         if (RecordFault::None == readNodePlace(changed(nodePlace()), node))
+			                         {
+				                         RC_ASSERT(isEndpoint(node.address));
+				                         RC_ASSERT(!node.hall.empty());
+				                         RC_ASSERT(0 <= node.cpuShare && node.cpuShare < 1e4);
+			                         }
+		                         }));
+	}
+
+	void changedPacksAreBorne()
+	{
+		const std::vector<KeyedRecord> records = {KeyedRecord{"a", "1", false, Offset{1}},
+		                                          KeyedRecord{"b", std::string(300, 'x'), false, Offset{2}}};
+		const std::string packed = packRecords(records);
+		CPPUNIT_ASSERT(rc::check("a changed pack",
+		                         [&packed]
+		                         {
+			                         std::vector<KeyedRecord> read;
+			                         if (!unpackRecords(changed(packed), read))
+			                         {
+				                         RC_ASSERT(read.empty());
+			                         }
+		                         }));
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForeignRecordTest);
+
+} // namespace sedgecart
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -46,14 +46,16 @@
 		return true;
 	}
 
-	bool readRunner(const std::string& _key, const std::string& _text, RunnerRecord& _record) const override
+	RecordFault::Enum readRunner(const std::string& _key, const std::string& _text,
+	                             RunnerRecord& _record) const override
 	{
 		std::istringstream words(_text);
 		_record.instance = InstanceId{_key};
+		_record.address = _key;
 		_record.service = "engine";
 		_record.hall = "hall";
 		words >> _record.card >> _record.layers.begin >> _record.layers.end;
-		return true;
+		return RecordFault::None;
 	}
 };
 
--- /dev/null
+++ b/packages/entry/tests/passedovertest.cpp
@@ -0,0 +1,162 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/addressclaims_p.h"
+#include "../src/passedover_p.h"
+
+#include <metrics/metrics.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+class PassedOverTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(PassedOverTest);
+	CPPUNIT_TEST(eachRecordIsCountedAndListedOnce);
+	CPPUNIT_TEST(theListIsBounded);
+	CPPUNIT_TEST(keysAreShownAsPlainText);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void eachRecordIsCountedAndListedOnce()
+	{
+		Metrics metrics;
+		passedOver_.setMetrics(metrics);
+		passedOver_.note(RecordKind::Target, "i-1", RecordFault::WrongType);
+		passedOver_.note(RecordKind::Target, "i-1", RecordFault::WrongType);
+		passedOver_.note(RecordKind::Node, "i-1", RecordFault::TooLarge);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), passedOver_.count());
+		CPPUNIT_ASSERT_EQUAL(std::string(R"({"count":2,"first":[)"
+		                                 R"({"record":"target","key":"i-1","reason":"wrong_type"},)"
+		                                 R"({"record":"node","key":"i-1","reason":"too_large"}]})"),
+		                     passedOver_.text());
+		const std::string text = metrics.text();
+		CPPUNIT_ASSERT(std::string::npos !=
+		               text.find(R"(sedgecart_records_passed_over_total{record="target",reason="wrong_type"} 2)"));
+		passedOver_.noteSound(RecordKind::Target, "i-1");
+		passedOver_.forget(RecordKind::Node, "i-1");
+		passedOver_.forget(RecordKind::Node, "i-2");
+		CPPUNIT_ASSERT_EQUAL(std::string(R"({"count":0,"first":[]})"), passedOver_.text());
+	}
+
+	/// Whoever writes entries under ever new keys takes no more memory, and the dump stays short.
+	void theListIsBounded()
+	{
+		for (int number = 0; number < 100000; ++number)
+		{
+			passedOver_.note(RecordKind::Target, "i-" + std::to_string(number), RecordFault::Unreadable);
+		}
+		CPPUNIT_ASSERT(passedOver_.count() <= 1000);
+		CPPUNIT_ASSERT(passedOver_.text().size() < 4000);
+		for (int number = 0; number < 100000; ++number)
+		{
+			passedOver_.noteSound(RecordKind::Target, "i-" + std::to_string(number));
+		}
+		passedOver_.note(RecordKind::Target, "new", RecordFault::Unreadable);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), passedOver_.count());
+	}
+
+	void keysAreShownAsPlainText()
+	{
+		passedOver_.note(RecordKind::Target, "a\"\\\n\xff" + std::string(500, 'x'), RecordFault::AbsurdValue);
+		const std::string text = passedOver_.text();
+		CPPUNIT_ASSERT(std::string::npos != text.find("\"key\":\"a????x"));
+		CPPUNIT_ASSERT(text.size() < 200);
+	}
+
+private:
+	PassedOver passedOver_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PassedOverTest);
+
+class AddressClaimsTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(AddressClaimsTest);
+	CPPUNIT_TEST(theFirstKeepsIt);
+	CPPUNIT_TEST(whoIsSilentGivesItUp);
+	CPPUNIT_TEST(whatIsReleasedIsFree);
+	CPPUNIT_TEST(anAddressIsNeverTwoTargets);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void theFirstKeepsIt()
+	{
+		CPPUNIT_ASSERT(claims_.claim("x", a_).isOwn);
+		for (int beat = 0; beat < 10; ++beat)
+		{
+			CPPUNIT_ASSERT(!claims_.claim("x", b_).isOwn);
+			CPPUNIT_ASSERT(!claims_.claim("x", b_).isOwn);
+			CPPUNIT_ASSERT(claims_.claim("x", a_).isOwn);
+		}
+	}
+
+	/// The address of a target that has ended is given to another before its entry lapses.
+	void whoIsSilentGivesItUp()
+	{
+		claims_.claim("x", a_);
+		CPPUNIT_ASSERT(!claims_.claim("x", b_).isOwn);
+		CPPUNIT_ASSERT(!claims_.claim("x", b_).isOwn);
+		const AddressClaims::Outcome third = claims_.claim("x", b_);
+		CPPUNIT_ASSERT(third.isOwn && a_ == third.displaced);
+		CPPUNIT_ASSERT(!claims_.claim("x", a_).isOwn);
+	}
+
+	void whatIsReleasedIsFree()
+	{
+		claims_.claim("x", a_);
+		claims_.release(b_);
+		CPPUNIT_ASSERT(!claims_.claim("x", b_).isOwn);
+		claims_.release(a_);
+		CPPUNIT_ASSERT(claims_.claim("x", b_).isOwn);
+		CPPUNIT_ASSERT(claims_.claim("y", b_).isOwn); // it moved
+		CPPUNIT_ASSERT(claims_.claim("x", a_).isOwn);
+	}
+
+	void anAddressIsNeverTwoTargets()
+	{
+		CPPUNIT_ASSERT(rc::check(
+		    "any order of claims",
+		    []
+		    {
+			    AddressClaims claims;
+			    std::map<std::string, std::string> holders; // by address
+			    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 24));
+			    for (const int step : steps)
+			    {
+				    const InstanceId target{std::string(1, static_cast<char>('a' + step % 4))};
+				    const std::string address(1, static_cast<char>('x' + step / 8));
+				    for (auto row = holders.begin(); holders.end() != row;)
+				    {
+					    const bool isGone = target.text == row->second && address != row->first;
+					    row = isGone ? holders.erase(row) : std::next(row);
+				    }
+				    const AddressClaims::Outcome outcome = claims.claim(address, target);
+				    const auto holder = holders.find(address);
+				    const bool isFree = holders.end() == holder;
+				    RC_ASSERT(outcome.isOwn || (!isFree && holder->second != target.text));
+				    RC_ASSERT(outcome.displaced.text.empty() || (!isFree && holder->second == outcome.displaced.text));
+				    if (outcome.isOwn)
+				    {
+					    RC_ASSERT(isFree || holder->second == target.text || holder->second == outcome.displaced.text);
+					    holders[address] = target.text;
+				    }
+			    }
+		    }));
+	}
+
+private:
+	const InstanceId a_{"a"};
+	const InstanceId b_{"b"};
+	AddressClaims claims_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AddressClaimsTest);
+
+} // namespace sedgecart
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -4,11 +4,13 @@
 #define SEDGECART_METRICS_METRICS_H_HEADER_GUARD
 
 #include <base/errorkind.h>
+#include <base/recordfault.h>
 #include <base/units.h>
 
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <iosfwd>
 #include <memory>
 #include <string>
 
@@ -78,6 +80,10 @@
 	{
 		errors_[_kind].fetch_add(1, std::memory_order_relaxed);
 	}
+	void addPassedOver(RecordKind::Enum _kind, RecordFault::Enum _fault)
+	{
+		passedOver_[_kind][_fault].fetch_add(1, std::memory_order_relaxed);
+	}
 	void observe(Timing::Enum _timing, Duration _took);
 
 	/// @returns all of it in the text format that Prometheus reads.
@@ -90,8 +96,11 @@
 
 private:
 	class Histograms;
+	void writePassedOver(std::ostream& _out) const;
+
 	std::array<std::atomic<uint64_t>, Counter::Count> counters_{};
 	std::array<std::atomic<uint64_t>, ErrorKind::Count> errors_{};
+	std::array<std::array<std::atomic<uint64_t>, RecordFault::Count>, RecordKind::Count> passedOver_{};
 	std::unique_ptr<Histograms> histograms_;
 };
 
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -74,6 +74,7 @@
 		const ErrorAnswer& answer = answerOf(static_cast<ErrorKind::Enum>(index));
 		out << "sedgecart_errors_total{kind=\"" << answer.name << "\"} " << errors_[index].load() << '\n';
 	}
+	writePassedOver(out);
 	for (int index = 0; index < Timing::Count; ++index)
 	{
 		const SecondsHistogram& histogram = histograms_->list[index];
@@ -90,6 +91,19 @@
 	return out.str();
 }
 
+void Metrics::writePassedOver(std::ostream& _out) const
+{
+	for (int kind = 0; kind < RecordKind::Count; ++kind)
+	{
+		for (int fault = RecordFault::None + 1; fault < RecordFault::Count; ++fault)
+		{
+			_out << "sedgecart_records_passed_over_total{record=\"" << nameOf(static_cast<RecordKind::Enum>(kind))
+			     << "\",reason=\"" << nameOf(static_cast<RecordFault::Enum>(fault)) << "\"} "
+			     << passedOver_[kind][fault].load() << '\n';
+		}
+	}
+}
+
 const char* nameOf(Counter::Enum _counter)
 {
 	return kCounterNames[_counter];
