What peers send is bounded, and cannot end a node, turn its sums or set its place in a topic back

Cause, each shown by the test that failed: an address that is none, from a node's record, ended the process; a pack of some kilobytes could unfold into a million records; loads and suspicions wrapped; an age of 2^63 us made a proof newer than any; news with offsets before the question or behind the end were taken. Tests: LoadBoardTest.sumsStopAtTheirMost, HallLogTest.newsFromTheFutureAreNotTaken, newsThatContradictThemselvesAreNotTaken, aPackOfTooManyRecordsIsNotRead, PeerLinkTest.whatIsNoAddressIsPassedOver failed before and pass; HallLogTest.largeEntriesOfOthersAreNotKept is new with the code. unit.peer (5), unit.entry (90) pass.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -234,6 +234,7 @@
 	    {
 		    layoutFollower_.renew();
 	    });
+	log_.setPassedOver(_cell.passedOver);
 	log_.shareLoads(settings_.mechanisms.on(Mechanism::HallLoads));
 }
 
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -2,7 +2,11 @@
 
 #include "halllog_p.h"
 
+#include "passedover_p.h"
+
 #include <base/digest.h>
+#include <entry/documents.h>
+#include <logging/logging.h>
 
 namespace sedgecart
 {
@@ -27,6 +31,37 @@
 constexpr Duration kLeastPatience = Duration::fromMillis(800);
 constexpr Duration kMostPatience = Duration::fromMillis(1600);
 
+/// Most bytes of a record's value that are kept, by topic; 0: no bound, since only the operator writes there. One byte
+/// more of a longer one is kept, so that whoever reads it sees that it is too large. What others write may have any
+/// size, and every node would keep it and hand it on.
+constexpr std::size_t kMostValue[] = {
+    0,                 // Operator
+    kMostRunnerBytes,  // Runners
+    16UL * 1024,       // Nodes
+    4UL * 1024 * 1024, // Layout
+};
+static_assert(KeyedTopic::Count == sizeof(kMostValue) / sizeof(kMostValue[0]), "each topic needs its bound");
+
+/// @returns true if the records can be what the read asked for: within its bounds, and in order where they are news.
+bool isConsistent(const HallLog::News& _news)
+{
+	const KeyedPage& page = _news.page;
+	uint64_t least = _news.whole ? 0 : _news.from.value;
+	if (page.end.value < least)
+	{
+		return false;
+	}
+	for (const KeyedRecord& record : page.records)
+	{
+		if (record.offset.value < least || page.end.value <= record.offset.value)
+		{
+			return false;
+		}
+		least = _news.whole ? 0 : record.offset.value + 1;
+	}
+	return true;
+}
+
 Duration patienceOf(const std::string& _node)
 {
 	const auto spread = static_cast<uint64_t>(kMostPatience.micros - kLeastPatience.micros);
@@ -110,6 +145,7 @@
 	store_.read(_topic, from, _read.wait,
 	            [this, _topic, from, sentAt, number, call = std::move(_read.call)](KeyedPage&& _page)
 	            {
+		            keepWithin(_topic, _page);
 		            if (StoreState::Done == _page.state)
 		            {
 			            cache_.take(_topic, from, _page, sentAt);
@@ -131,6 +167,7 @@
 	store_.newest(_topic, _afterKey,
 	              [this, _topic, first, sentAt, number, call = std::move(_call)](KeyedPage&& _page)
 	              {
+		              keepWithin(_topic, _page);
 		              if (StoreState::Done == _page.state)
 		              {
 			              takeLoaded(_topic, first, _page, sentAt);
@@ -140,6 +177,24 @@
 	              });
 }
 
+/// Bounds what others wrote, and tells of records whose key could not be read.
+void HallLog::keepWithin(KeyedTopic::Enum _topic, KeyedPage& _page)
+{
+	const std::size_t most = kMostValue[_topic];
+	for (KeyedRecord& record : _page.records)
+	{
+		if (0 < most && most < record.value.size())
+		{
+			record.value.resize(most + 1);
+			record.value.shrink_to_fit();
+		}
+		if (record.key.empty() && nullptr != passedOver_)
+		{
+			passedOver_->note(RecordKind::LogRecord, nameOf(_topic), RecordFault::Unreadable);
+		}
+	}
+}
+
 void HallLog::takeLoaded(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt)
 {
 	Loading& loading = loading_[_topic];
@@ -241,7 +296,17 @@
 		release(_news.topic); // this node is further behind than the hub keeps
 		return true;
 	}
-	if (kMostAge[_news.topic] < _news.page.age)
+	if (!isConsistent(_news))
+	{
+		logEvent(LogPart::Store, LogLevel::Warning, "News of a hub contradict themselves, the store is asked.",
+		         {{"topic", nameOf(_news.topic)},
+		          {"from", std::to_string(_news.from.value)},
+		          {"end", std::to_string(_news.page.end.value)},
+		          {"records", std::to_string(_news.page.records.size())}});
+		release(_news.topic);
+		return true;
+	}
+	if (_news.page.age.micros < 0 || kMostAge[_news.topic] < _news.page.age)
 	{
 		return false;
 	}
--- a/packages/entry/src/halllog_p.h
+++ b/packages/entry/src/halllog_p.h
@@ -16,6 +16,8 @@
 namespace sedgecart
 {
 
+class PassedOver;
+
 /// Hears whether the store answers this node's reads.
 class StoreWatchI
 {
@@ -79,6 +81,12 @@
 
 	void setWatch(StoreWatchI& _watch);
 
+	/// From now on records whose key cannot be read are told there.
+	void setPassedOver(PassedOver& _passedOver)
+	{
+		passedOver_ = &_passedOver;
+	}
+
 	void setAddress(const std::string& _address) override;
 	void newest(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call) override;
 	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override;
@@ -124,6 +132,7 @@
 	void loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call);
 	void takeLoaded(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt);
 	void noteStore(KeyedTopic::Enum _topic, uint64_t _number, StoreState::Enum _state);
+	void keepWithin(KeyedTopic::Enum _topic, KeyedPage& _page);
 	void release(KeyedTopic::Enum _topic);
 	void tryOne();
 
@@ -131,6 +140,7 @@
 	const ClockI& clock_;
 	TopicCache& cache_;
 	StoreWatchI* watch_ = nullptr;
+	PassedOver* passedOver_ = nullptr;
 	Way::Enum way_ = Way::Store;
 	Duration patience_; //!< With a hub that answers, but not this.
 	bool sharesLoads_ = true;
--- a/packages/entry/src/loadboard.cpp
+++ b/packages/entry/src/loadboard.cpp
@@ -3,6 +3,7 @@
 #include "loadboard_p.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sedgecart
 {
@@ -17,6 +18,13 @@
 /// A hub that was not heard for so long counts no more.
 constexpr Duration kSumCounts = Duration::fromMillis(1500);
 
+/// A sum that wraps would turn much into little.
+template <typename Number> void addUpTo(Number& _sum, Number _more)
+{
+	const Number left = std::numeric_limits<Number>::max() - _sum;
+	_sum += std::min(left, _more);
+}
+
 } // namespace
 
 void addLoads(LoadTable& _sum, const LoadTable& _more)
@@ -24,9 +32,9 @@
 	for (const auto& row : _more)
 	{
 		LoadAmount& amount = _sum[row.first];
-		amount.tokenLayers += row.second.tokenLayers;
-		amount.requests += row.second.requests;
-		amount.suspicion += row.second.suspicion;
+		addUpTo(amount.tokenLayers, row.second.tokenLayers);
+		addUpTo(amount.requests, row.second.requests);
+		addUpTo(amount.suspicion, row.second.suspicion);
 		amount.pace = std::max(amount.pace, row.second.pace);
 	}
 }
--- a/packages/entry/src/loadrows.cpp
+++ b/packages/entry/src/loadrows.cpp
@@ -7,6 +7,14 @@
 namespace sedgecart
 {
 
+namespace
+{
+
+/// Most that a target can be slower than usual, whoever says so.
+constexpr double kMostPace = 1e6;
+
+} // namespace
+
 void putLoadRows(const LoadTable& _table, LoadRows& _rows)
 {
 	for (const auto& row : _table)
@@ -25,7 +33,8 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
-		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
+		const bool isPace = 0 < row.pace() && row.pace() <= kMostPace; // false as well for what is no number
+		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), isPace ? row.pace() : 0};
 	}
 	return table;
 }
--- a/packages/entry/src/recordpack.cpp
+++ b/packages/entry/src/recordpack.cpp
@@ -2,6 +2,7 @@
 
 #include "recordpack_p.h"
 
+#include <wire/boundedparse.h>
 #include <wire/sedgecart.pb.h>
 
 #include <zstd.h>
@@ -17,7 +18,11 @@
 
 /// Most bytes that are unpacked, so that a damaged or hostile text cannot take a node's memory: a fifth of 160 MB, the
 /// least that nodes have.
-constexpr unsigned long long kMostUnpacked = 32ULL * 1024 * 1024;
+constexpr std::size_t kMostUnpacked = 32UL * 1024 * 1024;
+
+/// Most fields in it: four for each of a hundred thousand records. A record without anything in it takes two bytes
+/// here, and some hundred once it is read.
+constexpr ParseBound kBound{kMostUnpacked, 400000};
 
 } // namespace
 
@@ -59,7 +64,7 @@
 	std::string plain(size, '\0');
 	const std::size_t read = ZSTD_decompress(plain.data(), plain.size(), _packed.data(), _packed.size());
 	wire::TopicRecords rows;
-	if (0 != ZSTD_isError(read) || read != size || !rows.ParseFromString(plain))
+	if (0 != ZSTD_isError(read) || read != size || !parseBounded(plain, kBound, rows))
 	{
 		return false;
 	}
--- a/packages/entry/src/topicnews.cpp
+++ b/packages/entry/src/topicnews.cpp
@@ -42,7 +42,7 @@
 	news.known = _news.known();
 	news.page.state = StoreState::Done;
 	news.page.end = Offset{_news.end()};
-	news.page.age = Duration{static_cast<int64_t>(_news.age_us())};
+	news.page.age = Duration{static_cast<int64_t>(std::min<uint64_t>(INT64_MAX, _news.age_us()))};
 	for (const wire::TopicRecord& record : _news.records())
 	{
 		news.page.records.push_back(recordOf(record));
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -134,6 +134,7 @@
 	CPPUNIT_TEST(whatTheHubDoesNotHandOnComesFromTheStore);
 	CPPUNIT_TEST(answersToEarlierReportsDoNotCount);
 	CPPUNIT_TEST(wholeTopicFollowsItsRecords);
+	CPPUNIT_TEST(largeEntriesOfOthersAreNotKept);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +202,24 @@
 		}
 	}
 
+	/// Somebody writes megabytes under a key of the targets' topic: each node would keep them, and the hub hand them
+	/// on.
+	void largeEntriesOfOthersAreNotKept()
+	{
+		log_.read(KeyedTopic::Runners, Offset{3}, Duration{},
+		          [this](KeyedPage&& _page)
+		          {
+			          pages_.push_back(std::move(_page));
+		          });
+		KeyedRecord large = record(3);
+		large.value = std::string(8UL << 20U, 'x');
+		store_.answerLast(page(StoreState::Done, 5, {large, record(4)}));
+		CPPUNIT_ASSERT(pages_.at(0).records.at(0).value.size() < 100000);
+		CPPUNIT_ASSERT_EQUAL(std::string("value"), pages_[0].records.at(1).value);
+		const TopicCache::Found found = cache_.find(KeyedTopic::Runners, Offset{3});
+		CPPUNIT_ASSERT(found.known);
+	}
+
 	void whoIsTooFarBehindReadsTheStore()
 	{
 		log_.setWay(HallLog::Way::Hub);
--- a/packages/peer/include/peer/peerlink.h
+++ b/packages/peer/include/peer/peerlink.h
@@ -44,7 +44,8 @@
 	PeerLink(const PeerLink&) = delete;
 	PeerLink& operator=(const PeerLink&) = delete;
 
-	/// Connects to the nodes listed, "ip:port" each, and drops the others. Safe from any thread.
+	/// Connects to the nodes listed, "ip:port" each, and drops the others. Text that is no such address is passed over:
+	/// whoever reads addresses from elsewhere tells of it. Safe from any thread.
 	void setPeers(const std::vector<std::string>& _endpoints);
 
 	/// Sends to every node. Safe from any thread.
--- a/packages/peer/src/peerlink.cpp
+++ b/packages/peer/src/peerlink.cpp
@@ -3,7 +3,9 @@
 #include <peer/peerlink.h>
 
 #include "keyguard_p.h"
+#include "peermessage_p.h"
 
+#include <base/endpointtext.h>
 #include <wire/sedgecart.pb.h>
 
 #include <zmq.hpp>
@@ -28,6 +30,7 @@
 constexpr std::chrono::milliseconds kPollEvery{50};
 constexpr int kQueueMessages = 256; // to a peer that does not read; more are dropped
 constexpr std::size_t kZ85Size = 41;
+
 constexpr const char* kOutbox = "inproc://outbox";
 
 std::string publicKeyOf(const std::string& _secretKey)
@@ -58,6 +61,7 @@
 			router_.set(zmq::sockopt::curve_secretkey, secretKey_);
 		}
 		router_.set(zmq::sockopt::linger, 0);
+		router_.set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMostMessageBytes));
 		outboxIn_.set(zmq::sockopt::linger, 0);
 		outboxOut_.bind(kOutbox);
 		outboxIn_.connect(kOutbox);
@@ -133,7 +137,7 @@
 		}
 		for (const std::string& endpoint : wanted_)
 		{
-			if (0 == peers_.count(endpoint))
+			if (0 == peers_.count(endpoint) && isEndpoint(endpoint))
 			{
 				connectPeer(endpoint);
 			}
@@ -145,6 +149,7 @@
 		zmq::socket_t socket(context_, zmq::socket_type::dealer);
 		socket.set(zmq::sockopt::linger, 0);
 		socket.set(zmq::sockopt::sndhwm, kQueueMessages);
+		socket.set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMostMessageBytes));
 		if (!secretKey_.empty())
 		{
 			socket.set(zmq::sockopt::curve_serverkey, publicKey_);
@@ -181,7 +186,7 @@
 		}
 		wire::PeerMessage message;
 		wire::PeerMessage reply;
-		if (2 != frames.size() || !message.ParseFromArray(frames[1].data(), static_cast<int>(frames[1].size())))
+		if (2 != frames.size() || !readPeerMessage(frames[1].to_string_view(), message))
 		{
 			return true;
 		}
@@ -203,7 +208,7 @@
 		{
 			wire::PeerMessage message;
 			wire::PeerMessage reply;
-			if (message.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
+			if (readPeerMessage(frame.to_string_view(), message))
 			{
 				handler_.onPeerMessage(message, reply);
 			}
