--- /dev/null
+++ b/tests/fuzz/decoders.cpp
@@ -0,0 +1,182 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "decoders.h"
+
+#include "../../packages/entry/src/layoutrecord_p.h"
+#include "../../packages/entry/src/nodeplace_p.h"
+#include "../../packages/entry/src/recordpack_p.h"
+#include "../../packages/peer/src/peermessage_p.h"
+#include "../../platform/src/recordcodec_p.h"
+
+#include <base/endpointtext.h>
+#include <core/routetable.h>
+#include <entry/documents.h>
+#include <platform/platform.h>
+#include <wire/sedgecart.pb.h>
+
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// Ends the process where a promise is broken.
+void require(bool _holds, const char* _promise)
+{
+	if (!_holds)
+	{
+		std::fprintf(stderr, "broken: %s\n", _promise);
+		std::abort();
+	}
+}
+
+const DocumentsI& documents()
+{
+	static const std::unique_ptr<DocumentsI> made = makePlatformDocuments();
+	return *made;
+}
+
+void runRunner(const std::string& _bytes)
+{
+	RunnerRecord record;
+	const RecordFault::Enum fault = documents().readRunner("i-1", _bytes, record);
+	require(fault < RecordFault::Count, "a reason of the list");
+	if (RecordFault::None == fault)
+	{
+		require("i-1" == record.instance.text && !record.service.empty() && !record.hall.empty(), "names are there");
+		require(isEndpoint(record.address), "the address can be connected to");
+		require(0 < record.slots && record.layers.begin <= record.layers.end, "figures can be true");
+		RunnerRecord slowly; // a text with a backslash is read field by field
+		const std::string more = R"({"later":"\n",)" + _bytes.substr(_bytes.find('{') + 1);
+		const RecordFault::Enum other = documents().readRunner("i-1", more, slowly);
+		if (RecordFault::Unreadable == other)
+		{
+			return; // a field without use is there twice
+		}
+		require(RecordFault::None == other, "both ways find no fault");
+		require(slowly.layers == record.layers && slowly.slots == record.slots, "both ways read the same");
+	}
+}
+
+void runState(const std::string& _bytes)
+{
+	auto state = std::make_shared<DesiredState>();
+	if (!documents().readDesiredState(_bytes, *state))
+	{
+		return;
+	}
+	for (const HostRoute& route : state->routes)
+	{
+		require(0 <= route.timeout.micros && 0 <= route.objective.micros && 0 < route.maxRuns,
+		        "bounds are no less than 0");
+	}
+	for (const ServiceSpec& service : state->services)
+	{
+		require(std::isfinite(service.engine.layerMb) && 0 <= service.engine.layerMb, "sizes are numbers");
+	}
+	const RouteTable table(state);
+	table.findRoute("h.example", "/p/");
+}
+
+void runLogPage(const std::string& _bytes)
+{
+	KeyedPage page;
+	decodeRecords(_bytes, Offset{7}, page);
+	uint64_t offset = 7;
+	std::size_t size = 0;
+	for (const KeyedRecord& record : page.records)
+	{
+		require(offset++ == record.offset.value, "offsets have no gap");
+		require(!record.key.empty() || (record.removed && record.value.empty()), "without a key there is no value");
+		size += record.key.size() + record.value.size();
+	}
+	require(size <= _bytes.size(), "no more than what came");
+}
+
+void runNewest(const std::string& _bytes)
+{
+	KeyedPage page;
+	const bool isRead = decodeNewest(_bytes, page);
+	require(page.records.size() <= _bytes.size(), "no more than what came");
+	require(!isRead || !page.partial || !page.records.back().key.empty(), "the next page can be asked for");
+}
+
+void runPack(const std::string& _bytes)
+{
+	std::vector<KeyedRecord> records;
+	if (!unpackRecords(_bytes, records))
+	{
+		require(records.empty(), "nothing of what cannot be read");
+		return;
+	}
+	std::vector<KeyedRecord> again;
+	require(unpackRecords(packRecords(records), again) && again.size() == records.size(),
+	        "what was read can be handed on");
+}
+
+void runLayout(const std::string& _bytes)
+{
+	LayoutRecord record;
+	if (RecordFault::None != readLayoutRecord(_bytes, record))
+	{
+		return;
+	}
+	require(record.holds.size() <= _bytes.size(), "no more than what came");
+	for (const LayoutHoldRecord& hold : record.holds)
+	{
+		require(!hold.target.text.empty() && hold.layers.begin <= hold.layers.end, "holds can be true");
+	}
+}
+
+void runNode(const std::string& _bytes)
+{
+	NodeAddress node;
+	if (RecordFault::None == readNodePlace(_bytes, node))
+	{
+		require(isEndpoint(node.address) && !node.hall.empty() && 0 <= node.cpuShare, "the place can be true");
+	}
+}
+
+void runPeer(const std::string& _bytes)
+{
+	wire::PeerMessage message;
+	if (!readPeerMessage(_bytes, message))
+	{
+		require(wire::PeerMessage::BODY_NOT_SET == message.body_case(), "nothing of what cannot be read");
+		return;
+	}
+	for (const wire::TopicNews& news : message.hall_answer().news())
+	{
+		runPack(news.packed());
+	}
+}
+
+} // namespace
+
+const std::vector<FuzzDecoder>& fuzzDecoders()
+{
+	static const std::vector<FuzzDecoder> list = {
+	    {"runner", runRunner}, {"state", runState},   {"logpage", runLogPage}, {"newest", runNewest},
+	    {"pack", runPack},     {"layout", runLayout}, {"node", runNode},       {"peer", runPeer},
+	};
+	return list;
+}
+
+const FuzzDecoder* findFuzzDecoder(const std::string& _name)
+{
+	for (const FuzzDecoder& decoder : fuzzDecoders())
+	{
+		if (_name == decoder.name)
+		{
+			return &decoder;
+		}
+	}
+	return nullptr;
+}
+
+} // namespace sedgecart
