--- a/packages/base/include/base/recordfault.h
+++ b/packages/base/include/base/recordfault.h
@@ -34,6 +34,7 @@
 		Node,         //!< Where a node is.
 		Layout,       //!< A change of the layout.
 		LogRecord,    //!< A record of the log whose key cannot be read.
+		PeerMessage,  //!< What came over the link between nodes.
 
 		Count
 	};
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -103,7 +103,8 @@
 	return claim.isOwn ? RecordFault::None : RecordFault::AbsurdValue;
 }
 
-/// An entry that is passed over names no target to use, also where it did before.
+/// An entry that is passed over names no target to use, also where it did before. What is under way there still counts:
+/// its next entry may be sound again.
 void FleetController::passOver(const InstanceId& _target, RecordFault::Enum _fault)
 {
 	cell_.passedOver.note(RecordKind::Target, _target.text, _fault);
@@ -153,12 +154,16 @@
 	runners_[instance] = _read;
 	if (isNew)
 	{
-		loads_[instance] = std::make_shared<TargetLoad>();
+		if (0 == loads_.count(instance))
+		{
+			loads_[instance] = std::make_shared<TargetLoad>();
+		}
 		fleetChangedAt_ = clock_.now();
 	}
 	changed_ = true;
 }
 
+/// Takes a target out of use.
 /// @returns false if it was not in use.
 bool FleetController::remove(const std::string& _instance)
 {
@@ -166,7 +171,6 @@
 	{
 		return false;
 	}
-	loads_.erase(_instance);
 	fleetChangedAt_ = clock_.now();
 	changed_ = true;
 	return true;
@@ -177,6 +181,7 @@
 {
 	cell_.passedOver.forget(RecordKind::Target, _instance);
 	addresses_.release(InstanceId{_instance});
+	loads_.erase(_instance);
 	if (remove(_instance))
 	{
 		logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -2,7 +2,9 @@
 
 #include "hallexchange_p.h"
 
+#include "fleetcontroller_p.h"
 #include "loadrows_p.h"
+#include "passedover_p.h"
 
 #include <entry/entrysettings.h>
 #include <wire/sedgecart.pb.h>
@@ -30,6 +32,7 @@
       name_(_settings.name),
       hall_(_settings.hall),
       clock_(_clock),
+      passedOver_(_fleet.passedOver()),
       nodes_(_fleet),
       hub_(_settings.name, _clock, _log),
       reports_(_fleet, _clock),
@@ -150,6 +153,12 @@
 	}
 }
 
+/// Link's thread.
+void HallExchange::onForeignMessage(std::size_t)
+{
+	passedOver_.notePassing(RecordKind::PeerMessage, "link", RecordFault::Unreadable);
+}
+
 void HallExchange::onAnswer(const wire::HallAnswer& _answer)
 {
 	if (hub_.takeAnswer(_answer) && _answer.is_hub())
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -27,6 +27,7 @@
 class HallAnswer;
 } // namespace wire
 
+class PassedOver;
 struct EntrySettings;
 
 /// What the nodes tell each other. In each hall one node is the hub: the others report their loads to it several times
@@ -53,6 +54,7 @@
 	}
 
 	void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) override;
+	void onForeignMessage(std::size_t _bytes) override;
 
 private:
 	void tick();
@@ -67,6 +69,7 @@
 	std::string name_;
 	std::string hall_;
 	const ClockI& clock_;
+	PassedOver& passedOver_;
 	HallNodes nodes_;
 	HubFollower hub_;
 	LoadReports reports_;
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -190,7 +190,7 @@
 		}
 		if (record.key.empty() && nullptr != passedOver_)
 		{
-			passedOver_->note(RecordKind::LogRecord, nameOf(_topic), RecordFault::Unreadable);
+			passedOver_->notePassing(RecordKind::LogRecord, nameOf(_topic), RecordFault::Unreadable);
 		}
 	}
 }
--- a/packages/entry/src/passedover.cpp
+++ b/packages/entry/src/passedover.cpp
@@ -58,6 +58,12 @@
 	}
 }
 
+void PassedOver::notePassing(RecordKind::Enum _kind, const std::string& _source, RecordFault::Enum _fault)
+{
+	note(_kind, _source, _fault);
+	noteSound(_kind, _source);
+}
+
 /// @returns true if there is something new to tell.
 bool PassedOver::remember(const Key& _key, RecordFault::Enum _fault)
 {
--- a/packages/entry/src/passedover_p.h
+++ b/packages/entry/src/passedover_p.h
@@ -27,6 +27,10 @@
 	/// A record was read and is passed over.
 	void note(RecordKind::Enum _kind, const std::string& _key, RecordFault::Enum _fault);
 
+	/// Something was passed over that stands under no key, so that it is not there any more.
+	/// @param _source where it came from.
+	void notePassing(RecordKind::Enum _kind, const std::string& _source, RecordFault::Enum _fault);
+
 	/// A record of this key was read that holds.
 	void noteSound(RecordKind::Enum _kind, const std::string& _key);
 
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -147,6 +147,7 @@
 	/// It names no target to use, though it did before; the others hold, and its next sound entry brings it back.
 	void aBrokenEntryNamesNoTarget()
 	{
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
 		put("a", "?");
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets()); // until all that was read is taken
 		fleet_.onRunnersCurrent();
@@ -157,6 +158,10 @@
 		fleet_.onRunnersCurrent();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.passedOver().count());
+		CPPUNIT_ASSERT(load == fleet_.loads().at("a")); // what is under way there still counts
+		put("a", "?");
+		put("a", "");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.loads().count("a"));
 		put("c", "?");
 		put("c", "");
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.passedOver().count());
--- a/packages/peer/include/peer/peerlink.h
+++ b/packages/peer/include/peer/peerlink.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_PEER_PEERLINK_H_HEADER_GUARD
 #define SEDGECART_PEER_PEERLINK_H_HEADER_GUARD
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,12 @@
 
 	/// @param _reply fill its body to answer; left without a body, nothing is sent.
 	virtual void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) = 0;
+
+	/// Something came that is no message of a node, or a larger one than nodes send. It is passed over.
+	virtual void onForeignMessage(std::size_t _bytes)
+	{
+		(void)_bytes;
+	}
 };
 
 /// Settings of a link.
--- a/packages/peer/src/peerlink.cpp
+++ b/packages/peer/src/peerlink.cpp
@@ -188,6 +188,7 @@
 		wire::PeerMessage reply;
 		if (2 != frames.size() || !readPeerMessage(frames[1].to_string_view(), message))
 		{
+			handler_.onForeignMessage(frames.back().size());
 			return true;
 		}
 		handler_.onPeerMessage(message, reply);
@@ -208,10 +209,12 @@
 		{
 			wire::PeerMessage message;
 			wire::PeerMessage reply;
-			if (readPeerMessage(frame.to_string_view(), message))
+			if (!readPeerMessage(frame.to_string_view(), message))
 			{
-				handler_.onPeerMessage(message, reply);
+				handler_.onForeignMessage(frame.size());
+				continue;
 			}
+			handler_.onPeerMessage(message, reply);
 			if (wire::PeerMessage::BODY_NOT_SET != reply.body_case())
 			{
 				_socket.send(zmq::buffer(reply.SerializeAsString()), zmq::send_flags::dontwait);
--- a/packages/peer/tests/peerlinktest.cpp
+++ b/packages/peer/tests/peerlinktest.cpp
@@ -1,9 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include "../src/peermessage_p.h"
+
 #include <peer/peerlink.h>
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <zmq.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -32,6 +36,12 @@
 		}
 	}
 
+	void onForeignMessage(std::size_t) override
+	{
+		++foreign;
+	}
+
+	std::atomic<int> foreign{0};
 	std::atomic<int> beats{0};
 	std::atomic<int> replies{0};
 };
@@ -58,6 +68,8 @@
 	CPPUNIT_TEST(otherKeyGetsNothing);
 	CPPUNIT_TEST(malformedKeyIsTold);
 	CPPUNIT_TEST(whatIsNoAddressIsPassedOver);
+	CPPUNIT_TEST(foreignMessagesHarmNobody);
+	CPPUNIT_TEST(changedMessagesAreBorne);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +109,64 @@
 		CPPUNIT_ASSERT(0 < server.beats);
 	}
 
+	/// Bytes that are no message, of other numbers of parts, and a message of more rows than there can be.
+	void foreignMessagesHarmNobody()
+	{
+		Counting server;
+		Counting client;
+		const PeerLink listening(PeerSettings{kServer, std::string()}, server);
+		PeerLink calling(PeerSettings{kClient, std::string()}, client);
+		calling.setPeers({kServer});
+		zmq::context_t context;
+		zmq::socket_t foreign(context, zmq::socket_type::dealer);
+		foreign.set(zmq::sockopt::linger, 0);
+		foreign.connect(std::string("tcp://") + kServer);
+		std::string rows;
+		for (int row = 0; row < 1000000; ++row)
+		{
+			rows += std::string("\x12\x00", 2);
+		}
+		wire::PeerMessage many;
+		many.mutable_hall_sum()->ParseFromString(rows);
+		for (const std::string& bytes :
+		     {std::string(), std::string("\xff\xff"), std::string(100000, '\x0a'), many.SerializeAsString()})
+		{
+			foreign.send(zmq::buffer(bytes), zmq::send_flags::none);
+			foreign.send(zmq::buffer(bytes), zmq::send_flags::sndmore);
+			foreign.send(zmq::buffer(bytes), zmq::send_flags::none);
+		}
+		for (int turn = 0; turn < 200 && server.foreign < 7; ++turn)
+		{
+			std::this_thread::sleep_for(std::chrono::milliseconds(10));
+		}
+		CPPUNIT_ASSERT_EQUAL(7, server.foreign.load()); // nothing at all is a message without anything in it
+		beatUntilHeard(calling, server);
+		CPPUNIT_ASSERT(0 < server.beats);
+	}
+
+	void changedMessagesAreBorne()
+	{
+		wire::PeerMessage sound;
+		wire::HallAnswer& answer = *sound.mutable_hall_answer();
+		answer.set_node("n2");
+		answer.add_totals()->set_target("i-1");
+		answer.add_news()->set_packed("no pack");
+		const std::string text = sound.SerializeAsString();
+		CPPUNIT_ASSERT(rc::check("a changed answer of a hub",
+		                         [&text]
+		                         {
+			                         std::string changed = text;
+			                         const auto at = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+			                         changed.replace(at, *rc::gen::inRange<std::size_t>(0, 4),
+			                                         *rc::gen::arbitrary<std::string>());
+			                         wire::PeerMessage message;
+			                         if (!readPeerMessage(changed, message))
+			                         {
+				                         RC_ASSERT(wire::PeerMessage::BODY_NOT_SET == message.body_case());
+			                         }
+		                         }));
+	}
+
 private:
 	/// @returns true if a client with one key is heard and answered by a server with another.
 	static bool heard(const std::string& _serverKey, const std::string& _clientKey)
