Words of ever new nodes are not kept; figures of peers are tested where they are read

Cause: LoadBoardTest.everNewNodesAreNotKept (failed: all 20,000 counted): only a hub drops old words, so that what is told to another node under ever new names piles up. Change: 2,000 names at most, old ones dropped first. EntryProof.entriesOfOthersNameNoTarget also looks at the counters by reason.

--- a/packages/entry/src/loadboard.cpp
+++ b/packages/entry/src/loadboard.cpp
@@ -18,6 +18,9 @@
 /// A hub that was not heard for so long counts no more.
 constexpr Duration kSumCounts = Duration::fromMillis(1500);
 
+/// Most nodes of a hall, and most hubs, whose word is kept: some times as many as there are.
+constexpr std::size_t kMostTold = 2000;
+
 /// A sum that wraps would turn much into little.
 template <typename Number> void addUpTo(Number& _sum, Number _more)
 {
@@ -57,13 +60,13 @@
 void LoadBoard::takeReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	reports_[_node] = Told{std::move(_loads), _number, _now};
+	keep(reports_, _node, Told{std::move(_loads), _number, _now}, kReportCounts);
 }
 
 void LoadBoard::takeSum(const std::string& _hub, LoadTable&& _loads, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	sums_[_hub] = Told{std::move(_loads), 0, _now};
+	keep(sums_, _hub, Told{std::move(_loads), 0, _now}, kSumCounts);
 }
 
 LoadTable LoadBoard::addUp(const LoadTable& _own, Time _now)
@@ -107,6 +110,20 @@
 	return names;
 }
 
+/// Only a hub drops what is old with each sum; any node may be told something.
+void LoadBoard::keep(ToldTable& _told, const std::string& _name, Told&& _word, Duration _counts)
+{
+	const bool isFull = kMostTold <= _told.size() && 0 == _told.count(_name);
+	if (isFull)
+	{
+		dropOld(_told, _counts, _word.at);
+	}
+	if (!isFull || _told.size() < kMostTold)
+	{
+		_told[_name] = std::move(_word);
+	}
+}
+
 void LoadBoard::dropOld(ToldTable& _told, Duration _keep, Time _now)
 {
 	for (auto row = _told.begin(); _told.end() != row;)
--- a/packages/entry/src/loadboard_p.h
+++ b/packages/entry/src/loadboard_p.h
@@ -71,6 +71,7 @@
 
 	using ToldTable = std::map<std::string, Told>;
 
+	static void keep(ToldTable& _told, const std::string& _name, Told&& _word, Duration _counts);
 	static void dropOld(ToldTable& _told, Duration _keep, Time _now);
 
 	mutable std::mutex mutex_;
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -1,8 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
 #include "../src/layoutrecord_p.h"
+#include "../src/loadrows_p.h"
 #include "../src/nodeplace_p.h"
 #include "../src/recordpack_p.h"
+#include "../src/topicnews_p.h"
 
 #include <base/endpointtext.h>
 #include <wire/sedgecart.pb.h>
@@ -10,6 +12,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -67,6 +70,8 @@
 	CPPUNIT_TEST(nodePlacesHaveTheirReasons);
 	CPPUNIT_TEST(changedNodePlacesAreBorne);
 	CPPUNIT_TEST(changedPacksAreBorne);
+	CPPUNIT_TEST(absurdFiguresOfPeersCountForNothing);
+	CPPUNIT_TEST(changedNewsAreBorne);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +160,51 @@
 			                         }
 		                         }));
 	}
+
+	/// A pace that is no number makes every price one that is none; an age that does not fit makes news newer than any.
+	void absurdFiguresOfPeersCountForNothing()
+	{
+		for (const double pace :
+		     {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity(), 1e300})
+		{
+			wire::HallSum sum;
+			wire::FleetLoadRow& row = *sum.add_loads();
+			row.set_target("t");
+			row.set_requests(3);
+			row.set_pace(pace);
+			const LoadTable table = loadTableOf(sum.loads());
+			CPPUNIT_ASSERT_EQUAL(0.0, table.at("t").pace);
+			CPPUNIT_ASSERT_EQUAL(3U, table.at("t").requests);
+		}
+		wire::TopicNews news;
+		for (const uint64_t age : {UINT64_MAX, uint64_t(1) << 63U})
+		{
+			news.set_age_us(age);
+			CPPUNIT_ASSERT_EQUAL(int64_t(INT64_MAX), topicNewsOf(news).page.age.micros);
+		}
+	}
+
+	/// Whatever a hub says: the records are those that it said, or it counts as not knowing them.
+	void changedNewsAreBorne()
+	{
+		wire::TopicNews sound;
+		sound.set_topic(KeyedTopic::Runners);
+		sound.set_known(true);
+		sound.set_packed(packRecords({KeyedRecord{"a", "1", false, Offset{1}}}));
+		const std::string text = sound.SerializeAsString();
+		CPPUNIT_ASSERT(rc::check("changed news of a hub",
+		                         [&text]
+		                         {
+			                         wire::TopicNews read;
+			                         if (!read.ParseFromString(changed(text)))
+			                         {
+				                         return;
+			                         }
+			                         const HallLog::News news = topicNewsOf(read);
+			                         RC_ASSERT(0 <= news.page.age.micros);
+			                         RC_ASSERT(news.known || news.page.records.empty() || !read.known());
+		                         }));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForeignRecordTest);
--- a/packages/entry/tests/loadboardtest.cpp
+++ b/packages/entry/tests/loadboardtest.cpp
@@ -15,6 +15,7 @@
 	CPPUNIT_TEST(aSilentNodeCountsNoMore);
 	CPPUNIT_TEST(nothingFallsBelowZero);
 	CPPUNIT_TEST(sumsStopAtTheirMost);
+	CPPUNIT_TEST(everNewNodesAreNotKept);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,6 +68,23 @@
 		CPPUNIT_ASSERT(load.isDead(kNow));
 	}
 
+	/// A node that is no hub adds nothing up, and what is told to it under ever new names must not pile up.
+	void everNewNodesAreNotKept()
+	{
+		for (int number = 0; number < 20000; ++number)
+		{
+			const Time at{kNow.micros + number};
+			board_.takeReport("n" + std::to_string(number), 1, LoadTable{{"t1", {1, 1}}}, at);
+			board_.takeSum("n" + std::to_string(number), LoadTable{{"t1", {1, 1}}}, at);
+		}
+		board_.addUp(LoadTable{}, kNow);
+		CPPUNIT_ASSERT(board_.totals()->loads.at("t1").requests <= 4000);
+		const Time later = kNow + Duration::fromMillis(5000);
+		board_.takeReport("late", 1, LoadTable{{"t2", {1, 1}}}, later);
+		board_.addUp(LoadTable{}, later);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), board_.totals()->loads.size());
+	}
+
 private:
 	static constexpr Time kNow{5000000};
 	LoadBoard board_;
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -552,6 +552,17 @@
 			CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
 		}
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), foreign.requests().size());
+		TestCaller asker(harness.settings().readyAddress);
+		asker.send("GET /metrics HTTP/1.1\r\nHost: n1\r\n\r\n");
+		const std::string metrics = asker.receive().body;
+		for (const char* const reason :
+		     {"unreadable", "field_missing", "wrong_type", "unknown_state", "absurd_value", "too_large"})
+		{
+			const std::string name =
+			    std::string(R"(sedgecart_records_passed_over_total{record="target",reason=")") + reason + "\"} ";
+			const std::size_t at = metrics.find(name);
+			CPPUNIT_ASSERT_MESSAGE(reason, std::string::npos != at && '0' != metrics[at + name.size()]);
+		}
 	}
 
 	/// The entry of a target in use turns into bytes that cannot be read: it names no target any more, so that the
