Failing test: a hall of 59 nodes before a store that is out, in virtual time

The real HubFollower, HubChoice, HallLog and ReportAnswers; modelled are links, store and the followers' pauses. Untouched code, 59 nodes, store out for 8 s (silent / refusing): 20 / 31 other hubs chosen a node, 114 / 120 calls in one second and 187 / 322 in all (15 nodes: 55 / 102; 200 nodes: 610 / 1027), 405 calls in one second after a silent store is back. A change made at the return is known to all after 755 / 155 ms.

Store turns only some nodes away, those that come first: 1: a change is known to all after 355 ms; 2: after 4105 ms; 3, 10 and 30: not within 20 s, and 177 to 235 calls in one second.

All five cases fail.

--- a/packages/entry/src/hubfollower_p.h
+++ b/packages/entry/src/hubfollower_p.h
@@ -46,6 +46,12 @@
 
 	void onStoreRead(bool _answered) override;
 
+	/// @returns the hub as chosen last.
+	const Hub& hub() const
+	{
+		return hub_;
+	}
+
 	/// @returns true while this node is the hub of its hall. Any thread.
 	bool isHub() const
 	{
--- /dev/null
+++ b/packages/entry/tests/playedhall.cpp
@@ -0,0 +1,293 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "playedhall.h"
+
+#include "../src/hubfollower_p.h"
+#include "../src/loadboard_p.h"
+#include "../src/reportanswers_p.h"
+
+#include <entry/entrysettings.h>
+#include <wire/sedgecart.pb.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr Duration kReportPause = Duration::fromMillis(150); //!< As in HallExchange.
+constexpr Duration kLink = Duration::fromMillis(2);
+
+/// Pauses after reads that failed, as in Follower.
+constexpr Duration kFirstRetry = Duration::fromMillis(100);
+constexpr Duration kLastRetry = Duration::fromMillis(400);
+
+/// How a topic is followed, as in EntryControl.
+struct TopicPlan
+{
+	Duration wait;
+	Duration pause;
+};
+
+constexpr TopicPlan kPlans[] = {
+    {Duration::fromMillis(1000), Duration{}},                 // Operator
+    {Duration{}, Duration::fromMillis(900)},                  // Runners
+    {Duration::fromMillis(20000), Duration::fromMillis(500)}, // Nodes
+    {Duration::fromMillis(20000), Duration{}},                // Layout
+};
+static_assert(KeyedTopic::Count == sizeof(kPlans) / sizeof(kPlans[0]), "each topic needs its plan");
+
+constexpr double kCpuShare = 0.25;
+
+} // namespace
+
+/// One node: what HallExchange, Follower and EntryControl do, without their timers and sockets.
+class PlayedHall::Node
+{
+public:
+	Node(PlayedHall& _hall, const std::string& _name, uint64_t _seed)
+	    : hall_(_hall),
+	      way_(_hall.store_, _name),
+	      log_(way_, _hall.loop_, cache_, _name),
+	      follower_(_name, _hall.loop_, log_),
+	      settings_(settingsOf(_name)),
+	      answers_(settings_, _hall.loop_, follower_, board_, cache_),
+	      random_(static_cast<std::minstd_rand::result_type>(_seed))
+	{
+	}
+
+	void start(const std::vector<HubCandidate>& _candidates)
+	{
+		follower_.setCandidates(_candidates);
+		std::uniform_int_distribution<int64_t> offset(0, kReportPause.micros);
+		hall_.loop_.after(Duration{offset(random_)},
+		                  [this]
+		                  {
+			                  tick();
+		                  });
+		for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
+		{
+			cache_.takeWhole(static_cast<KeyedTopic::Enum>(topic), {}, Offset{}, hall_.loop_.now()); // loaded
+			topics_[topic].provenAt = hall_.loop_.now();
+			read(static_cast<KeyedTopic::Enum>(topic));
+		}
+	}
+
+	uint64_t choices() const
+	{
+		return choices_;
+	}
+
+	/// @returns when the operator's topic was read up to an end; below 0: not yet.
+	int64_t readAt(Offset _end) const
+	{
+		const auto found = readAt_.lower_bound(_end.value);
+		return readAt_.end() == found ? -1 : found->second;
+	}
+
+	Time provenAt() const
+	{
+		return topics_[KeyedTopic::Operator].provenAt;
+	}
+
+private:
+	struct Topic
+	{
+		Offset next;
+		Time provenAt;
+		Duration retry = kFirstRetry;
+		bool failing = false;
+	};
+
+	static EntrySettings settingsOf(const std::string& _name)
+	{
+		EntrySettings settings;
+		settings.name = _name;
+		settings.linkMbps = 20;
+		return settings;
+	}
+
+	void tick()
+	{
+		const Hub hub = follower_.update();
+		noteChoice();
+		if (settings_.name == hub.name)
+		{
+			board_.addUp(LoadTable{}, hall_.loop_.now());
+		}
+		else
+		{
+			report(hub.name);
+		}
+		hall_.loop_.after(kReportPause,
+		                  [this]
+		                  {
+			                  tick();
+		                  });
+	}
+
+	void report(const std::string& _hub)
+	{
+		wire::HallReport report;
+		follower_.beginReport(report);
+		hall_.loop_.after(kLink,
+		                  [this, _hub, report]
+		                  {
+			                  hall_.nodeOf(_hub).answer(report, *this);
+		                  });
+	}
+
+	void answer(const wire::HallReport& _report, Node& _asker)
+	{
+		wire::HallAnswer answer;
+		answers_.answer(_report, answer);
+		hall_.loop_.after(kLink,
+		                  [&_asker, answer]
+		                  {
+			                  _asker.follower_.takeAnswer(answer);
+			                  _asker.noteChoice();
+		                  });
+	}
+
+	void read(KeyedTopic::Enum _topic)
+	{
+		Topic& topic = topics_[_topic];
+		const Time sentAt = hall_.loop_.now();
+		const Duration wait = topic.failing ? Duration{} : kPlans[_topic].wait;
+		log_.read(_topic, topic.next, wait,
+		          [this, _topic, sentAt](KeyedPage&& _page)
+		          {
+			          onRead(_topic, _page, sentAt);
+			          noteChoice();
+		          });
+	}
+
+	void onRead(KeyedTopic::Enum _topic, const KeyedPage& _page, Time _sentAt)
+	{
+		Topic& topic = topics_[_topic];
+		topic.failing = StoreState::Done != _page.state;
+		if (topic.failing)
+		{
+			std::uniform_int_distribution<int64_t> spread(topic.retry.micros / 2, topic.retry.micros * 3 / 2);
+			topic.retry = std::min(kLastRetry, topic.retry + topic.retry);
+			readAfter(_topic, Duration{spread(random_)});
+			return;
+		}
+		topic.retry = kFirstRetry;
+		topic.next = std::max(topic.next, _page.end);
+		topic.provenAt = Time{_sentAt.micros - _page.age.micros};
+		if (KeyedTopic::Operator == _topic)
+		{
+			readAt_.emplace(topic.next.value, hall_.loop_.millis());
+		}
+		readAfter(_topic, _page.handedOn ? Duration{} : kPlans[_topic].pause);
+	}
+
+	void readAfter(KeyedTopic::Enum _topic, Duration _pause)
+	{
+		hall_.loop_.after(_pause,
+		                  [this, _topic]
+		                  {
+			                  read(_topic);
+		                  });
+	}
+
+	void noteChoice()
+	{
+		const Hub& hub = follower_.hub();
+		choices_ += hub.name != last_.name || hub.reads != last_.reads ? 1 : 0;
+		last_ = hub;
+	}
+
+	PlayedHall& hall_;
+	PlayedStoreWay way_;
+	TopicCache cache_;
+	HallLog log_;
+	HubFollower follower_;
+	EntrySettings settings_;
+	LoadBoard board_;
+	ReportAnswers answers_;
+	std::minstd_rand random_;
+	std::array<Topic, KeyedTopic::Count> topics_;
+	std::map<uint64_t, int64_t> readAt_; //!< Of the operator's topic: end, and when it was first seen.
+	Hub last_;
+	uint64_t choices_ = 0;
+};
+
+PlayedHall::PlayedHall(std::size_t _nodes, uint64_t _seed)
+{
+	std::vector<HubCandidate> candidates;
+	for (std::size_t place = 0; place < _nodes; ++place)
+	{
+		candidates.push_back(HubCandidate{nameOf(place), kCpuShare});
+		nodes_.push_back(std::make_unique<Node>(*this, nameOf(place), _seed * _nodes + place + 1));
+	}
+	for (const std::unique_ptr<Node>& node : nodes_)
+	{
+		node->start(candidates);
+	}
+}
+
+PlayedHall::~PlayedHall() = default;
+
+std::string PlayedHall::nameOf(std::size_t _place)
+{
+	constexpr std::size_t kFirstNumber = 100; // names sort as numbers do
+	return "n" + std::to_string(kFirstNumber + _place);
+}
+
+PlayedHall::Node& PlayedHall::nodeOf(const std::string& _name)
+{
+	std::size_t place = 0;
+	while (nameOf(place) != _name)
+	{
+		++place;
+	}
+	return *nodes_.at(place);
+}
+
+void PlayedHall::runTo(int64_t _millis)
+{
+	loop_.runTo(_millis);
+}
+
+uint64_t PlayedHall::choices() const
+{
+	uint64_t sum = 0;
+	for (const std::unique_ptr<Node>& node : nodes_)
+	{
+		sum += node->choices();
+	}
+	return sum;
+}
+
+int64_t PlayedHall::allHaveAt(Offset _end) const
+{
+	int64_t last = 0;
+	for (const std::unique_ptr<Node>& node : nodes_)
+	{
+		const int64_t at = node->readAt(_end);
+		if (at < 0)
+		{
+			return at;
+		}
+		last = std::max(last, at);
+	}
+	return last;
+}
+
+int64_t PlayedHall::oldestProof() const
+{
+	Time oldest = loop_.now();
+	for (const std::unique_ptr<Node>& node : nodes_)
+	{
+		oldest = std::min(oldest, node->provenAt());
+	}
+	return (loop_.now() - oldest).millis();
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/tests/playedstore.cpp
@@ -0,0 +1,124 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "playedstore.h"
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr Duration kRoundTrip = Duration::fromMillis(4);
+constexpr Duration kLook = Duration::fromMillis(10);         //!< Between two looks for news while a read waits.
+constexpr Duration kAnswerBound = Duration::fromMillis(700); //!< After which the adapter gives a silent store up.
+constexpr int64_t kMillisPerSecond = 1000;
+
+KeyedPage failedPage(StoreState::Enum _state)
+{
+	KeyedPage page;
+	page.state = _state;
+	return page;
+}
+
+} // namespace
+
+void PlayedStore::setSilent(bool _silent)
+{
+	outages_ += _silent && !silent_ ? 1 : 0;
+	silent_ = _silent;
+}
+
+Offset PlayedStore::put(KeyedTopic::Enum _topic)
+{
+	std::vector<KeyedRecord>& records = topics_[_topic];
+	records.push_back(KeyedRecord{"key", "value", false, Offset{records.size()}});
+	return Offset{records.size()};
+}
+
+void PlayedStore::read(const std::string& _node, KeyedTopic::Enum _topic, Offset _from, Duration _wait,
+                       const KeyedLogI::PageCall& _call)
+{
+	++calls_[loop_.millis() / kMillisPerSecond];
+	if (refuses_ || 0 < turnedAway_.count(_node))
+	{
+		loop_.after(kRoundTrip,
+		            [_call]
+		            {
+			            _call(failedPage(StoreState::Refused));
+		            });
+		return;
+	}
+	const Time until = loop_.now() + _wait;
+	if (silent_)
+	{
+		loop_.after(_wait + kAnswerBound,
+		            [_call]
+		            {
+			            _call(failedPage(StoreState::Unknown));
+		            });
+		return;
+	}
+	loop_.after(kRoundTrip,
+	            [this, _topic, _from, until, outage = outages_, _call]
+	            {
+		            look(_topic, _from, until, outage, _call);
+	            });
+}
+
+void PlayedStore::look(KeyedTopic::Enum _topic, Offset _from, Time _until, uint64_t _outage,
+                       const KeyedLogI::PageCall& _call)
+{
+	if (_outage != outages_)
+	{
+		const Duration left = std::max(Duration{}, _until - loop_.now());
+		loop_.after(left + kAnswerBound,
+		            [_call]
+		            {
+			            _call(failedPage(StoreState::Unknown));
+		            });
+		return;
+	}
+	const std::vector<KeyedRecord>& records = topics_[_topic];
+	const bool news = _from.value < records.size();
+	if (!news && loop_.now() < _until)
+	{
+		loop_.after(kLook,
+		            [this, _topic, _from, _until, _outage, _call]
+		            {
+			            look(_topic, _from, _until, _outage, _call);
+		            });
+		return;
+	}
+	KeyedPage page;
+	page.state = StoreState::Done;
+	page.end = Offset{records.size()};
+	if (news)
+	{
+		page.records.assign(records.begin() + static_cast<int64_t>(_from.value), records.end());
+	}
+	_call(std::move(page));
+}
+
+uint64_t PlayedStore::mostCalls(int64_t _fromSecond, int64_t _toSecond) const
+{
+	uint64_t most = 0;
+	for (const auto& row : calls_)
+	{
+		most = _fromSecond <= row.first && row.first < _toSecond ? std::max(most, row.second) : most;
+	}
+	return most;
+}
+
+uint64_t PlayedStore::calls(int64_t _fromSecond, int64_t _toSecond) const
+{
+	uint64_t sum = 0;
+	for (const auto& row : calls_)
+	{
+		sum += _fromSecond <= row.first && row.first < _toSecond ? row.second : 0;
+	}
+	return sum;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/tests/storeoutagetest.cpp
@@ -0,0 +1,177 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "playedhall.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr std::size_t kLargeHall = 59;
+constexpr std::size_t kSmallHall = 15;
+constexpr uint64_t kSeed = 7;
+
+constexpr int64_t kSecond = 1000;  //!< In milliseconds.
+constexpr int64_t kOutAt = 10;     //!< The store goes away, seconds.
+constexpr int64_t kBackAt = 18;    //!< It comes back, seconds.
+constexpr int64_t kInForce = 2000; //!< Until a change must be known everywhere, milliseconds.
+
+/// From the store's return until all know a change, milliseconds: a read that hangs for 700, a pause of 300 before the
+/// next one, a report's 150, and the links.
+constexpr int64_t kNoticed = 1200;
+
+/// Calls of a hall in a second while the store is out: of a few nodes, however large the hall.
+constexpr uint64_t kMostCalls = 14;
+
+/// Other hubs that a node chooses in the eight seconds.
+constexpr double kMostChoices = 4;
+
+/// How the store is out.
+struct Outage
+{
+	enum Enum
+	{
+		Silent,
+		Refuses,
+
+		Count
+	};
+};
+
+/// What a hall did while the store was out, and after.
+struct OutagePlay
+{
+	double choices = 0;     //!< A node.
+	uint64_t mostCalls = 0; //!< In a second.
+	uint64_t calls = 0;
+	uint64_t mostCallsAfter = 0; //!< In a second.
+	int64_t noticed = 0;         //!< From the return until all knew a change made then, milliseconds.
+};
+
+OutagePlay playOutage(std::size_t _nodes, Outage::Enum _outage, uint64_t _seed)
+{
+	PlayedHall hall(_nodes, _seed);
+	const auto setOut = [&hall, _outage](bool _out)
+	{
+		Outage::Silent == _outage ? hall.store().setSilent(_out) : hall.store().setRefuses(_out);
+	};
+	hall.runTo(kOutAt * kSecond);
+	const uint64_t before = hall.choices();
+	setOut(true);
+	hall.runTo(kBackAt * kSecond);
+	OutagePlay play;
+	play.choices = static_cast<double>(hall.choices() - before) / static_cast<double>(_nodes);
+	setOut(false);
+	const Offset end = hall.store().put(KeyedTopic::Operator);
+	hall.runTo((kBackAt + 5) * kSecond);
+	play.mostCalls = hall.store().mostCalls(kOutAt, kBackAt);
+	play.calls = hall.store().calls(kOutAt, kBackAt);
+	play.mostCallsAfter = hall.store().mostCalls(kBackAt, kBackAt + 5);
+	play.noticed = hall.allHaveAt(end) - kBackAt * kSecond;
+	return play;
+}
+
+/// @returns from a change until all knew it, milliseconds, while the store turns the first nodes of a large hall away.
+int64_t playOneSided(std::size_t _away, uint64_t& _mostCalls)
+{
+	PlayedHall hall(kLargeHall, kSeed);
+	hall.runTo(kOutAt * kSecond);
+	for (std::size_t place = 0; place < _away; ++place)
+	{
+		hall.store().turnAway(PlayedHall::nameOf(place));
+	}
+	const Offset end = hall.store().put(KeyedTopic::Operator);
+	hall.runTo((kOutAt + 20) * kSecond);
+	_mostCalls = hall.store().mostCalls(kOutAt, kOutAt + 20);
+	return hall.allHaveAt(end) - kOutAt * kSecond;
+}
+
+} // namespace
+
+/// A hall of many nodes goes through its hub to a store that does not answer.
+class StoreOutageTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(StoreOutageTest);
+	CPPUNIT_TEST(fewAskAStoreThatIsSilent);
+	CPPUNIT_TEST(fewAskAStoreThatRefuses);
+	CPPUNIT_TEST(theReturnIsNoticed);
+	CPPUNIT_TEST(whoIsTurnedAwayReadsThroughAnother);
+	CPPUNIT_TEST(anyOutageEnds);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// The hub's news grow old. Each node of the hall passed over the first three nodes, then sent all its reads to the
+	/// store itself, again and again: 20 other hubs a node in eight seconds, and calls that grew with the hall.
+	void fewAskAStoreThatIsSilent()
+	{
+		fewAsk(Outage::Silent);
+	}
+
+	void fewAskAStoreThatRefuses()
+	{
+		fewAsk(Outage::Refuses);
+	}
+
+	/// The first answers after the return still held old news, and each node asked the store for its own: 405 calls in
+	/// one second.
+	void theReturnIsNoticed()
+	{
+		for (const Outage::Enum outage : {Outage::Silent, Outage::Refuses})
+		{
+			const OutagePlay play = playOutage(kLargeHall, outage, kSeed);
+			CPPUNIT_ASSERT(0 <= play.noticed);
+			CPPUNIT_ASSERT_LESSEQUAL(kNoticed, play.noticed);
+			CPPUNIT_ASSERT_LESSEQUAL(kMostCalls, play.mostCallsAfter);
+		}
+	}
+
+	/// The store refuses the hub, and with it the nodes that are asked next. One node that it serves is enough.
+	void whoIsTurnedAwayReadsThroughAnother()
+	{
+		for (const std::size_t away : {1UL, 2UL, 3UL, 10UL, kLargeHall / 2})
+		{
+			uint64_t mostCalls = 0;
+			const int64_t known = playOneSided(away, mostCalls);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(away), 0 <= known);
+			CPPUNIT_ASSERT_LESSEQUAL(kInForce, known);
+			CPPUNIT_ASSERT_LESSEQUAL(kMostCalls, mostCalls);
+		}
+	}
+
+	void anyOutageEnds()
+	{
+		const bool holds = rc::check(
+		    []
+		    {
+			    const auto nodes = *rc::gen::inRange<std::size_t>(1, 70);
+			    const auto outage = *rc::gen::elementOf(std::vector<Outage::Enum>{Outage::Silent, Outage::Refuses});
+			    const OutagePlay play = playOutage(nodes, outage, *rc::gen::inRange<uint64_t>(1, 1000));
+			    RC_ASSERT(0 <= play.noticed);
+			    RC_ASSERT(play.noticed <= kInForce);
+			    RC_ASSERT(play.mostCalls <= kMostCalls);
+			    RC_ASSERT(play.mostCallsAfter <= kMostCalls);
+		    });
+		CPPUNIT_ASSERT(holds);
+	}
+
+private:
+	static void fewAsk(Outage::Enum _outage)
+	{
+		const OutagePlay large = playOutage(kLargeHall, _outage, kSeed);
+		const OutagePlay small = playOutage(kSmallHall, _outage, kSeed);
+		CPPUNIT_ASSERT_LESSEQUAL(kMostChoices, large.choices);
+		CPPUNIT_ASSERT_LESSEQUAL(kMostCalls, large.mostCalls);
+		CPPUNIT_ASSERT_LESSEQUAL(2 * small.calls, large.calls);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreOutageTest);
+
+} // namespace sedgecart
