While the store is out a hall waits with its hub, and few of its nodes look for a way round

Cause: a node passed over the first three nodes of its hall, whose news were old or which said that they read nothing, and then went to the store itself with all its reads; all 59 did so at the same moment, again each 2 s, and again when the store was back, since the hub's first answers still held old news. Where the store turned the first nodes away, the others never agreed on one that it served. A late answer to a long read made its node believe in a store that had turned it away since.

Change: a hub that says that the store does not answer it, or two nodes in a row with old news, mean an outage: the hall stays with the hub. Who finds the store tells the two first nodes; the hub reads through it, hands on, and goes on adding up the loads. Old news in an answer send nobody to the store. An answer to a read that was sent before another one failed says nothing. Switch: shared-tries.

Ruled out: a list of readers in the answers (needs new fields of messages; told by an answer without a number instead); that each node tries once and backs off by itself (calls grow with the hall).

--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -27,6 +27,7 @@
 		LinkBound,    //!< New requests cross between halls only while the link bears them.
 		StartWaits,   //!< Requests wait for a node that is about to be ready.
 		HallLoads,    //!< A node that starts loads the topics of the store from a node of its hall.
+		SharedTries,  //!< Few nodes of a hall look whether a store that is out answers again.
 
 		Count
 	};
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/entry/src/hallexchange.cpp
@@ -35,6 +35,7 @@
       reports_(_fleet, _clock),
       answers_(_settings, _clock, hub_, board_, _cache)
 {
+	hub_.shareTries(_settings.mechanisms.on(Mechanism::SharedTries));
 	PeerSettings settings;
 	settings.endpoint = peerAddress(_settings);
 	link_ = std::make_unique<PeerLink>(settings, *this);
@@ -53,15 +54,19 @@
 void HallExchange::tick()
 {
 	const Hub& hub = hub_.update();
+	const bool isHub = hub_.isHub();
+	const Peers peers = peersOf(hub);
+	connect(peers);
 	const LoadTable own = reports_.own();
-	if (name_ == hub.name)
+	if (isHub)
 	{
-		addUp(own);
+		send(peers.hubs, sumOf(addUp(own)));
 	}
-	else
+	if (!peers.hub.empty())
 	{
-		report(hub.name, own);
+		report(peers.hub, isHub ? LoadTable{} : own); // a hub that reads through another one adds up itself
 	}
+	tellNodes(peers.told);
 	timer_.expires_after(std::chrono::microseconds(kReportPause.micros));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
@@ -73,57 +78,94 @@
 	    });
 }
 
-void HallExchange::report(const std::string& _hub, const LoadTable& _own)
+HallExchange::Peers HallExchange::peersOf(const Hub& _hub) const
 {
-	const std::string address = nodes_.addressOf(_hub);
-	if (address.empty())
+	Peers peers;
+	if (hub_.isHub())
 	{
-		return; // it left the registry of nodes a moment ago
+		peers.hubs = addressesOf(nodes_.hubsOutside(hall_, board_.hubs(clock_.now())));
 	}
-	connect({address});
+	if (name_ != _hub.name)
+	{
+		peers.hub = nodes_.addressOf(_hub.name); // empty if it left the registry of nodes a moment ago
+	}
+	peers.told = addressesOf(hub_.toldNodes());
+	return peers;
+}
+
+void HallExchange::report(const std::string& _address, const LoadTable& _own)
+{
 	wire::PeerMessage message;
 	wire::HallReport& report = *message.mutable_hall_report();
 	hub_.beginReport(report);
 	putLoadRows(_own, *report.mutable_loads());
-	link_->send(address, message);
+	link_->send(_address, message);
 	reports_.keep(report.number(), _own);
 }
 
-void HallExchange::addUp(const LoadTable& _own)
+/// @returns the loads of this hall.
+LoadTable HallExchange::addUp(const LoadTable& _own)
 {
-	const LoadTable hall = board_.addUp(_own, clock_.now());
+	LoadTable hall = board_.addUp(_own, clock_.now());
 	LoadTable others = board_.totals()->loads;
 	subtractLoads(others, _own);
 	reports_.setOthers(others);
-	tellHubs(hall);
+	return hall;
 }
 
-void HallExchange::tellHubs(const LoadTable& _hall)
+wire::PeerMessage HallExchange::sumOf(const LoadTable& _hall) const
 {
-	std::vector<std::string> addresses;
-	for (const std::string& hub : nodes_.hubsOutside(hall_, board_.hubs(clock_.now())))
-	{
-		addresses.push_back(nodes_.addressOf(hub)); // each is in the registry of nodes
-	}
-	connect(addresses);
-	if (addresses.empty())
-	{
-		return;
-	}
 	wire::PeerMessage message;
 	message.mutable_hall_sum()->set_node(name_);
 	putLoadRows(_hall, *message.mutable_hall_sum()->mutable_loads());
-	for (const std::string& address : addresses)
+	return message;
+}
+
+/// Tells that this node reads the store, in an answer without a number.
+void HallExchange::tellNodes(const std::vector<std::string>& _addresses)
+{
+	wire::PeerMessage message;
+	wire::HallAnswer& word = *message.mutable_hall_answer();
+	word.set_node(name_);
+	word.set_is_hub(true);
+	word.set_reads(true);
+	send(_addresses, message);
+}
+
+void HallExchange::send(const std::vector<std::string>& _addresses, const wire::PeerMessage& _message)
+{
+	for (const std::string& address : _addresses)
 	{
-		link_->send(address, message);
+		link_->send(address, _message);
 	}
 }
 
-void HallExchange::connect(const std::vector<std::string>& _addresses)
+/// @returns the addresses of those that are in the registry of nodes.
+std::vector<std::string> HallExchange::addressesOf(const std::vector<std::string>& _nodes) const
 {
-	if (connected_ != _addresses)
+	std::vector<std::string> addresses;
+	for (const std::string& node : _nodes)
 	{
-		connected_ = _addresses;
+		const std::string address = nodes_.addressOf(node);
+		if (!address.empty())
+		{
+			addresses.push_back(address);
+		}
+	}
+	return addresses;
+}
+
+void HallExchange::connect(const Peers& _peers)
+{
+	std::vector<std::string> addresses = _peers.hubs;
+	addresses.insert(addresses.end(), _peers.told.begin(), _peers.told.end());
+	if (!_peers.hub.empty())
+	{
+		addresses.push_back(_peers.hub);
+	}
+	if (connected_ != addresses)
+	{
+		connected_ = addresses;
 		link_->setPeers(connected_);
 	}
 }
@@ -134,6 +176,7 @@
 	if (_message.has_hall_report())
 	{
 		answers_.answer(_message.hall_report(), *_reply.mutable_hall_answer());
+		noteFollowed(_message.hall_report().node());
 	}
 	else if (_message.has_hall_sum())
 	{
@@ -150,9 +193,28 @@
 	}
 }
 
+/// Link's thread.
+void HallExchange::noteFollowed(const std::string& _node)
+{
+	if (!hub_.isHub())
+	{
+		return;
+	}
+	boost::asio::post(loop_,
+	                  [this, _node]
+	                  {
+		                  hub_.noteFollowed(_node);
+	                  });
+}
+
 void HallExchange::onAnswer(const wire::HallAnswer& _answer)
 {
-	if (hub_.takeAnswer(_answer) && _answer.is_hub())
+	if (0 == _answer.number())
+	{
+		hub_.noteReader(_answer.node()); // it answers nothing, and only tells
+		return;
+	}
+	if (hub_.takeAnswer(_answer) && _answer.is_hub() && !hub_.isHub())
 	{
 		reports_.takeTotals(loadTableOf(_answer.totals()), _answer.counted());
 	}
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/entry/src/hallexchange_p.h
@@ -55,11 +55,24 @@
 	void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) override;
 
 private:
+	/// Addresses of the nodes that this one talks to.
+	struct Peers
+	{
+		std::string hub;               //!< Of this hall; empty if this node is its own hub.
+		std::vector<std::string> hubs; //!< Of the other halls, if this node is a hub.
+		std::vector<std::string> told; //!< That this node reads the store.
+	};
+
 	void tick();
-	void report(const std::string& _hub, const LoadTable& _own);
-	void addUp(const LoadTable& _own);
-	void tellHubs(const LoadTable& _hall);
-	void connect(const std::vector<std::string>& _addresses);
+	Peers peersOf(const Hub& _hub) const;
+	void connect(const Peers& _peers);
+	LoadTable addUp(const LoadTable& _own);
+	wire::PeerMessage sumOf(const LoadTable& _hall) const;
+	void report(const std::string& _address, const LoadTable& _own);
+	void tellNodes(const std::vector<std::string>& _addresses);
+	void send(const std::vector<std::string>& _addresses, const wire::PeerMessage& _message);
+	std::vector<std::string> addressesOf(const std::vector<std::string>& _nodes) const;
+	void noteFollowed(const std::string& _node);
 	void onAnswer(const wire::HallAnswer& _answer);
 
 	boost::asio::io_context& loop_;
--- a/packages/entry/src/halllog.cpp
+++ b/packages/entry/src/halllog.cpp
@@ -118,7 +118,7 @@
 		            {
 			            cache_.forget(_topic);
 		            }
-		            noteStore(_topic, number, _page.state);
+		            noteStore(_topic, number, sentAt, _page.state);
 		            call(std::move(_page));
 	            });
 }
@@ -135,7 +135,7 @@
 		              {
 			              takeLoaded(_topic, first, _page, sentAt);
 		              }
-		              noteStore(_topic, number, _page.state);
+		              noteStore(_topic, number, sentAt, _page.state);
 		              call(std::move(_page));
 	              });
 }
@@ -156,17 +156,20 @@
 	loading = Loading{};
 }
 
-/// A read that another of its topic has replaced hung on its connection, so that its end says nothing of the store.
-void HallLog::noteStore(KeyedTopic::Enum _topic, uint64_t _number, StoreState::Enum _state)
+/// A read that another of its topic has replaced hung on its connection, so that its end says nothing of the store. Nor
+/// does the answer to a long read that was sent before another one failed.
+void HallLog::noteStore(KeyedTopic::Enum _topic, uint64_t _number, Time _sentAt, StoreState::Enum _state)
 {
-	if (_number != sent_[_topic])
+	const bool answered = StoreState::Done == _state || StoreState::Gone == _state;
+	if (_number != sent_[_topic] || (answered && _sentAt < failedAt_))
 	{
 		return;
 	}
 	trying_ = false;
+	failedAt_ = answered ? failedAt_ : clock_.now();
 	if (nullptr != watch_)
 	{
-		watch_->onStoreRead(StoreState::Done == _state || StoreState::Gone == _state);
+		watch_->onStoreRead(answered);
 	}
 }
 
--- a/packages/entry/src/halllog_p.h
+++ b/packages/entry/src/halllog_p.h
@@ -123,7 +123,7 @@
 	void readStore(KeyedTopic::Enum _topic, Waiting&& _read);
 	void loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCall _call);
 	void takeLoaded(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt);
-	void noteStore(KeyedTopic::Enum _topic, uint64_t _number, StoreState::Enum _state);
+	void noteStore(KeyedTopic::Enum _topic, uint64_t _number, Time _sentAt, StoreState::Enum _state);
 	void release(KeyedTopic::Enum _topic);
 	void tryOne();
 
@@ -136,6 +136,7 @@
 	bool sharesLoads_ = true;
 	std::array<Loading, KeyedTopic::Count> loading_;
 	std::array<uint64_t, KeyedTopic::Count> sent_{}; //!< Number of the last read of each topic that went to the store.
+	Time failedAt_;                                  //!< When the last read failed.
 	bool trying_ = false;                            //!< A read has gone to the store to see whether it answers.
 	std::array<std::optional<Waiting>, KeyedTopic::Count> waiting_;
 };
--- a/packages/entry/src/hubfollower.cpp
+++ b/packages/entry/src/hubfollower.cpp
@@ -17,6 +17,9 @@
 /// (HallLog) it keeps a change known within two seconds when a hub dies.
 constexpr Duration kSilent = Duration::fromMillis(450);
 
+/// A node that has just become hub has old news in its first answer: its own read is on its way.
+constexpr uint64_t kAnswersToBeFresh = 2;
+
 } // namespace
 
 HubFollower::HubFollower(const std::string& _self, const ClockI& _clock, HallLog& _log)
@@ -60,16 +63,20 @@
 		         {{"hub", _hub.name}, {"before", hub_.name}, {"reads", _hub.reads ? "true" : "false"}});
 		askedAt_ = Time{};
 		answered_ = reports_; // what another hub still answers counts no more
-		hub_ = _hub;
+		answers_ = 0;
+		proven_ = false;
+		reads_.store(false);
 	}
-	isHub_.store(isSelf);
-	reads_.store(isSelf && _hub.reads && choice_.storeAnswers());
-	if (isSelf && _hub.reads)
+	hub_ = _hub;
+	isHub_.store(isSelf || _hub.told);
+	reads_.store(isSelf ? _hub.reads && choice_.storeAnswers() : _hub.told && reads_.load());
+	if (isSelf && _hub.reads && choice_.storeAnswers())
 	{
-		log_.setWay(choice_.storeAnswers() ? HallLog::Way::Store : HallLog::Way::Try);
+		log_.setWay(HallLog::Way::Store);
 		return;
 	}
-	log_.setWay(HallLog::Way::Hub);
+	const bool tries = _hub.tries || (isSelf && _hub.reads);
+	log_.setWay(tries ? HallLog::Way::Try : HallLog::Way::Hub);
 }
 
 void HubFollower::beginReport(wire::HallReport& _report)
@@ -95,11 +102,52 @@
 	}
 	answered_ = _answer.number();
 	askedAt_ = reports_ == answered_ ? Time{} : clock_.now();
-	const bool fresh = _answer.reads() && takeNews(_answer);
-	choice_.onAnswer(_answer.node(), fresh, clock_.now());
+	++answers_;
+	noteAnswer(_answer);
 	return true;
 }
 
+void HubFollower::noteAnswer(const wire::HallAnswer& _answer)
+{
+	const Time now = clock_.now();
+	const std::string& node = _answer.node();
+	if (_answer.reads())
+	{
+		const bool fresh = takeNews(_answer);
+		reads_.store(hub_.told && fresh);
+		if (fresh)
+		{
+			choice_.onAnswer(node, true, now);
+		}
+		else if (kAnswersToBeFresh <= answers_)
+		{
+			choice_.onStale(node, now);
+		}
+		return;
+	}
+	if (_answer.is_hub())
+	{
+		choice_.onStoreOut(node, now);
+		return;
+	}
+	choice_.onAnswer(node, false, now);
+}
+
+void HubFollower::noteReader(const std::string& _node)
+{
+	choice_.onReader(_node, clock_.now());
+}
+
+void HubFollower::noteFollowed(const std::string& _node)
+{
+	choice_.onFollowed(_node, clock_.now());
+}
+
+std::vector<std::string> HubFollower::toldNodes() const
+{
+	return reads_.load() && proven_ ? choice_.firstNodes() : std::vector<std::string>();
+}
+
 /// @returns false if something is too old to go by.
 bool HubFollower::takeNews(const wire::HallAnswer& _answer)
 {
@@ -108,7 +156,10 @@
 	{
 		fresh = !isKnownTopic(news.topic()) || log_.onNews(topicNewsOf(news), _answer.number()) ? fresh : false;
 	}
-	log_.releaseOverdue();
+	if (fresh)
+	{
+		log_.releaseOverdue(); // else all nodes of the hall would go to a store that has just come back
+	}
 	return fresh;
 }
 
@@ -117,6 +168,7 @@
 	const Time now = clock_.now();
 	choice_.onStore(_answered, now);
 	follow(choice_.choose(now));
+	proven_ = _answered && self_ == hub_.name;
 }
 
 } // namespace sedgecart
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -121,6 +121,7 @@
 	CPPUNIT_TEST(whatWaitsGoesToTheStoreWhenTheHubGoes);
 	CPPUNIT_TEST(oneReadTriesTheStore);
 	CPPUNIT_TEST(aReadThatWasGivenUpSaysNothingOfTheStore);
+	CPPUNIT_TEST(aLateAnswerToALongReadSaysNothingOfTheStore);
 	CPPUNIT_TEST(whatWasReadIsAtHandForOthers);
 	CPPUNIT_TEST(cacheDoesNotJoinWhatIsNotContiguous);
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
@@ -213,6 +214,18 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), pages_.size());
 	}
 
+	/// It was sent before the store turned this node away, and took its node for one that the store answers.
+	void aLateAnswerToALongReadSaysNothingOfTheStore()
+	{
+		log_.read(KeyedTopic::Layout, Offset{0}, Duration::fromMillis(20000), [](KeyedPage&&) {});
+		clock_.advance(100);
+		read(3);
+		store_.answerLast(page(StoreState::Refused, 0));
+		clock_.advance(100);
+		store_.reads.front().call(page(StoreState::Done, 1));
+		CPPUNIT_ASSERT((std::vector<bool>{false}) == watch_.answers);
+	}
+
 	void whatWasReadIsAtHandForOthers()
 	{
 		read(3);
