A fleet whose appends are refused takes turns: ten tries a second in all, however many nodes

Cause: each node paused by itself (0.4 to 6.4 s), so that the tries grew with the fleet. Change: ChangeTurn knows the fleet. After a try that the store did not decide a node waits for its place in a row of 100 ms steps, then for as many steps as there are nodes; never less than its own pause. The first tries are as they were: whoever the store serves must be found among nodes of which a quarter may be cut off (ChangeTurnTest.fewOfAFleetTry). Ruled out: slower first turns (a quarter of the nodes cut off must cost no more than 3 s).

--- a/packages/core/include/core/changeturn.h
+++ b/packages/core/include/core/changeturn.h
@@ -20,6 +20,10 @@
 	/// @param _wanted whether a change is wanted, as of now.
 	void setWanted(bool _wanted, Time _now);
 
+	/// How many nodes want the same change, and which of them this one is.
+	/// @param _place as in isDue.
+	void setFleet(std::size_t _place, std::size_t _nodes);
+
 	/// This node tried. Whatever came of it, it waits for its turn again.
 	/// @param _decided the store took the change or said that another was first; else it did not answer or was busy.
 	void onOutcome(bool _decided, Time _now);
@@ -35,10 +39,17 @@
 	static constexpr Duration kFirstPause = Duration::fromMillis(400);
 	static constexpr Duration kLongestPause = Duration::fromMillis(6400);
 
+	/// Between two tries of a fleet that the store did not answer, when all have tried once: ten a second however many
+	/// nodes there are, so that a store that is busy is not kept so.
+	static constexpr Duration kFleetPause = Duration::fromMillis(100);
+
 private:
 	Time wantedAt_; //!< Since when; 0: none is.
 	Time notBefore_;
 	Duration pause_ = kFirstPause;
+	std::size_t place_ = 0;
+	std::size_t nodes_ = 1;
+	bool refused_ = false; //!< The last try was not decided.
 };
 
 } // namespace sedgecart
--- a/packages/core/src/changeturn.cpp
+++ b/packages/core/src/changeturn.cpp
@@ -35,15 +35,24 @@
 	}
 }
 
+void ChangeTurn::setFleet(std::size_t _place, std::size_t _nodes)
+{
+	place_ = _place;
+	nodes_ = std::max<std::size_t>(1, _nodes);
+}
+
 void ChangeTurn::onOutcome(bool _decided, Time _now)
 {
 	wantedAt_ = _now;
+	const std::size_t nodesBefore = refused_ ? nodes_ : place_ + 1; // the first pause puts the nodes in a row
+	refused_ = !_decided;
 	if (_decided)
 	{
 		pause_ = kFirstPause;
 		return;
 	}
-	notBefore_ = _now + pause_;
+	const Duration fleetPause{kFleetPause.micros * static_cast<int64_t>(nodesBefore)};
+	notBefore_ = _now + std::max(pause_, fleetPause);
 	pause_ = std::min(kLongestPause, pause_ + pause_);
 }
 
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -270,8 +270,10 @@
 	const Scene seen = scene();
 	const std::vector<LayoutOrder> orders = wantedOrders(seen);
 	const Time now = clock_.now();
+	const std::size_t ownPlace = place();
+	turn_.setFleet(ownPlace, fleet_.nodes().size());
 	turn_.setWanted(!orders.empty(), now);
-	if (!orders.empty() && turn_.isDue(place(), now))
+	if (!orders.empty() && turn_.isDue(ownPlace, now))
 	{
 		append(seen, orders);
 	}
