--- a/tests/entry/suspicionproof.cpp
+++ b/tests/entry/suspicionproof.cpp
@@ -162,12 +162,7 @@
 	{
 		EntryHarness harness;
 		StandstillScene scene(OnSend::BreakOff, OnSend::StandStill);
-		scene.addTo(harness);
-		harness.start();
-		const CallerAnswer answer = harness.call(stream());
-		CPPUNIT_ASSERT_EQUAL(StandstillScene::expected(), answer.body);
-		CPPUNIT_ASSERT(answer.whole);
-		CPPUNIT_ASSERT_EQUAL(2U, scene.sends());
+		endsWhole(harness, scene, 2);
 	}
 
 	void sendGoesOnWhenTheAllowanceIsSpent()
@@ -176,12 +171,7 @@
 		harness.settings().retries.slack = 0;
 		harness.settings().retries.ratio = 0;
 		StandstillScene scene(OnSend::StandStill, OnSend::Hold);
-		scene.addTo(harness);
-		harness.start();
-		const CallerAnswer answer = harness.call(stream());
-		CPPUNIT_ASSERT_EQUAL(StandstillScene::expected(), answer.body);
-		CPPUNIT_ASSERT(answer.whole);
-		CPPUNIT_ASSERT_EQUAL(1U, scene.sends());
+		endsWhole(harness, scene, 1);
 	}
 
 	/// The allowance is good for one repeat, which its target turns away.
@@ -191,12 +181,7 @@
 		harness.settings().retries.slack = 1.3; // of which a node uses four fifths
 		harness.settings().retries.ratio = 0;
 		StandstillScene scene(OnSend::StandStill, OnSend::Refuse);
-		scene.addTo(harness);
-		harness.start();
-		const CallerAnswer answer = harness.call(stream());
-		CPPUNIT_ASSERT_EQUAL(StandstillScene::expected(), answer.body);
-		CPPUNIT_ASSERT(answer.whole);
-		CPPUNIT_ASSERT_EQUAL(2U, scene.sends());
+		endsWhole(harness, scene, 2);
 	}
 
 	/// The next target brings nothing for longer than the first one stands still.
@@ -204,12 +189,19 @@
 	{
 		EntryHarness harness;
 		StandstillScene scene(OnSend::StandStill, OnSend::Hold);
-		scene.addTo(harness);
-		harness.start();
-		const CallerAnswer answer = harness.call(stream());
+		endsWhole(harness, scene, 2);
+	}
+
+private:
+	/// @param _sends to targets, in all.
+	static void endsWhole(EntryHarness& _harness, StandstillScene& _scene, uint32_t _sends)
+	{
+		_scene.addTo(_harness);
+		_harness.start();
+		const CallerAnswer answer = _harness.call(stream());
 		CPPUNIT_ASSERT_EQUAL(StandstillScene::expected(), answer.body);
 		CPPUNIT_ASSERT(answer.whole);
-		CPPUNIT_ASSERT_EQUAL(2U, scene.sends());
+		CPPUNIT_ASSERT_EQUAL(_sends, _scene.sends());
 	}
 };
 
