A hub asks targets without work seldom how slow they are, and none more often than once a round

Cause, read from the code: a hub's step asked a fourteenth of its targets, rounded up, ten times a second: 8 targets got 14 questions in a round of 1.4 s, 46 got 56; and targets without work as many as the others. Change: PollPlan, pure: targets that have work or are known as slow are asked once a round, the others each fourth round; one that gets work is asked at the next step. Switch: idle-polls. Ruled out: polls of slow targets made rarer as well (their nodes avoid them, so that a recovery would be known 5.6 s late).

--- /dev/null
+++ b/packages/core/src/pollplan.cpp
@@ -0,0 +1,72 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/pollplan.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// A target that is to be asked.
+struct Due
+{
+	std::string name;
+	Time since;
+};
+
+} // namespace
+
+PollPlan::PollPlan(Duration _round, std::size_t _steps) : round_(_round), steps_(_steps)
+{
+}
+
+std::vector<std::string> PollPlan::takeDue(const std::vector<PollTarget>& _targets, Time _now)
+{
+	forgetGone(_targets);
+	std::vector<Due> due;
+	for (const PollTarget& target : _targets)
+	{
+		const Duration pause{round_.micros * (target.matters ? 1 : idleRounds_)};
+		const auto asked = askedAt_.find(target.name);
+		const Time since = askedAt_.end() == asked ? Time{} : asked->second + pause;
+		if (!(_now < since))
+		{
+			due.push_back(Due{target.name, since});
+		}
+	}
+	std::stable_sort(due.begin(), due.end(),
+	                 [](const Due& _a, const Due& _b)
+	                 {
+		                 return _a.since < _b.since;
+	                 });
+	const std::size_t most = (_targets.size() + steps_ - 1) / steps_;
+	std::vector<std::string> names;
+	for (const Due& target : due)
+	{
+		if (names.size() < most)
+		{
+			names.push_back(target.name);
+			askedAt_[target.name] = _now;
+		}
+	}
+	return names;
+}
+
+void PollPlan::forgetGone(const std::vector<PollTarget>& _targets)
+{
+	std::map<std::string, Time> kept;
+	for (const PollTarget& target : _targets)
+	{
+		const auto asked = askedAt_.find(target.name);
+		if (askedAt_.end() != asked)
+		{
+			kept.insert(*asked);
+		}
+	}
+	askedAt_ = std::move(kept);
+}
+
+} // namespace sedgecart
--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -28,6 +28,7 @@
 		StartWaits,   //!< Requests wait for a node that is about to be ready.
 		HallLoads,    //!< A node that starts loads the topics of the store from a node of its hall.
 		SharedTries,  //!< Few nodes of a hall look whether a store that is out answers again.
+		IdlePolls,    //!< Targets without work are asked seldom how slow they are.
 
 		Count
 	};
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -219,7 +219,7 @@
       layoutFollower_(_loop, log_, _clock, planOf(kFollowLayout, _settings.name), *layoutNews_),
       layout_(_loop, log_, _orders, _clock, fleet_, _settings),
       exchange_(_loop, _settings, _clock, fleet_, log_, cache_),
-      paces_(_loop, _orders, fleet_, _settings.hall,
+      paces_(_loop, _orders, fleet_, _settings.hall, _clock,
              [this]
              {
 	             return settings_.mechanisms.on(Mechanism::PacePolls) && exchange_.isHub();
@@ -235,6 +235,7 @@
 		    layoutFollower_.renew();
 	    });
 	log_.setPassedOver(_cell.passedOver);
+	paces_.askIdleSeldom(settings_.mechanisms.on(Mechanism::IdlePolls));
 	log_.shareLoads(settings_.mechanisms.on(Mechanism::HallLoads));
 }
 
--- a/packages/entry/src/pacepoll.cpp
+++ b/packages/entry/src/pacepoll.cpp
@@ -18,7 +18,9 @@
 constexpr Duration kRound = Duration::fromMillis(1400);
 
 /// The questions of a round are spread over so many steps, so that their answers do not come at once.
-constexpr int kSteps = 14;
+constexpr std::size_t kSteps = 14;
+
+constexpr double kUsualPace = 1;
 
 /// An answer later than this is not waited for: a target answers within some milliseconds.
 constexpr Duration kBound = Duration::fromMillis(400);
@@ -29,11 +31,13 @@
 } // namespace
 
 PacePoll::PacePoll(boost::asio::io_context& _loop, RunnerOrdersI& _orders, const FleetController& _fleet,
-                   const std::string& _hall, std::function<bool()> _isHub)
+                   const std::string& _hall, const ClockI& _clock, std::function<bool()> _isHub)
     : timer_(_loop),
       orders_(_orders),
       fleet_(_fleet),
       hall_(_hall),
+      clock_(_clock),
+      plan_(kRound, kSteps),
       isHub_(std::move(_isHub))
 {
 }
@@ -46,7 +50,7 @@
 void PacePoll::tick()
 {
 	step();
-	timer_.expires_after(std::chrono::microseconds(kRound.micros / kSteps));
+	timer_.expires_after(std::chrono::microseconds(kRound.micros / static_cast<int64_t>(kSteps)));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
 	    {
@@ -67,26 +71,35 @@
 		}
 		return;
 	}
-	std::vector<const RunnerRecord*> targets;
+	std::vector<PollTarget> targets;
 	for (const auto& row : fleet_.runners())
 	{
 		if (hall_ == row.second.hall && 0 < row.second.layers.size())
 		{
-			targets.push_back(&row.second);
+			targets.push_back(PollTarget{row.first, matters(row.first)});
 		}
 	}
-	const std::size_t count = (targets.size() + kSteps - 1) / kSteps;
-	std::size_t at = 0;
-	while (at < targets.size() && !(last_ < targets[at]->instance.text))
+	for (const std::string& instance : plan_.takeDue(targets, clock_.now()))
 	{
-		++at;
+		ask(fleet_.runners().at(instance));
 	}
-	for (std::size_t asked = 0; asked < count; ++asked, ++at)
+}
+
+/// @returns true if some node has work at a target, or it is known as slow, so that nodes avoid it until it is told
+/// otherwise.
+bool PacePoll::matters(const std::string& _instance) const
+{
+	const auto row = fleet_.loads().find(_instance);
+	if (fleet_.loads().end() == row)
 	{
-		const RunnerRecord& target = *targets[at % targets.size()];
-		last_ = target.instance.text;
-		ask(target);
+		return true;
 	}
+	const TargetLoad& load = *row->second;
+	const uint64_t tokenLayers =
+	    load.tokenLayers.load(std::memory_order_relaxed) + load.othersTokenLayers.load(std::memory_order_relaxed);
+	const uint32_t requests =
+	    load.requests.load(std::memory_order_relaxed) + load.othersRequests.load(std::memory_order_relaxed);
+	return 0 < tokenLayers || 0 < requests || kUsualPace < load.polledPace.load(std::memory_order_relaxed);
 }
 
 void PacePoll::ask(const RunnerRecord& _target)
--- a/packages/entry/src/pacepoll_p.h
+++ b/packages/entry/src/pacepoll_p.h
@@ -5,6 +5,8 @@
 
 #include "fleetcontroller_p.h"
 
+#include <base/clock.h>
+#include <core/pollplan.h>
 #include <entry/runnerorders.h>
 
 #include <boost/asio/io_context.hpp>
@@ -23,21 +25,29 @@
 public:
 	/// @param _isHub asked at each step.
 	PacePoll(boost::asio::io_context& _loop, RunnerOrdersI& _orders, const FleetController& _fleet,
-	         const std::string& _hall, std::function<bool()> _isHub);
+	         const std::string& _hall, const ClockI& _clock, std::function<bool()> _isHub);
+
+	/// Whether targets without work are asked seldom. They are, unless this switches it off.
+	void askIdleSeldom(bool _seldom)
+	{
+		plan_.askIdleSeldom(_seldom);
+	}
 
 	void start();
 
 private:
 	void tick();
 	void step();
+	bool matters(const std::string& _instance) const;
 	void ask(const RunnerRecord& _target);
 
 	boost::asio::steady_timer timer_;
 	RunnerOrdersI& orders_;
 	const FleetController& fleet_;
 	std::string hall_;
+	const ClockI& clock_;
+	PollPlan plan_;
 	std::function<bool()> isHub_;
-	std::string last_; //!< Instance that was asked last.
 };
 
 } // namespace sedgecart
