TargetLife, and the one rule that tells a restart from old news

Cause: an InstanceId was said to name one start of a target; a restart may keep it, and nothing could say which start is meant. Change: InstanceId gets its own header and the right meaning; BirthTime; TargetLife; compareLives and lifeAfter decide newer, same or older from births and from what is known of the order of the two words. Used by nobody yet. Ruled out: births alone (fails laterRecordWithAnotherBirthIsARestart), a missing birth as a restart.

--- a/packages/base/include/base/runner.h
+++ b/packages/base/include/base/runner.h
@@ -3,6 +3,8 @@
 #ifndef SEDGECART_BASE_RUNNER_H_HEADER_GUARD
 #define SEDGECART_BASE_RUNNER_H_HEADER_GUARD
 
+#include <base/instanceid.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,22 +34,6 @@
 	return !(_a == _b);
 }
 
-/// Identity of one start of a target. A restart has another one.
-struct InstanceId
-{
-	std::string text;
-};
-
-inline bool operator==(const InstanceId& _a, const InstanceId& _b)
-{
-	return _a.text == _b.text;
-}
-
-inline bool operator<(const InstanceId& _a, const InstanceId& _b)
-{
-	return _a.text < _b.text;
-}
-
 /// What a target says of itself in the registry.
 struct RunnerRecord
 {
