A target that restarts under its id went and came; nothing of the earlier start passes over

Cause: nothing reads the birth that a target tells. Change: `born` is read from entries and reports (not told, or told as no clock shows it: not known, the target stays usable). FleetController gives another start a new TargetLoad and marks the earlier one as ended; records out of a cache older than what was read change nothing. An answer to a question that tells another birth ends the start that was asked, at once and whichever is the first word. What ended is in no choice, and streams over it go on elsewhere by the right to send again alone. Kept connections, questions and a request's failed targets go by the life. Ruled out: remembering births that ended, to pass over their return (see docs/design/target-lives.md). Tests: with the change, since they need its types; unit tests, proof.entry and proof.suspicion pass.

--- a/packages/base/include/base/runner.h
+++ b/packages/base/include/base/runner.h
@@ -3,7 +3,7 @@
 #ifndef SEDGECART_BASE_RUNNER_H_HEADER_GUARD
 #define SEDGECART_BASE_RUNNER_H_HEADER_GUARD
 
-#include <base/instanceid.h>
+#include <base/targetlife.h>
 
 #include <cstdint>
 #include <string>
@@ -45,6 +45,13 @@
 	uint32_t slots = 0;
 	bool draining = false;
 	LayerSpan layers; //!< What it holds; empty until it has been given some.
+	BirthTime born;
+
+	/// @returns which start of the target says this.
+	TargetLife life() const
+	{
+		return TargetLife{instance, born};
+	}
 };
 
 } // namespace sedgecart
--- a/packages/base/include/base/targetlife.h
+++ b/packages/base/include/base/targetlife.h
@@ -30,6 +30,12 @@
 	return !(_a == _b);
 }
 
+/// An order for sorted containers; which life is the later one is for `compareLives` to say.
+inline bool operator<(const TargetLife& _a, const TargetLife& _b)
+{
+	return _a.instance == _b.instance ? _a.born < _b.born : _a.instance < _b.instance;
+}
+
 /// What is known of when a word about a life was said.
 struct LifeEvidence
 {
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -6,10 +6,40 @@
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace sedgecart
 {
 
+namespace
+{
+
+std::string spanText(LayerSpan _span)
+{
+	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
+}
+
+std::vector<LogField> describe(const RunnerRecord& _record)
+{
+	return {{"target", _record.instance.text},
+	        {"service", _record.service},
+	        {"address", _record.address},
+	        {"hall", _record.hall},
+	        {"card", _record.card},
+	        {"draining", _record.draining ? "true" : "false"},
+	        {"layers", spanText(_record.layers)},
+	        {"born", std::to_string(_record.born.unixMillis)}};
+}
+
+/// @returns true if something that is acted on differs between two records of one start of a target.
+bool differ(const RunnerRecord& _a, const RunnerRecord& _b)
+{
+	return _a.draining != _b.draining || _a.layers != _b.layers || _a.address != _b.address ||
+	       _a.service != _b.service || _a.born != _b.born;
+}
+
+} // namespace
+
 FleetController::FleetController(const DocumentsI& _documents, FleetCell& _cell, const ClockI& _clock,
                                  const std::string& _homeHall)
     : documents_(_documents),
@@ -55,9 +85,9 @@
 
 void FleetController::onRunnerRecord(const KeyedRecord& _record)
 {
-	const auto known = runners_.find(_record.key);
 	if (_record.removed)
 	{
+		const auto known = runners_.find(_record.key);
 		if (keepsLapsed_ && runners_.end() != known && storeWasOut_ && !known->second.draining)
 		{
 			lapsed_.insert(_record.key);
@@ -74,31 +104,59 @@
 		logEvent(LogPart::Targets, LogLevel::Error, "Target's record cannot be read.", {{"target", _record.key}});
 		return;
 	}
-	lapsed_.erase(_record.key);
+	take(read, _record.offset);
+}
+
+void FleetController::take(const RunnerRecord& _read, Offset _offset)
+{
+	const std::string& instance = _read.instance.text;
+	const auto known = runners_.find(instance);
 	const bool isNew = runners_.end() == known;
-	const bool differs = isNew || known->second.draining != read.draining || known->second.layers != read.layers ||
-	                     known->second.address != read.address || known->second.service != read.service;
-	if (!differs)
+	if (!isNew && _offset < readUpTo_[instance])
 	{
-		return;
+		return; // out of a cache that is older than what was read
 	}
-	logEvent(LogPart::Targets, LogLevel::Info, isNew ? "Target came." : "Target changed.",
-	         {{"target", _record.key},
-	          {"service", read.service},
-	          {"address", read.address},
-	          {"hall", read.hall},
-	          {"card", read.card},
-	          {"draining", read.draining ? "true" : "false"},
-	          {"layers", std::to_string(read.layers.begin) + "-" + std::to_string(read.layers.end)}});
-	runners_[_record.key] = read;
+	lapsed_.erase(instance);
+	readUpTo_[instance] = _offset;
+	RunnerRecord record = _read;
 	if (isNew)
 	{
-		loads_[_record.key] = std::make_shared<TargetLoad>();
+		logEvent(LogPart::Targets, LogLevel::Info, "Target came.", describe(record));
+		loads_[instance] = std::make_shared<TargetLoad>();
 		fleetChangedAt_ = clock_.now();
 	}
+	else if (LifeOrder::Newer == compareLives(known->second.life(), _read.life(), LifeEvidence::After))
+	{
+		restart(_read);
+	}
+	else
+	{
+		record.born = lifeAfter(known->second.life(), _read.life(), LifeEvidence::After).born;
+		if (!differ(known->second, record))
+		{
+			return;
+		}
+		logEvent(LogPart::Targets, LogLevel::Info, "Target changed.", describe(record));
+	}
+	runners_[instance] = record;
 	changed_ = true;
 }
 
+/// The earlier start went and another one came: nothing that is known of the earlier one passes over.
+void FleetController::restart(const RunnerRecord& _read)
+{
+	const std::string& instance = _read.instance.text;
+	logEvent(LogPart::Targets, LogLevel::Warning, "Target restarted.",
+	         {{"target", instance},
+	          {"born", std::to_string(_read.born.unixMillis)},
+	          {"born_before", std::to_string(runners_[instance].born.unixMillis)},
+	          {"layers", spanText(_read.layers)},
+	          {"layers_before", spanText(runners_[instance].layers)}});
+	loads_[instance]->ended.store(true, std::memory_order_relaxed);
+	loads_[instance] = std::make_shared<TargetLoad>();
+	fleetChangedAt_ = clock_.now();
+}
+
 void FleetController::remove(const std::string& _instance)
 {
 	if (0 == runners_.erase(_instance))
@@ -107,6 +165,7 @@
 	}
 	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
 	loads_.erase(_instance);
+	readUpTo_.erase(_instance);
 	fleetChangedAt_ = clock_.now();
 	changed_ = true;
 }
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -86,7 +86,7 @@
 		return nodes_;
 	}
 
-	/// @returns when a target last came or went.
+	/// @returns when a target last came, started again or went.
 	Time fleetChangedAt() const
 	{
 		return fleetChangedAt_;
@@ -111,6 +111,8 @@
 	}
 
 private:
+	void take(const RunnerRecord& _read, Offset _offset);
+	void restart(const RunnerRecord& _read);
 	void remove(const std::string& _instance);
 	void publish();
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
@@ -122,6 +124,7 @@
 	const ClockI& clock_;
 	std::shared_ptr<const RouteTable> routes_;
 	std::map<std::string, RunnerRecord> runners_;
+	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -28,9 +28,10 @@
 constexpr uint32_t kWeakSuspicion = 1;
 constexpr uint32_t kSureSuspicion = 2;
 
-/// What is under way at a target. Lives as long as somebody knows the target.
+/// What is under way at one start of a target. Lives as long as somebody knows that start; the next one gets its own.
 struct TargetLoad
 {
+	std::atomic<bool> ended{false};             //!< The target has started again since: what it held and ran is gone.
 	std::atomic<uint32_t> requests{0};          //!< From this node, with the target as first of their path.
 	std::atomic<uint64_t> tokenLayers{0};       //!< From this node: tokens times layers, as estimated.
 	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
--- /dev/null
+++ b/packages/entry/src/lifecheck.cpp
@@ -0,0 +1,30 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "lifecheck_p.h"
+
+#include "fleetview_p.h"
+
+#include <entry/runnerorders.h>
+#include <logging/logging.h>
+
+namespace sedgecart
+{
+
+bool endsLife(const TargetLife& _asked, const ProbeAnswer& _answer, TargetLoad& _load)
+{
+	const TargetLife told{_asked.instance, _answer.born};
+	if (LifeOrder::Newer != compareLives(_asked, told, LifeEvidence::After))
+	{
+		return false;
+	}
+	if (!_load.ended.exchange(true, std::memory_order_relaxed))
+	{
+		logEvent(LogPart::Targets, LogLevel::Warning, "Target says that it has restarted.",
+		         {{"target", _asked.instance.text},
+		          {"born", std::to_string(_answer.born.unixMillis)},
+		          {"born_before", std::to_string(_asked.born.unixMillis)}});
+	}
+	return true;
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/lifecheck_p.h
@@ -0,0 +1,22 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
+
+#include <base/targetlife.h>
+
+namespace sedgecart
+{
+
+struct ProbeAnswer;
+struct TargetLoad;
+
+/// Takes a target's own word on which start of it answers. Where it is a later one, the start that was asked is marked
+/// as ended, often a second before the registry shows it.
+/// @param _asked as the registry showed it when the question was put.
+/// @returns true if the start that was asked has ended: the answer says nothing of it.
+bool endsLife(const TargetLife& _asked, const ProbeAnswer& _answer, TargetLoad& _load);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
--- a/packages/entry/src/pacepoll.cpp
+++ b/packages/entry/src/pacepoll.cpp
@@ -2,6 +2,8 @@
 
 #include "pacepoll_p.h"
 
+#include "lifecheck_p.h"
+
 #include <logging/logging.h>
 
 #include <chrono>
@@ -91,19 +93,28 @@
 
 void PacePoll::ask(const RunnerRecord& _target)
 {
+	const auto row = fleet_.loads().find(_target.instance.text);
+	if (fleet_.loads().end() == row)
+	{
+		return;
+	}
+	const std::shared_ptr<TargetLoad> load = row->second;
 	orders_.poll(_target.address, kBound,
-	             [this, instance = _target.instance.text](const ProbeAnswer& _answer)
+	             [asked = _target.life(), load](const ProbeAnswer& _answer)
 	             {
-		             const auto row = fleet_.loads().find(instance);
-		             if (!_answer.answered || fleet_.loads().end() == row)
+		             if (!_answer.answered)
 		             {
 			             return; // what is dead is found on the request path
 		             }
-		             const double before = row->second->polledPace.exchange(_answer.pace, std::memory_order_relaxed);
+		             if (endsLife(asked, _answer, *load))
+		             {
+			             return;
+		             }
+		             const double before = load->polledPace.exchange(_answer.pace, std::memory_order_relaxed);
 		             if ((before < kNotable) != (_answer.pace < kNotable))
 		             {
 			             logEvent(LogPart::Targets, LogLevel::Info, "Target changes its pace.",
-			                      {{"target", instance},
+			                      {{"target", asked.instance.text},
 			                       {"times_slower", std::to_string(_answer.pace)},
 			                       {"before", std::to_string(before)}});
 		             }
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -2,6 +2,8 @@
 
 #include "pathwatch_p.h"
 
+#include "lifecheck_p.h"
+
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
@@ -69,6 +71,14 @@
 	                   });
 }
 
+/// @returns true if a target was found dead elsewhere, and paths were not told yet or long ago.
+bool isToldDead(const TargetLoad& _load, Time _now)
+{
+	const bool sure = kSureSuspicion <= _load.othersSuspicion.load(std::memory_order_relaxed);
+	const bool dead = sure || _load.ended.load(std::memory_order_relaxed);
+	return dead && _load.avoidedUntil.load(std::memory_order_relaxed) <= _now.micros;
+}
+
 } // namespace
 
 PathWatch::PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics)
@@ -140,7 +150,8 @@
 	start();
 }
 
-/// Paths leave targets that other nodes are sure of. A node that is too weak to find out itself hears it so.
+/// Paths leave targets that other nodes are sure of, and starts of targets that are over. A node that is too weak to
+/// find out itself hears it so.
 void PathWatch::leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
 {
 	std::vector<FleetTarget> left;
@@ -149,9 +160,7 @@
 	{
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			const bool avoided = _now.micros < target->load->avoidedUntil.load(std::memory_order_relaxed);
-			const bool told = kSureSuspicion <= target->load->othersSuspicion.load(std::memory_order_relaxed);
-			if (!avoided && told && !hasHeardOver(*target, recent))
+			if (isToldDead(*target->load, _now) && !hasHeardOver(*target, recent))
 			{
 				passOver(*target, kDeadFor);
 				left.push_back(*target);
@@ -160,7 +169,8 @@
 	}
 	for (const FleetTarget& target : left)
 	{
-		tellPaths(target, "other nodes found it dead", recent);
+		const bool ended = target.load->ended.load(std::memory_order_relaxed);
+		tellPaths(target, ended ? "it has restarted" : "other nodes found it dead", recent);
 	}
 }
 
@@ -251,7 +261,7 @@
 
 void PathWatch::ask(const FleetTarget& _target, Time _now, const std::shared_ptr<Round>& _round)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	if (_now < asked.notBefore || 0 < asked.open)
 	{
 		return;
@@ -275,11 +285,12 @@
 
 void PathWatch::onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	asked.open -= 0 < asked.open ? 1 : 0;
+	const bool ended = endsLife(_target.record.life(), _answer, *_target.load); // paths leave it at a next look
 	_round.answered += !asked.answered && _answer.lives() ? 1 : 0;
 	asked.answered = asked.answered || _answer.lives();
-	if (_answer.lives())
+	if (_answer.lives() && !ended)
 	{
 		withdraw(_target);
 	}
@@ -293,7 +304,7 @@
 /// All questions to a target are answered or have passed their bound.
 void PathWatch::onSettled(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	const Time now = clock_.now();
 	_round.open -= 0 < _round.open ? 1 : 0;
 	if (asked.answered)
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -112,8 +112,8 @@
 	RunnerOrdersI& orders_;
 	Metrics& metrics_;
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
-	std::map<std::string, Asked> asked_; //!< By instance.
-	AwakeTime awake_;                    //!< By its looks.
+	std::map<TargetLife, Asked> asked_;
+	AwakeTime awake_;         //!< By its looks.
 	double usualGap_ = 22000; //!< Between two events, microseconds, as lately seen; at first as on small sites.
 	bool ticking_ = false;
 };
--- a/packages/entry/src/requestpath.cpp
+++ b/packages/entry/src/requestpath.cpp
@@ -206,12 +206,12 @@
 
 void RequestPath::passOver(const FleetTarget& _target)
 {
-	failed_.insert(_target.record.instance.text);
+	failed_.insert(_target.record.life());
 }
 
 void RequestPath::forgive(const FleetTarget& _target)
 {
-	failed_.erase(_target.record.instance.text);
+	failed_.erase(_target.record.life());
 }
 
 double RequestPath::tightestRoom() const
--- a/packages/entry/src/requestpath_p.h
+++ b/packages/entry/src/requestpath_p.h
@@ -129,8 +129,8 @@
 	const RelayContext& context_;
 	const RelayPlan& plan_;
 	Place place_;
-	std::unique_ptr<Place> kept_;  //!< Where it is as well; null if nowhere.
-	std::set<std::string> failed_; //!< Instances that failed this request.
+	std::unique_ptr<Place> kept_; //!< Where it is as well; null if nowhere.
+	std::set<TargetLife> failed_; //!< Targets that failed this request.
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -58,6 +58,14 @@
 	return _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
 }
 
+/// @returns true if a target failed the request, or if the start of it that is meant is over: a request that goes on
+/// chooses from the fleet as it was when it was sent.
+bool isPassedOver(const FleetTarget& _target, const ChoiceQuery& _query)
+{
+	const bool failed = 0 < _query.failed.count(_target.record.life());
+	return failed || _target.load->ended.load(std::memory_order_relaxed);
+}
+
 double loadOf(const FleetTarget& _target, Time _now)
 {
 	const double requests = _target.load->requests.load(std::memory_order_relaxed);
@@ -130,7 +138,7 @@
 	PathCandidate candidate;
 	candidate.hall = _target.hall;
 	candidate.held = _target.record.layers;
-	candidate.usable = nullptr != _target.card && 0 == _query.failed.count(_target.record.instance.text);
+	candidate.usable = nullptr != _target.card && !isPassedOver(_target, _query);
 	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
 	const double step = (nullptr == _target.card ? 1 : _target.card->stepFactor) * _target.load->pace();
 	const bool slotsCount = _query.mechanisms.on(Mechanism::HeadSlots);
@@ -218,7 +226,7 @@
 	_choice.parts.assign(1, PathPart{});
 	for (uint32_t index = 0; index < targets.size(); ++index)
 	{
-		if (0 < _query.failed.count(targets[index].record.instance.text))
+		if (isPassedOver(targets[index], _query))
 		{
 			continue;
 		}
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -27,9 +27,9 @@
 struct ChoiceQuery
 {
 	const FleetService& service;
-	const std::set<std::string>& failed; //!< Instances that failed this request.
-	uint32_t nodes = 1;                  //!< Entry nodes that share the targets.
-	double tokens = 0;                   //!< That the request takes at each of its layers.
+	const std::set<TargetLife>& failed; //!< Targets that failed this request.
+	uint32_t nodes = 1;                 //!< Entry nodes that share the targets.
+	double tokens = 0;                  //!< That the request takes at each of its layers.
 	Time now;
 	const Mechanisms& mechanisms;
 	double linkTaken = 0; //!< Part of the link between halls that requests took lately.
--- a/packages/entry/src/targetpool.cpp
+++ b/packages/entry/src/targetpool.cpp
@@ -27,7 +27,8 @@
 
 std::unique_ptr<ClientConnection> TargetPool::take(const RunnerRecord& _target)
 {
-	std::vector<Kept>& kept = kept_[_target.instance.text];
+	dropOtherLives(_target.life());
+	std::vector<Kept>& kept = kept_[_target.life()];
 	while (!kept.empty())
 	{
 		Kept last = std::move(kept.back());
@@ -49,19 +50,29 @@
 	{
 		return;
 	}
-	const std::string instance = _target.instance.text;
+	const TargetLife life = _target.life();
 	const ClientConnection* const raw = _connection.get();
 	_connection->onIdleEnd(
-	    [this, instance, raw]
+	    [this, life, raw]
 	    {
-		    drop(instance, raw);
+		    drop(life, raw);
 	    });
-	kept_[instance].push_back(Kept{std::move(_connection), usableUntil});
+	kept_[life].push_back(Kept{std::move(_connection), usableUntil});
 }
 
-void TargetPool::drop(const std::string& _instance, const ClientConnection* _connection)
+/// Closes what leads to other starts of a target: it would rest for good where the network ended it unnoticed.
+void TargetPool::dropOtherLives(const TargetLife& _life)
 {
-	const auto row = kept_.find(_instance);
+	auto row = kept_.lower_bound(TargetLife{_life.instance, BirthTime{INT64_MIN}});
+	while (kept_.end() != row && row->first.instance == _life.instance)
+	{
+		row = row->first == _life ? std::next(row) : kept_.erase(row);
+	}
+}
+
+void TargetPool::drop(const TargetLife& _life, const ClientConnection* _connection)
+{
+	const auto row = kept_.find(_life);
 	if (kept_.end() == row)
 	{
 		return;
--- a/packages/entry/src/targetpool_p.h
+++ b/packages/entry/src/targetpool_p.h
@@ -20,8 +20,8 @@
 namespace sedgecart
 {
 
-/// Connections to targets that are kept between requests. A connection belongs to an instance, so that a target that
-/// took over an address gets none of its predecessor's. Loop thread only.
+/// Connections to targets that are kept between requests. A connection belongs to one start of a target, so
+/// that a target that took over an address or started again gets none of its predecessor's. Loop thread only.
 class TargetPool
 {
 public:
@@ -42,11 +42,12 @@
 		Time usableUntil;
 	};
 
-	void drop(const std::string& _instance, const ClientConnection* _connection);
+	void drop(const TargetLife& _life, const ClientConnection* _connection);
+	void dropOtherLives(const TargetLife& _life);
 
 	boost::asio::io_context& loop_;
 	const ClockI& clock_;
-	std::map<std::string, std::vector<Kept>> kept_; //!< By instance.
+	std::map<TargetLife, std::vector<Kept>> kept_;
 };
 
 } // namespace sedgecart
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -4,13 +4,15 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sstream>
+
 namespace sedgecart
 {
 
 namespace
 {
 
-/// Documents of one word: a target's record is its service, "!" before it says that it drains.
+/// Documents of one or two words: a target's record is its service, "!" before it says that it drains, and its birth.
 class PlainDocuments : public DocumentsI
 {
 public:
@@ -32,7 +34,8 @@
 	{
 		_record.instance = InstanceId{_key};
 		_record.draining = '!' == _text.front();
-		_record.service = _record.draining ? _text.substr(1) : _text;
+		std::istringstream words(_record.draining ? _text.substr(1) : _text);
+		words >> _record.service >> _record.born.unixMillis;
 		return true;
 	}
 };
@@ -55,6 +58,10 @@
 	CPPUNIT_TEST(drainingTargetsGetNothing);
 	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
 	CPPUNIT_TEST(versionsOnlyRise);
+	CPPUNIT_TEST(aRestartTakesNothingOver);
+	CPPUNIT_TEST(aClockSetBackIsARestartAsWell);
+	CPPUNIT_TEST(aBirthToldLateIsNoRestart);
+	CPPUNIT_TEST(recordsOutOfAnOldCacheChangeNothing);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,10 +115,80 @@
 		CPPUNIT_ASSERT(StateVersion{5} == fleet_.routes()->state().version);
 	}
 
+	/// What the earlier start did, and what others told of it, says nothing of the later one; who still holds the
+	/// earlier one can see that it has ended.
+	void aRestartTakesNothingOver()
+	{
+		put("a", "plain 100");
+		const std::shared_ptr<TargetLoad> earlier = fleet_.loads().at("a");
+		earlier->requests = 3;
+		earlier->othersSuspicion = kSureSuspicion;
+		earlier->avoidedUntil = INT64_MAX;
+		put("a", "plain 200");
+		fleet_.onRunnersCurrent();
+		const std::shared_ptr<TargetLoad> later = fleet_.loads().at("a");
+		CPPUNIT_ASSERT(earlier->ended);
+		CPPUNIT_ASSERT(!later->ended);
+		CPPUNIT_ASSERT_EQUAL(0U, later->requests.load());
+		CPPUNIT_ASSERT(!later->isDead(clock_.now()));
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), later->avoidedUntil.load());
+		CPPUNIT_ASSERT(later == shown("a"));
+		CPPUNIT_ASSERT_EQUAL(clock_.now().micros, fleet_.fleetChangedAt().micros);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+	}
+
+	/// The registry's order decides, not the target's clock.
+	void aClockSetBackIsARestartAsWell()
+	{
+		put("a", "plain 200");
+		const std::shared_ptr<TargetLoad> earlier = fleet_.loads().at("a");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(earlier->ended);
+		CPPUNIT_ASSERT_EQUAL(int64_t(100), fleet_.runners().at("a").born.unixMillis);
+	}
+
+	/// Another writer's record without a birth may stand between two of the target's own.
+	void aBirthToldLateIsNoRestart()
+	{
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "plain 100");
+		put("a", "plain");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(!load->ended);
+		CPPUNIT_ASSERT(load == fleet_.loads().at("a"));
+		put("a", "plain 101");
+		CPPUNIT_ASSERT(load->ended);
+	}
+
+	void recordsOutOfAnOldCacheChangeNothing()
+	{
+		put("a", "plain 200", 9);
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "plain 100", 8);
+		CPPUNIT_ASSERT(!load->ended);
+		CPPUNIT_ASSERT_EQUAL(int64_t(200), fleet_.runners().at("a").born.unixMillis);
+		put("a", "plain 100", 10);
+		CPPUNIT_ASSERT(load->ended);
+	}
+
 private:
-	void put(const char* _instance, const char* _text)
+	void put(const char* _instance, const char* _text, uint64_t _offset = 0)
 	{
-		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{0}});
+		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{_offset}});
+	}
+
+	/// @returns the load that requests count a target by.
+	std::shared_ptr<TargetLoad> shown(const std::string& _instance) const
+	{
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		for (const FleetTarget& target : view->services.at("plain")->targets)
+		{
+			if (_instance == target.record.instance.text)
+			{
+				return target.load;
+			}
+		}
+		return nullptr;
 	}
 
 	void state(const char* _version)
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -94,9 +94,11 @@
 		answer.refused = _refused;
 		answer.cut = _cut;
 		answer.unasked = _unasked;
+		answer.born = born;
 		call(answer);
 	}
 
+	BirthTime born; //!< That the targets tell.
 	std::vector<std::string> addresses;
 	std::vector<Duration> bounds;
 	std::deque<Question> calls;
@@ -168,6 +170,8 @@
 	CPPUNIT_TEST(afterARestLatenessIsForgotten);
 	CPPUNIT_TEST(aDeadTargetIsFoundByANodeThatIsAlwaysLate);
 	CPPUNIT_TEST(whatOtherNodesAreSureOfIsLeft);
+	CPPUNIT_TEST(streamsLeaveAStartThatIsOver);
+	CPPUNIT_TEST(anAnswerOfALaterStartIsNoSignOfLife);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -417,6 +421,35 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), path_->dead.size()); // told once
 	}
 
+	/// The registry showed a later start of the target: the stream is lost there, however soon the target answers.
+	void streamsLeaveAStartThatIsOver()
+	{
+		pass(48);
+		b_.load->ended = true;
+		look(8);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
+		look(8);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), path_->dead.size()); // told once
+	}
+
+	/// Two targets of a silent path answer at once, and one of them tells another birth than the registry shows. It was
+	/// taken as alive, and the stream waited for it until the target that it goes over gave up.
+	void anAnswerOfALaterStartIsNoSignOfLife()
+	{
+		a_.record.born = BirthTime{100};
+		b_.record.born = BirthTime{100};
+		fallSilent();
+		orders_.born = BirthTime{100};
+		orders_.answer(true);
+		orders_.born = BirthTime{300};
+		orders_.answer(true);
+		look(8);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
+		CPPUNIT_ASSERT(!a_.load->ended);
+		CPPUNIT_ASSERT(b_.load->ended);
+		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now())); // it says nothing of the later start
+	}
+
 private:
 	/// Lets a look happen after some time on the hand clock.
 	void look(int64_t _millis)
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -14,6 +14,11 @@
 namespace
 {
 
+TargetLife life(const char* _instance)
+{
+	return TargetLife{InstanceId{_instance}, BirthTime{}};
+}
+
 /// A service of two halls; each holds a model of 8 layers in two parts.
 class Fleet
 {
@@ -63,7 +68,7 @@
 	}
 
 	FleetService service;
-	std::set<std::string> failed;
+	std::set<TargetLife> failed;
 	double linkTaken = 0;
 	Mechanisms mechanisms;
 
@@ -86,6 +91,7 @@
 	CPPUNIT_TEST(requestsThatMoveSpread);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
+	CPPUNIT_TEST(whatHasEndedIsNoWayOn);
 	CPPUNIT_TEST(theLinkBetweenHallsHasItsPrice);
 	CPPUNIT_TEST(theLinkBetweenHallsTakesNoMoreThanItBears);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
@@ -194,7 +200,7 @@
 		Fleet fleet;
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(200), random_, choice));
-		fleet.failed = {"i-1", "i-3"};
+		fleet.failed = {life("i-1"), life("i-3")};
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
 	}
 
@@ -203,7 +209,7 @@
 		Fleet fleet;
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
-		fleet.failed = {"i-1"};
+		fleet.failed = {life("i-1")};
 		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
 		fleet.service.targets[3].hall = 0;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
@@ -213,12 +219,32 @@
 		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
 	}
 
+	/// A request that goes on chooses from the fleet as it was when it was sent: the record of a target that has
+	/// started again since still shows its layers there, and each path over it would be refused.
+	void whatHasEndedIsNoWayOn()
+	{
+		Fleet fleet;
+		fleet.service.targets[3].hall = 0;
+		Choice choice;
+		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
+		fleet.failed = {life("i-1")};
+		fleet.load(3).ended = true;
+		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
+		fleet.failed.clear();
+		for (uint32_t target = 0; target < 4; ++target)
+		{
+			fleet.load(target).ended = true;
+		}
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
+	}
+
 	/// A hall that lacks a part borrows it over a wide link; over a narrow one its requests go to the other hall as a
 	/// whole.
 	void theLinkBetweenHallsHasItsPrice()
 	{
 		Fleet fleet;
-		fleet.failed = {"i-1"};
+		fleet.failed = {life("i-1")};
 		fleet.engine().usualPromptTokens = 1000;
 		fleet.engine().hopBytesPerToken = 20000;
 		Choice choice;
@@ -236,7 +262,7 @@
 	void theLinkBetweenHallsTakesNoMoreThanItBears()
 	{
 		Fleet fleet;
-		fleet.failed = {"i-1", "i-2"};
+		fleet.failed = {life("i-1"), life("i-2")};
 		fleet.engine().usualPromptTokens = 1000;
 		fleet.engine().hopBytesPerToken = 20000;
 		fleet.engine().hallLinkMbps = 5000;
@@ -259,7 +285,7 @@
 		fleet.load(1).requests = 1;
 		CPPUNIT_ASSERT(SendOutcome::Begun == chooseTarget(fleet.query(0), random_, choice));
 		CPPUNIT_ASSERT(2U <= choice.parts[0].candidate);
-		fleet.failed = {"i-0", "i-1", "i-2", "i-3"};
+		fleet.failed = {life("i-0"), life("i-1"), life("i-2"), life("i-3")};
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
 	}
 
