An order counts only for the start of a target that it was made for

Cause: what a target was ordered to hold counts as held for 6 s, until the registry shows it. A target that restarts within them holds nothing, but the layout saw no missing range and mended none. Change: changes of the layout name the target's birth. An order counts as held, and is sent, only while the registry shows the start that it names; a start that is known to have ended is left out of the layout until the next one shows. Not done: a guard against an order that overtakes a restart on its way. `expected_rev` would need the count of orders: the registry's is as of the last change of the entry, and moves of requests raise it in between, so that sound orders would be refused; the report's is some hundred ms old. Tests: with the change, since they need its fields.

--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -132,10 +132,11 @@
 	for (const wire::LayoutHold& hold : change.holds())
 	{
 		const LayerSpan layers{hold.begin(), hold.end()};
-		ordered_[hold.target()] = Ordered{layers, now};
+		const TargetLife life{InstanceId{hold.target()}, BirthTime{hold.born()}};
+		ordered_[hold.target()] = Ordered{life, layers, now};
 		if (own && fresh)
 		{
-			order(hold.target(), layers, fence);
+			order(life, layers, fence);
 		}
 	}
 }
@@ -143,8 +144,19 @@
 LayerSpan LayoutKeeper::effectiveLayers(const RunnerRecord& _target) const
 {
 	const auto ordered = ordered_.find(_target.instance.text);
-	const bool counts = ordered_.end() != ordered && clock_.now() < ordered->second.at + kOrderShown;
-	return counts ? ordered->second.layers : _target.layers;
+	if (ordered_.end() == ordered || !(clock_.now() < ordered->second.at + kOrderShown))
+	{
+		return _target.layers;
+	}
+	const LifeOrder::Enum order = compareLives(_target.life(), ordered->second.life, LifeEvidence::Unknown);
+	return LifeOrder::Same == order ? ordered->second.layers : _target.layers;
+}
+
+/// @returns true if a start of a target is known to be over, though the registry shows no later one yet.
+bool LayoutKeeper::hasEnded(const std::string& _target) const
+{
+	const auto load = fleet_.loads().find(_target);
+	return fleet_.loads().end() != load && load->second->ended.load(std::memory_order_relaxed);
 }
 
 /// @returns targets that nodes found dead and whose records have not lapsed yet. Where much of a hall seems dead at
@@ -202,7 +214,7 @@
 		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
 		const bool inLayers = nullptr != service && service->hasEngine;
 		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
-		if (nullptr == card || record.draining || 0 < lost.count(row.first))
+		if (nullptr == card || record.draining || 0 < lost.count(row.first) || hasEnded(row.first))
 		{
 			continue;
 		}
@@ -285,6 +297,7 @@
 	{
 		wire::LayoutHold* const hold = change.add_holds();
 		hold->set_target(_scene.records[order.target].instance.text);
+		hold->set_born(_scene.records[order.target].born.unixMillis);
 		hold->set_begin(order.layers.begin);
 		hold->set_end(order.layers.end);
 	}
@@ -307,24 +320,43 @@
 	            });
 }
 
-void LayoutKeeper::order(const std::string& _target, LayerSpan _layers, Offset _fence)
+/// @returns false if the target has left or started again since the change was made.
+bool LayoutKeeper::mayOrder(const TargetLife& _life) const
 {
-	const auto row = fleet_.runners().find(_target);
+	const auto row = fleet_.runners().find(_life.instance.text);
 	if (fleet_.runners().end() == row)
 	{
-		return; // it left meanwhile
+		return false;
+	}
+	const LifeOrder::Enum order = compareLives(row->second.life(), _life, LifeEvidence::Unknown);
+	const bool ended = LifeOrder::Same != order || hasEnded(_life.instance.text);
+	if (ended)
+	{
+		logEvent(LogPart::Layout, LogLevel::Info, "Order is not sent, its target has restarted.",
+		         {{"target", _life.instance.text}, {"born", std::to_string(_life.born.unixMillis)}});
+	}
+	return !ended;
+}
+
+void LayoutKeeper::order(const TargetLife& _life, LayerSpan _layers, Offset _fence)
+{
+	if (!mayOrder(_life))
+	{
+		return;
 	}
+	const RunnerRecord& target = fleet_.runners().at(_life.instance.text);
 	logEvent(LogPart::Layout, LogLevel::Info, "Target is ordered to hold layers.",
-	         {{"target", _target},
+	         {{"target", _life.instance.text},
+	          {"born", std::to_string(_life.born.unixMillis)},
 	          {"layers", spanText(_layers)},
-	          {"held", spanText(row->second.layers)},
+	          {"held", spanText(target.layers)},
 	          {"fence", std::to_string(_fence.value)}});
-	orders_.hold(row->second, _layers, _fence,
-	             [_target](LayoutOrderState::Enum _state)
+	orders_.hold(target, _layers, _fence,
+	             [_life](LayoutOrderState::Enum _state)
 	             {
 		             const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
 		             logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
-		                      {{"target", _target}, {"outcome", nameOf(_state)}});
+		                      {{"target", _life.instance.text}, {"outcome", nameOf(_state)}});
 	             });
 }
 
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -55,6 +55,7 @@
 	/// What a target was ordered to hold, until the registry shows it.
 	struct Ordered
 	{
+		TargetLife life; //!< The order counts for no other start of the target.
 		LayerSpan layers;
 		Time at;
 	};
@@ -75,7 +76,9 @@
 	void noteHole(const Scene& _scene, bool _unmended, Time _now);
 	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
-	void order(const std::string& _target, LayerSpan _layers, Offset _fence);
+	void order(const TargetLife& _life, LayerSpan _layers, Offset _fence);
+	bool mayOrder(const TargetLife& _life) const;
+	bool hasEnded(const std::string& _target) const;
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
 	std::set<std::string> lostTargets() const;
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -8,6 +8,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -21,7 +22,7 @@
 
 constexpr uint32_t kLayers = 80;
 
-/// Documents of one hall: a target's record is "card begin end".
+/// Documents of one hall: a target's record is "card begin end born".
 class HallDocuments : public DocumentsI
 {
 public:
@@ -52,7 +53,7 @@
 		_record.instance = InstanceId{_key};
 		_record.service = "engine";
 		_record.hall = "hall";
-		words >> _record.card >> _record.layers.begin >> _record.layers.end;
+		words >> _record.card >> _record.layers.begin >> _record.layers.end >> _record.born.unixMillis;
 		return true;
 	}
 };
@@ -90,11 +91,13 @@
 	std::vector<AppendCall> calls;
 };
 
-class NoOrders : public RunnerOrdersI
+/// Remembers who is ordered to hold layers.
+class RememberedOrders : public RunnerOrdersI
 {
 public:
-	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
+	void hold(const RunnerRecord& _target, LayerSpan, Offset, OrderCall) override
 	{
+		ordered.push_back(_target.instance.text);
 	}
 	void probe(const std::string&, Duration, ProbeCall) override
 	{
@@ -105,6 +108,8 @@
 	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
 	{
 	}
+
+	std::vector<std::string> ordered;
 };
 
 } // namespace
@@ -119,6 +124,9 @@
 	CPPUNIT_TEST(switchedOffItWaitsForTheRegistry);
 	CPPUNIT_TEST(whoIsBehindIsTold);
 	CPPUNIT_TEST(anOldViewChangesNothing);
+	CPPUNIT_TEST(whatAnEarlierStartWasOrderedIsNotHeld);
+	CPPUNIT_TEST(anOrderGoesOnlyToTheStartThatIsMeant);
+	CPPUNIT_TEST(aStartThatSaysItsEndHoldsNothing);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,9 +144,7 @@
 		for (std::size_t index = 0; index < targets_.size(); ++index)
 		{
 			const LayoutTarget& target = targets_[index];
-			const std::string text =
-			    target.card.name + ' ' + std::to_string(target.held.begin) + ' ' + std::to_string(target.held.end);
-			fleet_.onRunnerRecord(KeyedRecord{nameOf(index), text, false, Offset{index}});
+			put(index, target.held, kBorn);
 		}
 		fleet_.onRunnersCurrent();
 		fleet_.onOperatorCurrent(clock_.now());
@@ -212,7 +218,85 @@
 		CPPUNIT_ASSERT(log_.appended.empty());
 	}
 
+	/// A target was ordered to hold a range, and starts again before it is loaded. The order counts for 6 s, but the
+	/// target holds nothing: the range is missing and must be mended now, not after those 6 s.
+	void whatAnEarlierStartWasOrderedIsNotHeld()
+	{
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		const LayerSpan held = targets_[alone()].held;
+		keeper.onRecord(KeyedRecord{"newest", changeOf(alone(), held, kBorn), false, Offset{1}});
+		restart(alone());
+		keeper.onCurrent(Offset{2});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
+	/// The author reads its own change back, and one of its targets has started again meanwhile: that one gets nothing,
+	/// since its order was made for what the earlier start held.
+	void anOrderGoesOnlyToTheStartThatIsMeant()
+	{
+		restart(alone());
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.onCurrent(Offset{1});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		wire::LayoutChange change;
+		CPPUNIT_ASSERT(change.ParseFromString(log_.appended.front()));
+		CPPUNIT_ASSERT(0 < change.holds_size());
+		const std::string first = change.holds(0).target();
+		CPPUNIT_ASSERT(0 != change.holds(0).born());
+		put(indexOf(first), LayerSpan{}, kBorn + 7);
+		keeper.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(change.holds_size() - 1), orders_.ordered.size());
+		CPPUNIT_ASSERT(orders_.ordered.end() == std::find(orders_.ordered.begin(), orders_.ordered.end(), first));
+	}
+
+	/// The target's own report is the first to tell of a restart; the registry still shows the earlier start's layers.
+	void aStartThatSaysItsEndHoldsNothing()
+	{
+		fleet_.loads().at(nameOf(alone()))->ended = true;
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
 private:
+	static constexpr int64_t kBorn = 1790000000000;
+
+	void put(std::size_t _target, LayerSpan _held, int64_t _born)
+	{
+		const std::string text = targets_[_target].card.name + ' ' + std::to_string(_held.begin) + ' ' +
+		                         std::to_string(_held.end) + ' ' + std::to_string(_born);
+		fleet_.onRunnerRecord(KeyedRecord{nameOf(_target), text, false, Offset{_target}});
+	}
+
+	void restart(std::size_t _target)
+	{
+		put(_target, LayerSpan{}, kBorn + 5);
+		fleet_.onRunnersCurrent();
+	}
+
+	std::string changeOf(std::size_t _target, LayerSpan _layers, int64_t _born) const
+	{
+		wire::LayoutChange change;
+		change.set_author("another");
+		wire::LayoutHold* const hold = change.add_holds();
+		hold->set_target(nameOf(_target));
+		hold->set_begin(_layers.begin);
+		hold->set_end(_layers.end);
+		hold->set_born(_born);
+		return change.SerializeAsString();
+	}
+
+	std::size_t indexOf(const std::string& _name) const
+	{
+		std::size_t index = 0;
+		while (nameOf(index) != _name)
+		{
+			++index;
+		}
+		return index;
+	}
+
 	static std::string nameOf(std::size_t _target)
 	{
 		return "t" + std::to_string(_target);
@@ -257,7 +341,7 @@
 	FleetCell cell_;
 	StillClock clock_;
 	RememberedLog log_;
-	NoOrders orders_;
+	RememberedOrders orders_;
 	EntrySettings settings_;
 	FleetController fleet_{documents_, cell_, clock_, "hall"};
 	std::vector<LayoutTarget> targets_;
