A target's word that it does not hold its part is evidence for all requests (switch refusal-evidence)

Each request over one is refused (421), one by one: a target that refused was avoided for 200 ms only. Change: a 421 that names the stop at fault marks that target's load with the layers that the record showed. While the mark lasts (4.5 s: a record that nobody renews lapses within it) and the record shows the same layers, no choice takes the target, the layout does not count on it and sends it no order, and streams over it go on elsewhere by the right to send again alone. A record with other layers counts at once. A target whose record comes back keeps what is known of it (TargetLoad is kept for 10 s).

--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -14,19 +14,20 @@
 {
 	enum Enum
 	{
-		SecondCopies, //!< Memory that requests do not need holds second copies of layers.
-		OwnEvidence,  //!< What nodes found dead counts as gone for the layout before its record lapses.
-		PathWatch,    //!< Paths that fall silent are asked who is dead.
-		PacePolls,    //!< Targets are asked how slow they are.
-		HeadSlots,    //!< Slots of a path's first target count in its price.
-		MoveSpread,   //!< Requests that move choose among like heads by chance.
-		MeanAnswer,   //!< An answer takes room for half of its length, which it has as a mean.
-		BusyLast,     //!< Of the holders of second copies those with least under way take over a lost range.
-		LapseGrace,   //!< Records that lapse while the store is away are kept for a while.
-		TightHalls,   //!< A hall with little memory keeps a chain of its own where that serves more.
-		LinkBound,    //!< New requests cross between halls only while the link bears them.
-		StartWaits,   //!< Requests wait for a node that is about to be ready.
-		HallLoads,    //!< A node that starts loads the topics of the store from a node of its hall.
+		SecondCopies,    //!< Memory that requests do not need holds second copies of layers.
+		OwnEvidence,     //!< What nodes found dead counts as gone for the layout before its record lapses.
+		PathWatch,       //!< Paths that fall silent are asked who is dead.
+		PacePolls,       //!< Targets are asked how slow they are.
+		HeadSlots,       //!< Slots of a path's first target count in its price.
+		MoveSpread,      //!< Requests that move choose among like heads by chance.
+		MeanAnswer,      //!< An answer takes room for half of its length, which it has as a mean.
+		BusyLast,        //!< Of the holders of second copies those with least under way take over a lost range.
+		LapseGrace,      //!< Records that lapse while the store is away are kept for a while.
+		TightHalls,      //!< A hall with little memory keeps a chain of its own where that serves more.
+		LinkBound,       //!< New requests cross between halls only while the link bears them.
+		StartWaits,      //!< Requests wait for a node that is about to be ready.
+		HallLoads,       //!< A node that starts loads the topics of the store from a node of its hall.
+		RefusalEvidence, //!< What a target refuses for not holding it is asked of it by no other request for a while.
 
 		Count
 	};
--- a/packages/entry/include/entry/wireformat.h
+++ b/packages/entry/include/entry/wireformat.h
@@ -45,6 +45,7 @@
 {
 	std::string id;        //!< Of the request that it answers; empty if it names none.
 	bool notRun = false;   //!< The target says that it did not run the request, and will not.
+	bool notHeld = false;  //!< The stop at fault does not hold its part, or is another instance than was meant.
 	bool isSigned = false; //!< It carries the signature without which no answer counts as a success.
 	std::string atFault;   //!< "ip:port" of the stop that refused; empty if it names none.
 };
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/// A target whose record went is remembered for so long: a call to the store that got no answer may be carried out some
+/// seconds later.
+constexpr Duration kGoneKept = Duration::fromMillis(10000);
+
 std::string spanText(LayerSpan _span)
 {
 	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
@@ -121,9 +125,7 @@
 	RunnerRecord record = _read;
 	if (isNew)
 	{
-		logEvent(LogPart::Targets, LogLevel::Info, "Target came.", describe(record));
-		loads_[instance] = std::make_shared<TargetLoad>();
-		fleetChangedAt_ = clock_.now();
+		come(record);
 	}
 	else if (LifeOrder::Newer == compareLives(known->second.life(), _read.life(), LifeEvidence::After))
 	{
@@ -142,6 +144,24 @@
 	changed_ = true;
 }
 
+/// A record may come back that has lapsed, also of a target that has ended meanwhile: a store may carry out late what
+/// it was told before. What is known of that start goes on to hold.
+void FleetController::come(const RunnerRecord& _read)
+{
+	const std::string& instance = _read.instance.text;
+	logEvent(LogPart::Targets, LogLevel::Info, "Target came.", describe(_read));
+	const auto gone = gone_.find(instance);
+	const bool isBack =
+	    gone_.end() != gone && LifeOrder::Same == compareLives(gone->second.life, _read.life(), LifeEvidence::After);
+	if (gone_.end() != gone && !isBack)
+	{
+		gone->second.load->ended.store(true, std::memory_order_relaxed);
+	}
+	loads_[instance] = isBack ? gone->second.load : std::make_shared<TargetLoad>();
+	gone_.erase(instance);
+	fleetChangedAt_ = clock_.now();
+}
+
 /// The earlier start went and another one came: nothing that is known of the earlier one passes over.
 void FleetController::restart(const RunnerRecord& _read)
 {
@@ -159,10 +179,14 @@
 
 void FleetController::remove(const std::string& _instance)
 {
-	if (0 == runners_.erase(_instance))
+	const auto known = runners_.find(_instance);
+	if (runners_.end() == known)
 	{
 		return;
 	}
+	forgetGone();
+	gone_[_instance] = Gone{known->second.life(), loads_[_instance], clock_.now()};
+	runners_.erase(known);
 	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
 	loads_.erase(_instance);
 	readUpTo_.erase(_instance);
@@ -170,6 +194,14 @@
 	changed_ = true;
 }
 
+void FleetController::forgetGone()
+{
+	for (auto row = gone_.begin(); gone_.end() != row;)
+	{
+		row = row->second.at + kGoneKept < clock_.now() ? gone_.erase(row) : std::next(row);
+	}
+}
+
 void FleetController::onRunnersOut()
 {
 	storeWasOut_ = true;
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -111,7 +111,17 @@
 	}
 
 private:
+	/// A target whose record went.
+	struct Gone
+	{
+		TargetLife life;
+		std::shared_ptr<TargetLoad> load;
+		Time at;
+	};
+
+	void forgetGone();
 	void take(const RunnerRecord& _read, Offset _offset);
+	void come(const RunnerRecord& _read);
 	void restart(const RunnerRecord& _read);
 	void remove(const std::string& _instance);
 	void publish();
@@ -126,6 +136,7 @@
 	std::map<std::string, RunnerRecord> runners_;
 	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
+	std::map<std::string, Gone> gone_;         //!< By instance, for `kGoneKept`.
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
 	std::set<std::string> lapsed_;             //!< Instances that may come back.
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -40,6 +40,8 @@
 	std::atomic<uint32_t> suspicion{0};         //!< How sure this node is that it is dead, until `suspectedUntil`.
 	std::atomic<int64_t> suspectedUntil{0};     //!< Steady clock, microseconds.
 	std::atomic<uint32_t> othersSuspicion{0};   //!< Sum of the other nodes', by their last word.
+	std::atomic<uint64_t> refusedLayers{0};     //!< See `noteNotHeld`; begin in the upper half, end in the lower.
+	std::atomic<int64_t> refusedUntil{0};       //!< Steady clock, microseconds.
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
 
@@ -56,11 +58,34 @@
 		return kSureSuspicion <= ownSuspicion(_now) + othersSuspicion.load(std::memory_order_relaxed);
 	}
 
+	/// Remembers that the target refused a request for not holding its part.
+	/// @param _shown layers by the record that the request was sent by.
+	void noteNotHeld(LayerSpan _shown, Time _until)
+	{
+		refusedLayers.store(packed(_shown), std::memory_order_relaxed);
+		refusedUntil.store(_until.micros, std::memory_order_relaxed);
+	}
+
+	/// @returns true if a record with these layers shows what the target has refused for not holding it. Another record
+	/// of it is a later word.
+	bool lacks(LayerSpan _shown, Time _now) const
+	{
+		const bool lasts = _now.micros < refusedUntil.load(std::memory_order_relaxed);
+		return lasts && packed(_shown) == refusedLayers.load(std::memory_order_relaxed);
+	}
+
 	/// @returns how many times slower than usual the target is.
 	double pace() const
 	{
 		return std::max(polledPace.load(std::memory_order_relaxed), toldPace.load(std::memory_order_relaxed));
 	}
+
+private:
+	static constexpr uint64_t packed(LayerSpan _span)
+	{
+		constexpr uint32_t kHalf = 32;
+		return static_cast<uint64_t>(_span.begin) << kHalf | _span.end;
+	}
 };
 
 /// A target that may be sent to.
@@ -70,6 +95,13 @@
 	uint32_t hall = 0;              //!< Number of its data hall; kHomeHall is this node's.
 	const CardKind* card = nullptr; //!< Null for a plain service.
 	std::shared_ptr<TargetLoad> load;
+
+	/// @returns true if what the record shows is known to be gone: the target has started again, or refused a request
+	/// for not holding its part.
+	bool isStale(Time _now) const
+	{
+		return load->ended.load(std::memory_order_relaxed) || load->lacks(record.layers, _now);
+	}
 };
 
 /// A service with its targets. Keeps the desired state alive that it points into.
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -152,11 +152,16 @@
 	return LifeOrder::Same == order ? ordered->second.layers : _target.layers;
 }
 
-/// @returns true if a start of a target is known to be over, though the registry shows no later one yet.
-bool LayoutKeeper::hasEnded(const std::string& _target) const
+/// @returns true if what the registry shows of a target is known to be gone: it has started again, or refuses its part.
+bool LayoutKeeper::isStale(const RunnerRecord& _target) const
 {
-	const auto load = fleet_.loads().find(_target);
-	return fleet_.loads().end() != load && load->second->ended.load(std::memory_order_relaxed);
+	const auto load = fleet_.loads().find(_target.instance.text);
+	if (fleet_.loads().end() == load)
+	{
+		return false;
+	}
+	const bool ended = load->second->ended.load(std::memory_order_relaxed);
+	return ended || load->second->lacks(_target.layers, clock_.now());
 }
 
 /// @returns targets that nodes found dead and whose records have not lapsed yet. Where much of a hall seems dead at
@@ -214,7 +219,7 @@
 		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
 		const bool inLayers = nullptr != service && service->hasEngine;
 		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
-		if (nullptr == card || record.draining || 0 < lost.count(row.first) || hasEnded(row.first))
+		if (nullptr == card || record.draining || 0 < lost.count(row.first) || isStale(record))
 		{
 			continue;
 		}
@@ -329,10 +334,10 @@
 		return false;
 	}
 	const LifeOrder::Enum order = compareLives(row->second.life(), _life, LifeEvidence::Unknown);
-	const bool ended = LifeOrder::Same != order || hasEnded(_life.instance.text);
+	const bool ended = LifeOrder::Same != order || isStale(row->second);
 	if (ended)
 	{
-		logEvent(LogPart::Layout, LogLevel::Info, "Order is not sent, its target has restarted.",
+		logEvent(LogPart::Layout, LogLevel::Info, "Order is not sent, its target is not the one meant.",
 		         {{"target", _life.instance.text}, {"born", std::to_string(_life.born.unixMillis)}});
 	}
 	return !ended;
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -78,7 +78,7 @@
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const TargetLife& _life, LayerSpan _layers, Offset _fence);
 	bool mayOrder(const TargetLife& _life) const;
-	bool hasEnded(const std::string& _target) const;
+	bool isStale(const RunnerRecord& _target) const;
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
 	std::set<std::string> lostTargets() const;
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
--- a/packages/entry/src/mechanisms.cpp
+++ b/packages/entry/src/mechanisms.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* kNames[Mechanism::Count] = {
     "second-copies", "own-evidence", "path-watch",  "pace-polls", "head-slots",  "move-spread", "mean-answer",
-    "busy-last",     "lapse-grace",  "tight-halls", "link-bound", "start-waits", "hall-loads",
+    "busy-last",     "lapse-grace",  "tight-halls", "link-bound", "start-waits", "hall-loads",  "refusal-evidence",
 };
 
 constexpr const char* kNothing = "none";
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -71,12 +71,16 @@
 	                   });
 }
 
-/// @returns true if a target was found dead elsewhere, and paths were not told yet or long ago.
-bool isToldDead(const TargetLoad& _load, Time _now)
+bool isToldDead(const FleetTarget& _target)
 {
-	const bool sure = kSureSuspicion <= _load.othersSuspicion.load(std::memory_order_relaxed);
-	const bool dead = sure || _load.ended.load(std::memory_order_relaxed);
-	return dead && _load.avoidedUntil.load(std::memory_order_relaxed) <= _now.micros;
+	return kSureSuspicion <= _target.load->othersSuspicion.load(std::memory_order_relaxed);
+}
+
+/// @returns true if what a target ran is lost by another word than its silence, and paths were not told lately.
+bool isToldGone(const FleetTarget& _target, Time _now)
+{
+	const bool told = _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
+	return !told && (isToldDead(_target) || _target.isStale(_now));
 }
 
 } // namespace
@@ -150,8 +154,8 @@
 	start();
 }
 
-/// Paths leave targets that other nodes are sure of, and starts of targets that are over. A node that is too weak to
-/// find out itself hears it so.
+/// Paths leave targets that other nodes are sure of, since a node that is too weak to find out itself hears it so, and
+/// targets that have started again or refuse their part.
 void PathWatch::leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
 {
 	std::vector<FleetTarget> left;
@@ -160,17 +164,17 @@
 	{
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			if (isToldDead(*target->load, _now) && !hasHeardOver(*target, recent))
+			if (isToldGone(*target, _now) && !hasHeardOver(*target, recent))
 			{
-				passOver(*target, kDeadFor);
+				passOver(*target, isToldDead(*target) ? kDeadFor : kDoubtFor);
 				left.push_back(*target);
 			}
 		}
 	}
 	for (const FleetTarget& target : left)
 	{
-		const bool ended = target.load->ended.load(std::memory_order_relaxed);
-		tellPaths(target, ended ? "it has restarted" : "other nodes found it dead", recent);
+		const bool dead = isToldDead(target);
+		tellPaths(target, dead ? "other nodes found it dead" : "it does not hold its layers any more", recent);
 	}
 }
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -31,6 +31,10 @@
 /// The same for one that turned a request away: it is full, drains or gives layers up. Some requests end meanwhile.
 constexpr Duration kFullFor = Duration::fromMillis(200);
 
+/// How long a record that its target has refused to go by is not gone by: one that nobody renews lapses within it. The
+/// target's next record with other layers counts at once.
+constexpr Duration kNotHeldFor = Duration::fromMillis(4500);
+
 /// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
 constexpr Duration kComeBack = Duration::fromMillis(250);
 
@@ -503,6 +507,25 @@
 	const Duration span = send_->answer.notRun ? kFullFor : kAvoidedFor;
 	failed.load->avoidedUntil.store((context_.clock.now() + span).micros, std::memory_order_relaxed);
 	logOutcome("Target failed a request.", LogLevel::Info, failed.record.instance.text);
+	if (send_->answer.notHeld && (nullptr != named || send_->answer.atFault.empty()))
+	{
+		noteNotHeld(failed);
+	}
+}
+
+/// The target's own word that its record is not true: no other request has to be refused to find that out.
+void RequestRelay::noteNotHeld(const FleetTarget& _failed)
+{
+	const Time now = context_.clock.now();
+	if (!context_.mechanisms.on(Mechanism::RefusalEvidence))
+	{
+		return;
+	}
+	if (!_failed.load->lacks(_failed.record.layers, now))
+	{
+		logOutcome("Target does not hold what its record shows.", LogLevel::Warning, _failed.record.instance.text);
+	}
+	_failed.load->noteNotHeld(_failed.record.layers, now + kNotHeldFor);
 }
 
 void RequestRelay::finishIfDone()
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -80,6 +80,7 @@
 	void notePause(Duration _pause);
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void avoidAtFault();
+	void noteNotHeld(const FleetTarget& _failed);
 	void startTimer();
 	void finishIfDone();
 	void logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const;
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -58,12 +58,11 @@
 	return _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
 }
 
-/// @returns true if a target failed the request, or if the start of it that is meant is over: a request that goes on
-/// chooses from the fleet as it was when it was sent.
+/// @returns true if a target failed the request, or if its record is known to be stale: a request that goes on chooses
+/// from the fleet as it was when it was sent.
 bool isPassedOver(const FleetTarget& _target, const ChoiceQuery& _query)
 {
-	const bool failed = 0 < _query.failed.count(_target.record.life());
-	return failed || _target.load->ended.load(std::memory_order_relaxed);
+	return 0 < _query.failed.count(_target.record.life()) || _target.isStale(_query.now);
 }
 
 double loadOf(const FleetTarget& _target, Time _now)
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -62,6 +62,7 @@
 	CPPUNIT_TEST(aClockSetBackIsARestartAsWell);
 	CPPUNIT_TEST(aBirthToldLateIsNoRestart);
 	CPPUNIT_TEST(recordsOutOfAnOldCacheChangeNothing);
+	CPPUNIT_TEST(whoComesBackIsWhoWent);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +172,21 @@
 		CPPUNIT_ASSERT(load->ended);
 	}
 
+	/// A target crashed, and its record lapsed. The store then carries out a write of before, so that the record is
+	/// back for some seconds: what the target's successor at its address refused is still not held.
+	void whoComesBackIsWhoWent()
+	{
+		put("a", "plain 100");
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(load == fleet_.loads().at("a"));
+		put("a", "");
+		put("a", "plain 200");
+		CPPUNIT_ASSERT(load != fleet_.loads().at("a"));
+		CPPUNIT_ASSERT(load->ended);
+	}
+
 private:
 	void put(const char* _instance, const char* _text, uint64_t _offset = 0)
 	{
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -127,6 +127,7 @@
 	CPPUNIT_TEST(whatAnEarlierStartWasOrderedIsNotHeld);
 	CPPUNIT_TEST(anOrderGoesOnlyToTheStartThatIsMeant);
 	CPPUNIT_TEST(aStartThatSaysItsEndHoldsNothing);
+	CPPUNIT_TEST(whatIsRefusedIsMendedAtOnce);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -259,6 +260,15 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
 	}
 
+	/// A target refused a request for not holding its part. No other one holds it, and the registry may show it for
+	/// seconds yet.
+	void whatIsRefusedIsMendedAtOnce()
+	{
+		fleet_.loads().at(nameOf(alone()))->noteNotHeld(targets_[alone()].held, Time{INT64_MAX});
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
 private:
 	static constexpr int64_t kBorn = 1790000000000;
 
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -172,6 +172,7 @@
 	CPPUNIT_TEST(whatOtherNodesAreSureOfIsLeft);
 	CPPUNIT_TEST(streamsLeaveAStartThatIsOver);
 	CPPUNIT_TEST(anAnswerOfALaterStartIsNoSignOfLife);
+	CPPUNIT_TEST(streamsLeaveWhatRefusesItsPart);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -450,6 +451,16 @@
 		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now())); // it says nothing of the later start
 	}
 
+	/// Another request was refused by the target for not holding its part: what ran there before is lost.
+	void streamsLeaveWhatRefusesItsPart()
+	{
+		pass(48);
+		b_.load->noteNotHeld(b_.record.layers, clock_.now() + Duration::fromMillis(4500));
+		look(8);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == path_->dead);
+		CPPUNIT_ASSERT_EQUAL(0U, b_.load->ownSuspicion(clock_.now()));
+	}
+
 private:
 	/// Lets a look happen after some time on the hand clock.
 	void look(int64_t _millis)
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -92,6 +92,7 @@
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
 	CPPUNIT_TEST(whatHasEndedIsNoWayOn);
+	CPPUNIT_TEST(whatWasRefusedIsNotAskedAgain);
 	CPPUNIT_TEST(theLinkBetweenHallsHasItsPrice);
 	CPPUNIT_TEST(theLinkBetweenHallsTakesNoMoreThanItBears);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
@@ -239,6 +240,25 @@
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
 	}
 
+	/// A target said that it does not hold its part: nobody asks for it again by the same record, until the word is
+	/// old. A record with other layers is a later word.
+	void whatWasRefusedIsNotAskedAgain()
+	{
+		Fleet fleet;
+		const LayerSpan held = fleet.service.targets[1].record.layers;
+		const Time now = fleet.query(10).now;
+		Choice choice;
+		fleet.load(1).noteNotHeld(held, now + Duration::fromMillis(1));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+		fleet.load(1).noteNotHeld(LayerSpan{0, 4}, now + Duration::fromMillis(1));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+		fleet.load(1).noteNotHeld(held, now);
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+	}
+
 	/// A hall that lacks a part borrows it over a wide link; over a narrow one its requests go to the other hall as a
 	/// whole.
 	void theLinkBetweenHallsHasItsPrice()
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -155,6 +155,7 @@
 	CPPUNIT_TEST_SUITE(EntryProof);
 	CPPUNIT_TEST(plainAnswerComesUnchanged);
 	CPPUNIT_TEST(failureIsSentToAnotherTarget);
+	CPPUNIT_TEST(whatATargetLacksIsAskedOfItOnce);
 	CPPUNIT_TEST(atMostOnceIsNotSentAgain);
 	CPPUNIT_TEST(surplusAnswerBelongsToNobody);
 	CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
@@ -275,6 +276,27 @@
 		CPPUNIT_ASSERT(bad.requests().size() <= 20);
 	}
 
+	/// A target started again behind its record, and refuses what the record shows. One request is refused to find that
+	/// out, not each: the others do not go there.
+	void whatATargetLacksIsAskedOfItOnce()
+	{
+		EntryHarness harness;
+		const TargetScript lacking = [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			answerWhole(*_caller, _request, 421, "");
+		};
+		FakeTarget& bad = harness.addPlain(lacking);
+		harness.addPlain(answers(200, "good"));
+		harness.start();
+		for (int round = 0; round < 20; ++round)
+		{
+			CPPUNIT_ASSERT_EQUAL(std::string("good"), harness.call(request("/again/")).body);
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(50)); // longer in all than a full target is left alone
+		}
+		CPPUNIT_ASSERT(bad.requests().size() <= 1);
+	}
+
 	void atMostOnceIsNotSentAgain()
 	{
 		EntryHarness harness;
