A successor at a target's address ends the earlier start, also where its record comes back

The earlier entry lapses, comes back by a late write a second later and stays for 3.6 s; the layout counted its layers as held, so that halls stayed without them. Change: one process listens at an address. Where a target that was not known names the address of one whose record had gone, that was found dead or that refused its part, that one is ended: it is in no choice and holds nothing for the layout. A record of another writer that names a sound target's address ends nothing; who goes on writing its record for 8 s lives. Ruled out: the order of the records' offsets. The late write of the earlier one is behind its successor's first.

--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// Writes of a target that has ended are carried out within so long: a target's record lapses 3.6 s after its last one.
+constexpr Duration kLateWrites = Duration::fromMillis(8000);
+
 /// A target whose record went is remembered for so long: a call to the store that got no answer may be carried out some
 /// seconds later.
 constexpr Duration kGoneKept = Duration::fromMillis(10000);
@@ -134,7 +137,13 @@
 	else
 	{
 		record.born = lifeAfter(known->second.life(), _read.life(), LifeEvidence::After).born;
-		if (!differ(known->second, record))
+		const bool renewed = isRenewed(instance);
+		if (renewed)
+		{
+			endedAt_.erase(instance);
+			loads_[instance] = std::make_shared<TargetLoad>();
+		}
+		if (!renewed && !differ(known->second, record))
 		{
 			return;
 		}
@@ -151,17 +160,67 @@
 	const std::string& instance = _read.instance.text;
 	logEvent(LogPart::Targets, LogLevel::Info, "Target came.", describe(_read));
 	const auto gone = gone_.find(instance);
-	const bool isBack =
-	    gone_.end() != gone && LifeOrder::Same == compareLives(gone->second.life, _read.life(), LifeEvidence::After);
+	const bool isBack = gone_.end() != gone &&
+	                    LifeOrder::Same == compareLives(gone->second.record.life(), _read.life(), LifeEvidence::After);
 	if (gone_.end() != gone && !isBack)
 	{
 		gone->second.load->ended.store(true, std::memory_order_relaxed);
 	}
+	if (isBack)
+	{
+		back_.insert(instance);
+	}
+	else
+	{
+		endPredecessors(_read);
+	}
 	loads_[instance] = isBack ? gone->second.load : std::make_shared<TargetLoad>();
 	gone_.erase(instance);
 	fleetChangedAt_ = clock_.now();
 }
 
+/// One process listens at an address. Where a target that is not known yet names the address of one that had gone, is
+/// dead or refused its part, that one has ended, though its record may be there for seconds yet or come back. A record
+/// of another writer that names the address of a sound target ends nothing.
+void FleetController::endPredecessors(const RunnerRecord& _came)
+{
+	for (const auto& row : gone_)
+	{
+		if (_came.address == row.second.record.address)
+		{
+			end(row.second.record, *row.second.load);
+		}
+	}
+	for (const auto& row : runners_)
+	{
+		if (_came.address == row.second.address && mayHaveEnded(row.second))
+		{
+			end(row.second, *loads_[row.first]);
+		}
+	}
+}
+
+bool FleetController::mayHaveEnded(const RunnerRecord& _record) const
+{
+	const Time now = clock_.now();
+	const TargetLoad& load = *loads_.at(_record.instance.text);
+	return 0 < back_.count(_record.instance.text) || load.isDead(now) || load.lacks(_record.layers, now);
+}
+
+void FleetController::end(const RunnerRecord& _ended, TargetLoad& _load)
+{
+	logEvent(LogPart::Targets, LogLevel::Info, "Target has ended, another one is at its address.", describe(_ended));
+	_load.ended.store(true, std::memory_order_relaxed);
+	endedAt_[_ended.instance.text] = clock_.now();
+}
+
+/// @returns true if a target that was taken as ended goes on writing its record: it lives.
+bool FleetController::isRenewed(const std::string& _instance) const
+{
+	const auto ended = endedAt_.find(_instance);
+	return endedAt_.end() != ended && ended->second + kLateWrites < clock_.now();
+}
+
 /// The earlier start went and another one came: nothing that is known of the earlier one passes over.
 void FleetController::restart(const RunnerRecord& _read)
 {
@@ -185,8 +244,9 @@
 		return;
 	}
 	forgetGone();
-	gone_[_instance] = Gone{known->second.life(), loads_[_instance], clock_.now()};
+	gone_[_instance] = Gone{known->second, loads_[_instance], clock_.now()};
 	runners_.erase(known);
+	back_.erase(_instance);
 	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
 	loads_.erase(_instance);
 	readUpTo_.erase(_instance);
@@ -198,7 +258,12 @@
 {
 	for (auto row = gone_.begin(); gone_.end() != row;)
 	{
-		row = row->second.at + kGoneKept < clock_.now() ? gone_.erase(row) : std::next(row);
+		const bool old = row->second.at + kGoneKept < clock_.now();
+		if (old)
+		{
+			endedAt_.erase(row->first);
+		}
+		row = old ? gone_.erase(row) : std::next(row);
 	}
 }
 
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -114,7 +114,7 @@
 	/// A target whose record went.
 	struct Gone
 	{
-		TargetLife life;
+		RunnerRecord record;
 		std::shared_ptr<TargetLoad> load;
 		Time at;
 	};
@@ -123,6 +123,10 @@
 	void take(const RunnerRecord& _read, Offset _offset);
 	void come(const RunnerRecord& _read);
 	void restart(const RunnerRecord& _read);
+	void endPredecessors(const RunnerRecord& _came);
+	void end(const RunnerRecord& _ended, TargetLoad& _load);
+	bool mayHaveEnded(const RunnerRecord& _record) const;
+	bool isRenewed(const std::string& _instance) const;
 	void remove(const std::string& _instance);
 	void publish();
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
@@ -137,6 +141,8 @@
 	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, Gone> gone_;         //!< By instance, for `kGoneKept`.
+	std::set<std::string> back_;               //!< Instances whose record had gone and came back.
+	std::map<std::string, Time> endedAt_;      //!< When a successor at their address ended these instances.
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
 	std::set<std::string> lapsed_;             //!< Instances that may come back.
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-/// Documents of one or two words: a target's record is its service, "!" before it says that it drains, and its birth.
+/// Documents of some words: a target's record is its service, "!" before it says that it drains, its birth and
+/// its address.
 class PlainDocuments : public DocumentsI
 {
 public:
@@ -35,18 +36,26 @@
 		_record.instance = InstanceId{_key};
 		_record.draining = '!' == _text.front();
 		std::istringstream words(_record.draining ? _text.substr(1) : _text);
-		words >> _record.service >> _record.born.unixMillis;
+		words >> _record.service >> _record.born.unixMillis >> _record.address;
 		return true;
 	}
 };
 
-class StillClock : public ClockI
+class HandClock : public ClockI
 {
 public:
 	Time now() const override
 	{
-		return Time{1000000};
+		return now_;
 	}
+
+	void advance(int64_t _millis)
+	{
+		now_ = now_ + Duration::fromMillis(_millis);
+	}
+
+private:
+	Time now_{1000000};
 };
 
 } // namespace
@@ -63,6 +72,9 @@
 	CPPUNIT_TEST(aBirthToldLateIsNoRestart);
 	CPPUNIT_TEST(recordsOutOfAnOldCacheChangeNothing);
 	CPPUNIT_TEST(whoComesBackIsWhoWent);
+	CPPUNIT_TEST(aSuccessorAtTheAddressEndsWhoHadGone);
+	CPPUNIT_TEST(anAddressThatASoundTargetHasEndsNobody);
+	CPPUNIT_TEST(whoIsRenewedLives);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +199,51 @@
 		CPPUNIT_ASSERT(load->ended);
 	}
 
+	/// A target crashed, and starts again at its address as another instance. A late write brings the record of the
+	/// earlier one back, with all its layers: nothing is sent there, and the layout does not count on it.
+	void aSuccessorAtTheAddressEndsWhoHadGone()
+	{
+		put("c", "plain 0 10.0.0.1:80");
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("c");
+		put("c", "");
+		put("d", "plain 0 10.0.0.1:80");
+		put("c", "plain 0 10.0.0.1:80");
+		CPPUNIT_ASSERT(fleet_.loads().at("c")->ended);
+		CPPUNIT_ASSERT(load->ended);
+		CPPUNIT_ASSERT(!fleet_.loads().at("d")->ended);
+	}
+
+	/// Another writer may name an address that is not its own. One that was found dead is another matter.
+	void anAddressThatASoundTargetHasEndsNobody()
+	{
+		put("c", "plain 0 10.0.0.1:80");
+		put("d", "plain 0 10.0.0.1:80");
+		TargetLoad& load = *fleet_.loads().at("c");
+		CPPUNIT_ASSERT(!load.ended);
+		load.suspicion = kSureSuspicion;
+		load.suspectedUntil = INT64_MAX;
+		put("e", "plain 0 10.0.0.1:80");
+		CPPUNIT_ASSERT(load.ended);
+		CPPUNIT_ASSERT(!fleet_.loads().at("d")->ended);
+	}
+
+	/// Late writes end; who goes on writing lives, and another writer has named its address.
+	void whoIsRenewedLives()
+	{
+		put("c", "plain 0 10.0.0.1:80");
+		put("c", "");
+		put("d", "plain 0 10.0.0.1:80");
+		put("c", "plain 0 10.0.0.1:80");
+		clock_.advance(2400);
+		put("c", "plain 0 10.0.0.1:80");
+		CPPUNIT_ASSERT(fleet_.loads().at("c")->ended);
+		clock_.advance(7000);
+		put("c", "plain 0 10.0.0.1:80");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT(!fleet_.loads().at("c")->ended);
+		CPPUNIT_ASSERT(fleet_.loads().at("c") == shown("c"));
+	}
+
 private:
 	void put(const char* _instance, const char* _text, uint64_t _offset = 0)
 	{
@@ -219,7 +276,7 @@
 	}
 
 	PlainDocuments documents_;
-	StillClock clock_;
+	HandClock clock_;
 	FleetCell cell_;
 	FleetController fleet_{documents_, cell_, clock_, "h1"};
 };
