An order names the target that it is for; another one at its address refuses it

Cause: orders to hold layers went to an address. Change: orders name the expected instance, as requests do. Who is refused so marks the target as one that does not hold what its record shows, so that the layout gives the range to another one at once. Tests: with the change, since they need its state.

--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -20,11 +20,12 @@
 	enum Enum
 	{
 		Begun,
-		Held,    //!< It holds these layers already.
-		Unfit,   //!< It does not fit the target's state.
-		Fenced,  //!< The target has seen a higher fence.
-		Invalid, //!< The target does not know such an order, or it is another target.
-		Unknown, //!< No answer: it may be carried out, also later.
+		Held,        //!< It holds these layers already.
+		Unfit,       //!< It does not fit the target's state.
+		Fenced,      //!< The target has seen a higher fence.
+		Invalid,     //!< The target does not know such an order.
+		OtherTarget, //!< Another target is at the address by now.
+		Unknown,     //!< No answer: it may be carried out, also later.
 
 		Count
 	};
@@ -78,7 +79,7 @@
 
 	using OrderCall = std::function<void(LayoutOrderState::Enum)>;
 
-	/// Has a target hold these layers and no others.
+	/// Has a target hold these layers and no others. Another instance at its address refuses the order.
 	/// @param _fence a target refuses an order whose fence is below one that it has seen.
 	virtual void hold(const RunnerRecord& _target, LayerSpan _layers, Offset _fence, OrderCall _call) = 0;
 
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/entry/src/fleetview_p.h
@@ -28,6 +28,10 @@
 constexpr uint32_t kWeakSuspicion = 1;
 constexpr uint32_t kSureSuspicion = 2;
 
+/// How long a record that its target has refused to go by is not gone by: one that nobody renews lapses within it. The
+/// target's next record with other layers counts at once.
+constexpr Duration kNotHeldFor = Duration::fromMillis(4500);
+
 /// What is under way at one start of a target. Lives as long as somebody knows that start; the next one gets its own.
 struct TargetLoad
 {
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -357,12 +357,23 @@
 	          {"held", spanText(target.layers)},
 	          {"fence", std::to_string(_fence.value)}});
 	orders_.hold(target, _layers, _fence,
-	             [_life](LayoutOrderState::Enum _state)
+	             [this, _life](LayoutOrderState::Enum _state)
 	             {
-		             const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
-		             logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
-		                      {{"target", _life.instance.text}, {"outcome", nameOf(_state)}});
+		             onOrderAnswered(_life, _state);
 	             });
 }
 
+void LayoutKeeper::onOrderAnswered(const TargetLife& _life, LayoutOrderState::Enum _state)
+{
+	const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
+	logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
+	         {{"target", _life.instance.text}, {"outcome", nameOf(_state)}});
+	const auto target = fleet_.runners().find(_life.instance.text);
+	const bool known = fleet_.runners().end() != target && target->second.life() == _life;
+	if (known && LayoutOrderState::OtherTarget == _state && mechanisms_.on(Mechanism::RefusalEvidence))
+	{
+		fleet_.loads().at(_life.instance.text)->noteNotHeld(target->second.layers, clock_.now() + kNotHeldFor);
+	}
+}
+
 } // namespace sedgecart
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -77,6 +77,7 @@
 	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const TargetLife& _life, LayerSpan _layers, Offset _fence);
+	void onOrderAnswered(const TargetLife& _life, LayoutOrderState::Enum _state);
 	bool mayOrder(const TargetLife& _life) const;
 	bool isStale(const RunnerRecord& _target) const;
 	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
--- a/packages/entry/src/portnames.cpp
+++ b/packages/entry/src/portnames.cpp
@@ -12,7 +12,7 @@
 constexpr const char* kStoreNames[] = {"done", "conflict", "gone", "refused", "unknown"};
 static_assert(StoreState::Count == sizeof(kStoreNames) / sizeof(kStoreNames[0]), "each state needs its name");
 
-constexpr const char* kOrderNames[] = {"begun", "held", "unfit", "fenced", "invalid", "unknown"};
+constexpr const char* kOrderNames[] = {"begun", "held", "unfit", "fenced", "invalid", "other_target", "unknown"};
 static_assert(LayoutOrderState::Count == sizeof(kOrderNames) / sizeof(kOrderNames[0]), "each state needs its name");
 
 constexpr const char* kRepathNames[] = {"moved", "no_request", "no_part", "refused", "unknown"};
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -31,10 +31,6 @@
 /// The same for one that turned a request away: it is full, drains or gives layers up. Some requests end meanwhile.
 constexpr Duration kFullFor = Duration::fromMillis(200);
 
-/// How long a record that its target has refused to go by is not gone by: one that nobody renews lapses within it. The
-/// target's next record with other layers counts at once.
-constexpr Duration kNotHeldFor = Duration::fromMillis(4500);
-
 /// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
 constexpr Duration kComeBack = Duration::fromMillis(250);
 
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -95,9 +95,10 @@
 class RememberedOrders : public RunnerOrdersI
 {
 public:
-	void hold(const RunnerRecord& _target, LayerSpan, Offset, OrderCall) override
+	void hold(const RunnerRecord& _target, LayerSpan, Offset, OrderCall _call) override
 	{
 		ordered.push_back(_target.instance.text);
+		calls.push_back(std::move(_call));
 	}
 	void probe(const std::string&, Duration, ProbeCall) override
 	{
@@ -110,6 +111,7 @@
 	}
 
 	std::vector<std::string> ordered;
+	std::vector<OrderCall> calls;
 };
 
 } // namespace
@@ -128,6 +130,7 @@
 	CPPUNIT_TEST(anOrderGoesOnlyToTheStartThatIsMeant);
 	CPPUNIT_TEST(aStartThatSaysItsEndHoldsNothing);
 	CPPUNIT_TEST(whatIsRefusedIsMendedAtOnce);
+	CPPUNIT_TEST(anOrderThatAnotherTargetRefusedIsEvidence);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -269,6 +272,23 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
 	}
 
+	/// The address of the target has another one by now, which refuses the order: nothing is counted on there.
+	void anOrderThatAnotherTargetRefusedIsEvidence()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.onCurrent(Offset{1});
+		keeper.start();
+		keeper.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		const std::string first = orders_.ordered.front();
+		const TargetLoad& load = *fleet_.loads().at(first);
+		const LayerSpan held = fleet_.runners().at(first).layers;
+		orders_.calls.front()(LayoutOrderState::Unfit);
+		CPPUNIT_ASSERT(!load.lacks(held, clock_.now()));
+		orders_.calls.front()(LayoutOrderState::OtherTarget);
+		CPPUNIT_ASSERT(load.lacks(held, clock_.now()));
+	}
+
 private:
 	static constexpr int64_t kBorn = 1790000000000;
 
