Loads, suspicion and pace told between nodes name the start of the target

Cause: they named the instance. What nodes that know the earlier start tell (loads, dead marks) counted against the later one. Cost: 7 bytes a row where targets tell births. Tests: with the change, since they need its types.

--- a/packages/entry/src/loadboard.cpp
+++ b/packages/entry/src/loadboard.cpp
@@ -17,18 +17,36 @@
 /// A hub that was not heard for so long counts no more.
 constexpr Duration kSumCounts = Duration::fromMillis(1500);
 
+void add(LoadAmount& _sum, const LoadAmount& _more)
+{
+	_sum.tokenLayers += _more.tokenLayers;
+	_sum.requests += _more.requests;
+	_sum.suspicion += _more.suspicion;
+	_sum.pace = std::max(_sum.pace, _more.pace);
+}
+
 } // namespace
 
 void addLoads(LoadTable& _sum, const LoadTable& _more)
 {
 	for (const auto& row : _more)
 	{
-		LoadAmount& amount = _sum[row.first];
-		amount.tokenLayers += row.second.tokenLayers;
-		amount.requests += row.second.requests;
-		amount.suspicion += row.second.suspicion;
-		amount.pace = std::max(amount.pace, row.second.pace);
+		add(_sum[row.first], row.second);
+	}
+}
+
+LoadAmount loadAt(const LoadTable& _table, const TargetLife& _life)
+{
+	LoadAmount amount;
+	auto row = _table.lower_bound(TargetLife{_life.instance, BirthTime{INT64_MIN}});
+	for (; _table.end() != row && row->first.instance == _life.instance; ++row)
+	{
+		if (LifeOrder::Same == compareLives(_life, row->first, LifeEvidence::Unknown))
+		{
+			add(amount, row->second);
+		}
 	}
+	return amount;
 }
 
 void subtractLoads(LoadTable& _sum, const LoadTable& _less)
--- a/packages/entry/src/loadboard_p.h
+++ b/packages/entry/src/loadboard_p.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
 
+#include <base/targetlife.h>
 #include <base/units.h>
 
 #include <cstdint>
@@ -24,8 +25,9 @@
 	double pace = 0;        //!< How many times slower than usual the target is; 0: not known, or as usual.
 };
 
-/// Loads by the target's instance; targets without any are left out.
-using LoadTable = std::map<std::string, LoadAmount>;
+/// Loads by the start of the target that they are at; those without any are left out. What nodes tell of two starts of
+/// a target does not add up.
+using LoadTable = std::map<TargetLife, LoadAmount>;
 
 /// Adds one table to another.
 void addLoads(LoadTable& _sum, const LoadTable& _more);
@@ -33,6 +35,9 @@
 /// Takes one table off another; nothing falls below zero.
 void subtractLoads(LoadTable& _sum, const LoadTable& _less);
 
+/// @returns what a table holds of a start of a target, also where a node that told of it knows no birth.
+LoadAmount loadAt(const LoadTable& _table, const TargetLife& _life);
+
 /// What all nodes have under way, as the hub of a hall knows it.
 struct LoadTotals
 {
--- a/packages/entry/src/loadreports.cpp
+++ b/packages/entry/src/loadreports.cpp
@@ -15,14 +15,23 @@
 /// Reports that are kept to be taken off the totals that contain them.
 constexpr std::size_t kKeptReports = 8;
 
-/// Name of the row that tells how much of the link between halls is taken; no target is named so.
-constexpr const char* kLinkRow = "link between halls";
+/// @returns the row that tells how much of the link between halls is taken; no target is named so.
+TargetLife linkRow()
+{
+	return TargetLife{InstanceId{"link between halls"}, BirthTime{}};
+}
 
 /// A target that is slower than usual by less is as usual: it costs no row in a report.
 constexpr double kUsualPace = 1.05;
 
 } // namespace
 
+/// @returns the start of a target as the registry shows it.
+TargetLife LoadReports::lifeOf(const std::string& _instance) const
+{
+	return fleet_.runners().at(_instance).life();
+}
+
 LoadTable LoadReports::own() const
 {
 	LoadTable loads;
@@ -35,13 +44,13 @@
 		                        kUsualPace < pace ? pace : 0};
 		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.pace)
 		{
-			loads[row.first] = amount;
+			loads[lifeOf(row.first)] = amount;
 		}
 	}
 	const Duration link = fleet_.link().own(now);
 	if (0 < link.micros)
 	{
-		loads[kLinkRow].tokenLayers = static_cast<uint64_t>(link.micros);
+		loads[linkRow()].tokenLayers = static_cast<uint64_t>(link.micros);
 	}
 	return loads;
 }
@@ -72,15 +81,14 @@
 {
 	for (const auto& row : fleet_.loads())
 	{
-		const auto found = _others.find(row.first);
-		const LoadAmount amount = _others.end() == found ? LoadAmount{} : found->second;
+		const LoadAmount amount = loadAt(_others, lifeOf(row.first));
 		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
 		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
 		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
 		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
 	}
-	const auto link = _others.find(kLinkRow);
-	fleet_.link().setOthers(Duration{_others.end() == link ? 0 : static_cast<int64_t>(link->second.tokenLayers)});
+	const LoadAmount link = loadAt(_others, linkRow());
+	fleet_.link().setOthers(Duration{static_cast<int64_t>(link.tokenLayers)});
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/loadreports_p.h
+++ b/packages/entry/src/loadreports_p.h
@@ -39,6 +39,8 @@
 	void setOthers(const LoadTable& _others);
 
 private:
+	TargetLife lifeOf(const std::string& _instance) const;
+
 	/// A report that was sent and may still be contained in a total.
 	struct Sent
 	{
--- a/packages/entry/src/loadrows.cpp
+++ b/packages/entry/src/loadrows.cpp
@@ -12,7 +12,8 @@
 	for (const auto& row : _table)
 	{
 		wire::FleetLoadRow* const out = _rows.Add();
-		out->set_target(row.first);
+		out->set_target(row.first.instance.text);
+		out->set_born(row.first.born.unixMillis);
 		out->set_token_layers(row.second.tokenLayers);
 		out->set_requests(row.second.requests);
 		out->set_pace(row.second.pace);
@@ -25,7 +26,8 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
-		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
+		const TargetLife life{InstanceId{row.target()}, BirthTime{row.born()}};
+		table[life] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
 	}
 	return table;
 }
--- a/packages/entry/tests/loadboardtest.cpp
+++ b/packages/entry/tests/loadboardtest.cpp
@@ -7,47 +7,74 @@
 namespace sedgecart
 {
 
+namespace
+{
+
+TargetLife life(const char* _instance, int64_t _born = 0)
+{
+	return TargetLife{InstanceId{_instance}, BirthTime{_born}};
+}
+
+} // namespace
+
 class LoadBoardTest : public CppUnit::TestFixture
 {
 	CPPUNIT_TEST_SUITE(LoadBoardTest);
 	CPPUNIT_TEST(hallAndOtherHallsAddUp);
 	CPPUNIT_TEST(aSilentNodeCountsNoMore);
 	CPPUNIT_TEST(nothingFallsBelowZero);
+	CPPUNIT_TEST(startsOfATargetDoNotAddUp);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
 	void hallAndOtherHallsAddUp()
 	{
-		board_.takeReport("n2", 7, LoadTable{{"t1", {100, 1}}}, kNow);
-		board_.takeSum("far", LoadTable{{"t1", {1000, 5}}, {"t2", {10, 1}}}, kNow);
-		const LoadTable hall = board_.addUp(LoadTable{{"t1", {50, 2}}}, kNow);
-		CPPUNIT_ASSERT_EQUAL(uint64_t(150), hall.at("t1").tokenLayers);
-		CPPUNIT_ASSERT_EQUAL(std::size_t(0), hall.count("t2"));
+		board_.takeReport("n2", 7, LoadTable{{life("t1"), {100, 1}}}, kNow);
+		board_.takeSum("far", LoadTable{{life("t1"), {1000, 5}}, {life("t2"), {10, 1}}}, kNow);
+		const LoadTable hall = board_.addUp(LoadTable{{life("t1"), {50, 2}}}, kNow);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(150), hall.at(life("t1")).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), hall.count(life("t2")));
 		const auto totals = board_.totals();
-		CPPUNIT_ASSERT_EQUAL(uint64_t(1150), totals->loads.at("t1").tokenLayers);
-		CPPUNIT_ASSERT_EQUAL(8U, totals->loads.at("t1").requests);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1150), totals->loads.at(life("t1")).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(8U, totals->loads.at(life("t1")).requests);
 		CPPUNIT_ASSERT_EQUAL(uint64_t(7), totals->counted.at("n2"));
 		CPPUNIT_ASSERT((std::vector<std::string>{"far"}) == board_.hubs(kNow));
 	}
 
 	void aSilentNodeCountsNoMore()
 	{
-		board_.takeReport("n2", 1, LoadTable{{"t1", {100, 1}}}, kNow);
-		board_.takeSum("far", LoadTable{{"t1", {1000, 5}}}, kNow);
+		board_.takeReport("n2", 1, LoadTable{{life("t1"), {100, 1}}}, kNow);
+		board_.takeSum("far", LoadTable{{life("t1"), {1000, 5}}}, kNow);
 		const Time later = kNow + Duration::fromMillis(1000);
 		board_.addUp(LoadTable{}, later);
-		CPPUNIT_ASSERT_EQUAL(uint64_t(1000), board_.totals()->loads.at("t1").tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1000), board_.totals()->loads.at(life("t1")).tokenLayers);
 		board_.addUp(LoadTable{}, later + Duration::fromMillis(1000));
 		CPPUNIT_ASSERT(board_.totals()->loads.empty());
 	}
 
 	void nothingFallsBelowZero()
 	{
-		LoadTable sum{{"t1", {100, 1}}};
-		subtractLoads(sum, LoadTable{{"t1", {200, 2}}, {"t2", {1, 1}}});
-		CPPUNIT_ASSERT_EQUAL(uint64_t(0), sum.at("t1").tokenLayers);
-		CPPUNIT_ASSERT_EQUAL(0U, sum.at("t1").requests);
-		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sum.count("t2"));
+		LoadTable sum{{life("t1"), {100, 1}}};
+		subtractLoads(sum, LoadTable{{life("t1"), {200, 2}}, {life("t2"), {1, 1}}});
+		CPPUNIT_ASSERT_EQUAL(uint64_t(0), sum.at(life("t1")).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(0U, sum.at(life("t1")).requests);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sum.count(life("t2")));
+	}
+
+	/// Nodes learn of a restart one after the other. What those tell that know the earlier start only says nothing of
+	/// the later one: with the earlier one's dead marks it would get no work.
+	void startsOfATargetDoNotAddUp()
+	{
+		board_.takeReport("n2", 1, LoadTable{{life("t1", 100), {100, 1, 2}}}, kNow);
+		board_.takeReport("n3", 1, LoadTable{{life("t1", 200), {10, 1}}}, kNow);
+		board_.takeSum("far", LoadTable{{life("t1", 100), {1000, 5, 2}}}, kNow);
+		board_.addUp(LoadTable{}, kNow);
+		const LoadTable& loads = board_.totals()->loads;
+		CPPUNIT_ASSERT_EQUAL(uint64_t(10), loadAt(loads, life("t1", 200)).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(0U, loadAt(loads, life("t1", 200)).suspicion);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1100), loadAt(loads, life("t1", 100)).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1110), loadAt(loads, life("t1")).tokenLayers); // it tells no births here
+		CPPUNIT_ASSERT_EQUAL(uint64_t(0), loadAt(loads, life("t", 100)).tokenLayers);
 	}
 
 private:
