--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -2,8 +2,9 @@
 
 #include "fleetcontroller_p.h"
 
+#include "targetfit_p.h"
+
 #include <logging/logging.h>
-#include <wire/sedgecart.pb.h>
 
 #include <algorithm>
 #include <vector>
@@ -14,9 +15,6 @@
 namespace
 {
 
-/// Writes of a target that has ended are carried out within so long: a target's record lapses 3.6 s after its last one.
-constexpr Duration kLateWrites = Duration::fromMillis(8000);
-
 /// A target whose record went is remembered for so long: a call to the store that got no answer may be carried out some
 /// seconds later.
 constexpr Duration kGoneKept = Duration::fromMillis(10000);
@@ -65,10 +63,12 @@
 	auto state = std::make_shared<DesiredState>();
 	if (!documents_.readDesiredState(_record.value, *state))
 	{
+		cell_.passedOver.note(RecordKind::DesiredState, _record.key, RecordFault::Unreadable);
 		logEvent(LogPart::Config, LogLevel::Error, "Desired state cannot be read, the last one stays in force.",
 		         {{"offset", std::to_string(_record.offset.value)}});
 		return;
 	}
+	cell_.passedOver.noteSound(RecordKind::DesiredState, _record.key);
 	if (routes_ && state->version < routes_->state().version)
 	{
 		return;
@@ -79,6 +79,10 @@
 	          {"routes", std::to_string(state->routes.size())},
 	          {"customers", std::to_string(state->customers.size())}});
 	routes_ = std::make_shared<RouteTable>(std::move(state));
+	for (const auto& row : runners_)
+	{
+		noteFit(row.second);
+	}
 	publish();
 }
 
@@ -101,19 +105,68 @@
 		}
 		else
 		{
-			remove(_record.key);
+			drop(_record.key);
 		}
 		return;
 	}
 	RunnerRecord read;
-	if (!documents_.readRunner(_record.key, _record.value, read))
+	const RecordFault::Enum fault = readRunner(_record, read);
+	if (RecordFault::None != fault)
 	{
-		logEvent(LogPart::Targets, LogLevel::Error, "Target's record cannot be read.", {{"target", _record.key}});
+		passOver(InstanceId{_record.key}, fault);
 		return;
 	}
+	lapsed_.erase(_record.key);
+	noteFit(read);
 	take(read, _record.offset);
 }
 
+/// @returns why an entry names no target to use, whatever the desired state is.
+RecordFault::Enum FleetController::readRunner(const KeyedRecord& _record, RunnerRecord& _read)
+{
+	const RecordFault::Enum fault = documents_.readRunner(_record.key, _record.value, _read);
+	if (RecordFault::None != fault)
+	{
+		return fault;
+	}
+	giveUpAddress(_read);
+	const AddressClaims::Outcome claim = addresses_.claim(_read.address, _read.instance);
+	if (!claim.displaced.text.empty())
+	{
+		passOver(claim.displaced, RecordFault::AbsurdValue);
+	}
+	return claim.isOwn ? RecordFault::None : RecordFault::AbsurdValue;
+}
+
+/// An entry that is passed over names no target to use, also where it did before. What is under way there still counts:
+/// its next entry may be sound again.
+void FleetController::passOver(const InstanceId& _target, RecordFault::Enum _fault)
+{
+	cell_.passedOver.note(RecordKind::Target, _target.text, _fault);
+	lapsed_.erase(_target.text);
+	addresses_.release(_target);
+	if (remove(_target.text))
+	{
+		logEvent(LogPart::Targets, LogLevel::Warning, "Target is out of use, its entry is passed over.",
+		         {{"target", _target.text}, {"reason", nameOf(_fault)}});
+	}
+}
+
+/// Tells whether the desired state has a use for a target. One for which it has none is kept, since the next desired
+/// state may name its service.
+void FleetController::noteFit(const RunnerRecord& _record)
+{
+	const RecordFault::Enum fault =
+	    routes_ ? fitFault(routes_->findService(_record.service), _record) : RecordFault::None;
+	if (RecordFault::None == fault)
+	{
+		cell_.passedOver.noteSound(RecordKind::Target, _record.instance.text);
+		return;
+	}
+	cell_.passedOver.note(RecordKind::Target, _record.instance.text, fault);
+}
+
+/// Takes a sound entry.
 void FleetController::take(const RunnerRecord& _read, Offset _offset)
 {
 	const std::string& instance = _read.instance.text;
@@ -123,7 +176,6 @@
 	{
 		return; // out of a cache that is older than what was read
 	}
-	lapsed_.erase(instance);
 	readUpTo_[instance] = _offset;
 	RunnerRecord record = _read;
 	if (isNew)
@@ -137,13 +189,7 @@
 	else
 	{
 		record.born = lifeAfter(known->second.life(), _read.life(), LifeEvidence::After).born;
-		const bool renewed = isRenewed(instance);
-		if (renewed)
-		{
-			endedAt_.erase(instance);
-			loads_[instance] = std::make_shared<TargetLoad>();
-		}
-		if (!renewed && !differ(known->second, record))
+		if (!differ(known->second, record))
 		{
 			return;
 		}
@@ -153,6 +199,27 @@
 	changed_ = true;
 }
 
+/// One address is one target's. Its holder gives it up at once to another that tells it, where the holder is known to
+/// be gone: it would take the other three entries else, some 3.6 s.
+void FleetController::giveUpAddress(const RunnerRecord& _read)
+{
+	const InstanceId holder = addresses_.holderOf(_read.address);
+	const auto known = runners_.find(holder.text);
+	if (holder == _read.instance || runners_.end() == known || !isKnownGone(known->second))
+	{
+		return;
+	}
+	logEvent(LogPart::Targets, LogLevel::Info, "Target gives its address up.", describe(known->second));
+	passOver(holder, RecordFault::AbsurdValue);
+}
+
+bool FleetController::isKnownGone(const RunnerRecord& _record) const
+{
+	const Time now = clock_.now();
+	const TargetLoad& load = *loads_.at(_record.instance.text);
+	return load.isDead(now) || load.ended.load(std::memory_order_relaxed) || load.lacks(_record.layers, now);
+}
+
 /// A record may come back that has lapsed, also of a target that has ended meanwhile: a store may carry out late what
 /// it was told before. What is known of that start goes on to hold.
 void FleetController::come(const RunnerRecord& _read)
@@ -166,61 +233,15 @@
 	{
 		gone->second.load->ended.store(true, std::memory_order_relaxed);
 	}
-	if (isBack)
+	const bool isKept = gone_.end() == gone && 0 < loads_.count(instance); // it was passed over for longer
+	if (!isKept)
 	{
-		back_.insert(instance);
+		loads_[instance] = isBack ? gone->second.load : std::make_shared<TargetLoad>();
 	}
-	else
-	{
-		endPredecessors(_read);
-	}
-	loads_[instance] = isBack ? gone->second.load : std::make_shared<TargetLoad>();
 	gone_.erase(instance);
 	fleetChangedAt_ = clock_.now();
 }
 
-/// One process listens at an address. Where a target that is not known yet names the address of one that had gone, is
-/// dead or refused its part, that one has ended, though its record may be there for seconds yet or come back. A record
-/// of another writer that names the address of a sound target ends nothing.
-void FleetController::endPredecessors(const RunnerRecord& _came)
-{
-	for (const auto& row : gone_)
-	{
-		if (_came.address == row.second.record.address)
-		{
-			end(row.second.record, *row.second.load);
-		}
-	}
-	for (const auto& row : runners_)
-	{
-		if (_came.address == row.second.address && mayHaveEnded(row.second))
-		{
-			end(row.second, *loads_[row.first]);
-		}
-	}
-}
-
-bool FleetController::mayHaveEnded(const RunnerRecord& _record) const
-{
-	const Time now = clock_.now();
-	const TargetLoad& load = *loads_.at(_record.instance.text);
-	return 0 < back_.count(_record.instance.text) || load.isDead(now) || load.lacks(_record.layers, now);
-}
-
-void FleetController::end(const RunnerRecord& _ended, TargetLoad& _load)
-{
-	logEvent(LogPart::Targets, LogLevel::Info, "Target has ended, another one is at its address.", describe(_ended));
-	_load.ended.store(true, std::memory_order_relaxed);
-	endedAt_[_ended.instance.text] = clock_.now();
-}
-
-/// @returns true if a target that was taken as ended goes on writing its record: it lives.
-bool FleetController::isRenewed(const std::string& _instance) const
-{
-	const auto ended = endedAt_.find(_instance);
-	return endedAt_.end() != ended && ended->second + kLateWrites < clock_.now();
-}
-
 /// The earlier start went and another one came: nothing that is known of the earlier one passes over.
 void FleetController::restart(const RunnerRecord& _read)
 {
@@ -236,34 +257,41 @@
 	fleetChangedAt_ = clock_.now();
 }
 
-void FleetController::remove(const std::string& _instance)
+/// Takes a target out of use.
+/// @returns false if it was not in use.
+bool FleetController::remove(const std::string& _instance)
 {
 	const auto known = runners_.find(_instance);
 	if (runners_.end() == known)
 	{
-		return;
+		return false;
 	}
 	forgetGone();
-	gone_[_instance] = Gone{known->second, loads_[_instance], clock_.now()};
+	gone_[_instance] = Gone{known->second, loads_.at(_instance), clock_.now()};
 	runners_.erase(known);
-	back_.erase(_instance);
-	logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
-	loads_.erase(_instance);
 	readUpTo_.erase(_instance);
 	fleetChangedAt_ = clock_.now();
 	changed_ = true;
+	return true;
+}
+
+/// A target's record is gone.
+void FleetController::drop(const std::string& _instance)
+{
+	cell_.passedOver.forget(RecordKind::Target, _instance);
+	addresses_.release(InstanceId{_instance});
+	if (remove(_instance))
+	{
+		logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
+	}
+	loads_.erase(_instance);
 }
 
 void FleetController::forgetGone()
 {
 	for (auto row = gone_.begin(); gone_.end() != row;)
 	{
-		const bool old = row->second.at + kGoneKept < clock_.now();
-		if (old)
-		{
-			endedAt_.erase(row->first);
-		}
-		row = old ? gone_.erase(row) : std::next(row);
+		row = row->second.at + kGoneKept < clock_.now() ? gone_.erase(row) : std::next(row);
 	}
 }
 
@@ -292,7 +320,7 @@
 	}
 	for (const std::string& instance : lapsed_)
 	{
-		remove(instance);
+		drop(instance);
 	}
 	lapsed_.clear();
 	if (changed_ && routes_)
@@ -307,16 +335,20 @@
 	if (_record.removed)
 	{
 		nodes_.erase(_record.key);
+		cell_.passedOver.forget(RecordKind::Node, _record.key);
 	}
 	else
 	{
-		wire::NodePlace place;
-		if (!place.ParseFromString(_record.value))
+		NodeAddress node;
+		const RecordFault::Enum fault = readNodePlace(_record.value, node);
+		if (RecordFault::None != fault)
 		{
-			logEvent(LogPart::Node, LogLevel::Warning, "Record of a node cannot be read.", {{"node", _record.key}});
+			// The place that is known stays: its node may be of a version that writes more.
+			cell_.passedOver.note(RecordKind::Node, _record.key, fault);
 			return;
 		}
-		nodes_[_record.key] = NodeAddress{place.address(), place.hall(), place.cpu_share()};
+		cell_.passedOver.noteSound(RecordKind::Node, _record.key);
+		nodes_[_record.key] = node;
 	}
 	if (before != nodes_.size() && routes_)
 	{
@@ -348,7 +380,8 @@
 	for (const auto& row : runners_)
 	{
 		const RunnerRecord& record = row.second;
-		const bool usable = _spec.name == record.service && !record.draining;
+		const bool isIts = _spec.name == record.service && RecordFault::None == fitFault(&_spec, record);
+		const bool usable = isIts && !record.draining;
 		if (usable && (!_spec.hasEngine || 0 < record.layers.size()))
 		{
 			service->targets.push_back(buildTarget(_spec, record));
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -3,8 +3,10 @@
 #ifndef SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
 
+#include "addressclaims_p.h"
 #include "fleetview_p.h"
 #include "follower_p.h"
+#include "nodeplace_p.h"
 
 #include <entry/documents.h>
 
@@ -16,14 +18,6 @@
 namespace sedgecart
 {
 
-/// Where an entry node is.
-struct NodeAddress
-{
-	std::string address; //!< "ip:port" that it hears other nodes on.
-	std::string hall;
-	double cpuShare = 0; //!< Of a core.
-};
-
 /// Keeps the fleet's view true: takes the operator's desired state, the targets' records and the nodes' records, and
 /// publishes what the request path reads. Control thread only.
 class FleetController
@@ -104,6 +98,12 @@
 		return cell_.link;
 	}
 
+	/// @returns the records that are not gone by.
+	PassedOver& passedOver() const
+	{
+		return cell_.passedOver;
+	}
+
 	/// @returns true once a desired state and the targets are known.
 	bool ready() const
 	{
@@ -123,11 +123,13 @@
 	void take(const RunnerRecord& _read, Offset _offset);
 	void come(const RunnerRecord& _read);
 	void restart(const RunnerRecord& _read);
-	void endPredecessors(const RunnerRecord& _came);
-	void end(const RunnerRecord& _ended, TargetLoad& _load);
-	bool mayHaveEnded(const RunnerRecord& _record) const;
-	bool isRenewed(const std::string& _instance) const;
-	void remove(const std::string& _instance);
+	void giveUpAddress(const RunnerRecord& _read);
+	bool isKnownGone(const RunnerRecord& _record) const;
+	RecordFault::Enum readRunner(const KeyedRecord& _record, RunnerRecord& _read);
+	void passOver(const InstanceId& _target, RecordFault::Enum _fault);
+	bool remove(const std::string& _instance);
+	void drop(const std::string& _instance);
+	void noteFit(const RunnerRecord& _record);
 	void publish();
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
 	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
@@ -141,11 +143,10 @@
 	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
 	std::map<std::string, Gone> gone_;         //!< By instance, for `kGoneKept`.
-	std::set<std::string> back_;               //!< Instances whose record had gone and came back.
-	std::map<std::string, Time> endedAt_;      //!< When a successor at their address ended these instances.
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
-	std::set<std::string> lapsed_;             //!< Instances that may come back.
+	AddressClaims addresses_;
+	std::set<std::string> lapsed_; //!< Instances that may come back.
 	Time fleetChangedAt_;
 	bool storeWasOut_ = false; //!< It could not be read since the last time that it was read to its end.
 	bool runnersKnown_ = false;
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -80,7 +80,8 @@
 	void onOrderAnswered(const TargetLife& _life, LayoutOrderState::Enum _state);
 	bool mayOrder(const TargetLife& _life) const;
 	bool isStale(const RunnerRecord& _target) const;
-	LayerSpan effectiveLayers(const RunnerRecord& _target) const;
+	LayerSpan effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const;
+	void forgetShown(Time _now);
 	std::set<std::string> lostTargets() const;
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
 
--- a/packages/entry/src/loadreports.cpp
+++ b/packages/entry/src/loadreports.cpp
@@ -29,7 +29,8 @@
 /// @returns the start of a target as the registry shows it.
 TargetLife LoadReports::lifeOf(const std::string& _instance) const
 {
-	return fleet_.runners().at(_instance).life();
+	const auto row = fleet_.runners().find(_instance);
+	return fleet_.runners().end() == row ? TargetLife{InstanceId{_instance}, BirthTime{}} : row->second.life();
 }
 
 LoadTable LoadReports::own() const
--- a/packages/entry/src/loadrows.cpp
+++ b/packages/entry/src/loadrows.cpp
@@ -4,9 +4,19 @@
 
 #include <wire/sedgecart.pb.h>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
+namespace
+{
+
+/// Most that a target can be slower than usual, whoever says so.
+constexpr double kMostPace = 1e6;
+
+} // namespace
+
 void putLoadRows(const LoadTable& _table, LoadRows& _rows)
 {
 	for (const auto& row : _table)
@@ -26,8 +36,9 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
-		const TargetLife life{InstanceId{row.target()}, BirthTime{row.born()}};
-		table[life] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), row.pace()};
+		const TargetLife life{InstanceId{row.target()}, BirthTime{std::max<int64_t>(0, row.born())}};
+		const bool isPace = 0 < row.pace() && row.pace() <= kMostPace; // false as well for what is no number
+		table[life] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), isPace ? row.pace() : 0};
 	}
 	return table;
 }
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/entry/tests/halllogtest.cpp
@@ -121,16 +121,21 @@
 	CPPUNIT_TEST(whatWaitsGoesToTheStoreWhenTheHubGoes);
 	CPPUNIT_TEST(oneReadTriesTheStore);
 	CPPUNIT_TEST(aReadThatWasGivenUpSaysNothingOfTheStore);
+	CPPUNIT_TEST(aLateAnswerToALongReadSaysNothingOfTheStore);
 	CPPUNIT_TEST(whatWasReadIsAtHandForOthers);
 	CPPUNIT_TEST(cacheDoesNotJoinWhatIsNotContiguous);
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
 	CPPUNIT_TEST(recordsThatShrinkAreHandedOnPacked);
 	CPPUNIT_TEST(whatIsNoPackIsNotRead);
+	CPPUNIT_TEST(aPackOfTooManyRecordsIsNotRead);
+	CPPUNIT_TEST(newsFromTheFutureAreNotTaken);
+	CPPUNIT_TEST(newsThatContradictThemselvesAreNotTaken);
 	CPPUNIT_TEST(wholeTopicsComeFromTheHub);
 	CPPUNIT_TEST(theHubLoadsFromTheStore);
 	CPPUNIT_TEST(whatTheHubDoesNotHandOnComesFromTheStore);
 	CPPUNIT_TEST(answersToEarlierReportsDoNotCount);
 	CPPUNIT_TEST(wholeTopicFollowsItsRecords);
+	CPPUNIT_TEST(largeEntriesOfOthersAreNotKept);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +171,56 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.questions(kReport).size());
 	}
 
+	/// An age beyond what a signed number holds arrived as a negative one, and made the proof newer than any.
+	void newsFromTheFutureAreNotTaken()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		read(3);
+		log_.questions(kReport);
+		HallLog::News odd = news(3, 0, page(StoreState::Done, 4, {record(3)}));
+		odd.page.age = Duration{INT64_MIN};
+		CPPUNIT_ASSERT(!log_.onNews(std::move(odd), kReport));
+		CPPUNIT_ASSERT(pages_.empty());
+	}
+
+	/// Records that lie before what was asked for, beyond the end, or not in order would set the place from which this
+	/// node reads on back, or beyond records that it never saw. The store is read in place of them.
+	void newsThatContradictThemselvesAreNotTaken()
+	{
+		const std::vector<KeyedPage> odd = {
+		    page(StoreState::Done, 4, {record(2)}), page(StoreState::Done, 4, {record(4)}),
+		    page(StoreState::Done, 9, {record(5), record(4)}), page(StoreState::Done, 2)};
+		for (const KeyedPage& given : odd)
+		{
+			log_.setWay(HallLog::Way::Hub);
+			read(3);
+			log_.questions(kReport);
+			const std::size_t before = store_.reads.size();
+			KeyedPage copy = given;
+			log_.onNews(news(3, 0, std::move(copy)), kReport);
+			CPPUNIT_ASSERT(pages_.empty());
+			CPPUNIT_ASSERT_EQUAL(before + 1, store_.reads.size());
+		}
+	}
+
+	/// Somebody writes megabytes under a key of the targets' topic: each node would keep them, and the hub hand them
+	/// on.
+	void largeEntriesOfOthersAreNotKept()
+	{
+		log_.read(KeyedTopic::Runners, Offset{3}, Duration{},
+		          [this](KeyedPage&& _page)
+		          {
+			          pages_.push_back(std::move(_page));
+		          });
+		KeyedRecord large = record(3);
+		large.value = std::string(8UL << 20U, 'x');
+		store_.answerLast(page(StoreState::Done, 5, {large, record(4)}));
+		CPPUNIT_ASSERT(pages_.at(0).records.at(0).value.size() < 100000);
+		CPPUNIT_ASSERT_EQUAL(std::string("value"), pages_[0].records.at(1).value);
+		const TopicCache::Found found = cache_.find(KeyedTopic::Runners, Offset{3});
+		CPPUNIT_ASSERT(found.known);
+	}
+
 	void whoIsTooFarBehindReadsTheStore()
 	{
 		log_.setWay(HallLog::Way::Hub);
@@ -213,6 +268,18 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), pages_.size());
 	}
 
+	/// It was sent before the store turned this node away, and took its node for one that the store answers.
+	void aLateAnswerToALongReadSaysNothingOfTheStore()
+	{
+		log_.read(KeyedTopic::Layout, Offset{0}, Duration::fromMillis(20000), [](KeyedPage&&) {});
+		clock_.advance(100);
+		read(3);
+		store_.answerLast(page(StoreState::Refused, 0));
+		clock_.advance(100);
+		store_.reads.front().call(page(StoreState::Done, 1));
+		CPPUNIT_ASSERT((std::vector<bool>{false}) == watch_.answers);
+	}
+
 	void whatWasReadIsAtHandForOthers()
 	{
 		read(3);
@@ -281,6 +348,17 @@
 	}
 
 	/// All nodes of a fleet start together: one of a hall loads, the others get the whole topic from it.
+	/// A record without anything in it takes two bytes, which shrink to next to nothing when they are packed, and some
+	/// hundred in memory: a text of some thousand bytes would take gigabytes.
+	void aPackOfTooManyRecordsIsNotRead()
+	{
+		std::vector<KeyedRecord> read;
+		CPPUNIT_ASSERT(unpackRecords(packRecords(std::vector<KeyedRecord>(50000)), read));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(50000), read.size());
+		CPPUNIT_ASSERT(!unpackRecords(packRecords(std::vector<KeyedRecord>(1000000)), read));
+		CPPUNIT_ASSERT(read.empty());
+	}
+
 	void wholeTopicsComeFromTheHub()
 	{
 		log_.setWay(HallLog::Way::Hub);
--- a/packages/entry/tests/loadboardtest.cpp
+++ b/packages/entry/tests/loadboardtest.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include "../src/fleetview_p.h"
 #include "../src/loadboard_p.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -24,6 +25,8 @@
 	CPPUNIT_TEST(aSilentNodeCountsNoMore);
 	CPPUNIT_TEST(nothingFallsBelowZero);
 	CPPUNIT_TEST(startsOfATargetDoNotAddUp);
+	CPPUNIT_TEST(sumsStopAtTheirMost);
+	CPPUNIT_TEST(everNewNodesAreNotKept);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +80,38 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(0), loadAt(loads, life("t", 100)).tokenLayers);
 	}
 
+	/// A sum that wraps would make a target that nodes found dead sound, and a loaded one free.
+	void sumsStopAtTheirMost()
+	{
+		LoadTable sum{{life("t1"), {UINT64_MAX, UINT32_MAX, UINT32_MAX, 1}}};
+		addLoads(sum, LoadTable{{life("t1"), {2, 2, 2, 1}}});
+		CPPUNIT_ASSERT_EQUAL(uint64_t(UINT64_MAX), sum.at(life("t1")).tokenLayers);
+		CPPUNIT_ASSERT_EQUAL(uint32_t(UINT32_MAX), sum.at(life("t1")).requests);
+		CPPUNIT_ASSERT_EQUAL(uint32_t(UINT32_MAX), sum.at(life("t1")).suspicion);
+		TargetLoad load;
+		load.suspicion = kSureSuspicion;
+		load.suspectedUntil = INT64_MAX;
+		load.othersSuspicion = UINT32_MAX;
+		CPPUNIT_ASSERT(load.isDead(kNow));
+	}
+
+	/// A node that is no hub adds nothing up, and what is told to it under ever new names must not pile up.
+	void everNewNodesAreNotKept()
+	{
+		for (int number = 0; number < 20000; ++number)
+		{
+			const Time at{kNow.micros + number};
+			board_.takeReport("n" + std::to_string(number), 1, LoadTable{{life("t1"), {1, 1}}}, at);
+			board_.takeSum("n" + std::to_string(number), LoadTable{{life("t1"), {1, 1}}}, at);
+		}
+		board_.addUp(LoadTable{}, kNow);
+		CPPUNIT_ASSERT(board_.totals()->loads.at(life("t1")).requests <= 4000);
+		const Time later = kNow + Duration::fromMillis(5000);
+		board_.takeReport("late", 1, LoadTable{{life("t2"), {1, 1}}}, later);
+		board_.addUp(LoadTable{}, later);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), board_.totals()->loads.size());
+	}
+
 private:
 	static constexpr Time kNow{5000000};
 	LoadBoard board_;
