--- a/packages/entry/src/addressclaims.cpp
+++ b/packages/entry/src/addressclaims.cpp
@@ -41,6 +41,12 @@
 	return Outcome{true, displaced};
 }
 
+InstanceId AddressClaims::holderOf(const std::string& _address) const
+{
+	const auto row = rows_.find(_address);
+	return rows_.end() == row ? InstanceId{} : row->second.holder;
+}
+
 void AddressClaims::release(const InstanceId& _target)
 {
 	const auto known = addressOf_.find(_target);
--- a/packages/entry/src/addressclaims_p.h
+++ b/packages/entry/src/addressclaims_p.h
@@ -28,6 +28,9 @@
 	/// A target tells its address.
 	Outcome claim(const std::string& _address, const InstanceId& _target);
 
+	/// @returns the target that an address belongs to; empty: none.
+	InstanceId holderOf(const std::string& _address) const;
+
 	/// A target's entry is gone, or names no address.
 	void release(const InstanceId& _target);
 
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -7,10 +7,44 @@
 #include <logging/logging.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace sedgecart
 {
 
+namespace
+{
+
+/// A target whose record went is remembered for so long: a call to the store that got no answer may be carried out some
+/// seconds later.
+constexpr Duration kGoneKept = Duration::fromMillis(10000);
+
+std::string spanText(LayerSpan _span)
+{
+	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
+}
+
+std::vector<LogField> describe(const RunnerRecord& _record)
+{
+	return {{"target", _record.instance.text},
+	        {"service", _record.service},
+	        {"address", _record.address},
+	        {"hall", _record.hall},
+	        {"card", _record.card},
+	        {"draining", _record.draining ? "true" : "false"},
+	        {"layers", spanText(_record.layers)},
+	        {"born", std::to_string(_record.born.unixMillis)}};
+}
+
+/// @returns true if something that is acted on differs between two records of one start of a target.
+bool differ(const RunnerRecord& _a, const RunnerRecord& _b)
+{
+	return _a.draining != _b.draining || _a.layers != _b.layers || _a.address != _b.address ||
+	       _a.service != _b.service || _a.born != _b.born;
+}
+
+} // namespace
+
 FleetController::FleetController(const DocumentsI& _documents, FleetCell& _cell, const ClockI& _clock,
                                  const std::string& _homeHall)
     : documents_(_documents),
@@ -62,9 +96,9 @@
 
 void FleetController::onRunnerRecord(const KeyedRecord& _record)
 {
-	const auto known = runners_.find(_record.key);
 	if (_record.removed)
 	{
+		const auto known = runners_.find(_record.key);
 		if (keepsLapsed_ && runners_.end() != known && storeWasOut_ && !known->second.draining)
 		{
 			lapsed_.insert(_record.key);
@@ -84,7 +118,7 @@
 	}
 	lapsed_.erase(_record.key);
 	noteFit(read);
-	take(read);
+	take(read, _record.offset);
 }
 
 /// @returns why an entry names no target to use, whatever the desired state is.
@@ -95,6 +129,7 @@
 	{
 		return fault;
 	}
+	giveUpAddress(_read);
 	const AddressClaims::Outcome claim = addresses_.claim(_read.address, _read.instance);
 	if (!claim.displaced.text.empty())
 	{
@@ -132,45 +167,109 @@
 }
 
 /// Takes a sound entry.
-void FleetController::take(const RunnerRecord& _read)
+void FleetController::take(const RunnerRecord& _read, Offset _offset)
 {
 	const std::string& instance = _read.instance.text;
 	const auto known = runners_.find(instance);
 	const bool isNew = runners_.end() == known;
-	const bool differs = isNew || known->second.draining != _read.draining || known->second.layers != _read.layers ||
-	                     known->second.address != _read.address || known->second.service != _read.service;
-	if (!differs)
+	if (!isNew && _offset < readUpTo_[instance])
 	{
-		return;
+		return; // out of a cache that is older than what was read
 	}
-	logEvent(LogPart::Targets, LogLevel::Info, isNew ? "Target came." : "Target changed.",
-	         {{"target", instance},
-	          {"service", _read.service},
-	          {"address", _read.address},
-	          {"hall", _read.hall},
-	          {"card", _read.card},
-	          {"draining", _read.draining ? "true" : "false"},
-	          {"layers", std::to_string(_read.layers.begin) + "-" + std::to_string(_read.layers.end)}});
-	runners_[instance] = _read;
+	readUpTo_[instance] = _offset;
+	RunnerRecord record = _read;
 	if (isNew)
 	{
-		if (0 == loads_.count(instance))
+		come(record);
+	}
+	else if (LifeOrder::Newer == compareLives(known->second.life(), _read.life(), LifeEvidence::After))
+	{
+		restart(_read);
+	}
+	else
+	{
+		record.born = lifeAfter(known->second.life(), _read.life(), LifeEvidence::After).born;
+		if (!differ(known->second, record))
 		{
-			loads_[instance] = std::make_shared<TargetLoad>();
+			return;
 		}
-		fleetChangedAt_ = clock_.now();
+		logEvent(LogPart::Targets, LogLevel::Info, "Target changed.", describe(record));
 	}
+	runners_[instance] = record;
 	changed_ = true;
 }
 
+/// One address is one target's. Its holder gives it up at once to another that tells it, where the holder is known to
+/// be gone: it would take the other three entries else, some 3.6 s.
+void FleetController::giveUpAddress(const RunnerRecord& _read)
+{
+	const InstanceId holder = addresses_.holderOf(_read.address);
+	const auto known = runners_.find(holder.text);
+	if (holder == _read.instance || runners_.end() == known || !isKnownGone(known->second))
+	{
+		return;
+	}
+	logEvent(LogPart::Targets, LogLevel::Info, "Target gives its address up.", describe(known->second));
+	passOver(holder, RecordFault::AbsurdValue);
+}
+
+bool FleetController::isKnownGone(const RunnerRecord& _record) const
+{
+	const Time now = clock_.now();
+	const TargetLoad& load = *loads_.at(_record.instance.text);
+	return load.isDead(now) || load.ended.load(std::memory_order_relaxed) || load.lacks(_record.layers, now);
+}
+
+/// A record may come back that has lapsed, also of a target that has ended meanwhile: a store may carry out late what
+/// it was told before. What is known of that start goes on to hold.
+void FleetController::come(const RunnerRecord& _read)
+{
+	const std::string& instance = _read.instance.text;
+	logEvent(LogPart::Targets, LogLevel::Info, "Target came.", describe(_read));
+	const auto gone = gone_.find(instance);
+	const bool isBack = gone_.end() != gone &&
+	                    LifeOrder::Same == compareLives(gone->second.record.life(), _read.life(), LifeEvidence::After);
+	if (gone_.end() != gone && !isBack)
+	{
+		gone->second.load->ended.store(true, std::memory_order_relaxed);
+	}
+	const bool isKept = gone_.end() == gone && 0 < loads_.count(instance); // it was passed over for longer
+	if (!isKept)
+	{
+		loads_[instance] = isBack ? gone->second.load : std::make_shared<TargetLoad>();
+	}
+	gone_.erase(instance);
+	fleetChangedAt_ = clock_.now();
+}
+
+/// The earlier start went and another one came: nothing that is known of the earlier one passes over.
+void FleetController::restart(const RunnerRecord& _read)
+{
+	const std::string& instance = _read.instance.text;
+	logEvent(LogPart::Targets, LogLevel::Warning, "Target restarted.",
+	         {{"target", instance},
+	          {"born", std::to_string(_read.born.unixMillis)},
+	          {"born_before", std::to_string(runners_[instance].born.unixMillis)},
+	          {"layers", spanText(_read.layers)},
+	          {"layers_before", spanText(runners_[instance].layers)}});
+	loads_[instance]->ended.store(true, std::memory_order_relaxed);
+	loads_[instance] = std::make_shared<TargetLoad>();
+	fleetChangedAt_ = clock_.now();
+}
+
 /// Takes a target out of use.
 /// @returns false if it was not in use.
 bool FleetController::remove(const std::string& _instance)
 {
-	if (0 == runners_.erase(_instance))
+	const auto known = runners_.find(_instance);
+	if (runners_.end() == known)
 	{
 		return false;
 	}
+	forgetGone();
+	gone_[_instance] = Gone{known->second, loads_.at(_instance), clock_.now()};
+	runners_.erase(known);
+	readUpTo_.erase(_instance);
 	fleetChangedAt_ = clock_.now();
 	changed_ = true;
 	return true;
@@ -181,11 +280,19 @@
 {
 	cell_.passedOver.forget(RecordKind::Target, _instance);
 	addresses_.release(InstanceId{_instance});
-	loads_.erase(_instance);
 	if (remove(_instance))
 	{
 		logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
 	}
+	loads_.erase(_instance);
+}
+
+void FleetController::forgetGone()
+{
+	for (auto row = gone_.begin(); gone_.end() != row;)
+	{
+		row = row->second.at + kGoneKept < clock_.now() ? gone_.erase(row) : std::next(row);
+	}
 }
 
 void FleetController::onRunnersOut()
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -80,7 +80,7 @@
 		return nodes_;
 	}
 
-	/// @returns when a target last came or went.
+	/// @returns when a target last came, started again or went.
 	Time fleetChangedAt() const
 	{
 		return fleetChangedAt_;
@@ -111,8 +111,21 @@
 	}
 
 private:
+	/// A target whose record went.
+	struct Gone
+	{
+		RunnerRecord record;
+		std::shared_ptr<TargetLoad> load;
+		Time at;
+	};
+
+	void forgetGone();
+	void take(const RunnerRecord& _read, Offset _offset);
+	void come(const RunnerRecord& _read);
+	void restart(const RunnerRecord& _read);
+	void giveUpAddress(const RunnerRecord& _read);
+	bool isKnownGone(const RunnerRecord& _record) const;
 	RecordFault::Enum readRunner(const KeyedRecord& _record, RunnerRecord& _read);
-	void take(const RunnerRecord& _read);
 	void passOver(const InstanceId& _target, RecordFault::Enum _fault);
 	bool remove(const std::string& _instance);
 	void drop(const std::string& _instance);
@@ -127,7 +140,9 @@
 	const ClockI& clock_;
 	std::shared_ptr<const RouteTable> routes_;
 	std::map<std::string, RunnerRecord> runners_;
+	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
+	std::map<std::string, Gone> gone_;         //!< By instance, for `kGoneKept`.
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
 	AddressClaims addresses_;
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -136,10 +136,11 @@
 	const Offset fence{_record.offset.value + 1};
 	for (const LayoutHoldRecord& hold : change.holds)
 	{
-		ordered_[hold.target.text] = Ordered{hold.layers, now};
+		const TargetLife life{hold.target, hold.born};
+		ordered_[hold.target.text] = Ordered{life, hold.layers, now};
 		if (own && fresh)
 		{
-			order(hold.target.text, hold.layers, fence);
+			order(life, hold.layers, fence);
 		}
 	}
 }
@@ -159,7 +160,24 @@
 	const auto ordered = ordered_.find(_target.instance.text);
 	const bool counts = ordered_.end() != ordered && clock_.now() < ordered->second.at + kOrderShown &&
 	                    isSpanOf(_service, ordered->second.layers);
-	return counts ? ordered->second.layers : _target.layers;
+	if (!counts)
+	{
+		return _target.layers;
+	}
+	const LifeOrder::Enum order = compareLives(_target.life(), ordered->second.life, LifeEvidence::Unknown);
+	return LifeOrder::Same == order ? ordered->second.layers : _target.layers;
+}
+
+/// @returns true if what the registry shows of a target is known to be gone: it has started again, or refuses its part.
+bool LayoutKeeper::isStale(const RunnerRecord& _target) const
+{
+	const auto load = fleet_.loads().find(_target.instance.text);
+	if (fleet_.loads().end() == load)
+	{
+		return false;
+	}
+	const bool ended = load->second->ended.load(std::memory_order_relaxed);
+	return ended || load->second->lacks(_target.layers, clock_.now());
 }
 
 /// @returns targets that nodes found dead and whose records have not lapsed yet. Where much of a hall seems dead at
@@ -218,7 +236,7 @@
 		const bool inLayers =
 		    nullptr != service && service->hasEngine && RecordFault::None == fitFault(service, record);
 		const CardKind* const card = inLayers ? findKind(service->engine, record.card) : nullptr;
-		if (nullptr == card || record.draining || 0 < lost.count(row.first))
+		if (nullptr == card || record.draining || 0 < lost.count(row.first) || isStale(record))
 		{
 			continue;
 		}
@@ -303,6 +321,7 @@
 	{
 		wire::LayoutHold* const hold = change.add_holds();
 		hold->set_target(_scene.records[order.target].instance.text);
+		hold->set_born(_scene.records[order.target].born.unixMillis);
 		hold->set_begin(order.layers.begin);
 		hold->set_end(order.layers.end);
 	}
@@ -325,25 +344,55 @@
 	            });
 }
 
-void LayoutKeeper::order(const std::string& _target, LayerSpan _layers, Offset _fence)
+/// @returns false if the target has left or started again since the change was made.
+bool LayoutKeeper::mayOrder(const TargetLife& _life) const
 {
-	const auto row = fleet_.runners().find(_target);
+	const auto row = fleet_.runners().find(_life.instance.text);
 	if (fleet_.runners().end() == row)
 	{
-		return; // it left meanwhile
+		return false;
+	}
+	const LifeOrder::Enum order = compareLives(row->second.life(), _life, LifeEvidence::Unknown);
+	const bool ended = LifeOrder::Same != order || isStale(row->second);
+	if (ended)
+	{
+		logEvent(LogPart::Layout, LogLevel::Info, "Order is not sent, its target is not the one meant.",
+		         {{"target", _life.instance.text}, {"born", std::to_string(_life.born.unixMillis)}});
+	}
+	return !ended;
+}
+
+void LayoutKeeper::order(const TargetLife& _life, LayerSpan _layers, Offset _fence)
+{
+	if (!mayOrder(_life))
+	{
+		return;
 	}
+	const RunnerRecord& target = fleet_.runners().at(_life.instance.text);
 	logEvent(LogPart::Layout, LogLevel::Info, "Target is ordered to hold layers.",
-	         {{"target", _target},
+	         {{"target", _life.instance.text},
+	          {"born", std::to_string(_life.born.unixMillis)},
 	          {"layers", spanText(_layers)},
-	          {"held", spanText(row->second.layers)},
+	          {"held", spanText(target.layers)},
 	          {"fence", std::to_string(_fence.value)}});
-	orders_.hold(row->second, _layers, _fence,
-	             [_target](LayoutOrderState::Enum _state)
+	orders_.hold(target, _layers, _fence,
+	             [this, _life](LayoutOrderState::Enum _state)
 	             {
-		             const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
-		             logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
-		                      {{"target", _target}, {"outcome", nameOf(_state)}});
+		             onOrderAnswered(_life, _state);
 	             });
 }
 
+void LayoutKeeper::onOrderAnswered(const TargetLife& _life, LayoutOrderState::Enum _state)
+{
+	const bool sound = LayoutOrderState::Begun == _state || LayoutOrderState::Held == _state;
+	logEvent(LogPart::Layout, sound ? LogLevel::Debug : LogLevel::Warning, "Target answered an order.",
+	         {{"target", _life.instance.text}, {"outcome", nameOf(_state)}});
+	const auto target = fleet_.runners().find(_life.instance.text);
+	const bool known = fleet_.runners().end() != target && target->second.life() == _life;
+	if (known && LayoutOrderState::OtherTarget == _state && mechanisms_.on(Mechanism::RefusalEvidence))
+	{
+		fleet_.loads().at(_life.instance.text)->noteNotHeld(target->second.layers, clock_.now() + kNotHeldFor);
+	}
+}
+
 } // namespace sedgecart
--- a/packages/entry/src/layoutrecord.cpp
+++ b/packages/entry/src/layoutrecord.cpp
@@ -5,6 +5,8 @@
 #include <wire/boundedparse.h>
 #include <wire/sedgecart.pb.h>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
@@ -39,7 +41,8 @@
 			++_record.passedOver;
 			continue;
 		}
-		_record.holds.push_back(LayoutHoldRecord{InstanceId{hold.target()}, LayerSpan{hold.begin(), hold.end()}});
+		const BirthTime born{std::max<int64_t>(0, hold.born())};
+		_record.holds.push_back(LayoutHoldRecord{InstanceId{hold.target()}, born, LayerSpan{hold.begin(), hold.end()}});
 	}
 	return RecordFault::None;
 }
--- a/packages/entry/src/layoutrecord_p.h
+++ b/packages/entry/src/layoutrecord_p.h
@@ -17,6 +17,7 @@
 struct LayoutHoldRecord
 {
 	InstanceId target;
+	BirthTime born; //!< Of the start of the target that is meant.
 	LayerSpan layers;
 };
 
--- a/packages/entry/src/loadrows.cpp
+++ b/packages/entry/src/loadrows.cpp
@@ -4,6 +4,8 @@
 
 #include <wire/sedgecart.pb.h>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
@@ -20,7 +22,8 @@
 	for (const auto& row : _table)
 	{
 		wire::FleetLoadRow* const out = _rows.Add();
-		out->set_target(row.first);
+		out->set_target(row.first.instance.text);
+		out->set_born(row.first.born.unixMillis);
 		out->set_token_layers(row.second.tokenLayers);
 		out->set_requests(row.second.requests);
 		out->set_pace(row.second.pace);
@@ -33,8 +36,9 @@
 	LoadTable table;
 	for (const wire::FleetLoadRow& row : _rows)
 	{
+		const TargetLife life{InstanceId{row.target()}, BirthTime{std::max<int64_t>(0, row.born())}};
 		const bool isPace = 0 < row.pace() && row.pace() <= kMostPace; // false as well for what is no number
-		table[row.target()] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), isPace ? row.pace() : 0};
+		table[life] = LoadAmount{row.token_layers(), row.requests(), row.suspicion(), isPace ? row.pace() : 0};
 	}
 	return table;
 }
--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -2,6 +2,8 @@
 
 #include "pathwatch_p.h"
 
+#include "lifecheck_p.h"
+
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
@@ -69,6 +71,18 @@
 	                   });
 }
 
+bool isToldDead(const FleetTarget& _target)
+{
+	return kSureSuspicion <= _target.load->othersSuspicion.load(std::memory_order_relaxed);
+}
+
+/// @returns true if what a target ran is lost by another word than its silence, and paths were not told lately.
+bool isToldGone(const FleetTarget& _target, Time _now)
+{
+	const bool told = _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
+	return !told && (isToldDead(_target) || _target.isStale(_now));
+}
+
 } // namespace
 
 PathWatch::PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics)
@@ -140,7 +154,8 @@
 	start();
 }
 
-/// Paths leave targets that other nodes are sure of. A node that is too weak to find out itself hears it so.
+/// Paths leave targets that other nodes are sure of, since a node that is too weak to find out itself hears it so, and
+/// targets that have started again or refuse their part.
 void PathWatch::leaveToldDead(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now)
 {
 	std::vector<FleetTarget> left;
@@ -149,18 +164,17 @@
 	{
 		for (const FleetTarget* const target : path->pathTargets())
 		{
-			const bool avoided = _now.micros < target->load->avoidedUntil.load(std::memory_order_relaxed);
-			const bool told = kSureSuspicion <= target->load->othersSuspicion.load(std::memory_order_relaxed);
-			if (!avoided && told && !hasHeardOver(*target, recent))
+			if (isToldGone(*target, _now) && !hasHeardOver(*target, recent))
 			{
-				passOver(*target, kDeadFor);
+				passOver(*target, isToldDead(*target) ? kDeadFor : kDoubtFor);
 				left.push_back(*target);
 			}
 		}
 	}
 	for (const FleetTarget& target : left)
 	{
-		tellPaths(target, "other nodes found it dead", recent);
+		const bool dead = isToldDead(target);
+		tellPaths(target, dead ? "other nodes found it dead" : "it does not hold its layers any more", recent);
 	}
 }
 
@@ -251,7 +265,7 @@
 
 void PathWatch::ask(const FleetTarget& _target, Time _now, const std::shared_ptr<Round>& _round)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	if (_now < asked.notBefore || 0 < asked.open)
 	{
 		return;
@@ -275,11 +289,12 @@
 
 void PathWatch::onAnswer(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	asked.open -= 0 < asked.open ? 1 : 0;
+	const bool ended = endsLife(_target.record.life(), _answer, *_target.load); // paths leave it at a next look
 	_round.answered += !asked.answered && _answer.lives() ? 1 : 0;
 	asked.answered = asked.answered || _answer.lives();
-	if (_answer.lives())
+	if (_answer.lives() && !ended)
 	{
 		withdraw(_target);
 	}
@@ -293,7 +308,7 @@
 /// All questions to a target are answered or have passed their bound.
 void PathWatch::onSettled(const FleetTarget& _target, Round& _round, const ProbeAnswer& _answer)
 {
-	Asked& asked = asked_[_target.record.instance.text];
+	Asked& asked = asked_[_target.record.life()];
 	const Time now = clock_.now();
 	_round.open -= 0 < _round.open ? 1 : 0;
 	if (asked.answered)
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -504,6 +504,25 @@
 	const Duration span = send_->answer.notRun ? kFullFor : kAvoidedFor;
 	failed.load->avoidedUntil.store((context_.clock.now() + span).micros, std::memory_order_relaxed);
 	logOutcome("Target failed a request.", LogLevel::Info, failed.record.instance.text);
+	if (send_->answer.notHeld && (nullptr != named || send_->answer.atFault.empty()))
+	{
+		noteNotHeld(failed);
+	}
+}
+
+/// The target's own word that its record is not true: no other request has to be refused to find that out.
+void RequestRelay::noteNotHeld(const FleetTarget& _failed)
+{
+	const Time now = context_.clock.now();
+	if (!context_.mechanisms.on(Mechanism::RefusalEvidence))
+	{
+		return;
+	}
+	if (!_failed.load->lacks(_failed.record.layers, now))
+	{
+		logOutcome("Target does not hold what its record shows.", LogLevel::Warning, _failed.record.instance.text);
+	}
+	_failed.load->noteNotHeld(_failed.record.layers, now + kNotHeldFor);
 }
 
 void RequestRelay::finishIfDone()
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <limits>
+#include <sstream>
 
 namespace sedgecart
 {
@@ -14,8 +15,8 @@
 namespace
 {
 
-/// Documents of one word: a target's record is its service, "!" before it says that it drains, "?" is no record. A
-/// key's address is the part before its dash.
+/// Documents of one or two words: a target's record is its service, "!" before it says that it drains, "?" is no
+/// record; and its birth. A key's address is the part before its dash.
 class PlainDocuments : public DocumentsI
 {
 public:
@@ -43,18 +44,27 @@
 			return RecordFault::WrongType;
 		}
 		_record.draining = '!' == _text.front();
-		_record.service = _record.draining ? _text.substr(1) : _text;
+		std::istringstream words(_record.draining ? _text.substr(1) : _text);
+		words >> _record.service >> _record.born.unixMillis;
 		return RecordFault::None;
 	}
 };
 
-class StillClock : public ClockI
+class HandClock : public ClockI
 {
 public:
 	Time now() const override
 	{
-		return Time{1000000};
+		return now_;
 	}
+
+	void advance(int64_t _millis)
+	{
+		now_ = now_ + Duration::fromMillis(_millis);
+	}
+
+private:
+	Time now_{1000000};
 };
 
 } // namespace
@@ -66,6 +76,12 @@
 	CPPUNIT_TEST(drainingTargetsGetNothing);
 	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
 	CPPUNIT_TEST(versionsOnlyRise);
+	CPPUNIT_TEST(aRestartTakesNothingOver);
+	CPPUNIT_TEST(aClockSetBackIsARestartAsWell);
+	CPPUNIT_TEST(aBirthToldLateIsNoRestart);
+	CPPUNIT_TEST(recordsOutOfAnOldCacheChangeNothing);
+	CPPUNIT_TEST(whoComesBackIsWhoWent);
+	CPPUNIT_TEST(whoIsDeadGivesItsAddressUp);
 	CPPUNIT_TEST(aNodeThatNamesNoPlaceIsNone);
 	CPPUNIT_TEST(aBrokenEntryNamesNoTarget);
 	CPPUNIT_TEST(aBrokenEntryIsNoLapsedOne);
@@ -212,6 +228,91 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
 	}
 
+	/// A target crashed and starts again at its address as another instance, while the earlier entry is there yet. A
+	/// late write brings the earlier one back: it names no target.
+	void whoIsDeadGivesItsAddressUp()
+	{
+		TargetLoad& load = *fleet_.loads().at("a");
+		load.suspicion = kSureSuspicion;
+		load.suspectedUntil = INT64_MAX;
+		put("a-2", "plain");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.runners().count("a-2"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.runners().count("a"));
+		put("a", "plain");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet_.runners().count("a"));
+	}
+
+	/// What the earlier start did, and what others told of it, says nothing of the later one; who still holds the
+	/// earlier one can see that it has ended.
+	void aRestartTakesNothingOver()
+	{
+		put("a", "plain 100");
+		const std::shared_ptr<TargetLoad> earlier = fleet_.loads().at("a");
+		earlier->requests = 3;
+		earlier->othersSuspicion = kSureSuspicion;
+		earlier->avoidedUntil = INT64_MAX;
+		put("a", "plain 200");
+		fleet_.onRunnersCurrent();
+		const std::shared_ptr<TargetLoad> later = fleet_.loads().at("a");
+		CPPUNIT_ASSERT(earlier->ended);
+		CPPUNIT_ASSERT(!later->ended);
+		CPPUNIT_ASSERT_EQUAL(0U, later->requests.load());
+		CPPUNIT_ASSERT(!later->isDead(clock_.now()));
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), later->avoidedUntil.load());
+		CPPUNIT_ASSERT(later == shown("a"));
+		CPPUNIT_ASSERT_EQUAL(clock_.now().micros, fleet_.fleetChangedAt().micros);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+	}
+
+	/// The registry's order decides, not the target's clock.
+	void aClockSetBackIsARestartAsWell()
+	{
+		put("a", "plain 200");
+		const std::shared_ptr<TargetLoad> earlier = fleet_.loads().at("a");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(earlier->ended);
+		CPPUNIT_ASSERT_EQUAL(int64_t(100), fleet_.runners().at("a").born.unixMillis);
+	}
+
+	/// Another writer's record without a birth may stand between two of the target's own.
+	void aBirthToldLateIsNoRestart()
+	{
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "plain 100");
+		put("a", "plain");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(!load->ended);
+		CPPUNIT_ASSERT(load == fleet_.loads().at("a"));
+		put("a", "plain 101");
+		CPPUNIT_ASSERT(load->ended);
+	}
+
+	void recordsOutOfAnOldCacheChangeNothing()
+	{
+		put("a", "plain 200", 9);
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "plain 100", 8);
+		CPPUNIT_ASSERT(!load->ended);
+		CPPUNIT_ASSERT_EQUAL(int64_t(200), fleet_.runners().at("a").born.unixMillis);
+		put("a", "plain 100", 10);
+		CPPUNIT_ASSERT(load->ended);
+	}
+
+	/// A target crashed, and its record lapsed. The store then carries out a write of before, so that the record is
+	/// back for some seconds: what the target's successor at its address refused is still not held.
+	void whoComesBackIsWhoWent()
+	{
+		put("a", "plain 100");
+		const std::shared_ptr<TargetLoad> load = fleet_.loads().at("a");
+		put("a", "");
+		put("a", "plain 100");
+		CPPUNIT_ASSERT(load == fleet_.loads().at("a"));
+		put("a", "");
+		put("a", "plain 200");
+		CPPUNIT_ASSERT(load != fleet_.loads().at("a"));
+		CPPUNIT_ASSERT(load->ended);
+	}
+
 private:
 	void placeNode(const char* _name, const char* _address, const char* _hall, double _share)
 	{
@@ -222,9 +323,23 @@
 		fleet_.onNodeRecord(KeyedRecord{_name, place.SerializeAsString(), false, Offset{0}});
 	}
 
-	void put(const char* _instance, const char* _text)
+	void put(const char* _instance, const char* _text, uint64_t _offset = 0)
+	{
+		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{_offset}});
+	}
+
+	/// @returns the load that requests count a target by.
+	std::shared_ptr<TargetLoad> shown(const std::string& _instance) const
 	{
-		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{0}});
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		for (const FleetTarget& target : view->services.at("plain")->targets)
+		{
+			if (_instance == target.record.instance.text)
+			{
+				return target.load;
+			}
+		}
+		return nullptr;
 	}
 
 	void state(const char* _version)
@@ -239,7 +354,7 @@
 	}
 
 	PlainDocuments documents_;
-	StillClock clock_;
+	HandClock clock_;
 	FleetCell cell_;
 	FleetController fleet_{documents_, cell_, clock_, "h1"};
 };
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -173,8 +173,8 @@
 			row.set_requests(3);
 			row.set_pace(pace);
 			const LoadTable table = loadTableOf(sum.loads());
-			CPPUNIT_ASSERT_EQUAL(0.0, table.at("t").pace);
-			CPPUNIT_ASSERT_EQUAL(3U, table.at("t").requests);
+			CPPUNIT_ASSERT_EQUAL(0.0, table.at(TargetLife{InstanceId{"t"}, BirthTime{}}).pace);
+			CPPUNIT_ASSERT_EQUAL(3U, table.at(TargetLife{InstanceId{"t"}, BirthTime{}}).requests);
 		}
 		wire::TopicNews news;
 		for (const uint64_t age : {UINT64_MAX, uint64_t(1) << 63U})
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -8,6 +8,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -21,7 +22,7 @@
 
 constexpr uint32_t kLayers = 80;
 
-/// Documents of one hall: a target's record is "card begin end".
+/// Documents of one hall: a target's record is "card begin end born".
 class HallDocuments : public DocumentsI
 {
 public:
@@ -54,7 +55,7 @@
 		_record.address = _key;
 		_record.service = "engine";
 		_record.hall = "hall";
-		words >> _record.card >> _record.layers.begin >> _record.layers.end;
+		words >> _record.card >> _record.layers.begin >> _record.layers.end >> _record.born.unixMillis;
 		return RecordFault::None;
 	}
 };
@@ -92,11 +93,14 @@
 	std::vector<AppendCall> calls;
 };
 
-class NoOrders : public RunnerOrdersI
+/// Remembers who is ordered to hold layers.
+class RememberedOrders : public RunnerOrdersI
 {
 public:
-	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
+	void hold(const RunnerRecord& _target, LayerSpan, Offset, OrderCall _call) override
 	{
+		ordered.push_back(_target.instance.text);
+		calls.push_back(std::move(_call));
 	}
 	void probe(const std::string&, Duration, ProbeCall) override
 	{
@@ -107,6 +111,9 @@
 	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
 	{
 	}
+
+	std::vector<std::string> ordered;
+	std::vector<OrderCall> calls;
 };
 
 } // namespace
@@ -121,6 +128,11 @@
 	CPPUNIT_TEST(switchedOffItWaitsForTheRegistry);
 	CPPUNIT_TEST(whoIsBehindIsTold);
 	CPPUNIT_TEST(anOldViewChangesNothing);
+	CPPUNIT_TEST(whatAnEarlierStartWasOrderedIsNotHeld);
+	CPPUNIT_TEST(anOrderGoesOnlyToTheStartThatIsMeant);
+	CPPUNIT_TEST(aStartThatSaysItsEndHoldsNothing);
+	CPPUNIT_TEST(whatIsRefusedIsMendedAtOnce);
+	CPPUNIT_TEST(anOrderThatAnotherTargetRefusedIsEvidence);
 	CPPUNIT_TEST(holdsThatNoTargetCanHaveAreNotCountedOn);
 	CPPUNIT_TEST(layersOutsideTheModelNameNoTarget);
 	CPPUNIT_TEST_SUITE_END();
@@ -140,9 +152,7 @@
 		for (std::size_t index = 0; index < targets_.size(); ++index)
 		{
 			const LayoutTarget& target = targets_[index];
-			const std::string text =
-			    target.card.name + ' ' + std::to_string(target.held.begin) + ' ' + std::to_string(target.held.end);
-			fleet_.onRunnerRecord(KeyedRecord{nameOf(index), text, false, Offset{index}});
+			put(index, target.held, kBorn);
 		}
 		fleet_.onRunnersCurrent();
 		fleet_.onOperatorCurrent(clock_.now());
@@ -216,6 +226,73 @@
 		CPPUNIT_ASSERT(log_.appended.empty());
 	}
 
+	/// A target was ordered to hold a range, and starts again before it is loaded. The order counts for 6 s, but the
+	/// target holds nothing: the range is missing and must be mended now, not after those 6 s.
+	void whatAnEarlierStartWasOrderedIsNotHeld()
+	{
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		const LayerSpan held = targets_[alone()].held;
+		keeper.onRecord(KeyedRecord{"newest", changeOf(alone(), held, kBorn), false, Offset{1}});
+		restart(alone());
+		keeper.onCurrent(Offset{2});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
+	/// The author reads its own change back, and one of its targets has started again meanwhile: that one gets nothing,
+	/// since its order was made for what the earlier start held.
+	void anOrderGoesOnlyToTheStartThatIsMeant()
+	{
+		restart(alone());
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.onCurrent(Offset{1});
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		wire::LayoutChange change;
+		CPPUNIT_ASSERT(change.ParseFromString(log_.appended.front()));
+		CPPUNIT_ASSERT(0 < change.holds_size());
+		const std::string first = change.holds(0).target();
+		CPPUNIT_ASSERT(0 != change.holds(0).born());
+		put(indexOf(first), LayerSpan{}, kBorn + 7);
+		keeper.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(change.holds_size() - 1), orders_.ordered.size());
+		CPPUNIT_ASSERT(orders_.ordered.end() == std::find(orders_.ordered.begin(), orders_.ordered.end(), first));
+	}
+
+	/// The target's own report is the first to tell of a restart; the registry still shows the earlier start's layers.
+	void aStartThatSaysItsEndHoldsNothing()
+	{
+		fleet_.loads().at(nameOf(alone()))->ended = true;
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
+	/// A target refused a request for not holding its part. No other one holds it, and the registry may show it for
+	/// seconds yet.
+	void whatIsRefusedIsMendedAtOnce()
+	{
+		fleet_.loads().at(nameOf(alone()))->noteNotHeld(targets_[alone()].held, Time{INT64_MAX});
+		look();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
+	/// The address of the target has another one by now, which refuses the order: nothing is counted on there.
+	void anOrderThatAnotherTargetRefusedIsEvidence()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		keeper.onCurrent(Offset{1});
+		keeper.start();
+		keeper.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		const std::string first = orders_.ordered.front();
+		const TargetLoad& load = *fleet_.loads().at(first);
+		const LayerSpan held = fleet_.runners().at(first).layers;
+		orders_.calls.front()(LayoutOrderState::Unfit);
+		CPPUNIT_ASSERT(!load.lacks(held, clock_.now()));
+		orders_.calls.front()(LayoutOrderState::OtherTarget);
+		CPPUNIT_ASSERT(load.lacks(held, clock_.now()));
+	}
+
 	/// A record of the layout that another version of this program, or somebody else, wrote: layers that end before
 	/// they begin or lie outside the model. They were taken for what the target holds, and the planner went through
 	/// them.
@@ -275,6 +352,43 @@
 		return spans;
 	}
 
+	static constexpr int64_t kBorn = 1790000000000;
+
+	void put(std::size_t _target, LayerSpan _held, int64_t _born)
+	{
+		const std::string text = targets_[_target].card.name + ' ' + std::to_string(_held.begin) + ' ' +
+		                         std::to_string(_held.end) + ' ' + std::to_string(_born);
+		fleet_.onRunnerRecord(KeyedRecord{nameOf(_target), text, false, Offset{_target}});
+	}
+
+	void restart(std::size_t _target)
+	{
+		put(_target, LayerSpan{}, kBorn + 5);
+		fleet_.onRunnersCurrent();
+	}
+
+	std::string changeOf(std::size_t _target, LayerSpan _layers, int64_t _born) const
+	{
+		wire::LayoutChange change;
+		change.set_author("another");
+		wire::LayoutHold* const hold = change.add_holds();
+		hold->set_target(nameOf(_target));
+		hold->set_begin(_layers.begin);
+		hold->set_end(_layers.end);
+		hold->set_born(_born);
+		return change.SerializeAsString();
+	}
+
+	std::size_t indexOf(const std::string& _name) const
+	{
+		std::size_t index = 0;
+		while (nameOf(index) != _name)
+		{
+			++index;
+		}
+		return index;
+	}
+
 	static std::string nameOf(std::size_t _target)
 	{
 		return "t" + std::to_string(_target);
@@ -319,7 +433,7 @@
 	FleetCell cell_;
 	StillClock clock_;
 	RememberedLog log_;
-	NoOrders orders_;
+	RememberedOrders orders_;
 	EntrySettings settings_;
 	FleetController fleet_{documents_, cell_, clock_, "hall"};
 	std::vector<LayoutTarget> targets_;
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -14,6 +14,11 @@
 namespace
 {
 
+TargetLife life(const char* _instance)
+{
+	return TargetLife{InstanceId{_instance}, BirthTime{}};
+}
+
 /// A service of two halls; each holds a model of 8 layers in two parts.
 class Fleet
 {
@@ -63,7 +68,7 @@
 	}
 
 	FleetService service;
-	std::set<std::string> failed;
+	std::set<TargetLife> failed;
 	double linkTaken = 0;
 	Mechanisms mechanisms;
 
@@ -86,6 +91,8 @@
 	CPPUNIT_TEST(requestsThatMoveSpread);
 	CPPUNIT_TEST(fullIsToldFromGone);
 	CPPUNIT_TEST(restOfAPathStaysInItsHall);
+	CPPUNIT_TEST(whatHasEndedIsNoWayOn);
+	CPPUNIT_TEST(whatWasRefusedIsNotAskedAgain);
 	CPPUNIT_TEST(theLinkBetweenHallsHasItsPrice);
 	CPPUNIT_TEST(theLinkBetweenHallsTakesNoMoreThanItBears);
 	CPPUNIT_TEST(plainServiceTakesTheIdlest);
@@ -194,7 +201,7 @@
 		Fleet fleet;
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::NoRoom == choosePath(fleet.query(200), random_, choice));
-		fleet.failed = {"i-1", "i-3"};
+		fleet.failed = {life("i-1"), life("i-3")};
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
 	}
 
@@ -203,7 +210,7 @@
 		Fleet fleet;
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
-		fleet.failed = {"i-1"};
+		fleet.failed = {life("i-1")};
 		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
 		fleet.service.targets[3].hall = 0;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
@@ -213,12 +220,51 @@
 		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
 	}
 
+	/// A request that goes on chooses from the fleet as it was when it was sent: the record of a target that has
+	/// started again since still shows its layers there, and each path over it would be refused.
+	void whatHasEndedIsNoWayOn()
+	{
+		Fleet fleet;
+		fleet.service.targets[3].hall = 0;
+		Choice choice;
+		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
+		fleet.failed = {life("i-1")};
+		fleet.load(3).ended = true;
+		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
+		fleet.failed.clear();
+		for (uint32_t target = 0; target < 4; ++target)
+		{
+			fleet.load(target).ended = true;
+		}
+		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
+	}
+
+	/// A target said that it does not hold its part: nobody asks for it again by the same record, until the word is
+	/// old. A record with other layers is a later word.
+	void whatWasRefusedIsNotAskedAgain()
+	{
+		Fleet fleet;
+		const LayerSpan held = fleet.service.targets[1].record.layers;
+		const Time now = fleet.query(10).now;
+		Choice choice;
+		fleet.load(1).noteNotHeld(held, now + Duration::fromMillis(1));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.parts[0].candidate);
+		fleet.load(1).noteNotHeld(LayerSpan{0, 4}, now + Duration::fromMillis(1));
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+		fleet.load(1).noteNotHeld(held, now);
+		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
+	}
+
 	/// A hall that lacks a part borrows it over a wide link; over a narrow one its requests go to the other hall as a
 	/// whole.
 	void theLinkBetweenHallsHasItsPrice()
 	{
 		Fleet fleet;
-		fleet.failed = {"i-1"};
+		fleet.failed = {life("i-1")};
 		fleet.engine().usualPromptTokens = 1000;
 		fleet.engine().hopBytesPerToken = 20000;
 		Choice choice;
@@ -236,7 +282,7 @@
 	void theLinkBetweenHallsTakesNoMoreThanItBears()
 	{
 		Fleet fleet;
-		fleet.failed = {"i-1", "i-2"};
+		fleet.failed = {life("i-1"), life("i-2")};
 		fleet.engine().usualPromptTokens = 1000;
 		fleet.engine().hopBytesPerToken = 20000;
 		fleet.engine().hallLinkMbps = 5000;
@@ -259,7 +305,7 @@
 		fleet.load(1).requests = 1;
 		CPPUNIT_ASSERT(SendOutcome::Begun == chooseTarget(fleet.query(0), random_, choice));
 		CPPUNIT_ASSERT(2U <= choice.parts[0].candidate);
-		fleet.failed = {"i-0", "i-1", "i-2", "i-3"};
+		fleet.failed = {life("i-0"), life("i-1"), life("i-2"), life("i-3")};
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == chooseTarget(fleet.query(0), random_, choice));
 	}
 
