--- a/packages/peer/tests/peerlinktest.cpp
+++ b/packages/peer/tests/peerlinktest.cpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <string>
 #include <thread>
 
 namespace sedgecart
@@ -19,8 +20,27 @@
 namespace
 {
 
-constexpr const char* kServer = "127.0.0.1:31017";
-constexpr const char* kClient = "127.0.0.1:31018";
+/// @returns a loopback address that nobody listens on, so that two runs of these tests at once do not meet.
+std::string freeAddress()
+{
+	zmq::context_t context;
+	zmq::socket_t socket(context, zmq::socket_type::router);
+	socket.bind("tcp://127.0.0.1:*");
+	const std::string endpoint = socket.get(zmq::sockopt::last_endpoint);
+	return endpoint.substr(endpoint.find("127."));
+}
+
+const std::string& serverAddress()
+{
+	static const std::string address = freeAddress();
+	return address;
+}
+
+const std::string& clientAddress()
+{
+	static const std::string address = freeAddress();
+	return address;
+}
 
 /// Counts heartbeats and answers each with records.
 class Counting : public PeerHandlerI
@@ -102,9 +122,9 @@
 	{
 		Counting server;
 		Counting client;
-		const PeerLink listening(PeerSettings{kServer, std::string()}, server);
-		PeerLink calling(PeerSettings{kClient, std::string()}, client);
-		calling.setPeers({"not an address", "", "127.0.0.1:0", "127.0.0.1:99999", kServer});
+		const PeerLink listening(PeerSettings{serverAddress(), std::string()}, server);
+		PeerLink calling(PeerSettings{clientAddress(), std::string()}, client);
+		calling.setPeers({"not an address", "", "127.0.0.1:0", "127.0.0.1:99999", serverAddress()});
 		beatUntilHeard(calling, server);
 		CPPUNIT_ASSERT(0 < server.beats);
 	}
@@ -114,13 +134,13 @@
 	{
 		Counting server;
 		Counting client;
-		const PeerLink listening(PeerSettings{kServer, std::string()}, server);
-		PeerLink calling(PeerSettings{kClient, std::string()}, client);
-		calling.setPeers({kServer});
+		const PeerLink listening(PeerSettings{serverAddress(), std::string()}, server);
+		PeerLink calling(PeerSettings{clientAddress(), std::string()}, client);
+		calling.setPeers({serverAddress()});
 		zmq::context_t context;
 		zmq::socket_t foreign(context, zmq::socket_type::dealer);
 		foreign.set(zmq::sockopt::linger, 0);
-		foreign.connect(std::string("tcp://") + kServer);
+		foreign.connect(std::string("tcp://") + serverAddress());
 		std::string rows;
 		for (int row = 0; row < 1000000; ++row)
 		{
@@ -173,9 +193,9 @@
 	{
 		Counting server;
 		Counting client;
-		const PeerLink listening(PeerSettings{kServer, _serverKey}, server);
-		PeerLink calling(PeerSettings{kClient, _clientKey}, client);
-		calling.setPeers({kServer});
+		const PeerLink listening(PeerSettings{serverAddress(), _serverKey}, server);
+		PeerLink calling(PeerSettings{clientAddress(), _clientKey}, client);
+		calling.setPeers({serverAddress()});
 		beatUntilHeard(calling, server);
 		for (int turn = 0; turn < 100 && 0 == client.replies && 0 < server.beats; ++turn)
 		{
