A move never goes to the target that the kept send runs at; a change of path sees targets that came since

Cause: where the only way around a dead part began at the request's own first target, the move closed the old send for it; a first target that was full refused, and the stream ended by its node's doing. Where a change of path looked for the rest it went by the fleet of the moment at which the request was sent, so that a target that had been given the lost layers since was not seen. Change: a send beside another never begins at that one's first target, nor does what is sent after a refusal while one is kept; chooseRest looks at the fleet as it is now.

--- a/packages/entry/src/requestpath.cpp
+++ b/packages/entry/src/requestpath.cpp
@@ -7,6 +7,8 @@
 #include <base/clock.h>
 #include <core/linkuse.h>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
@@ -19,6 +21,22 @@
 /// of the runs are read again.
 constexpr uint64_t kMeanPart = 2;
 
+const FleetTarget& targetOf(const RequestPath::Place& _place, const PathPart& _part)
+{
+	return _place.service->targets[_part.candidate];
+}
+
+/// @returns the number of a target in a service, the number of all if it is not there.
+uint32_t indexOf(const FleetService& _service, const TargetLife& _target)
+{
+	const auto found = std::find_if(_service.targets.begin(), _service.targets.end(),
+	                                [&_target](const FleetTarget& _one)
+	                                {
+		                                return _target == _one.record.life();
+	                                });
+	return static_cast<uint32_t>(found - _service.targets.begin());
+}
+
 } // namespace
 
 RequestPath::RequestPath(const RelayContext& _context, const RelayPlan& _plan) : context_(_context), plan_(_plan)
@@ -31,16 +49,45 @@
 	return plan_.caller.promptTokens + (mean ? plan_.caller.hintedTokens / kMeanPart : plan_.caller.hintedTokens);
 }
 
-ChoiceQuery RequestPath::query(const Place& _place, bool _moves) const
+const FleetTarget* RequestPath::headOf(const Place& _place)
+{
+	return _place.choice.parts.empty() ? nullptr : &targetOf(_place, _place.choice.parts.front());
+}
+
+/// A target that a kept send runs at knows the request by its id, and must not have it twice.
+RequestPath::Barred RequestPath::barred() const
+{
+	Barred barred = failed_;
+	const FleetTarget* const kept = kept_ ? headOf(kept_->place) : nullptr;
+	if (nullptr != kept)
+	{
+		barred.insert(kept->record.life());
+	}
+	return barred;
+}
+
+/// The same for a send beside the one under way.
+RequestPath::Barred RequestPath::barredBeside() const
+{
+	Barred all = barred();
+	const FleetTarget* const current = headOf(place_);
+	if (nullptr != current)
+	{
+		all.insert(current->record.life());
+	}
+	return all;
+}
+
+ChoiceQuery RequestPath::query(const Place& _place, const Barred& _barred, bool _moves) const
 {
 	const auto tokens = static_cast<double>(heldTokens());
 	const Time now = context_.clock.now();
 	const double linkTaken = context_.link.taken(now);
-	return ChoiceQuery{*_place.service, failed_, _place.nodes, tokens, now, context_.mechanisms, linkTaken, _moves};
+	return ChoiceQuery{*_place.service, _barred, _place.nodes, tokens, now, context_.mechanisms, linkTaken, _moves};
 }
 
 /// Finds a path in the fleet as it is now.
-SendOutcome::Enum RequestPath::find(bool _moves, Place& _place) const
+SendOutcome::Enum RequestPath::find(const Barred& _barred, bool _moves, Place& _place) const
 {
 	{
 		const RcuCell<FleetView>::Reader view(context_.cell.view);
@@ -52,29 +99,31 @@
 	{
 		return SendOutcome::NoTargets;
 	}
-	const ChoiceQuery wanted = query(_place, _moves);
+	const ChoiceQuery wanted = query(_place, _barred, _moves);
 	return _place.service->spec->hasEngine ? choosePath(wanted, context_.random, _place.choice)
 	                                       : chooseTarget(wanted, context_.random, _place.choice);
 }
 
-/// As `find`, without what the request takes where it is: it leaves that, and a part that both paths go over must not
-/// be taken as full of it.
+/// Finds a path beside the one that the request is on, without what the request takes there: it leaves that, and a part
+/// that both paths go over must not be taken as full of it.
 SendOutcome::Enum RequestPath::findOther(bool _moves, Place& _place) const
 {
-	if (!place_.hold)
+	if (hold_)
 	{
-		return find(_moves, _place);
+		hold_->release();
+	}
+	const SendOutcome::Enum outcome = find(barredBeside(), _moves, _place);
+	if (hold_)
+	{
+		hold_->take(*place_.service, place_.choice, heldTokens());
 	}
-	place_.hold->release();
-	const SendOutcome::Enum outcome = find(_moves, _place);
-	place_.hold->take(*place_.service, place_.choice, heldTokens());
 	return outcome;
 }
 
 SendOutcome::Enum RequestPath::choose(bool _moves)
 {
 	Place place;
-	const SendOutcome::Enum outcome = find(_moves, place);
+	const SendOutcome::Enum outcome = find(barred(), _moves, place);
 	if (SendOutcome::Begun == outcome)
 	{
 		place_ = std::move(place);
@@ -89,7 +138,7 @@
 	const SendOutcome::Enum outcome = findOther(_moves, place);
 	if (SendOutcome::Begun == outcome)
 	{
-		kept_ = std::make_unique<Place>(std::move(place_));
+		kept_ = std::make_unique<Kept>(Kept{std::move(place_), std::move(hold_)});
 		place_ = std::move(place);
 		hold();
 	}
@@ -103,63 +152,67 @@
 
 void RequestPath::returnToKept()
 {
-	place_ = std::move(*kept_);
+	place_ = std::move(kept_->place);
+	hold_ = std::move(kept_->hold);
 	kept_.reset();
 }
 
-bool RequestPath::sharesHeadWithKept() const
-{
-	if (!kept_ || kept_->choice.parts.empty())
-	{
-		return false;
-	}
-	const FleetTarget& before = kept_->service->targets[kept_->choice.parts.front().candidate];
-	return before.record.instance == head().record.instance;
-}
-
 bool RequestPath::hasOther(bool _moves) const
 {
 	Place place;
 	return SendOutcome::Begun == findOther(_moves, place);
 }
 
-bool RequestPath::chooseRest(Choice& _rest) const
+/// Targets that came since the request was sent are seen, such as one that has just been given the layers of a target
+/// that ended. Where the first target is not chosen from any more, because it leaves, the fleet of back then is gone
+/// by.
+bool RequestPath::chooseRest(Place& _rest) const
 {
 	constexpr bool kMoves = true;
-	_rest = place_.choice;
-	return sedgecart::chooseRest(query(place_, kMoves), _rest);
+	const Barred without = barred();
+	_rest = place_;
+	{
+		const RcuCell<FleetView>::Reader view(context_.cell.view);
+		const auto row = view->services.find(plan_.service);
+		const std::shared_ptr<const FleetService> now = view->services.end() == row ? nullptr : row->second;
+		const uint32_t index = now ? indexOf(*now, head().record.life()) : 0;
+		if (now && index < now->targets.size())
+		{
+			_rest.service = now;
+			_rest.nodes = view->nodes;
+			_rest.choice.parts.resize(1); // of the old path only the first part is known there
+			_rest.choice.parts.front().candidate = index;
+		}
+	}
+	const uint32_t crossings = hallCrossings(*place_.service, place_.choice);
+	return sedgecart::chooseRest(query(_rest, without, kMoves), crossings, _rest.choice);
 }
 
-void RequestPath::changeTo(const Choice& _choice)
+void RequestPath::changeTo(const Place& _place)
 {
-	place_.choice = _choice;
+	place_ = _place;
 	hold();
 }
 
 void RequestPath::hold()
 {
-	place_.hold = std::make_unique<LoadHold>();
-	place_.hold->take(*place_.service, place_.choice, heldTokens());
+	hold_ = std::make_unique<LoadHold>();
+	hold_->take(*place_.service, place_.choice, heldTokens());
 	if (hasEngine())
 	{
 		constexpr bool kMoves = false;
-		context_.link.add(linkTime(query(place_, kMoves), place_.choice), context_.clock.now());
+		context_.link.add(linkTime(query(place_, failed_, kMoves), place_.choice), context_.clock.now());
 	}
 }
 
 void RequestPath::release()
 {
-	place_.hold.reset();
-}
-
-const FleetTarget& RequestPath::target(const PathPart& _part) const
-{
-	return place_.service->targets[_part.candidate];
+	hold_.reset();
 }
 
 const FleetTarget& RequestPath::head() const
 {
-	return target(place_.choice.parts.front());
+	return *headOf(place_);
 }
 
 std::vector<const FleetTarget*> RequestPath::targets() const
@@ -167,7 +220,7 @@
 	std::vector<const FleetTarget*> targets;
 	for (const PathPart& part : place_.choice.parts)
 	{
-		targets.push_back(&target(part));
+		targets.push_back(&targetOf(place_, part));
 	}
 	return targets;
 }
@@ -179,26 +232,26 @@
 
 std::vector<PathStop> RequestPath::stops() const
 {
-	return stopsOf(place_.choice);
+	return stopsOf(place_);
 }
 
-std::vector<PathStop> RequestPath::stopsOf(const Choice& _choice) const
+std::vector<PathStop> RequestPath::stopsOf(const Place& _place)
 {
 	std::vector<PathStop> stops;
-	for (const PathPart& part : _choice.parts)
+	for (const PathPart& part : _place.choice.parts)
 	{
-		stops.push_back(PathStop{target(part).record.address, part.layers});
+		stops.push_back(PathStop{targetOf(_place, part).record.address, part.layers});
 	}
 	return stops;
 }
 
-const FleetTarget* RequestPath::findByAddress(const Choice& _choice, const std::string& _address) const
+const FleetTarget* RequestPath::findByAddress(const Place& _place, const std::string& _address)
 {
-	for (const PathPart& part : _choice.parts)
+	for (const PathPart& part : _place.choice.parts)
 	{
-		if (_address == target(part).record.address)
+		if (_address == targetOf(_place, part).record.address)
 		{
-			return &target(part);
+			return &targetOf(_place, part);
 		}
 	}
 	return nullptr;
@@ -217,7 +270,7 @@
 double RequestPath::tightestRoom() const
 {
 	constexpr bool kMoves = false;
-	return sedgecart::tightestRoom(query(place_, kMoves), place_.choice);
+	return sedgecart::tightestRoom(query(place_, failed_, kMoves), place_.choice);
 }
 
 std::string RequestPath::text() const
@@ -225,7 +278,7 @@
 	std::string path;
 	for (const PathPart& part : place_.choice.parts)
 	{
-		const FleetTarget& stop = target(part);
+		const FleetTarget& stop = targetOf(place_, part);
 		path += path.empty() ? "" : ",";
 		path += stop.record.instance.text + '/' + stop.record.hall + '/' + std::to_string(part.layers.begin) + '-' +
 		        std::to_string(part.layers.end);
--- a/packages/entry/src/requestpath_p.h
+++ b/packages/entry/src/requestpath_p.h
@@ -27,6 +27,14 @@
 class RequestPath
 {
 public:
+	/// A path, and the fleet as it was when it was chosen.
+	struct Place
+	{
+		std::shared_ptr<const FleetService> service;
+		uint32_t nodes = 1;
+		Choice choice;
+	};
+
 	/// @param _plan must outlive it.
 	RequestPath(const RelayContext& _context, const RelayPlan& _plan);
 
@@ -35,28 +43,26 @@
 	/// @returns how that went; if not `Begun`, the path stays as it is.
 	SendOutcome::Enum choose(bool _moves);
 
-	/// The same, but the request counts where it was as well, until `dropKept` or `returnToKept`.
+	/// The same, but the request counts where it was as well, until `dropKept` or `returnToKept`. So long no path
+	/// begins at that first target: it knows a request by its id and must not have it twice.
 	SendOutcome::Enum chooseBeside(bool _moves);
 
 	/// What was kept counts no more.
 	void dropKept();
 
-	/// @returns true if what was kept has the same first target as what was chosen beside it.
-	bool sharesHeadWithKept() const;
-
 	/// The request is where it was before `chooseBeside`, and only there.
 	void returnToKept();
 
 	/// @returns true if `choose` would find something now.
 	bool hasOther(bool _moves) const;
 
-	/// Chooses other parts behind the first one.
+	/// Chooses other parts behind the first one, from the fleet as it is now.
 	/// @param _rest the whole path with them.
 	/// @returns false if there is no way around the targets that failed.
-	bool chooseRest(Choice& _rest) const;
+	bool chooseRest(Place& _rest) const;
 
 	/// The request goes on over another path that `chooseRest` has found.
-	void changeTo(const Choice& _choice);
+	void changeTo(const Place& _place);
 
 	/// The request counts nowhere any more; what was chosen is still told.
 	void release();
@@ -77,16 +83,16 @@
 
 	/// @returns the targets as the first one is told of them.
 	std::vector<PathStop> stops() const;
-	std::vector<PathStop> stopsOf(const Choice& _choice) const;
+	static std::vector<PathStop> stopsOf(const Place& _place);
 
 	/// @returns what was chosen last.
-	const Choice& choice() const
+	const Place& place() const
 	{
-		return place_.choice;
+		return place_;
 	}
 
-	/// @returns the target of a choice that has an address, null if there is none.
-	const FleetTarget* findByAddress(const Choice& _choice, const std::string& _address) const;
+	/// @returns the target of a path that has an address, null if there is none.
+	static const FleetTarget* findByAddress(const Place& _place, const std::string& _address);
 
 	/// The target is not chosen again for this request.
 	void passOver(const FleetTarget& _target);
@@ -111,26 +117,30 @@
 	std::string text() const;
 
 private:
-	/// A path, and the fleet as it was when it was chosen.
-	struct Place
+	/// Where the request is beside the send under way.
+	struct Kept
 	{
-		std::shared_ptr<const FleetService> service;
-		uint32_t nodes = 1;
-		Choice choice;
-		std::unique_ptr<LoadHold> hold; //!< Null while it counts nowhere.
+		Place place;
+		std::unique_ptr<LoadHold> hold;
 	};
 
-	ChoiceQuery query(const Place& _place, bool _moves) const;
-	SendOutcome::Enum find(bool _moves, Place& _place) const;
+	/// Targets that a choice passes over.
+	using Barred = std::set<TargetLife>;
+
+	Barred barred() const;
+	Barred barredBeside() const;
+	ChoiceQuery query(const Place& _place, const Barred& _barred, bool _moves) const;
+	SendOutcome::Enum find(const Barred& _barred, bool _moves, Place& _place) const;
 	SendOutcome::Enum findOther(bool _moves, Place& _place) const;
-	const FleetTarget& target(const PathPart& _part) const;
+	static const FleetTarget* headOf(const Place& _place);
 	void hold();
 
 	const RelayContext& context_;
 	const RelayPlan& plan_;
 	Place place_;
-	std::unique_ptr<Place> kept_; //!< Where it is as well; null if nowhere.
-	std::set<TargetLife> failed_; //!< Targets that failed this request.
+	std::unique_ptr<LoadHold> hold_; //!< Null while the request counts nowhere.
+	std::unique_ptr<Kept> kept_;     //!< Null if it is nowhere else.
+	std::set<TargetLife> failed_;    //!< Targets that failed this request.
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -435,10 +435,6 @@
 {
 	if (machine_.onSuspected())
 	{
-		if (path_.sharesHeadWithKept())
-		{
-			machine_.onKeptEnded(false); // a target knows a request by its id, and must not have it twice
-		}
 		return;
 	}
 	path_.forgive(_suspect);
@@ -449,7 +445,7 @@
 /// @returns false if there are none, or too many were tried.
 bool RequestRelay::repath(const FleetTarget& _suspect)
 {
-	Choice other;
+	RequestPath::Place other;
 	if (0 == send_->repathsLeft || !path_.chooseRest(other))
 	{
 		return false;
@@ -459,7 +455,7 @@
 	const std::weak_ptr<RequestRelay> weak = weak_from_this();
 	const std::weak_ptr<RelaySend> send = send_;
 	context_.orders.repath(
-	    path_.head().record.address, plan_.caller.id, path_.stopsOf(other),
+	    path_.head().record.address, plan_.caller.id, RequestPath::stopsOf(other),
 	    [weak, other, send, suspect = _suspect](RepathState::Enum _state, const std::string& _atFault)
 	    {
 		    const std::shared_ptr<RequestRelay> self = weak.lock();
@@ -471,7 +467,7 @@
 	return true;
 }
 
-void RequestRelay::onRepathed(const FleetTarget& _suspect, const Choice& _choice, RepathState::Enum _state,
+void RequestRelay::onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
                               const std::string& _atFault)
 {
 	send_->repathing = false;
@@ -479,11 +475,12 @@
 	if (RepathState::Moved == _state)
 	{
 		context_.metrics.add(Counter::PathChanges);
-		path_.changeTo(_choice);
+		path_.changeTo(_place);
 		send_->progressAt = context_.clock.now();
 		return;
 	}
-	const FleetTarget* const missing = RepathState::NoPart == _state ? path_.findByAddress(_choice, _atFault) : nullptr;
+	const FleetTarget* const missing =
+	    RepathState::NoPart == _state ? RequestPath::findByAddress(_place, _atFault) : nullptr;
 	if (nullptr != missing)
 	{
 		path_.passOver(*missing);
@@ -498,7 +495,7 @@
 /// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
 void RequestRelay::avoidAtFault()
 {
-	const FleetTarget* const named = path_.findByAddress(path_.choice(), send_->answer.atFault);
+	const FleetTarget* const named = RequestPath::findByAddress(path_.place(), send_->answer.atFault);
 	const FleetTarget& failed = nullptr == named ? path_.head() : *named;
 	path_.passOver(failed);
 	const Duration span = send_->answer.notRun ? kFullFor : kAvoidedFor;
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -74,7 +74,7 @@
 	void retire(std::shared_ptr<RelaySend>&& _send);
 	void move(const FleetTarget& _suspect);
 	bool repath(const FleetTarget& _suspect);
-	void onRepathed(const FleetTarget& _suspect, const Choice& _choice, RepathState::Enum _state,
+	void onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
 	                const std::string& _atFault);
 	void noteProgress();
 	void notePause(Duration _pause);
--- a/packages/entry/src/targetchooser.cpp
+++ b/packages/entry/src/targetchooser.cpp
@@ -160,19 +160,6 @@
 	return candidates;
 }
 
-/// @returns how often a path goes from one hall to another.
-uint32_t hallCrossings(const FleetService& _service, const Choice& _choice)
-{
-	uint32_t crossings = 0;
-	for (std::size_t index = 1; index < _choice.parts.size(); ++index)
-	{
-		const FleetTarget& before = _service.targets[_choice.parts[index - 1].candidate];
-		const FleetTarget& after = _service.targets[_choice.parts[index].candidate];
-		crossings += before.hall == after.hall ? 0 : 1;
-	}
-	return crossings;
-}
-
 /// @returns microseconds that so many tokens take the link between halls; 0 if the operator names none.
 double crossingTime(const EngineSpec& _engine, double _tokens)
 {
@@ -287,10 +274,21 @@
 	return most;
 }
 
-bool chooseRest(const ChoiceQuery& _query, Choice& _choice)
+uint32_t hallCrossings(const FleetService& _service, const Choice& _choice)
+{
+	uint32_t crossings = 0;
+	for (std::size_t index = 1; index < _choice.parts.size(); ++index)
+	{
+		const FleetTarget& before = _service.targets[_choice.parts[index - 1].candidate];
+		const FleetTarget& after = _service.targets[_choice.parts[index].candidate];
+		crossings += before.hall == after.hall ? 0 : 1;
+	}
+	return crossings;
+}
+
+bool chooseRest(const ChoiceQuery& _query, uint32_t _crossings, Choice& _choice)
 {
 	const PathPart head = _choice.parts.front();
-	const uint32_t crossings = hallCrossings(_query.service, _choice);
 	std::vector<PathCandidate> candidates = candidatesOf(_query);
 	candidates[head.candidate].usable = false; // a target has one part of a path
 	PathQuery query = pathQuery(_query);
@@ -303,7 +301,7 @@
 	}
 	_choice.parts.assign(1, head);
 	_choice.parts.insert(_choice.parts.end(), rest.begin(), rest.end());
-	return hallCrossings(_query.service, _choice) <= crossings;
+	return hallCrossings(_query.service, _choice) <= _crossings;
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/entry/src/targetchooser_p.h
@@ -48,11 +48,15 @@
 /// @returns the part of its room that the fullest target of a choice has taken.
 double tightestRoom(const ChoiceQuery& _query, const Choice& _choice);
 
+/// @returns how often a path goes from one hall to another.
+uint32_t hallCrossings(const FleetService& _service, const Choice& _choice);
+
 /// Chooses other parts behind the first one of a path.
+/// @param _crossings of the path that is left.
 /// @param _choice its first part stays.
 /// @returns false if there is no way around the targets that failed without another hall: what a new part has to read
 /// again would take the pipe between the halls for longer than another chain takes to read it all.
-bool chooseRest(const ChoiceQuery& _query, Choice& _choice);
+bool chooseRest(const ChoiceQuery& _query, uint32_t _crossings, Choice& _choice);
 
 } // namespace sedgecart
 
--- a/packages/entry/tests/targetchoosertest.cpp
+++ b/packages/entry/tests/targetchoosertest.cpp
@@ -211,11 +211,11 @@
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		fleet.failed = {life("i-1")};
-		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), hallCrossings(fleet.service, choice), choice));
 		fleet.service.targets[3].hall = 0;
 		CPPUNIT_ASSERT(SendOutcome::Begun == choosePath(fleet.query(10), random_, choice));
 		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
-		CPPUNIT_ASSERT(chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT(chooseRest(fleet.query(10), hallCrossings(fleet.service, choice), choice));
 		CPPUNIT_ASSERT_EQUAL(0U, choice.parts[0].candidate);
 		CPPUNIT_ASSERT_EQUAL(3U, choice.parts[1].candidate);
 	}
@@ -230,7 +230,7 @@
 		choice.parts = {PathPart{0, LayerSpan{0, 4}}, PathPart{1, LayerSpan{4, 8}}};
 		fleet.failed = {life("i-1")};
 		fleet.load(3).ended = true;
-		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), choice));
+		CPPUNIT_ASSERT(!chooseRest(fleet.query(10), hallCrossings(fleet.service, choice), choice));
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
 		fleet.failed.clear();
 		for (uint32_t target = 0; target < 4; ++target)
