Test harness: ports below those that the system gives to anybody

proof.suspicion failed once beside proof.entry with 'bind: Address already in use' before anything was tested: a free port was chosen among those that the system hands out, closed, and taken by another before its use. Each process now begins at a place of its own below that range.

--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -19,6 +19,8 @@
 #include <iostream>
 #include <thread>
 
+#include <unistd.h>
+
 namespace sedgecart
 {
 
@@ -31,12 +33,27 @@
 constexpr std::chrono::seconds kFarTooLong{30};
 constexpr std::chrono::milliseconds kLookAgain{5};
 
-/// @returns a loopback port that nobody listens on.
+/// Ports below those that the system gives to whoever asks for any, so that no connection and no other test takes one
+/// between its choice and its use. Each process begins at a place of its own.
+constexpr uint16_t kFirstPort = 21000;
+constexpr uint16_t kPorts = 9000;
+
+/// @returns a loopback address that nobody listens on.
 std::string freeAddress()
 {
+	static uint32_t next = static_cast<uint32_t>(getpid()) * 61;
 	boost::asio::io_context loop;
-	Tcp::acceptor acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-	return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+	while (true)
+	{
+		const auto port = static_cast<uint16_t>(kFirstPort + next++ % kPorts);
+		Tcp::acceptor acceptor(loop, Tcp::v4());
+		boost::system::error_code error;
+		acceptor.bind(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port), error);
+		if (!error)
+		{
+			return "127.0.0.1:" + std::to_string(port);
+		}
+	}
 }
 
 Tcp::endpoint endpointOf(const std::string& _address)
