--- a/packages/base/include/base/runner.h
+++ b/packages/base/include/base/runner.h
@@ -34,6 +34,12 @@
 	return !(_a == _b);
 }
 
+/// @returns the layers that both spans have; empty if there are none.
+constexpr LayerSpan commonSpan(LayerSpan _a, LayerSpan _b)
+{
+	return LayerSpan{_a.begin < _b.begin ? _b.begin : _a.begin, _a.end < _b.end ? _a.end : _b.end};
+}
+
 /// What a target says of itself in the registry.
 struct RunnerRecord
 {
--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -19,6 +19,7 @@
 	CardKind card;
 	LayerSpan held;      //!< What it holds or has been ordered to hold; empty if nothing.
 	uint64_t tokens = 0; //!< Of the requests under way over it.
+	LayerSpan serves;    //!< What it lets new requests pass through now: held, loaded, and not about to be given up.
 };
 
 /// Give a target these layers to hold.
