--- /dev/null
+++ b/tests/entry/pathchangeproof.cpp
@@ -0,0 +1,278 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+// The first target of a stream is asked to go on over another part, since the old one seems dead. The suspicion may be
+// wrong: the stream goes on over the old part while the answer to the order is late, lost, or says no. What has gone on
+// must not be sent elsewhere for it: that takes one of the stream's permitted runs, and a true end of its target is
+// then the end of the answer.
+
+#include "entryharness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Millis = std::chrono::milliseconds;
+
+/// From the order until the stream goes on, and between its events.
+constexpr Millis kGoesOnAfter{60};
+constexpr Millis kEventGap{20};
+
+/// From the order until its answer, if one comes: some events come first.
+constexpr Millis kAnswerAfter{200};
+
+/// From the order until the first run truly ends: behind the answer, or behind the longest wait for one (1,500 ms).
+constexpr Millis kEndsAfterAnswer{500};
+constexpr Millis kEndsAfterNone{1900};
+
+/// What becomes of the order to change the path.
+struct OrderEnd
+{
+	uint16_t status = 0; //!< 0: it gets no answer.
+	bool namesNewPart = false;
+};
+
+/// Two targets that begin paths and two that end them. The first run stands still until it is asked to change its path,
+/// goes on, and is cut in the end; a second one brings nothing before that, and then the rest.
+class ChangeScene
+{
+public:
+	explicit ChangeScene(OrderEnd _end) : end_(_end)
+	{
+	}
+
+	~ChangeScene()
+	{
+		if (player_.joinable())
+		{
+			player_.join();
+		}
+	}
+
+	void addTo(EntryHarness& _harness)
+	{
+		constexpr std::size_t kOfEach = 2;
+		for (std::size_t target = 0; target < kOfEach; ++target)
+		{
+			heads_.push_back(&_harness.addEngine(LayerSpan{0, 4}, headScript(target)));
+			_harness.addEngine(LayerSpan{4, 8}, partScript());
+		}
+	}
+
+	uint32_t sends() const
+	{
+		return sends_.load();
+	}
+
+	/// @returns the answer as far as the first run brought it, and its rest.
+	std::string expected() const
+	{
+		std::string text;
+		for (uint64_t id = 0; id <= last_.load() + 1; ++id)
+		{
+			text += eventText(id);
+		}
+		return text;
+	}
+
+private:
+	TargetScript headScript(std::size_t _head)
+	{
+		return [this, _head](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			if ("/stream/" == _request.head.target)
+			{
+				serve(_head, _caller, _request);
+			}
+			else if ("/sedgecart/order" == _request.head.target)
+			{
+				onOrder(_caller, _request);
+			}
+			else
+			{
+				answerWhole(*_caller, _request, 200, "{}");
+			}
+		};
+	}
+
+	/// The part that the stream was sent over answers no question.
+	TargetScript partScript()
+	{
+		return [this](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			const std::string* const host = _request.head.headers.find("Host");
+			const std::lock_guard<std::mutex> lock(mutex_);
+			if (nullptr != host && suspect_ != *host)
+			{
+				answerWhole(*_caller, _request, 200, "{}");
+			}
+		};
+	}
+
+	void serve(std::size_t _head, const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+	{
+		if (0 < sends_.fetch_add(1))
+		{
+			if (ended_)
+			{
+				startStream(*_caller, _request, last_ + 1, last_ + 1);
+				_caller->finish();
+			}
+			return;
+		}
+		const std::string path = *_request.head.headers.find("Hop-Count");
+		const std::size_t comma = path.find(',');
+		const std::lock_guard<std::mutex> lock(mutex_);
+		suspect_ = path.substr(comma + 1, path.rfind('=') - comma - 1);
+		first_ = _head;
+		stream_ = _caller;
+		startStream(*_caller, _request, 0, 0);
+	}
+
+	void onOrder(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+	{
+		if (ordered_.exchange(true))
+		{
+			answerOrder(*_caller, _request);
+			return;
+		}
+		player_ = std::thread(
+		    [this, _caller, _request]
+		    {
+			    play(_caller, _request);
+		    });
+	}
+
+	/// Off the target's thread, which stays free to answer questions.
+	void play(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+	{
+		const auto begin = std::chrono::steady_clock::now();
+		const auto answerAt = begin + kAnswerAfter;
+		const auto endAt = begin + (0 == end_.status ? kEndsAfterNone : kEndsAfterAnswer);
+		bool answered = false;
+		std::this_thread::sleep_for(kGoesOnAfter);
+		for (uint64_t id = 1; std::chrono::steady_clock::now() < endAt; ++id)
+		{
+			if (!answered && answerAt < std::chrono::steady_clock::now())
+			{
+				answered = true;
+				heads_[first_]->post(
+				    [this, _caller, _request]
+				    {
+					    answerOrder(*_caller, _request);
+				    });
+				std::this_thread::sleep_for(kEventGap); // a send that it sets off arrives before the next event
+			}
+			heads_[first_]->post(
+			    [this, id]
+			    {
+				    stream_->send(eventText(id));
+				    last_ = id;
+			    });
+			std::this_thread::sleep_for(kEventGap);
+		}
+		heads_[first_]->post(
+		    [this]
+		    {
+			    ended_ = true;
+			    stream_->abort();
+		    });
+	}
+
+	void answerOrder(ServerConnection& _caller, const ServerRequest& _request) const
+	{
+		if (0 == end_.status)
+		{
+			return;
+		}
+		const std::size_t comma = _request.body.find(',', _request.body.find("=0-4"));
+		const std::size_t equals = _request.body.find('=', comma);
+		const std::string part = _request.body.substr(comma + 1, equals - comma - 1);
+		answerWhole(_caller, _request, end_.status, end_.namesNewPart ? R"({"address":")" + part + "\"}" : "{}");
+	}
+
+	OrderEnd end_;
+	std::vector<FakeTarget*> heads_;
+	std::atomic<uint32_t> sends_{0};
+	std::atomic<bool> ordered_{false};
+	std::atomic<bool> ended_{false};
+	std::atomic<uint64_t> last_{0}; //!< Event of the first run.
+	std::mutex mutex_;
+	std::string suspect_;
+	std::size_t first_ = 0;
+	std::shared_ptr<ServerConnection> stream_;
+	std::thread player_;
+};
+
+TestRequest stream()
+{
+	TestRequest made;
+	made.path = "/stream/";
+	return made;
+}
+
+} // namespace
+
+/// What a change of path may cost a stream that goes on meanwhile: no run.
+class PathChangeProof : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(PathChangeProof);
+	CPPUNIT_TEST(aLostAnswerCostsNoRun);
+	CPPUNIT_TEST(noSuchRequestCostsNoRun);
+	CPPUNIT_TEST(noPartThereCostsNoRun);
+	CPPUNIT_TEST(noRoomThereCostsNoRun);
+	CPPUNIT_TEST(aRefusedOrderCostsNoRun);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void aLostAnswerCostsNoRun()
+	{
+		endsWhole(OrderEnd{});
+	}
+
+	void noSuchRequestCostsNoRun()
+	{
+		endsWhole(OrderEnd{404, false});
+	}
+
+	void noPartThereCostsNoRun()
+	{
+		endsWhole(OrderEnd{409, true});
+	}
+
+	void noRoomThereCostsNoRun()
+	{
+		endsWhole(OrderEnd{409, false});
+	}
+
+	void aRefusedOrderCostsNoRun()
+	{
+		endsWhole(OrderEnd{400, false});
+	}
+
+private:
+	static void endsWhole(OrderEnd _end)
+	{
+		EntryHarness harness;
+		ChangeScene scene(_end);
+		scene.addTo(harness);
+		harness.start();
+		const CallerAnswer answer = harness.call(stream());
+		CPPUNIT_ASSERT_EQUAL(2U, scene.sends()); // the second one behind the true end of the first
+		CPPUNIT_ASSERT_EQUAL(scene.expected(), answer.body);
+		CPPUNIT_ASSERT(answer.whole);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PathChangeProof);
+
+} // namespace sedgecart
