Test, failing: a caller that is slow, or sends its next request early, loses its answer

Three ways in which a node ends an answer that could still be delivered, none of them seen before a test: - the last answer on a connection is cut 1,000 ms after it was made, also while the caller is still taking it. Every answer of a node that stops is a last one; - an answer on a kept connection is cut once the connection has been "idle" for its bound, counted from when the answer was made; - 64 KiB of a next request that come while an answer is under way end the connection, and that answer with it. Its handler is not told, either.

--- /dev/null
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -0,0 +1,296 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+// A caller may be slow, or send its next request while it waits. Neither is a reason to end an answer that could still
+// be delivered.
+
+#include <aio/server.h>
+#include <aio/serverconnection.h>
+#include <base/config.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Tcp = boost::asio::ip::tcp;
+using Millis = std::chrono::milliseconds;
+
+/// More than two sockets hold, bytes.
+constexpr std::size_t kLargeBody = 12UL * 1024 * 1024;
+
+/// A server on a thread of its own. It answers requests when the test says, or at once with a large body.
+class HeldServer : public ServerHandlerI
+{
+public:
+	HeldServer()
+	    : guard_(loop_.get_executor()),
+	      server_(std::make_unique<Server>(loop_, "127.0.0.1:0", *this)),
+	      thread_(
+	          [this]
+	          {
+		          loop_.run();
+	          })
+	{
+	}
+
+	~HeldServer() override
+	{
+		loop_.stop();
+		thread_.join();
+		waiting_.clear();
+		server_.reset();
+	}
+
+	Tcp::endpoint endpoint() const
+	{
+		return Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), server_->port());
+	}
+
+	/// Answers all that wait.
+	void answerAll()
+	{
+		boost::asio::post(loop_,
+		                  [this]
+		                  {
+			                  for (const std::shared_ptr<ServerConnection>& connection : waiting_)
+			                  {
+				                  answer(*connection, "held");
+			                  }
+			                  waiting_.clear();
+		                  });
+	}
+
+	uint32_t gone() const
+	{
+		return gone_.load();
+	}
+
+	uint32_t requests() const
+	{
+		return requests_.load();
+	}
+
+	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override
+	{
+		++requests_;
+		if ("/large" == _request.head.target)
+		{
+			answer(*_connection, std::string(kLargeBody, 'x'));
+			return;
+		}
+		waiting_.push_back(_connection);
+	}
+	void onCallerGone(const ServerConnection& _connection) override
+	{
+		++gone_;
+		const auto isIt = [&_connection](const std::shared_ptr<ServerConnection>& _one)
+		{
+			return _one.get() == &_connection;
+		};
+		waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), isIt), waiting_.end());
+	}
+	uint16_t onBadRequest(ReadState::Enum) override
+	{
+		return 400;
+	}
+	ReaderLimits limits() const override
+	{
+		return ReaderLimits{};
+	}
+	Duration readBound() const override
+	{
+		return Duration::fromMillis(10000);
+	}
+	Duration idleBound() const override
+	{
+		return Duration::fromMillis(400);
+	}
+	bool closing() const override
+	{
+		return false;
+	}
+
+private:
+	static void answer(ServerConnection& _connection, const std::string& _body)
+	{
+		AnswerStart start;
+		start.status = 200;
+		start.length = _body.size();
+		_connection.start(start, _body);
+		_connection.finish();
+	}
+
+	boost::asio::io_context loop_;
+	boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
+	std::vector<std::shared_ptr<ServerConnection>> waiting_;
+	std::atomic<uint32_t> gone_{0};
+	std::atomic<uint32_t> requests_{0};
+	std::unique_ptr<Server> server_;
+	std::thread thread_;
+};
+
+/// A caller's blocking connection.
+class PlainCaller
+{
+public:
+	explicit PlainCaller(const Tcp::endpoint& _server) : socket_(loop_)
+	{
+		socket_.connect(_server);
+	}
+
+	void send(const std::string& _text)
+	{
+		boost::asio::write(socket_, boost::asio::buffer(_text));
+	}
+
+	/// @returns what came up to a text, or up to the end.
+	std::string receive(const std::string& _until = std::string())
+	{
+		std::string all;
+		boost::system::error_code error;
+		std::array<char, 65536> space{};
+		while (!error && (_until.empty() || std::string::npos == all.find(_until)))
+		{
+			all.append(space.data(), socket_.read_some(boost::asio::buffer(space), error));
+		}
+		return all;
+	}
+
+	void close()
+	{
+		socket_.close();
+	}
+
+private:
+	boost::asio::io_context loop_;
+	Tcp::socket socket_;
+};
+
+std::string get(const std::string& _target, const std::string& _lines = std::string())
+{
+	return "GET " + _target + " HTTP/1.1\r\nHost: h.example\r\n" + _lines + "\r\n";
+}
+
+/// A request with a body beyond what is kept of a next one.
+std::string largePost()
+{
+	const std::string body(SEDGECART_CONFIG_PIPELINED_BYTES * 2UL, 'y');
+	return "POST /next HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+template <typename Condition> bool comesTrue(const Condition& _condition)
+{
+	const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+	while (!_condition() && std::chrono::steady_clock::now() < end)
+	{
+		std::this_thread::sleep_for(Millis(5));
+	}
+	return _condition();
+}
+
+} // namespace
+
+class ServedConnectionTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(ServedConnectionTest);
+	CPPUNIT_TEST(aSlowCallerGetsAllOfTheLastAnswer);
+	CPPUNIT_TEST(aSlowCallerGetsAllOfAnAnswerOnAKeptConnection);
+	CPPUNIT_TEST(aLargeNextRequestEndsNoAnswer);
+	CPPUNIT_TEST(aCallerThatLeavesIsSeen);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// The time to close its side begins when the caller has the answer, not while most of it is still to be sent.
+	void aSlowCallerGetsAllOfTheLastAnswer()
+	{
+		getsAll("Connection: close\r\n", Millis(SEDGECART_CONFIG_LINGER_MS + 500));
+	}
+
+	/// A connection whose answer is still to be sent is not idle.
+	void aSlowCallerGetsAllOfAnAnswerOnAKeptConnection()
+	{
+		getsAll("", Millis(900));
+	}
+
+	void aLargeNextRequestEndsNoAnswer()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(get("/first"));
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.requests();
+		    }));
+		std::thread sender( // it may have to wait until it is read
+		    [&caller]
+		    {
+			    caller.send(largePost());
+		    });
+		std::this_thread::sleep_for(Millis(200));
+		server.answerAll();
+		const std::string first = caller.receive("held");
+		sender.join();
+		const bool second = comesTrue(
+		    [&server]
+		    {
+			    return 2 == server.requests();
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), first.find("HTTP/1.1 200"));
+		CPPUNIT_ASSERT(second);
+		CPPUNIT_ASSERT_EQUAL(0U, server.gone());
+	}
+
+	void aCallerThatLeavesIsSeen()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(get("/first"));
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.requests();
+		    }));
+		caller.close();
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.gone();
+		    }));
+	}
+
+private:
+	static void getsAll(const std::string& _lines, Millis _wait)
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(get("/large", _lines));
+		std::this_thread::sleep_for(_wait);
+		const std::string answer = caller.receive();
+		const std::size_t body = answer.find("\r\n\r\n") + 4;
+		CPPUNIT_ASSERT_EQUAL(kLargeBody, answer.size() - body);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServedConnectionTest);
+
+} // namespace sedgecart
