A change of path that comes to nothing moves no stream that goes on

Cause: the answer to an order to change a path was taken as news of the stream, whatever the stream had brought since. The suspicion that led to the order was wrong, and cost one of the permitted runs, up to 1,500 ms later.

Change: where the answer is lost or a refusal and the path brings its events by then as a sound one does (its silence is judged as the watch judges it, only by the time for which this node was awake), the request stays and the suspect is forgiven.

Conclusion: a wrong suspicion of a part costs no run any more where the stream goes on before the order has its answer. Left: an order that was carried out while its answer was lost leaves the old part counted.

--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -184,6 +184,11 @@
 	return bound < awake_.since(_path.lastProgress(), _now);
 }
 
+bool PathWatch::goesOn(const WatchedPathI& _path) const
+{
+	return _path.begun() && !isSilent(_path, clock_.now());
+}
+
 /// @returns true if some path has moved on since a moment: this node hears.
 bool PathWatch::hasHeardSince(Time _moment)
 {
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -66,6 +66,9 @@
 	/// @returns how long to wait here for what takes so long at a node that is never late.
 	Duration stretched(Duration _usual) const;
 
+	/// @returns true if a path brings its events by now as a sound one does, whatever was suspected of it before.
+	bool goesOn(const WatchedPathI& _path) const;
+
 	/// Looks once at all paths; its timer does so again and again while there are any.
 	void tick();
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -479,6 +479,12 @@
 		send_->progressAt = context_.clock.now();
 		return;
 	}
+	if (context_.watch.goesOn(*this))
+	{
+		path_.forgive(_suspect); // sent elsewhere, it would lose one of its runs to a suspicion that is wrong
+		logOutcome("Request stays with its path, which goes on.", LogLevel::Info, nameOf(_state));
+		return;
+	}
 	const FleetTarget* const missing =
 	    RepathState::NoPart == _state ? RequestPath::findByAddress(_place, _atFault) : nullptr;
 	if (nullptr != missing)
