An answer that its caller is still taking, or that came before a large next request, is delivered

Cause: the time to close a connection's side (1,000 ms) and the time that it may rest ran from when its answer was made, not from when the caller had it; and a connection whose caller sent on more than 64 KiB while it waited was reset.

Change: as long as bytes of an answer are kept, a connection stays for as long as its caller takes some within 4,000 ms, the bound on unacknowledged bytes; the other times begin behind the last one. What a caller sends on is not read until its answer is made. So a caller that has sent on so much, and leaves, is seen to leave only when its answer is written.

Ruled out: that a caller which takes nothing holds a connection for good (aCallerThatTakesNothingIsGivenUp).

--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -65,7 +65,8 @@
 	const bool full = SEDGECART_CONFIG_PIPELINED_BYTES < waiting_.size() && Phase::Answering == phase_;
 	if (full)
 	{
-		abort(); // a caller that sends on while it waits is not read without end
+		paused_ = true; // what the caller sends on while it waits is not read without end
+		return;
 	}
 	if (Phase::Closed != phase_)
 	{
@@ -73,6 +74,16 @@
 	}
 }
 
+/// The answer under way is made: there is room again for what the caller sent on meanwhile.
+void ServedConnection::readOn()
+{
+	if (paused_)
+	{
+		paused_ = false;
+		waitReadable();
+	}
+}
+
 void ServedConnection::onBytes(std::string_view _bytes)
 {
 	if (Phase::Lingering == phase_)
@@ -191,6 +202,7 @@
 		return;
 	}
 	becomeIdle();
+	readOn();
 	if (waiting_.empty())
 	{
 		return;
@@ -225,7 +237,7 @@
 void ServedConnection::becomeIdle()
 {
 	phase_ = Phase::Idle;
-	setTimer(handler_.idleBound());
+	rest();
 }
 
 void ServedConnection::setTimer(Duration _bound)
@@ -249,12 +261,18 @@
 	{
 		refuseWith(kRequestTimeout);
 	}
-	else if (Phase::Idle == phase_ || Phase::Lingering == phase_)
+	else if (isResting())
 	{
-		closeNow();
+		const bool takesMore = 0 < pump_.kept() && pump_.kept() < keptBefore_;
+		takesMore ? rest() : closeNow();
 	}
 }
 
+bool ServedConnection::isResting() const
+{
+	return Phase::Idle == phase_ || Phase::Lingering == phase_;
+}
+
 void ServedConnection::onEnd()
 {
 	const bool waited = Phase::Answering == phase_;
@@ -298,9 +316,9 @@
 			    return;
 		    }
 		    self->flush();
-		    if (Phase::Lingering == self->phase_ && 0 == self->pump_.kept())
+		    if (self->isResting() && 0 == self->pump_.kept())
 		    {
-			    self->pump_.shutdownSend();
+			    self->rest();
 		    }
 	    });
 }
@@ -311,11 +329,25 @@
 {
 	phase_ = Phase::Lingering;
 	waiting_.clear();
-	if (0 == pump_.kept())
+	readOn();
+	rest();
+}
+
+/// Nothing more is to be written. The time for what follows begins when the caller has taken all of the answer: a slow
+/// one would lose its end. One that takes nothing more is given up in the end.
+void ServedConnection::rest()
+{
+	if (0 < pump_.kept())
+	{
+		keptBefore_ = pump_.kept();
+		setTimer(Duration::fromMillis(SEDGECART_CONFIG_UNACKNOWLEDGED_MS));
+		return;
+	}
+	if (Phase::Lingering == phase_)
 	{
 		pump_.shutdownSend();
 	}
-	setTimer(Duration::fromMillis(SEDGECART_CONFIG_LINGER_MS));
+	setTimer(Phase::Lingering == phase_ ? Duration::fromMillis(SEDGECART_CONFIG_LINGER_MS) : handler_.idleBound());
 }
 
 void ServedConnection::closeNow()
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -61,6 +61,9 @@
 	void write(std::string_view _bytes);
 	void flush();
 	void linger();
+	void rest();
+	void readOn();
+	bool isResting() const;
 	void closeNow();
 
 	SocketPump pump_;
@@ -68,7 +71,9 @@
 	ServerHandlerI& handler_;
 	std::function<void(ServedConnection*)> onClosed_;
 	std::unique_ptr<MessageReader> reader_;
-	std::string waiting_; //!< Bytes that came and were not used yet.
+	std::string waiting_;        //!< Bytes that came and were not used yet.
+	std::size_t keptBefore_ = 0; //!< Bytes that the caller had not taken when its time to take them last began.
+	bool paused_ = false;        //!< Reading waits for the answer under way.
 	Phase::Enum phase_ = Phase::Idle;
 	bool chunked_ = false;
 	bool noBody_ = false;
--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -214,6 +214,7 @@
 	CPPUNIT_TEST_SUITE(ServedConnectionTest);
 	CPPUNIT_TEST(aSlowCallerGetsAllOfTheLastAnswer);
 	CPPUNIT_TEST(aSlowCallerGetsAllOfAnAnswerOnAKeptConnection);
+	CPPUNIT_TEST(aCallerThatTakesNothingIsGivenUp);
 	CPPUNIT_TEST(aLargeNextRequestEndsNoAnswer);
 	CPPUNIT_TEST(aCallerThatLeavesIsSeen);
 	CPPUNIT_TEST_SUITE_END();
@@ -231,6 +232,15 @@
 		getsAll("", Millis(900));
 	}
 
+	void aCallerThatTakesNothingIsGivenUp()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(get("/large"));
+		std::this_thread::sleep_for(Millis(SEDGECART_CONFIG_UNACKNOWLEDGED_MS + 1500));
+		CPPUNIT_ASSERT(caller.receive().size() < kLargeBody);
+	}
+
 	void aLargeNextRequestEndsNoAnswer()
 	{
 		HeldServer server;
