Proof, failing: a caller that is reset for what it does not take leaves its target at work

Once 4 MiB wait for a caller it is reset, but its request is not told: its target works on for nobody until the request's time is over.

--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -167,6 +167,7 @@
 	CPPUNIT_TEST(refusedRequestsLeaveRepeatsForStreams);
 	CPPUNIT_TEST(lastTargetGoneIsBorne);
 	CPPUNIT_TEST(callerGoneStopsTheTarget);
+	CPPUNIT_TEST(aCallerThatTakesNothingStopsTheTarget);
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
 	CPPUNIT_TEST(readyAndMetricsAreServed);
 	CPPUNIT_TEST(entriesOfOthersNameNoTarget);
@@ -620,6 +621,33 @@
 		CPPUNIT_ASSERT_EQUAL(1U, target.gone());
 	}
 
+	/// A caller that takes nothing is reset once much waits for it. The target's work is for nobody then.
+	void aCallerThatTakesNothingStopsTheTarget()
+	{
+		EntryHarness harness;
+		std::vector<std::shared_ptr<ServerConnection>> streams; // of the target's thread
+		FakeTarget& target = harness.addEngine(
+		    LayerSpan{0, 8},
+		    onStreams(
+		        [&streams](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		        {
+			        constexpr uint64_t kEvents = 500000; // some 20 MB, more than sockets and the node keep
+			        startStream(*_caller, _request, 0, kEvents);
+			        streams.push_back(_caller);
+		        }));
+		harness.start();
+		TestCaller caller(harness.callerAddress());
+		const auto begin = std::chrono::steady_clock::now();
+		caller.send(textOf(request("/stream/")));
+		waitUntil(
+		    [&target]
+		    {
+			    return 1 == target.gone();
+		    });
+		CPPUNIT_ASSERT_EQUAL(1U, target.gone());
+		CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(10)); // its time is 20 s
+	}
+
 	void keyTakenAwayIsRefused()
 	{
 		EntryHarness harness;
