A caller that is reset for what it does not take is one that has gone

Cause: the reset (over 4 MiB wait for the caller) was not told to its request, whose target worked on for nobody.

Change: the request is told from the loop, and its target is left at once.

--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -228,10 +228,22 @@
 	caller_->send(_bytes);
 	if (kMostBacklog < caller_->backlog())
 	{
-		caller_->abort();
+		giveCallerUp();
 	}
 }
 
+/// Nobody waits for the answer any more: its target must not work on. The machine is told from the loop, since it is
+/// passing on a part of the answer.
+void RequestRelay::giveCallerUp()
+{
+	caller_->abort();
+	boost::asio::post(context_.loop,
+	                  [self = shared_from_this()]
+	                  {
+		                  self->onCallerGone();
+	                  });
+}
+
 void RequestRelay::passEnd()
 {
 	context_.metrics.add(Counter::Answers);
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -81,6 +81,7 @@
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void avoidAtFault();
 	void noteNotHeld(const FleetTarget& _failed);
+	void giveCallerUp();
 	void startTimer();
 	void finishIfDone();
 	void logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const;
