Test of wrong suspicions: paths of two targets, changes of path, and a node that hears nothing

Streams of the model run over a second target as well. An order to change a path is carried out or not, and answered in time, late, or not at all, with any state; a lost answer may stand for an order that was carried out. A second case has all targets fall silent at once and go on at once, with one allowance for all streams of the node.

What is asserted is as before: each stream ends whole and has run on no more targets than it may. The model mirrors what RequestRelay does with an answer; that itself is held by proof.pathchange.

--- a/packages/entry/tests/suspicioncosttest.cpp
+++ b/packages/entry/tests/suspicioncosttest.cpp
@@ -3,7 +3,9 @@
 // A node that lacks the processor hears answers late, and a target may be silent for a moment and go on: either way
 // sound targets are taken as dead, however the bounds are chosen. That must never cost an answer. Here the real
 // decisions of the path watch and of each request run in virtual time before targets that are all sound in the end,
-// while the node stands still or crawls and targets pause at any moments: every stream ends whole.
+// while the node stands still or crawls and targets pause at any moments: every stream ends whole. A stream may run
+// over two targets; asked to go on over another second one, its first one may do so or not, and its answer may be late,
+// lost, or wrong.
 
 #include "../src/pathwatch_p.h"
 
@@ -16,6 +18,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -70,15 +73,29 @@
 	return std::stoul(_address.substr(1));
 }
 
+/// What becomes of an order to change a path. It may be carried out though its answer is lost.
+struct ModelChange
+{
+	RepathState::Enum state = RepathState::Unknown;
+	bool carriedOut = false;
+	int64_t answerMs = 0; //!< From the order.
+};
+
 /// Questions to targets that all answer, most of them in time; the node may take an answer late, or the end of its
 /// bound before it.
 class SoundOrders : public RunnerOrdersI
 {
 public:
-	SoundOrders(const VirtualClock& _clock, const std::vector<ModelTarget>& _models) : clock_(_clock), models_(_models)
+	SoundOrders(const VirtualClock& _clock, const std::vector<ModelTarget>& _models, std::vector<ModelChange> _changes)
+	    : clock_(_clock),
+	      models_(_models),
+	      changes_(std::move(_changes))
 	{
 	}
 
+	/// Has a request, by its name, go on over the last target of the path.
+	std::function<void(const std::string&, const std::vector<PathStop>&)> carryOut;
+
 	void hold(const RunnerRecord&, LayerSpan, Offset, OrderCall) override
 	{
 	}
@@ -91,8 +108,20 @@
 	void poll(const std::string&, Duration, ProbeCall) override
 	{
 	}
-	void repath(const std::string&, const std::string&, const std::vector<PathStop>&, RepathCall) override
+	void repath(const std::string&, const std::string& _request, const std::vector<PathStop>& _path,
+	            RepathCall _call) override
 	{
+		const ModelChange change = changes_[ordered_++ % changes_.size()];
+		if (change.carriedOut)
+		{
+			carryOut(_request, _path);
+		}
+		Order order;
+		order.answerMs = clock_.nowMs + change.answerMs;
+		order.state = change.state;
+		order.atFault = RepathState::NoPart == change.state ? _path.back().address : std::string();
+		order.call = std::move(_call);
+		orders_.push_back(std::move(order));
 	}
 
 	/// Takes what is due: bounds that have passed go before answers, as the worst order of a node that wakes up.
@@ -112,9 +141,34 @@
 			answer.answered = !late;
 			question.call(answer);
 		}
+		settleOrders();
 	}
 
 private:
+	/// A change of path that has no answer yet.
+	struct Order
+	{
+		int64_t answerMs = 0;
+		RepathState::Enum state = RepathState::Unknown;
+		std::string atFault;
+		RepathCall call;
+	};
+
+	void settleOrders()
+	{
+		std::deque<Order> due;
+		due.swap(orders_);
+		for (Order& order : due)
+		{
+			if (clock_.nowMs < order.answerMs)
+			{
+				orders_.push_back(std::move(order));
+				continue;
+			}
+			order.call(order.state, order.atFault);
+		}
+	}
+
 	struct Question
 	{
 		int64_t answerMs = 0;
@@ -124,33 +178,56 @@
 
 	const VirtualClock& clock_;
 	const std::vector<ModelTarget>& models_;
+	std::vector<ModelChange> changes_; //!< What becomes of orders, in turn.
+	std::size_t ordered_ = 0;
 	std::deque<Question> open_;
+	std::deque<Order> orders_;
 };
 
 /// One send of a stream.
 struct ModelSend
 {
-	std::size_t at = 0; //!< Index of its target.
-	uint64_t next = 0;  //!< Event that it brings next.
-	int64_t dueMs = 0;  //!< When.
+	std::size_t at = 0;    //!< Index of its first target.
+	std::size_t over = 0;  //!< Index of its other target; that of the first if it has none.
+	std::size_t truly = 0; //!< The same, as it is at the first target.
+	uint64_t number = 0;   //!< Of all sends of its stream.
+	uint64_t next = 0;     //!< Event that it brings next.
+	int64_t dueMs = 0;     //!< When.
 	Time progress;
 	uint64_t eventsBefore = 0;
 	bool refused = false;
+	uint32_t changesLeft = 3;
+	bool changing = false; //!< An order to change its path is under way.
+};
+
+/// Targets of a model, and who watches them.
+struct ModelFleet
+{
+	std::vector<FleetTarget> targets; //!< Those that begin paths, then those that end them.
+	std::vector<ModelTarget> models;
+	std::size_t heads = 0;
+
+	bool hasParts() const
+	{
+		return heads < targets.size();
+	}
 };
 
 /// A stream at one of some targets, with the real decisions of a request.
 class ModelStream : public WatchedPathI, public RelayActionsI
 {
 public:
-	ModelStream(const VirtualClock& _clock, std::vector<FleetTarget>& _targets, const std::vector<ModelTarget>& _models,
-	            std::size_t _first, uint32_t _repeats)
+	ModelStream(const VirtualClock& _clock, const ModelFleet& _fleet, PathWatch& _watch, SoundOrders& _orders,
+	            std::size_t _name, std::shared_ptr<uint32_t> _repeats)
 	    : clock_(_clock),
-	      targets_(_targets),
-	      models_(_models),
-	      repeats_(_repeats),
+	      fleet_(_fleet),
+	      watch_(_watch),
+	      orders_(_orders),
+	      name_(std::to_string(_name)),
+	      repeats_(std::move(_repeats)),
 	      machine_(facts(), *this)
 	{
-		send_.at = _first;
+		send_.at = _name % _fleet.heads;
 	}
 
 	void begin()
@@ -187,10 +264,31 @@
 		return static_cast<uint32_t>(ranAt_.size());
 	}
 
+	/// Its first target does as it was ordered.
+	void carryOut(const std::vector<PathStop>& _path)
+	{
+		const std::size_t head = indexOf(_path.front().address);
+		ModelSend* const ran = head == send_.at ? &send_ : kept_ && head == kept_->at ? &*kept_ : nullptr;
+		if (nullptr != ran)
+		{
+			ran->truly = indexOf(_path.back().address);
+			ran->dueMs = std::max(ran->dueMs, clock_.nowMs + kFirstEventMs);
+		}
+	}
+
 	std::vector<const FleetTarget*> pathTargets() const override
 	{
-		return machine_.done() ? std::vector<const FleetTarget*>()
-		                       : std::vector<const FleetTarget*>{&targets_[send_.at]};
+		std::vector<const FleetTarget*> path;
+		if (machine_.done() || send_.changing)
+		{
+			return path;
+		}
+		path.push_back(&fleet_.targets[send_.at]);
+		if (send_.over != send_.at)
+		{
+			path.push_back(&fleet_.targets[send_.over]);
+		}
+		return path;
 	}
 	Time lastProgress() const override
 	{
@@ -200,44 +298,25 @@
 	{
 		return send_.eventsBefore < machine_.events();
 	}
+	/// As a request does.
 	void onTargetDead(const FleetTarget& _target) override
 	{
-		const std::string name = _target.record.instance.text;
-		failed_.insert(name);
-		if (machine_.onSuspected())
+		failed_.insert(nameOf(_target));
+		const bool isHead = nameOf(_target) == nameOf(fleet_.targets[send_.at]);
+		if (isHead || !change(_target))
 		{
-			machine_.onSent();
-			return;
+			move(_target);
 		}
-		failed_.erase(name);
 	}
 
 	SendOutcome::Enum send(std::optional<uint64_t> _resumeAfter) override
 	{
-		if (!hasOther())
-		{
-			return SendOutcome::NoTargets;
-		}
-		const bool isFirst = ranAt_.empty();
-		while (0 < failed_.count(targets_[send_.at].record.instance.text))
-		{
-			send_.at = (send_.at + 1) % targets_.size();
-		}
-		send_.next = _resumeAfter ? *_resumeAfter + 1 : 0;
-		send_.dueMs = clock_.nowMs + kFirstEventMs;
-		send_.progress = clock_.now();
-		send_.eventsBefore = machine_.events();
-		send_.refused = !isFirst && models_[send_.at].full;
-		if (!send_.refused)
-		{
-			ranAt_.push_back(send_.at);
-		}
-		return SendOutcome::Begun;
+		return sendTo(_resumeAfter, false);
 	}
 	SendOutcome::Enum sendBeside(std::optional<uint64_t> _resumeAfter) override
 	{
 		const ModelSend before = send_;
-		const SendOutcome::Enum outcome = send(_resumeAfter);
+		const SendOutcome::Enum outcome = sendTo(_resumeAfter, true);
 		if (SendOutcome::Begun == outcome)
 		{
 			kept_ = before;
@@ -255,15 +334,16 @@
 	}
 	bool hasOther() const override
 	{
-		return failed_.size() < targets_.size();
+		ModelSend found;
+		return choose(true, found);
 	}
 	void cancelSend() override
 	{
 	}
 	bool payRepeat() override
 	{
-		const bool paid = 0 < repeats_;
-		repeats_ -= paid ? 1 : 0;
+		const bool paid = 0 < *repeats_;
+		*repeats_ -= paid ? 1 : 0;
 		return paid;
 	}
 	void passHead() override
@@ -306,14 +386,141 @@
 		return "id: " + std::to_string(_event) + "\ndata: x\n\n";
 	}
 
+	static const std::string& nameOf(const FleetTarget& _target)
+	{
+		return _target.record.instance.text;
+	}
+
+	bool isUsable(std::size_t _target) const
+	{
+		return 0 == failed_.count(nameOf(fleet_.targets[_target]));
+	}
+
+	/// Finds a path. Where a send is kept, or is to be, its first target has the request and must not get it again.
+	bool choose(bool _beside, ModelSend& _found) const
+	{
+		const std::size_t begin = send_.at;
+		const std::size_t heads = fleet_.heads;
+		for (std::size_t step = 0; step < heads; ++step)
+		{
+			const std::size_t head = (begin + step) % heads;
+			const bool has = (_beside && head == send_.at) || (kept_ && head == kept_->at);
+			if (!has && isUsable(head) && choosePart(head, _found))
+			{
+				_found.at = head;
+				return true;
+			}
+		}
+		return false;
+	}
+
+	bool choosePart(std::size_t _head, ModelSend& _found) const
+	{
+		_found.over = _head;
+		for (std::size_t part = fleet_.heads; part < fleet_.targets.size(); ++part)
+		{
+			if (isUsable(part))
+			{
+				_found.over = part;
+				return true;
+			}
+		}
+		return !fleet_.hasParts();
+	}
+
+	SendOutcome::Enum sendTo(std::optional<uint64_t> _resumeAfter, bool _beside)
+	{
+		ModelSend next;
+		if (!choose(_beside, next))
+		{
+			return SendOutcome::NoTargets;
+		}
+		next.truly = next.over;
+		next.number = ++sends_;
+		next.next = _resumeAfter ? *_resumeAfter + 1 : 0;
+		next.dueMs = clock_.nowMs + kFirstEventMs;
+		next.progress = clock_.now();
+		next.eventsBefore = machine_.events();
+		next.refused = !ranAt_.empty() && fleet_.models[next.at].full;
+		send_ = next;
+		if (!send_.refused)
+		{
+			ranAt_.push_back(send_.at);
+		}
+		return SendOutcome::Begun;
+	}
+
+	void move(const FleetTarget& _suspect)
+	{
+		if (machine_.onSuspected())
+		{
+			machine_.onSent();
+			return;
+		}
+		failed_.erase(nameOf(_suspect));
+	}
+
+	/// Asks the first target to go on over another one.
+	bool change(const FleetTarget& _suspect)
+	{
+		ModelSend rest;
+		if (0 == send_.changesLeft || send_.over == send_.at || !choosePart(send_.at, rest))
+		{
+			return false;
+		}
+		--send_.changesLeft;
+		send_.changing = true;
+		std::vector<PathStop> path(2);
+		path.front().address = fleet_.targets[send_.at].record.address;
+		path.back().address = fleet_.targets[rest.over].record.address;
+		orders_.repath(path.front().address, name_, path,
+		               [this, number = send_.number, over = rest.over, suspect = _suspect](RepathState::Enum _state,
+		                                                                                   const std::string& _atFault)
+		               {
+			               if (!machine_.done() && number == send_.number)
+			               {
+				               onChanged(suspect, over, _state, _atFault);
+			               }
+		               });
+		return true;
+	}
+
+	void onChanged(const FleetTarget& _suspect, std::size_t _over, RepathState::Enum _state,
+	               const std::string& _atFault)
+	{
+		send_.changing = false;
+		if (RepathState::Moved == _state)
+		{
+			send_.over = _over;
+			send_.progress = clock_.now();
+			return;
+		}
+		if (watch_.goesOn(*this))
+		{
+			failed_.erase(nameOf(_suspect));
+			return;
+		}
+		if (!_atFault.empty())
+		{
+			failed_.insert(_atFault);
+			if (change(_suspect))
+			{
+				return;
+			}
+		}
+		move(_suspect);
+	}
+
 	bool isDue(const ModelSend& _send) const
 	{
-		return _send.dueMs <= clock_.nowMs && !models_[_send.at].pause.holds(clock_.nowMs);
+		const bool pauses =
+		    fleet_.models[_send.at].pause.holds(clock_.nowMs) || fleet_.models[_send.truly].pause.holds(clock_.nowMs);
+		return _send.dueMs <= clock_.nowMs && !pauses;
 	}
 
 	void refuseOnce()
 	{
-		failed_.insert(targets_[send_.at].record.instance.text);
+		failed_.insert(nameOf(fleet_.targets[send_.at]));
 		const uint32_t before = machine_.sends();
 		machine_.onHead(RelayHead{503, true});
 		machine_.onWhole();
@@ -340,9 +547,12 @@
 	}
 
 	const VirtualClock& clock_;
-	std::vector<FleetTarget>& targets_;
-	const std::vector<ModelTarget>& models_;
-	uint32_t repeats_; //!< That its allowance still pays.
+	const ModelFleet& fleet_;
+	PathWatch& watch_;
+	SoundOrders& orders_;
+	std::string name_;
+	uint64_t sends_ = 0;
+	std::shared_ptr<uint32_t> repeats_; //!< That its allowance still pays.
 	RelayMachine machine_;
 	ModelSend send_;
 	std::optional<ModelSend> kept_;
@@ -368,39 +578,90 @@
 {
 	CPPUNIT_TEST_SUITE(SuspicionCostTest);
 	CPPUNIT_TEST(wrongSuspicionsCostNoStream);
+	CPPUNIT_TEST(aNodeThatHearsNothingLosesNoStream);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
 	void wrongSuspicionsCostNoStream()
 	{
-		CPPUNIT_ASSERT(rc::check("streams over sound targets end whole", &SuspicionCostTest::playOnce));
+		CPPUNIT_ASSERT(rc::check("streams over sound targets end whole",
+		                         []
+		                         {
+			                         ModelFleet fleet = drawFleet();
+			                         fleet.models = drawModels(fleet.targets.size());
+			                         const auto streams = *rc::gen::inRange<std::size_t>(1, 8);
+			                         std::vector<std::shared_ptr<uint32_t>> repeats;
+			                         for (std::size_t stream = 0; stream < streams; ++stream)
+			                         {
+				                         repeats.push_back(drawRepeats(4));
+			                         }
+			                         playOnce(fleet, repeats, drawSlowness());
+		                         }));
+	}
+
+	/// All targets fall silent at once, as they seem to at a node without a link, and go on at once. Its streams share
+	/// what is left of its repeats.
+	void aNodeThatHearsNothingLosesNoStream()
+	{
+		CPPUNIT_ASSERT(rc::check("streams of a node that hears nothing for a while end whole",
+		                         []
+		                         {
+			                         ModelFleet fleet = drawFleet();
+			                         fleet.models.resize(fleet.targets.size());
+			                         Pause pause;
+			                         pause.fromMs = *rc::gen::inRange<int64_t>(1000, 1800);
+			                         pause.endMs = pause.fromMs + *rc::gen::inRange<int64_t>(40, 3000);
+			                         for (ModelTarget& model : fleet.models)
+			                         {
+				                         model.pause = pause;
+			                         }
+			                         const auto streams = *rc::gen::inRange<std::size_t>(1, 12);
+			                         const std::vector<std::shared_ptr<uint32_t>> repeats(streams, drawRepeats(9));
+			                         const std::vector<Slowness> never;
+			                         playOnce(fleet, repeats, *rc::gen::arbitrary<bool>() ? drawSlowness() : never);
+		                         }));
 	}
 
 private:
-	static void playOnce()
+	static ModelFleet drawFleet()
+	{
+		ModelFleet fleet;
+		fleet.heads = *rc::gen::inRange<std::size_t>(1, 5);
+		fleet.targets = makeTargets(fleet.heads + *rc::gen::inRange<std::size_t>(0, 4));
+		return fleet;
+	}
+
+	/// @param _below more than it pays.
+	static std::shared_ptr<uint32_t> drawRepeats(uint32_t _below)
+	{
+		return std::make_shared<uint32_t>(*rc::gen::inRange<uint32_t>(0, _below));
+	}
+
+	/// @param _repeats what the allowance still pays, of each stream.
+	static void playOnce(const ModelFleet& _fleet, const std::vector<std::shared_ptr<uint32_t>>& _repeats,
+	                     const std::vector<Slowness>& _slow)
 	{
 		VirtualClock clock;
-		std::vector<FleetTarget> targets = makeTargets(*rc::gen::inRange<std::size_t>(1, 5));
-		const std::vector<ModelTarget> models = drawModels(targets.size());
-		SoundOrders orders(clock, models);
+		SoundOrders orders(clock, _fleet.models, drawChanges());
 		Metrics metrics;
 		boost::asio::io_context loop; // its timer is never run: the test looks by itself
 		PathWatch watch(loop, clock, orders, metrics);
 		std::vector<std::shared_ptr<ModelStream>> streams;
-		const auto count = *rc::gen::inRange<std::size_t>(1, 8);
-		for (std::size_t stream = 0; stream < count; ++stream)
+		orders.carryOut = [&streams](const std::string& _request, const std::vector<PathStop>& _path)
+		{
+			streams[std::stoul(_request)]->carryOut(_path);
+		};
+		for (const std::shared_ptr<uint32_t>& repeats : _repeats)
 		{
-			const auto repeats = *rc::gen::inRange<uint32_t>(0, 4);
-			streams.push_back(std::make_shared<ModelStream>(clock, targets, models, stream % targets.size(), repeats));
+			streams.push_back(std::make_shared<ModelStream>(clock, _fleet, watch, orders, streams.size(), repeats));
 			watch.add(streams.back());
 			streams.back()->begin();
 		}
-		const std::vector<Slowness> slow = drawSlowness();
 		int64_t lookMs = clock.nowMs;
 		constexpr int64_t kEndMs = 12000;
 		for (; clock.nowMs < kEndMs && !allDone(streams); ++clock.nowMs)
 		{
-			if (!acts(slow, clock.nowMs))
+			if (!acts(_slow, clock.nowMs))
 			{
 				continue;
 			}
@@ -446,6 +707,22 @@
 		return models;
 	}
 
+	static std::vector<ModelChange> drawChanges()
+	{
+		constexpr int64_t kOrderBoundMs = 1500;
+		std::vector<ModelChange> changes(*rc::gen::inRange<std::size_t>(1, 6));
+		for (ModelChange& change : changes)
+		{
+			change.state = static_cast<RepathState::Enum>(*rc::gen::inRange<int>(0, RepathState::Count));
+			const bool mayBeDone = RepathState::Unknown == change.state && *rc::gen::arbitrary<bool>();
+			change.carriedOut = RepathState::Moved == change.state || mayBeDone;
+			const bool isLate = *rc::gen::arbitrary<bool>();
+			change.answerMs = *rc::gen::inRange<int64_t>(kAnswerMs, isLate ? kOrderBoundMs : 2 * kAnswerMs);
+			change.answerMs = RepathState::Unknown == change.state ? kOrderBoundMs : change.answerMs;
+		}
+		return changes;
+	}
+
 	static std::vector<Slowness> drawSlowness()
 	{
 		std::vector<Slowness> spans(*rc::gen::inRange<std::size_t>(1, 5));
