Proof: the last permitted run over a first target that leaves ends with its target's last event

Hypothesis (a): a stream has used up its runs, its first target says that it leaves, parts wait, and the order to change the path is lost, or refused in one of four ways. Ruled out that the node ends it: the target's own end is the end. That the node had read of the leaving before the order is likely (it is put at the first event, the order comes some 95 ms later), and not asserted.

--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -287,6 +287,11 @@
 	putTarget(_target, "plain", LayerSpan{}, "draining");
 }
 
+void EntryHarness::drainEngine(const FakeTarget& _target, LayerSpan _layers)
+{
+	putTarget(_target, "engine", _layers, "draining");
+}
+
 void EntryHarness::end(FakeTarget& _target)
 {
 	const auto isIt = [&_target](const std::unique_ptr<FakeTarget>& _one)
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -86,6 +86,9 @@
 	/// Says in the registry that the target leaves.
 	void drain(const FakeTarget& _target);
 
+	/// The same of a target of the engine.
+	void drainEngine(const FakeTarget& _target, LayerSpan _layers);
+
 	/// Ends the target: from then on nobody listens at its address. Its record stays. The reference is gone.
 	void end(FakeTarget& _target);
 
--- a/tests/entry/pathchangeproof.cpp
+++ b/tests/entry/pathchangeproof.cpp
@@ -45,12 +45,19 @@
 	bool namesNewPart = false;
 };
 
+/// Of how many runs the one that is asked to change its path is the last.
+struct RunsPlan
+{
+	uint32_t cutBefore = 0; //!< Runs that are cut at once before it.
+	bool leaves = false;    //!< Its first target says that it leaves, serves to the end, and ends the answer whole.
+};
+
 /// Two targets that begin paths and two that end them. The first run stands still until it is asked to change its path,
 /// goes on, and is cut in the end; a second one brings nothing before that, and then the rest.
 class ChangeScene
 {
 public:
-	explicit ChangeScene(OrderEnd _end) : end_(_end)
+	explicit ChangeScene(OrderEnd _end, RunsPlan _plan = RunsPlan{}) : end_(_end), plan_(_plan)
 	{
 	}
 
@@ -65,6 +72,7 @@
 	void addTo(EntryHarness& _harness)
 	{
 		constexpr std::size_t kOfEach = 2;
+		harness_ = &_harness;
 		for (std::size_t target = 0; target < kOfEach; ++target)
 		{
 			heads_.push_back(&_harness.addEngine(LayerSpan{0, 4}, headScript(target)));
@@ -88,7 +96,8 @@
 	std::string expected() const
 	{
 		std::string text;
-		for (uint64_t id = 0; id <= last_.load() + 1; ++id)
+		const uint64_t rest = plan_.leaves ? 0 : 1; // of a run behind the one that is cut
+		for (uint64_t id = 0; id <= last_.load() + rest; ++id)
 		{
 			text += eventText(id);
 		}
@@ -131,7 +140,14 @@
 
 	void serve(std::size_t _head, const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
 	{
-		if (0 < sends_.fetch_add(1))
+		const uint32_t before = sends_.fetch_add(1);
+		if (before < plan_.cutBefore)
+		{
+			startStream(*_caller, _request, 0, 0);
+			_caller->abort();
+			return;
+		}
+		if (plan_.cutBefore < before)
 		{
 			isOther_ = isOther_ || !ordered_;
 			if (ended_)
@@ -147,7 +163,12 @@
 		suspect_ = path.substr(comma + 1, path.rfind('=') - comma - 1);
 		first_ = _head;
 		stream_ = _caller;
-		startStream(*_caller, _request, 0, 0);
+		startStream(*_caller, _request, plan_.cutBefore, plan_.cutBefore);
+		last_ = plan_.cutBefore;
+		if (plan_.leaves)
+		{
+			harness_->drainEngine(*heads_[_head], LayerSpan{0, 4});
+		}
 	}
 
 	void onOrder(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
@@ -172,7 +193,8 @@
 		const auto endAt = begin + (0 == end_.status ? kEndsAfterNone : kEndsAfterAnswer);
 		bool answered = false;
 		std::this_thread::sleep_for(kGoesOnAfter);
-		for (uint64_t id = 1; std::chrono::steady_clock::now() < endAt; ++id)
+		const uint64_t next = last_ + 1;
+		for (uint64_t id = next; std::chrono::steady_clock::now() < endAt; ++id)
 		{
 			if (!answered && answerAt < std::chrono::steady_clock::now())
 			{
@@ -195,14 +217,14 @@
 		    [this]
 		    {
 			    ended_ = true;
-			    stream_->abort();
+			    plan_.leaves ? stream_->finish() : stream_->abort();
 		    });
 	}
 
 	void sendEvent(uint64_t _id)
 	{
 		const auto now = std::chrono::steady_clock::now();
-		const bool isFirst = 1 == _id; // behind the standstill that this is about
+		const bool isFirst = plan_.cutBefore + 1 == _id; // behind the standstill that this is about
 		longestGap_ = isFirst ? Millis{0} : std::max(longestGap_, std::chrono::duration_cast<Millis>(now - lastAt_));
 		lastAt_ = now;
 		stream_->send(eventText(_id));
@@ -222,6 +244,8 @@
 	}
 
 	OrderEnd end_;
+	RunsPlan plan_;
+	EntryHarness* harness_ = nullptr;
 	std::vector<FakeTarget*> heads_;
 	std::atomic<uint32_t> sends_{0};
 	std::atomic<bool> ordered_{false};
@@ -255,6 +279,7 @@
 	CPPUNIT_TEST(noPartThereCostsNoRun);
 	CPPUNIT_TEST(noRoomThereCostsNoRun);
 	CPPUNIT_TEST(aRefusedOrderCostsNoRun);
+	CPPUNIT_TEST(theLastRunOverALeavingTargetGoesOn);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,23 +308,35 @@
 		endsWhole(OrderEnd{400, false});
 	}
 
+	/// The stream has used up its runs, its first target leaves, and parts wait: whatever becomes of an order to change
+	/// the path, it ends with its target's last event.
+	void theLastRunOverALeavingTargetGoesOn()
+	{
+		constexpr RunsPlan kLast{1, true};
+		endsWhole(OrderEnd{}, kLast);
+		endsWhole(OrderEnd{404, false}, kLast);
+		endsWhole(OrderEnd{409, true}, kLast);
+		endsWhole(OrderEnd{409, false}, kLast);
+		endsWhole(OrderEnd{400, false}, kLast);
+	}
+
 private:
-	static void endsWhole(OrderEnd _end)
+	static void endsWhole(OrderEnd _end, RunsPlan _plan = RunsPlan{})
 	{
 		constexpr int kTries = 5; // until the case comes about
 		bool came = false;
 		for (int play = 0; play < kTries && !came; ++play)
 		{
-			came = endedWhole(_end);
+			came = endedWhole(_end, _plan);
 		}
 		CPPUNIT_ASSERT(came);
 	}
 
 	/// @returns false if the case did not come about.
-	static bool endedWhole(OrderEnd _end)
+	static bool endedWhole(OrderEnd _end, RunsPlan _plan)
 	{
 		EntryHarness harness;
-		ChangeScene scene(_end);
+		ChangeScene scene(_end, _plan);
 		scene.addTo(harness);
 		harness.start();
 		const CallerAnswer answer = harness.call(stream());
@@ -307,7 +344,7 @@
 		{
 			return false;
 		}
-		CPPUNIT_ASSERT_EQUAL(2U, scene.sends()); // the second one behind the true end of the first
+		CPPUNIT_ASSERT_EQUAL(2U, scene.sends()); // the second one behind the true end of the first, or its cut
 		CPPUNIT_ASSERT_EQUAL(scene.expected(), answer.body);
 		CPPUNIT_ASSERT(answer.whole);
 		return true;
