Test, failing: a path that may have changed hides the death of the part that it left

Where the answer to an order to change a path is lost and the order was carried out, the stream's events still count as come over the old part, for the watch: it is not asked, and if it were, no silence of it would be believed.

--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -35,6 +35,12 @@
 	/// @returns the targets of its path; empty while it has none.
 	virtual std::vector<const FleetTarget*> pathTargets() const = 0;
 
+	/// @returns those of its targets that its events come over for certain.
+	virtual std::vector<const FleetTarget*> sureTargets() const
+	{
+		return pathTargets();
+	}
+
 	/// @returns when its last event came, or when it was sent.
 	virtual Time lastProgress() const = 0;
 
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/entry/tests/pathwatchtest.cpp
@@ -115,6 +115,10 @@
 	{
 		return targets;
 	}
+	std::vector<const FleetTarget*> sureTargets() const override
+	{
+		return unsure ? std::vector<const FleetTarget*>{targets.front()} : targets;
+	}
 	Time lastProgress() const override
 	{
 		return progress;
@@ -133,6 +137,7 @@
 	}
 
 	std::vector<const FleetTarget*> targets;
+	bool unsure = false; //!< Its first target may have gone on over others.
 	Time progress;
 	std::vector<std::string> dead;
 	int avoidedWhenTold = 0; //!< Targets of the path that were passed over already, at each call.
@@ -165,6 +170,7 @@
 	CPPUNIT_TEST(aPathThatMovedOnSinceTheQuestionStays);
 	CPPUNIT_TEST(aSignOfLifeEndsTheSuspicion);
 	CPPUNIT_TEST(ownEarsGoBeforeOthersWord);
+	CPPUNIT_TEST(aPathThatMayHaveChangedVouchesForNobodyElse);
 	CPPUNIT_TEST(aQuestionThatDidNotGetOutIsNotPutAtEachLook);
 	CPPUNIT_TEST(nobodyIsAskedWhileAQuestionIsOpen);
 	CPPUNIT_TEST(afterARestLatenessIsForgotten);
@@ -347,6 +353,27 @@
 		CPPUNIT_ASSERT(path_->dead.empty());
 	}
 
+	/// The answer to an order to change a path was lost, and its stream goes on: perhaps over the old part, perhaps
+	/// over the new one. Others that stand still over the old part must leave it all the same.
+	void aPathThatMayHaveChangedVouchesForNobodyElse()
+	{
+		path_->unsure = true;
+		const auto other = std::make_shared<HandPath>();
+		other->targets = {&b_};
+		other->progress = clock_.now();
+		watch_.add(other);
+		for (int step = 0; step < 20; ++step)
+		{
+			path_->progress = clock_.now();
+			look(8);
+		}
+		CPPUNIT_ASSERT((std::vector<std::string>{"b:1"}) == orders_.addresses);
+		orders_.answer(false);
+		CPPUNIT_ASSERT((std::vector<std::string>{"b"}) == other->dead);
+		CPPUNIT_ASSERT(path_->dead.empty());
+		CPPUNIT_ASSERT_EQUAL(kWeakSuspicion, b_.load->ownSuspicion(clock_.now()));
+	}
+
 	/// No descriptor, no route: it says nothing of the target, and asking at each look would take what is lacking.
 	void aQuestionThatDidNotGetOutIsNotPutAtEachLook()
 	{
