A path that may have changed vouches only for its first target

Cause: an order to change a path whose answer was lost may have been carried out. The stream's events were taken as come over the old part, so that its death was found by nobody at this node.

Change: until an order has an answer that says the path is changed, events of such a stream show that its first target lives and nothing else. The old part stays watched, for the case that the order was not carried out.

Ruled out: that a stream which goes on is told of the old part's death (aPathThatMayHaveChangedVouchesForNobodyElse).

Left: the load of such a stream stays counted at the old part until it ends.

--- a/packages/entry/src/pathwatch.cpp
+++ b/packages/entry/src/pathwatch.cpp
@@ -61,10 +61,9 @@
 /// sent again only after a second.
 constexpr uint32_t kFarQuestions = 2;
 
-bool goesOver(const WatchedPathI& _path, const FleetTarget& _target)
+bool holds(const std::vector<const FleetTarget*>& _targets, const FleetTarget& _target)
 {
-	const std::vector<const FleetTarget*> targets = _path.pathTargets();
-	return std::any_of(targets.begin(), targets.end(),
+	return std::any_of(_targets.begin(), _targets.end(),
 	                   [&_target](const FleetTarget* _one)
 	                   {
 		                   return _one->load == _target.load;
@@ -207,7 +206,8 @@
 	return std::any_of(paths.begin(), paths.end(),
 	                   [&_target, _since](const std::shared_ptr<WatchedPathI>& _path)
 	                   {
-		                   return _path->begun() && _since < _path->lastProgress() && goesOver(*_path, _target);
+		                   return _path->begun() && _since < _path->lastProgress() &&
+		                          holds(_path->sureTargets(), _target);
 	                   });
 }
 
@@ -235,7 +235,7 @@
 	for (const auto& path : _paths)
 	{
 		anySilent = anySilent || isSilent(*path, _now);
-		for (const FleetTarget* const target : path->pathTargets())
+		for (const FleetTarget* const target : path->sureTargets())
 		{
 			Time& last = seen.emplace(target->load.get(), Time{}).first->second;
 			last = path->begun() && last < path->lastProgress() ? path->lastProgress() : last;
@@ -434,7 +434,7 @@
 	for (const auto& path : live())
 	{
 		const bool moved = path->begun() && _since < path->lastProgress();
-		if (!moved && goesOver(*path, _target))
+		if (!moved && holds(path->pathTargets(), _target))
 		{
 			++users;
 			path->onTargetDead(_target);
--- a/packages/entry/src/relaysend_p.h
+++ b/packages/entry/src/relaysend_p.h
@@ -39,14 +39,15 @@
 	void onWhole() override;
 	void onBroken(ExchangeBreak::Enum _how) override;
 
-	MessageHead head;          //!< Of the answer.
-	std::string body;          //!< Of the answer, when it is passed on whole.
-	TargetAnswer answer;       //!< What the head says.
-	Time progressAt;           //!< Of its last event, or of the send.
-	uint64_t eventsBefore = 0; //!< Events that came before it.
-	uint32_t repathsLeft = 0;  //!< Other paths that it may still try.
-	bool repathing = false;    //!< An order for another path is under way.
-	bool sound = true;         //!< The answer may be passed on.
+	MessageHead head;            //!< Of the answer.
+	std::string body;            //!< Of the answer, when it is passed on whole.
+	TargetAnswer answer;         //!< What the head says.
+	Time progressAt;             //!< Of its last event, or of the send.
+	uint64_t eventsBefore = 0;   //!< Events that came before it.
+	uint32_t repathsLeft = 0;    //!< Other paths that it may still try.
+	bool repathing = false;      //!< An order for another path is under way.
+	bool mayHaveChanged = false; //!< An order for another path that got no answer may have been carried out.
+	bool sound = true;           //!< The answer may be passed on.
 
 private:
 	RequestRelay& relay_;
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -417,6 +417,16 @@
 	return watched ? path_.targets() : std::vector<const FleetTarget*>();
 }
 
+std::vector<const FleetTarget*> RequestRelay::sureTargets() const
+{
+	std::vector<const FleetTarget*> targets = pathTargets();
+	if (!targets.empty() && send_->mayHaveChanged)
+	{
+		targets.resize(1); // its events may come over other parts, and say nothing of these
+	}
+	return targets;
+}
+
 Time RequestRelay::lastProgress() const
 {
 	return send_ ? send_->progressAt : Time{};
@@ -483,8 +493,10 @@
                               const std::string& _atFault)
 {
 	send_->repathing = false;
+	const bool changed = RepathState::Moved == _state;
+	send_->mayHaveChanged = !changed && (send_->mayHaveChanged || RepathState::Unknown == _state);
 	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
-	if (RepathState::Moved == _state)
+	if (changed)
 	{
 		context_.metrics.add(Counter::PathChanges);
 		path_.changeTo(_place);
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -59,6 +59,7 @@
 	void onBroken(RelaySend& _send, ExchangeBreak::Enum _how);
 
 	std::vector<const FleetTarget*> pathTargets() const override;
+	std::vector<const FleetTarget*> sureTargets() const override;
 	Time lastProgress() const override;
 	bool begun() const override;
 	void onTargetDead(const FleetTarget& _target) override;
