Test, failing: a node that has not looked sends a request into a connection that its target has closed

A target that ends or restarts in good order closes its kept connections. A node that is late takes one of them for the next request, which is lost, counts as begun, and takes one of its permitted runs though no target had it.

--- a/packages/aio/tests/clientconnectiontest.cpp
+++ b/packages/aio/tests/clientconnectiontest.cpp
@@ -2,10 +2,13 @@
 
 #include <aio/clientconnection.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -60,6 +63,8 @@
 	CPPUNIT_TEST_SUITE(ClientConnectionTest);
 	CPPUNIT_TEST(whereNobodyListensItIsRefused);
 	CPPUNIT_TEST(aResetThatIsSeenLateIsNoRefusal);
+	CPPUNIT_TEST(whatThePeerHasClosedIsNotUsedAgain);
+	CPPUNIT_TEST(whatThePeerKeepsIsUsedAgain);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,7 +93,42 @@
 		CPPUNIT_ASSERT(ExchangeBreak::TurnedAway == how || ExchangeBreak::Cut == how);
 	}
 
+	/// A target that ends in good order closes its kept connections. A node that has not looked since would send a
+	/// request into one, which is then lost, and counts as begun.
+	void whatThePeerHasClosedIsNotUsedAgain()
+	{
+		CPPUNIT_ASSERT(!isReusable(true));
+	}
+
+	void whatThePeerKeepsIsUsedAgain()
+	{
+		CPPUNIT_ASSERT(isReusable(false));
+	}
+
 private:
+	/// @param _closes the peer closes the connection behind its answer, and the loop does not run from then on.
+	bool isReusable(bool _closes)
+	{
+		Tcp::acceptor acceptor(server_, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+		Ending ending;
+		ClientConnection connection(loop_, textOf(acceptor.local_endpoint()));
+		connection.exchange("GET / HTTP/1.1\r\n\r\n", ending, kBound);
+		Tcp::socket peer = acceptor.accept();
+		boost::asio::write(peer, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+		while (!ending.ended && 0 < loop_.run_one())
+		{
+		}
+		CPPUNIT_ASSERT(ExchangeBreak::Count == ending.how);
+		if (_closes)
+		{
+			std::array<char, 64> request{};
+			peer.read_some(boost::asio::buffer(request)); // unread bytes would make it a reset
+			peer.close();
+			std::this_thread::sleep_for(std::chrono::milliseconds(50));
+		}
+		return connection.reusable();
+	}
+
 	/// @param _late how long the loop does not run after the exchange has begun.
 	ExchangeBreak::Enum exchange(const std::string& _address, std::chrono::milliseconds _late)
 	{
