A connection that its peer has closed is not used again, also where this node has not looked yet

Cause: whether a kept connection may be used was judged by what the loop had read. A node that lacks the processor reads the close after it has sent the next request into it.

Change: before it is used again, the socket is asked whether anything waits to be read; then it is not used. Costs one system call for each use. A close that crosses the request on its way is as before.

Figures: whatThePeerHasClosedIsNotUsedAgain fails before, passes after; an open connection is used again as before.

--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -87,9 +87,11 @@
 		connect(_connectBound);
 	}
 
-	bool reusable() const
+	/// A peer that has closed its side is looked for on the socket: a request that is sent there is lost, and a node
+	/// that lacks the processor may not have been told yet.
+	bool reusable()
 	{
-		return up_ && nullptr == handler_ && keep_ && left_.empty() && 0 == pump_.kept();
+		return up_ && nullptr == handler_ && keep_ && left_.empty() && 0 == pump_.kept() && pump_.isQuiet();
 	}
 
 	Duration keptIdle() const
--- a/packages/aio/src/socketpump.cpp
+++ b/packages/aio/src/socketpump.cpp
@@ -62,6 +62,14 @@
 	return false;
 }
 
+bool SocketPump::isQuiet()
+{
+	char next = 0;
+	boost::system::error_code error;
+	socket_.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+	return isWait(error);
+}
+
 bool SocketPump::write(std::string_view _bytes)
 {
 	if (!kept_.empty())
--- a/packages/aio/src/socketpump_p.h
+++ b/packages/aio/src/socketpump_p.h
@@ -45,6 +45,9 @@
 	/// @returns false if the connection ended, `_end` says how.
 	bool readSome(std::string_view& _bytes, SocketEnd::Enum& _end);
 
+	/// @returns true if the peer has neither sent anything that was not read yet nor closed its side.
+	bool isQuiet();
+
 	/// Writes what the socket takes and keeps the rest.
 	/// @returns false if the connection broke.
 	bool write(std::string_view _bytes);
