--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/entry/src/pathwatch_p.h
@@ -35,6 +35,12 @@
 	/// @returns the targets of its path; empty while it has none.
 	virtual std::vector<const FleetTarget*> pathTargets() const = 0;
 
+	/// @returns those of its targets that its events come over for certain.
+	virtual std::vector<const FleetTarget*> sureTargets() const
+	{
+		return pathTargets();
+	}
+
 	/// @returns when its last event came, or when it was sent.
 	virtual Time lastProgress() const = 0;
 
@@ -66,6 +72,9 @@
 	/// @returns how long to wait here for what takes so long at a node that is never late.
 	Duration stretched(Duration _usual) const;
 
+	/// @returns true if a path brings its events by now as a sound one does, whatever was suspected of it before.
+	bool goesOn(const WatchedPathI& _path) const;
+
 	/// Looks once at all paths; its timer does so again and again while there are any.
 	void tick();
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -228,10 +228,22 @@
 	caller_->send(_bytes);
 	if (kMostBacklog < caller_->backlog())
 	{
-		caller_->abort();
+		giveCallerUp();
 	}
 }
 
+/// Nobody waits for the answer any more: its target must not work on. The machine is told from the loop, since it is
+/// passing on a part of the answer.
+void RequestRelay::giveCallerUp()
+{
+	caller_->abort();
+	boost::asio::post(context_.loop,
+	                  [self = shared_from_this()]
+	                  {
+		                  self->onCallerGone();
+	                  });
+}
+
 void RequestRelay::passEnd()
 {
 	context_.metrics.add(Counter::Answers);
@@ -405,6 +417,16 @@
 	return watched ? path_.targets() : std::vector<const FleetTarget*>();
 }
 
+std::vector<const FleetTarget*> RequestRelay::sureTargets() const
+{
+	std::vector<const FleetTarget*> targets = pathTargets();
+	if (!targets.empty() && send_->mayHaveChanged)
+	{
+		targets.resize(1); // its events may come over other parts, and say nothing of these
+	}
+	return targets;
+}
+
 Time RequestRelay::lastProgress() const
 {
 	return send_ ? send_->progressAt : Time{};
@@ -471,14 +493,22 @@
                               const std::string& _atFault)
 {
 	send_->repathing = false;
+	const bool changed = RepathState::Moved == _state;
+	send_->mayHaveChanged = !changed && (send_->mayHaveChanged || RepathState::Unknown == _state);
 	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
-	if (RepathState::Moved == _state)
+	if (changed)
 	{
 		context_.metrics.add(Counter::PathChanges);
 		path_.changeTo(_place);
 		send_->progressAt = context_.clock.now();
 		return;
 	}
+	if (context_.watch.goesOn(*this))
+	{
+		path_.forgive(_suspect); // sent elsewhere, it would lose one of its runs to a suspicion that is wrong
+		logOutcome("Request stays with its path, which goes on.", LogLevel::Info, nameOf(_state));
+		return;
+	}
 	const FleetTarget* const missing =
 	    RepathState::NoPart == _state ? RequestPath::findByAddress(_place, _atFault) : nullptr;
 	if (nullptr != missing)
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -59,6 +59,7 @@
 	void onBroken(RelaySend& _send, ExchangeBreak::Enum _how);
 
 	std::vector<const FleetTarget*> pathTargets() const override;
+	std::vector<const FleetTarget*> sureTargets() const override;
 	Time lastProgress() const override;
 	bool begun() const override;
 	void onTargetDead(const FleetTarget& _target) override;
@@ -81,6 +82,7 @@
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void avoidAtFault();
 	void noteNotHeld(const FleetTarget& _failed);
+	void giveCallerUp();
 	void startTimer();
 	void finishIfDone();
 	void logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const;
