A stop lets streams in that do not end: a test that fails

A node that has seen its target bring an event each 40 ms is told to stop with 8 s. A stream of 200 tokens that comes after the signal needs 8 s and at most 7.65 are left; by the fixed 14 ms for a token it counts as 3.4 s. It is let in, where a 503 is due. Not mended here.

--- a/tests/entry/faketarget.cpp
+++ b/tests/entry/faketarget.cpp
@@ -3,6 +3,9 @@
 #include "faketarget.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
 
 namespace sedgecart
 {
@@ -47,6 +50,19 @@
 	boost::asio::post(loop_, std::move(_call));
 }
 
+void FakeTarget::postAfter(std::chrono::milliseconds _wait, std::function<void()> _call)
+{
+	const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, _wait);
+	timer->async_wait(
+	    [timer, call = std::move(_call)](const boost::system::error_code& _error)
+	    {
+		    if (!_error)
+		    {
+			    call();
+		    }
+	    });
+}
+
 void FakeTarget::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
 	{
--- a/tests/entry/faketarget.h
+++ b/tests/entry/faketarget.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,9 @@
 	/// Runs something on its thread.
 	void post(std::function<void()> _call);
 
+	/// The same, after a while.
+	void postAfter(std::chrono::milliseconds _wait, std::function<void()> _call);
+
 	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override;
 	void onCallerGone(const ServerConnection& _connection) override;
 	uint16_t onBadRequest(ReadState::Enum _why) override;
--- /dev/null
+++ b/tests/entry/stopproof.cpp
@@ -0,0 +1,111 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entryharness.h"
+#include "pacedstreams.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Millis = std::chrono::milliseconds;
+
+/// Of the slow target, for each event: nearly three times the time that a node supposes before it has seen any.
+constexpr Millis kSlowPace{40};
+
+constexpr uint32_t kSeenBefore = 40; //!< Events of the stream that shows the pace.
+constexpr uint32_t kUnderWay = 130;  //!< 5.2 s at the pace of the target.
+constexpr uint32_t kLong = 200;      //!< 8 s, of which 7.65 s are left at the signal.
+constexpr uint32_t kShort = 25;      //!< 1 s.
+
+TestRequest streamOf(uint32_t _events)
+{
+	TestRequest made;
+	made.path = "/stream/";
+	made.lines.push_back("Token-Counts: 10," + std::to_string(_events));
+	return made;
+}
+
+/// @returns how often a stream of so many events came to a target.
+std::size_t sentOf(const FakeTarget& _target, uint32_t _events)
+{
+	std::size_t sent = 0;
+	for (const ServerRequest& one : _target.requests())
+	{
+		const std::string* const counts = one.head.headers.find("Token-Counts");
+		sent += nullptr != counts && "10," + std::to_string(_events) == *counts ? 1 : 0;
+	}
+	return sent;
+}
+
+/// Calls a route that does not exist until the node's answers end connections: the stop is in force then.
+void awaitStop(const EntryHarness& _harness)
+{
+	TestRequest none;
+	none.path = "/none/";
+	const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+	while (nullptr == _harness.call(none).headers.find("Connection") && std::chrono::steady_clock::now() < end)
+	{
+		std::this_thread::sleep_for(Millis(2));
+	}
+}
+
+} // namespace
+
+/// A node is told to stop while its targets are slow. It has seen how slow they are. What it lets in from then on ends
+/// whole before the process does; what cannot is refused at once as not run, with when to come back; and what it had
+/// let in before ends whole.
+class StopProof : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(StopProof);
+	CPPUNIT_TEST(onlyWhatEndsInTimeIsLetIn);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// By a fixed time for each token the long stream was let in and reset at the end of the stop's window.
+	void onlyWhatEndsInTimeIsLetIn()
+	{
+		PacedStreams streams(kSlowPace);
+		EntryHarness harness;
+		FakeTarget& target = harness.addEngine(LayerSpan{0, 8}, streams.script());
+		streams.serveOn(target);
+		harness.start();
+		CPPUNIT_ASSERT(harness.call(streamOf(kSeenBefore)).whole);
+		TestCaller early(harness.callerAddress());
+		early.send(textOf(streamOf(kUnderWay)));
+		early.receiveUntil(eventText(0));
+		auto stopped = std::async(std::launch::async,
+		                          [&harness]
+		                          {
+			                          harness.stop();
+		                          });
+		awaitStop(harness);
+		auto later = std::async(std::launch::async,
+		                        [&harness]
+		                        {
+			                        return harness.call(streamOf(kLong));
+		                        });
+		const CallerAnswer brief = harness.call(streamOf(kShort));
+		const CallerAnswer earlier = early.receive();
+		const CallerAnswer refused = later.get();
+		stopped.wait();
+		CPPUNIT_ASSERT(brief.whole);
+		CPPUNIT_ASSERT_EQUAL(eventTexts(kShort), brief.body);
+		CPPUNIT_ASSERT(earlier.whole);
+		CPPUNIT_ASSERT_EQUAL(eventTexts(kUnderWay), earlier.body);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), refused.status);
+		CPPUNIT_ASSERT(nullptr != refused.headers.find("Retry-After"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sentOf(target, kLong)); // a 503 promises that it was not run
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopProof);
+
+} // namespace sedgecart
