A stop lets in what ends in time by what answers took of late

Cause: what came after the stop signal was let in by a fixed 600 ms and 14 ms for each token. Where targets are slower at the moment, such a stream is reset at the end of the window. Change: AnswerPace keeps the newest 512 times of calls, of streams' first events and of parts of half a second of streams, each as mean time for an event, and needs what at most one in 200 exceeds; the fixed figures count until 32 were seen, and only where they are longer. StopWindow takes the needed time. Switch 'stop-pace'. A stop tells each request that it cuts off, and each one that it refuses what that was estimated to need. Not covered: a stream that still waits for its first event tells nothing until it comes.

--- a/packages/core/include/core/stopwindow.h
+++ b/packages/core/include/core/stopwindow.h
@@ -3,11 +3,8 @@
 #ifndef SEDGECART_CORE_STOPWINDOW_H_HEADER_GUARD
 #define SEDGECART_CORE_STOPWINDOW_H_HEADER_GUARD
 
-#include <base/desiredstate.h>
 #include <base/units.h>
 
-#include <cstdint>
-
 namespace sedgecart
 {
 
@@ -20,9 +17,15 @@
 	/// @param _bound from the signal to the kill.
 	StopWindow(Time _began, Duration _bound);
 
-	/// @param _mostTokens upper bound of a stream's answer; 0 if it is not known.
-	/// @returns true if a request that comes now will have ended in time.
-	bool admits(RequestKind::Enum _kind, uint32_t _mostTokens, Time _now) const;
+	/// @param _needed longest time that the request may take.
+	/// @returns true if it will have ended in time if it comes now.
+	bool admits(Duration _needed, Time _now) const;
+
+	/// @returns when the stop signal came.
+	Time began() const
+	{
+		return began_;
+	}
 
 	/// @returns true while the balancer may still send callers here.
 	bool callersStillCome(Time _now) const;
--- /dev/null
+++ b/packages/core/src/answerpace.cpp
@@ -0,0 +1,90 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/answerpace.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// What is supposed until enough was observed: a call's time that nearly none
+/// exceeds, the time to a stream's first event under load, and the time for
+/// each event. Of targets that generate a token in 10 to 12 ms; others are
+/// slower, which is why these count only at a start.
+constexpr Duration kCallAtFirst = Duration::fromMillis(1500);
+constexpr Duration kFirstEventAtFirst = Duration::fromMillis(600);
+constexpr Duration kGapAtFirst = Duration::fromMillis(14);
+
+/// Tokens of a stream that names no bound.
+constexpr uint32_t kUnknownTokens = 1000;
+
+/// Shortest part of a stream that tells its pace: over less, a single pause of
+/// 200 ms, as a change of targets makes, would pass for the pace of the whole.
+constexpr Duration kPart = Duration::fromMillis(500);
+
+/// @returns what was observed, or what is supposed at first where that is
+/// longer and little was observed.
+Duration observedOr(const RecentSpans& _spans, Duration _atFirst)
+{
+	return _spans.enough() ? _spans.high() : std::max(_spans.high(), _atFirst);
+}
+
+} // namespace
+
+void AnswerPace::noteCall(Duration _held)
+{
+	calls_.add(_held);
+}
+
+void AnswerPace::noteEvents(StreamMark& _mark, uint64_t _events, Time _now)
+{
+	if (_events <= _mark.events)
+	{
+		return;
+	}
+	if (0 == _mark.events)
+	{
+		firstEvents_.add(_now - _mark.at);
+		_mark.at = _now;
+		_mark.events = _events;
+		return;
+	}
+	if (!(_now - _mark.at < kPart))
+	{
+		notePace(_mark, _events, _now);
+	}
+}
+
+void AnswerPace::noteEnd(StreamMark& _mark, uint64_t _events, Time _now)
+{
+	if (!_mark.told && 0 < _mark.events && _mark.events < _events)
+	{
+		notePace(_mark, _events, _now);
+	}
+}
+
+void AnswerPace::notePace(StreamMark& _mark, uint64_t _events, Time _now)
+{
+	const auto came = static_cast<int64_t>(_events - _mark.events);
+	const int64_t span = (_now - _mark.at).micros;
+	gaps_.add(Duration{(span + came - 1) / came}); // rounded up: over a long stream the rest adds up
+	_mark.at = _now;
+	_mark.events = _events;
+	_mark.told = true;
+}
+
+Duration AnswerPace::needed(RequestKind::Enum _kind, uint32_t _mostTokens) const
+{
+	if (RequestKind::Stream != _kind)
+	{
+		return observedOr(calls_, kCallAtFirst);
+	}
+	const int64_t tokens = 0 == _mostTokens ? kUnknownTokens : _mostTokens;
+	const Duration gap = observedOr(gaps_, kGapAtFirst);
+	return observedOr(firstEvents_, kFirstEventAtFirst) + Duration{tokens * gap.micros};
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/core/tests/stopwindowtest.cpp
@@ -0,0 +1,45 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/stopwindow.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sedgecart
+{
+
+class StopWindowTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(StopWindowTest);
+	CPPUNIT_TEST(admitsWhatEndsBeforeTheKill);
+	CPPUNIT_TEST(callersComeForAWhile);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// 350 ms are left for the process itself to end.
+	void admitsWhatEndsBeforeTheKill()
+	{
+		const StopWindow window(at(1000), Duration::fromMillis(8000));
+		CPPUNIT_ASSERT_EQUAL(int64_t(8650), window.end().micros / 1000);
+		CPPUNIT_ASSERT(window.admits(Duration::fromMillis(7649), at(1000)));
+		CPPUNIT_ASSERT(!window.admits(Duration::fromMillis(7650), at(1000)));
+		CPPUNIT_ASSERT(!window.admits(Duration::fromMillis(7649), at(1001)));
+		CPPUNIT_ASSERT(!window.admits(Duration{}, at(9000)));
+	}
+
+	void callersComeForAWhile()
+	{
+		const StopWindow window(at(1000), Duration::fromMillis(8000));
+		CPPUNIT_ASSERT(window.callersStillCome(at(3799)));
+		CPPUNIT_ASSERT(!window.callersStillCome(at(3800)));
+	}
+
+private:
+	static Time at(int64_t _millis)
+	{
+		return Time{_millis * 1000};
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopWindowTest);
+
+} // namespace sedgecart
--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -4,6 +4,7 @@
 
 #include <base/clock.h>
 #include <base/random.h>
+#include <core/answerpace.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
@@ -82,6 +83,14 @@
 	closing_.store(true, std::memory_order_release);
 }
 
+void EntryFront::tellCutOff() const
+{
+	for (const auto& row : relays_)
+	{
+		row.second->tellCutOff(stopWindow_.began());
+	}
+}
+
 void EntryFront::onReady()
 {
 	ready_ = true;
@@ -145,6 +154,26 @@
 	return keysAreFresh();
 }
 
+/// @returns true if a request that comes during the stop will have ended before the process does.
+bool EntryFront::endsInTime(const Entry& _entry, const CallerRequest& _caller) const
+{
+	static const AnswerPace kNothingSeen;
+	const AnswerPace& pace = context_.mechanisms.on(Mechanism::StopPace) ? context_.pace : kNothingSeen;
+	const Duration needed = pace.needed(_entry.route->kind, _caller.mostTokens);
+	const Time now = context_.clock.now();
+	if (stopWindow_.admits(needed, now))
+	{
+		return true;
+	}
+	logEvent(LogPart::Requests, LogLevel::Info, "Request would not end before the stop does.",
+	         {{"after_signal_ms", std::to_string((now - stopWindow_.began()).millis())},
+	          {"most_tokens", std::to_string(_caller.mostTokens)},
+	          {"needed_ms", std::to_string(needed.millis())},
+	          {"left_ms", std::to_string((stopWindow_.end() - now).millis())}},
+	         _caller.id);
+	return false;
+}
+
 RelayPlan EntryFront::makePlan(const Entry& _entry, ServerRequest&& _request, CallerRequest&& _caller,
                                Time _arrivedAt) const
 {
@@ -218,8 +247,7 @@
 		answer(*connection, fault, caller.id);
 		return;
 	}
-	const bool ends = closing() && !stopWindow_.admits(entry.route->kind, caller.mostTokens, context_.clock.now());
-	if (ends)
+	if (closing() && !endsInTime(entry, caller))
 	{
 		answer(*connection, ErrorKind::Stopping, caller.id);
 		return;
--- a/packages/entry/src/entryfront_p.h
+++ b/packages/entry/src/entryfront_p.h
@@ -48,6 +48,9 @@
 	/// From now on connections are closed after the answer under way, and only what can end in time is let in.
 	void stop(const StopWindow& _window);
 
+	/// Tells of each request that is under way still: the stop ends it. Loop thread.
+	void tellCutOff() const;
+
 	/// @returns requests under way.
 	uint32_t active() const;
 
@@ -62,6 +65,7 @@
 	bool findEntry(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
 	               Entry& _entry, ErrorKind::Enum& _fault) const;
 	bool keysAreFresh() const;
+	bool endsInTime(const Entry& _entry, const CallerRequest& _caller) const;
 	void letIn(HeldRequest&& _held);
 	bool holdForStart(HeldRequest& _held, const CallerRequest& _caller);
 	RelayPlan makePlan(const Entry& _entry, ServerRequest&& _request, CallerRequest&& _caller, Time _arrivedAt) const;
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -11,6 +11,7 @@
 #include <aio/server.h>
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
+#include <core/answerpace.h>
 #include <core/stopwindow.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
@@ -20,6 +21,8 @@
 #include <boost/asio/post.hpp>
 
 #include <chrono>
+#include <future>
+#include <memory>
 #include <random>
 #include <thread>
 
@@ -34,6 +37,9 @@
 
 constexpr Duration kStopLook = Duration::fromMillis(50);
 
+/// For telling what a stop ends: a third of what is left between the end of its window and the kill.
+constexpr Duration kTellBound = Duration::fromMillis(100);
+
 /// A loop is one thread's, so locks within it are needless.
 constexpr int kOneThread = 1;
 
@@ -68,7 +74,7 @@
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      ready_(*wire_, metrics_),
 	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
-	                          watch_, *pathOrders_, settings_.mechanisms},
+	                          watch_, *pathOrders_, settings_.mechanisms, pace_},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -131,7 +137,12 @@
 		{
 			sleepFor(kStopLook);
 		}
-		logEvent(LogPart::Node, LogLevel::Info, "Node ends.", {{"cut_off", std::to_string(front_.active())}});
+		const uint32_t cutOff = front_.active();
+		if (0 < cutOff)
+		{
+			tellCutOff();
+		}
+		logEvent(LogPart::Node, LogLevel::Info, "Node ends.", {{"cut_off", std::to_string(cutOff)}});
 	}
 
 	std::string dump() const
@@ -163,6 +174,19 @@
 		           });
 	}
 
+	/// Has each request that the stop ends told, on the requests' loop; returns when that is done or takes too long.
+	void tellCutOff()
+	{
+		const auto told = std::make_shared<std::promise<void>>();
+		asio::post(requestLoop_,
+		           [this, told]
+		           {
+			           front_.tellCutOff();
+			           told->set_value();
+		           });
+		told->get_future().wait_for(std::chrono::microseconds(kTellBound.micros));
+	}
+
 	EntrySettings settings_;
 	SteadyClock clock_;
 	asio::io_context requestLoop_{kOneThread};
@@ -176,6 +200,7 @@
 	FleetCell cell_;
 	Metrics metrics_;
 	SeededRandom random_;
+	AnswerPace pace_; //!< Of the request loop.
 	TargetPool pool_;
 	RetryLedger retries_;
 	std::unique_ptr<RunnerOrdersI> pathOrders_; //!< For the request loop.
--- a/packages/entry/src/mechanisms.cpp
+++ b/packages/entry/src/mechanisms.cpp
@@ -15,7 +15,7 @@
 constexpr const char* kNames[Mechanism::Count] = {
     "second-copies", "own-evidence", "path-watch",  "pace-polls",       "head-slots", "move-spread",
     "mean-answer",   "busy-last",    "lapse-grace", "tight-halls",      "link-bound", "start-waits",
-    "hall-loads",    "shared-tries", "idle-polls",  "refusal-evidence",
+    "hall-loads",    "shared-tries", "idle-polls",  "refusal-evidence", "stop-pace",
 };
 
 constexpr const char* kNothing = "none";
--- a/packages/entry/src/relaycontext_p.h
+++ b/packages/entry/src/relaycontext_p.h
@@ -11,6 +11,7 @@
 namespace sedgecart
 {
 
+class AnswerPace;
 class ClockI;
 class LinkUse;
 class Mechanisms;
@@ -38,6 +39,7 @@
 	PathWatch& watch;
 	RunnerOrdersI& orders;
 	const Mechanisms& mechanisms;
+	AnswerPace& pace;
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/relaylog.cpp
+++ b/packages/entry/src/relaylog.cpp
@@ -64,6 +64,21 @@
 	         plan_.caller.id);
 }
 
+void RelayLog::cutOff(Time _signal) const
+{
+	const Time now = clock_.now();
+	logEvent(LogPart::Requests, LogLevel::Warning, "Request is cut off by the stop.",
+	         {{"after_signal_ms", std::to_string((plan_.arrivedAt - _signal).millis())},
+	          {"events", std::to_string(machine_.events())},
+	          {"most_tokens", std::to_string(plan_.caller.mostTokens)},
+	          {"sends", std::to_string(machine_.sends())},
+	          {"service", plan_.service},
+	          {"target", headName()},
+	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
+	          {"left_ms", std::to_string((plan_.giveUpAt - now).millis())}},
+	         plan_.caller.id);
+}
+
 std::string RelayLog::headName() const
 {
 	return path_.chosen() ? path_.head().record.instance.text : std::string();
--- a/packages/entry/src/relaylog_p.h
+++ b/packages/entry/src/relaylog_p.h
@@ -43,6 +43,10 @@
 	void outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause,
 	             const std::string& _atFault) const;
 
+	/// Tells that a stop ends the request.
+	/// @param _signal when the stop began.
+	void cutOff(Time _signal) const;
+
 private:
 	std::string headName() const;
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -70,6 +70,7 @@
 void RequestRelay::begin()
 {
 	startTimer();
+	mark_.at = plan_.arrivedAt;
 	if (RequestKind::Stream == plan_.facts.kind && context_.mechanisms.on(Mechanism::PathWatch))
 	{
 		context_.watch.add(shared_from_this());
@@ -106,6 +107,11 @@
 	finishIfDone();
 }
 
+void RequestRelay::tellCutOff(Time _signal) const
+{
+	log_.cutOff(_signal);
+}
+
 SendOutcome::Enum RequestRelay::send(std::optional<uint64_t> _resumeAfter)
 {
 	const SendOutcome::Enum outcome = path_.choose(0 < machine_.events());
@@ -235,6 +241,7 @@
 void RequestRelay::passEnd()
 {
 	context_.metrics.add(Counter::Answers);
+	context_.pace.noteEnd(mark_, machine_.events(), times_.lastAt);
 	log_.passedOn(send_->head.status, times_);
 	caller_->finish();
 }
@@ -242,6 +249,7 @@
 void RequestRelay::passWhole()
 {
 	context_.metrics.add(Counter::Answers);
+	noteCall();
 	times_.firstAt = context_.clock.now();
 	log_.passedOn(send_->head.status, times_);
 	AnswerStart start;
@@ -257,6 +265,10 @@
 {
 	const ErrorAnswer& answer = answerOf(_kind);
 	context_.metrics.addError(_kind);
+	if (machine_.mayHaveRun())
+	{
+		noteCall(); // it would have taken at least as long
+	}
 	logOutcome("Request is refused.", LogLevel::Info, answer.name);
 	AnswerStart start;
 	start.status = answer.status;
@@ -317,6 +329,7 @@
 	{
 		noteProgress();
 		machine_.onBody(_bytes);
+		context_.pace.noteEvents(mark_, machine_.events(), times_.lastAt);
 		finishIfDone();
 		return;
 	}
@@ -357,6 +370,14 @@
 	}
 }
 
+void RequestRelay::noteCall()
+{
+	if (RequestKind::Stream != plan_.facts.kind)
+	{
+		context_.pace.noteCall(context_.clock.now() - plan_.arrivedAt);
+	}
+}
+
 void RequestRelay::onWhole(RelaySend& _send)
 {
 	const bool good = _send.sound && isSuccess(_send.head.status);
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -12,6 +12,7 @@
 
 #include <aio/clientconnection.h>
 #include <aio/serverconnection.h>
+#include <core/answerpace.h>
 #include <core/relaymachine.h>
 #include <entry/runnerorders.h>
 #include <entry/wireformat.h>
@@ -38,6 +39,10 @@
 	void begin();
 	void onCallerGone();
 
+	/// Tells that a stop ends the request before it is answered.
+	/// @param _signal when the stop began.
+	void tellCutOff(Time _signal) const;
+
 	SendOutcome::Enum send(std::optional<uint64_t> _resumeAfter) override;
 	SendOutcome::Enum sendBeside(std::optional<uint64_t> _resumeAfter) override;
 	void dropKept() override;
@@ -78,6 +83,7 @@
 	                const std::string& _atFault);
 	void noteProgress();
 	void notePause(Duration _pause);
+	void noteCall();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void avoidAtFault();
 	void noteNotHeld(const FleetTarget& _failed);
@@ -96,6 +102,7 @@
 	std::shared_ptr<RelaySend> send_; //!< Under way, or the last one.
 	std::shared_ptr<RelaySend> kept_; //!< Suspected to be dead, until the one under way brings something.
 	AnswerTimes times_;
+	StreamMark mark_;
 };
 
 } // namespace sedgecart
--- a/packages/entry/tests/requestpathtest.cpp
+++ b/packages/entry/tests/requestpathtest.cpp
@@ -9,6 +9,7 @@
 
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
+#include <core/answerpace.h>
 #include <core/layoutplan.h>
 #include <metrics/metrics.h>
 
@@ -132,10 +133,11 @@
 	Metrics metrics_;
 	PathWatch watch_{loop_, clock_, orders_, metrics_};
 	Mechanisms mechanisms_;
+	AnswerPace pace_;
 
 public:
-	const RelayContext context{loop_,   clock_,   wire_,    cell_,  cell_.link, pool_,
-	                           random_, retries_, metrics_, watch_, orders_,    mechanisms_};
+	const RelayContext context{loop_,    clock_,   wire_,  cell_,   cell_.link,  pool_, random_,
+	                           retries_, metrics_, watch_, orders_, mechanisms_, pace_};
 };
 
 } // namespace
