--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -64,7 +64,7 @@
 }
 
 constexpr const char* kRoutes =
-    R"("routes":[)"
+    R"([)"
     R"({"name":"plain","host":"h.example","path_prefix":"/plain/","kind":"non_idempotent","timeout_ms":20000,)"
     R"("service":"plain","max_attempts":1},)"
     R"({"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":20000,)"
@@ -75,7 +75,7 @@
     R"("full_credit_ms":500,"gap_aim_ms":200,"resumable":true,"service":"engine","max_attempts":2}])";
 
 constexpr const char* kServices =
-    R"("services":[{"name":"plain","max_conns":100},)"
+    R"([{"name":"plain","max_conns":100},)"
     R"({"name":"engine","max_conns":1000,"engine":{"layers":8,"layer_mb":100,"kv_token_bytes":8000,"step_ms":1,)"
     R"("models":[{"name":"m","load_time_s":1}],"kinds":[{"name":"card","mb":1000,"pace":1,"read_x":1}]}}])";
 
@@ -296,17 +296,29 @@
 	targets_.erase(std::remove_if(targets_.begin(), targets_.end(), isIt), targets_.end());
 }
 
+EntryHarness::State EntryHarness::usualState()
+{
+	return State{kRoutes, kServices, {"k1"}};
+}
+
 void EntryHarness::putState(uint64_t _version, const std::vector<std::string>& _keys)
+{
+	State state = usualState();
+	state.keys = _keys;
+	putWhole(_version, state);
+}
+
+void EntryHarness::putWhole(uint64_t _version, const State& _state)
 {
 	std::string keys;
-	for (const std::string& key : _keys)
+	for (const std::string& key : _state.keys)
 	{
 		keys += keys.empty() ? "" : ",";
 		keys += '"' + key + '"';
 	}
 	store_.put(KeyedTopic::Operator, "config",
-	           R"({"version":)" + std::to_string(_version) + "," + kRoutes + "," + kServices +
-	               R"(,"tenants":[{"name":"bank","api_keys":[)" + keys + "]}]}");
+	           R"({"version":)" + std::to_string(_version) + R"(,"routes":)" + _state.routes + R"(,"services":)" +
+	               _state.services + R"(,"tenants":[{"name":"bank","api_keys":[)" + keys + "]}]}");
 }
 
 void EntryHarness::start()
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -71,6 +71,14 @@
 class EntryHarness
 {
 public:
+	/// What a test may change of a desired state.
+	struct State
+	{
+		std::string routes;   //!< A JSON list.
+		std::string services; //!< The same.
+		std::vector<std::string> keys;
+	};
+
 	EntryHarness();
 	~EntryHarness();
 
@@ -108,7 +116,13 @@
 	/// Stops it as planned. @returns when it has ended.
 	void stop();
 
-	/// Puts a desired state with another version, and keys.
+	/// Puts a desired state.
+	void putWhole(uint64_t _version, const State& _state);
+
+	/// @returns the state that is in force at the start.
+	static State usualState();
+
+	/// Puts the usual state with another version, and keys.
 	void putState(uint64_t _version, const std::vector<std::string>& _keys);
 
 	CallerAnswer call(const TestRequest& _request) const;
