A service that leaves the desired state goes on to be known for streams that were let in for it

Cause: a view holds the services that the newest desired state names; a stream whose target is lost finds its service by name, and none was there: it is broken off though other targets of it live. Change: what the last state that names a service says of it is kept 60 s, the time of a request that names none; its targets are those of the moment, and no route of the newer state leads there.

--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/entry/src/fleetcontroller.cpp
@@ -78,7 +78,9 @@
 	          {"offset", std::to_string(_record.offset.value)},
 	          {"routes", std::to_string(state->routes.size())},
 	          {"customers", std::to_string(state->customers.size())}});
-	routes_ = std::make_shared<RouteTable>(std::move(state));
+	auto next = std::make_shared<RouteTable>(std::move(state));
+	noteLeft(*next);
+	routes_ = std::move(next);
 	for (const auto& row : runners_)
 	{
 		noteFit(row.second);
@@ -86,6 +88,22 @@
 	publish();
 }
 
+/// Remembers the services that the next desired state does not name.
+void FleetController::noteLeft(const RouteTable& _next)
+{
+	if (!routes_)
+	{
+		return;
+	}
+	for (const ServiceSpec& spec : routes_->state().services)
+	{
+		if (nullptr == _next.findService(spec.name))
+		{
+			left_[spec.name] = LeftService{routes_, clock_.now()};
+		}
+	}
+}
+
 void FleetController::onOperatorCurrent(Time _sentAt)
 {
 	if (routes_)
@@ -372,10 +390,11 @@
 	return target;
 }
 
-std::shared_ptr<const FleetService> FleetController::buildService(const ServiceSpec& _spec)
+std::shared_ptr<const FleetService> FleetController::buildService(const ServiceSpec& _spec,
+                                                                  const std::shared_ptr<const RouteTable>& _routes)
 {
 	auto service = std::make_shared<FleetService>();
-	service->routes = routes_;
+	service->routes = _routes;
 	service->spec = &_spec;
 	for (const auto& row : runners_)
 	{
@@ -391,6 +410,22 @@
 	return service;
 }
 
+/// Adds the services that the desired state named until lately. No route of it leads there.
+void FleetController::publishLeft(FleetView& _view)
+{
+	for (auto row = left_.begin(); left_.end() != row;)
+	{
+		const LeftService& left = row->second;
+		if (left.at + kServiceKept < clock_.now() || 0 < _view.services.count(row->first))
+		{
+			row = left_.erase(row);
+			continue;
+		}
+		_view.services.emplace(row->first, buildService(*left.routes->findService(row->first), left.routes));
+		++row;
+	}
+}
+
 void FleetController::publish()
 {
 	changed_ = false;
@@ -403,8 +438,9 @@
 	view->nodes = std::max<uint32_t>(1, static_cast<uint32_t>(nodes_.size()));
 	for (const ServiceSpec& spec : routes_->state().services)
 	{
-		view->services.emplace(spec.name, buildService(spec));
+		view->services.emplace(spec.name, buildService(spec, routes_));
 	}
+	publishLeft(*view);
 	cell_.view.publish(std::move(view));
 }
 
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/entry/src/fleetcontroller_p.h
@@ -56,6 +56,10 @@
 
 	void onNodeRecord(const KeyedRecord& _record);
 
+	/// A service that leaves the desired state goes on to be known for as long as a request may run that names no time
+	/// of its own: a stream that was let in for it and loses its target has to continue at another.
+	static constexpr Duration kServiceKept = Duration::fromMillis(60000);
+
 	/// @returns targets by instance, those that drain as well.
 	const std::map<std::string, RunnerRecord>& runners() const
 	{
@@ -111,6 +115,13 @@
 	}
 
 private:
+	/// A service that the desired state names no more.
+	struct LeftService
+	{
+		std::shared_ptr<const RouteTable> routes; //!< The last ones that name it.
+		Time at;
+	};
+
 	/// A target whose record went.
 	struct Gone
 	{
@@ -130,8 +141,11 @@
 	bool remove(const std::string& _instance);
 	void drop(const std::string& _instance);
 	void noteFit(const RunnerRecord& _record);
+	void noteLeft(const RouteTable& _next);
 	void publish();
-	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec);
+	void publishLeft(FleetView& _view);
+	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec,
+	                                                 const std::shared_ptr<const RouteTable>& _routes);
 	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
 	uint32_t hallIndex(const std::string& _hall);
 
@@ -139,6 +153,7 @@
 	FleetCell& cell_;
 	const ClockI& clock_;
 	std::shared_ptr<const RouteTable> routes_;
+	std::map<std::string, LeftService> left_; //!< By name, for `kServiceKept`.
 	std::map<std::string, RunnerRecord> runners_;
 	std::map<std::string, Offset> readUpTo_; //!< Offset of the record that was taken last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/entry/tests/fleetcontrollertest.cpp
@@ -15,8 +15,9 @@
 namespace
 {
 
-/// Documents of one or two words: a target's record is its service, "!" before it says that it drains, "?" is no
-/// record; and its birth. A key's address is the part before its dash.
+/// Documents of one or two words: a desired state's version, and "none" behind it if it names no service; a target's
+/// record is its service, "!" before it says that it drains, "?" is no record; and its birth. A key's address is the
+/// part before its dash.
 class PlainDocuments : public DocumentsI
 {
 public:
@@ -30,7 +31,10 @@
 		_state.version = StateVersion{std::stoull(_text)};
 		ServiceSpec service;
 		service.name = "plain";
-		_state.services.push_back(service);
+		if (std::string::npos == _text.find("none"))
+		{
+			_state.services.push_back(service);
+		}
 		return true;
 	}
 
@@ -76,6 +80,7 @@
 	CPPUNIT_TEST(drainingTargetsGetNothing);
 	CPPUNIT_TEST(recordsThatLapsedMayComeBack);
 	CPPUNIT_TEST(versionsOnlyRise);
+	CPPUNIT_TEST(aServiceThatLeftIsKnownForAWhile);
 	CPPUNIT_TEST(aRestartTakesNothingOver);
 	CPPUNIT_TEST(aClockSetBackIsARestartAsWell);
 	CPPUNIT_TEST(aBirthToldLateIsNoRestart);
@@ -140,6 +145,24 @@
 		CPPUNIT_ASSERT(StateVersion{5} == fleet_.routes()->state().version);
 	}
 
+	/// A stream that was let in for it may have to go on at another of its targets: those of the moment, not of then.
+	void aServiceThatLeftIsKnownForAWhile()
+	{
+		state("2 none");
+		CPPUNIT_ASSERT(nullptr == fleet_.routes()->findService("plain"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+		clock_.advance(FleetController::kServiceKept.millis());
+		put("a", "");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), targets());
+		clock_.advance(1);
+		put("c", "plain");
+		fleet_.onRunnersCurrent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), services());
+		state("3");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), targets());
+	}
+
 	/// Nodes connect to the address of a record and sort by its share of processor: neither may be odd. A record that
 	/// cannot be read leaves the place that is known, since its node may be of another version.
 	void aNodeThatNamesNoPlaceIsNone()
@@ -353,6 +376,12 @@
 		return view->services.at("plain")->targets.size();
 	}
 
+	std::size_t services() const
+	{
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		return view->services.size();
+	}
+
 	PlainDocuments documents_;
 	HandClock clock_;
 	FleetCell cell_;
