--- a/tests/entry/stopproof.cpp
+++ b/tests/entry/stopproof.cpp
@@ -25,6 +25,10 @@
 constexpr uint32_t kLong = 200;      //!< 8 s, of which 7.65 s are left at the signal.
 constexpr uint32_t kShort = 25;      //!< 1 s.
 
+/// A stop in which so many events have no time at the pace of the target, and have it by the fixed times.
+constexpr Duration kBriefStop = Duration::fromMillis(3500);
+constexpr uint32_t kTooLongForIt = 100;
+
 TestRequest streamOf(uint32_t _events)
 {
 	TestRequest made;
@@ -66,6 +70,7 @@
 {
 	CPPUNIT_TEST_SUITE(StopProof);
 	CPPUNIT_TEST(onlyWhatEndsInTimeIsLetIn);
+	CPPUNIT_TEST(switchedOffWhatWasSeenCountsForNothing);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +109,37 @@
 		CPPUNIT_ASSERT(nullptr != refused.headers.find("Retry-After"));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sentOf(target, kLong)); // a 503 promises that it was not run
 	}
+	/// Else a day played without the mechanism would say nothing of what it is worth.
+	void switchedOffWhatWasSeenCountsForNothing()
+	{
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), statusInABriefStop("none"));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), statusInABriefStop("stop-pace"));
+	}
+
+private:
+	/// @returns what a stream gets that comes during a stop, too long for it at the pace that the node has seen.
+	/// @param _off mechanisms that are off.
+	static uint16_t statusInABriefStop(const char* _off)
+	{
+		PacedStreams streams(kSlowPace);
+		EntryHarness harness;
+		std::string unknown;
+		CPPUNIT_ASSERT(harness.settings().mechanisms.setOff(_off, unknown));
+		harness.settings().stopBound = kBriefStop;
+		FakeTarget& target = harness.addEngine(LayerSpan{0, 8}, streams.script());
+		streams.serveOn(target);
+		harness.start();
+		CPPUNIT_ASSERT(harness.call(streamOf(kSeenBefore)).whole);
+		auto stopped = std::async(std::launch::async,
+		                          [&harness]
+		                          {
+			                          harness.stop();
+		                          });
+		awaitStop(harness);
+		const uint16_t status = harness.call(streamOf(kTooLongForIt)).status;
+		stopped.wait();
+		return status;
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopProof);
