Reading settings anew: no value is written by one thread and read by others

Cause: reload wrote settings_ whole on the signals' thread, while the requests' loop reads the mechanisms out of it by reference, and a mechanism that takes a restart was in force at once, unevenly. Change: the settings of the start stay as they are, and what takes a restart is judged against them; the stop bound is atomic. A node that was told to stop while it became ready could say that it was ready ever after: both now take one lock. ChangeProof asked which target has the stream before its count was written; seen as a crash of the test under ThreadSanitizer. It counts first now.

--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -20,9 +20,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -60,7 +62,8 @@
 {
 public:
 	Impl(const EntrySettings& _settings, EntryPortsI& _ports)
-	    : settings_(_settings),
+	    : started_(_settings),
+	      stopBound_(_settings.stopBound.micros),
 	      requestGuard_(requestLoop_.get_executor()),
 	      controlGuard_(controlLoop_.get_executor()),
 	      wire_(_ports.makeWireFormat()),
@@ -74,7 +77,7 @@
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      ready_(*wire_, metrics_),
 	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
-	                          watch_, *pathOrders_, settings_.mechanisms, pace_},
+	                          watch_, *pathOrders_, started_.mechanisms, pace_},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -110,8 +113,8 @@
 
 	void reload(const EntrySettings& _settings)
 	{
-		const std::string kept = settingsThatTakeARestart(settings_, _settings);
-		settings_ = _settings;
+		const std::string kept = settingsThatTakeARestart(started_, _settings);
+		stopBound_.store(_settings.stopBound.micros, std::memory_order_relaxed);
 		logEvent(LogPart::Node, LogLevel::Info, "Settings are read anew.",
 		         {{"take_a_restart", kept}, {"store", _settings.storeAddress}});
 		asio::post(requestLoop_,
@@ -129,9 +132,8 @@
 
 	void stop()
 	{
-		const StopWindow window(clock_.now(), settings_.stopBound);
-		ready_.setReady(false);
-		front_.stop(window);
+		const StopWindow window(clock_.now(), Duration{stopBound_.load(std::memory_order_relaxed)});
+		beginStop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(front_.active())}});
 		while (window.callersStillCome(clock_.now()) || (0 < front_.active() && clock_.now() < window.end()))
 		{
@@ -163,9 +165,19 @@
 	}
 
 private:
+	void beginStop(const StopWindow& _window)
+	{
+		const std::lock_guard<std::mutex> lock(readyMutex_);
+		ready_.setReady(false);
+		front_.stop(_window);
+	}
+
 	void onReady()
 	{
-		ready_.setReady(!front_.closing());
+		{
+			const std::lock_guard<std::mutex> lock(readyMutex_);
+			ready_.setReady(!front_.closing());
+		}
 		logEvent(LogPart::Node, LogLevel::Info, "Node is ready.", {});
 		asio::post(requestLoop_,
 		           [this]
@@ -187,7 +199,9 @@
 		told->get_future().wait_for(std::chrono::microseconds(kTellBound.micros));
 	}
 
-	EntrySettings settings_;
+	const EntrySettings started_;    //!< Settings of the start, read by all threads.
+	std::atomic<int64_t> stopBound_; //!< Microseconds; by the settings of the moment.
+	std::mutex readyMutex_;          //!< A node that is told to stop while it becomes ready must not say that it is.
 	SteadyClock clock_;
 	asio::io_context requestLoop_{kOneThread};
 	asio::io_context controlLoop_{kOneThread};
--- a/tests/entry/changeproof.cpp
+++ b/tests/entry/changeproof.cpp
@@ -48,9 +48,9 @@
 				return;
 			}
 			const bool continues = nullptr != _request.head.headers.find("Last-Event-Id");
-			startStream(*_caller, _request, continues ? 1 : 0, 0);
 			stream_ = _caller;
-			++streams_;
+			++streams_; // before its caller can know of the stream, and asks which target has it
+			startStream(*_caller, _request, continues ? 1 : 0, 0);
 		};
 	}
 
