--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -31,6 +31,7 @@
 		IdlePolls,       //!< Targets without work are asked seldom how slow they are.
 		RefusalEvidence, //!< What a target refuses for not holding it is asked of it by no other request for a while.
 		MakeBeforeBreak, //!< Layout orders leave running requests their memory and every layer a holder.
+		StopPace,        //!< What comes during a stop is let in by the time that answers took of late.
 
 		Count
 	};
