Layers without a holder are told: log line at each end, metrics

Cause: a loss of layers shows in the logs only through requests that find no chain; which layers, in which hall and for how long could not be read.

Ruled out: halls that never held the whole model (they share a chain) have no loss of their own, so they are not told.

Change: LayerLosses (core, pure) compares what the targets of each hall hold by the registry and by what nodes found dead; LayoutKeeper logs 'Layers have no holder.' and 'Layers are held again.' and counts layer_losses and the histogram layer_loss_seconds. A node that does not look (old view, no desired state) tells nothing meanwhile.

Conclusion: a loss has a beginning, an end and a length in each node's log.

--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -33,6 +33,12 @@
 
 	void start();
 
+	/// What the control thread decides is counted there. Before the start.
+	void setMetrics(Metrics& _metrics)
+	{
+		layout_.setMetrics(_metrics);
+	}
+
 	/// The store is at another address now. Control thread.
 	void setStoreAddress(const std::string& _address)
 	{
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -79,6 +79,7 @@
 	      callerServer_(requestLoop_, _settings.callerAddress, front_)
 	{
 		cell_.passedOver.setMetrics(metrics_);
+		control_.setMetrics(metrics_);
 		logEvent(LogPart::Node, LogLevel::Info, "Node starts.",
 		         {{"hall", _settings.hall}, {"callers", _settings.callerAddress}, {"store", _settings.storeAddress}});
 		control_.start();
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -9,6 +9,7 @@
 #include <base/digest.h>
 #include <entry/entrysettings.h>
 #include <logging/logging.h>
+#include <metrics/metrics.h>
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
@@ -63,6 +64,16 @@
 	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
 }
 
+std::string spansText(const std::vector<LayerSpan>& _spans)
+{
+	std::string text;
+	for (const LayerSpan span : _spans)
+	{
+		text += (text.empty() ? "" : ",") + spanText(span);
+	}
+	return text;
+}
+
 } // namespace
 
 LayoutKeeper::LayoutKeeper(boost::asio::io_context& _loop, KeyedLogI& _log, RunnerOrdersI& _orders,
@@ -286,6 +297,30 @@
 	}
 }
 
+/// Tells when layers of a data hall lose their last holder and when they have one again, by the registry and what nodes
+/// found dead: without it, requests that find no chain cannot be told from requests that find no room.
+void LayoutKeeper::noteLosses(const Scene& _scene)
+{
+	modelLayers_ = nullptr != _scene.engine ? _scene.engine->layers : modelLayers_; // no targets: all is lost
+	LayerLosses::Holdings holdings;
+	for (const RunnerRecord& record : _scene.records)
+	{
+		holdings[record.hall].push_back(record.layers);
+	}
+	for (const LayerLossNews& news : losses_.look(modelLayers_, holdings, clock_.now()))
+	{
+		logEvent(
+		    LogPart::Layout, news.ends ? LogLevel::Info : LogLevel::Warning,
+		    news.ends ? "Layers are held again." : "Layers have no holder.",
+		    {{"hall", news.hall}, {"layers", spansText(news.layers)}, {"ms", std::to_string(news.lasted.millis())}});
+		if (news.ends && nullptr != metrics_)
+		{
+			metrics_->add(Counter::LayerLosses);
+			metrics_->observe(Timing::LayerLoss, news.lasted);
+		}
+	}
+}
+
 /// @returns this node's place among all, in an order that is another with each change and mixes the halls, so that a
 /// node or a hall that is gone delays only some changes.
 std::size_t LayoutKeeper::place() const
@@ -302,6 +337,7 @@
 void LayoutKeeper::look()
 {
 	const Scene seen = scene();
+	noteLosses(seen);
 	const std::vector<LayoutOrder> orders = wantedOrders(seen);
 	const Time now = clock_.now();
 	const std::size_t ownPlace = place();
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -6,6 +6,7 @@
 #include <base/clock.h>
 #include <base/incarnation.h>
 #include <core/changeturn.h>
+#include <core/layerlosses.h>
 #include <core/layoutplan.h>
 #include <entry/keyedlog.h>
 #include <entry/mechanisms.h>
@@ -24,6 +25,7 @@
 {
 
 class FleetController;
+class Metrics;
 struct EntrySettings;
 
 /// Keeps the model laid out over the targets. Every node looks; none leads. A change is a record that is appended only
@@ -45,6 +47,12 @@
 		onBehind_ = std::move(_call);
 	}
 
+	/// From now on orders and losses of layers are counted there.
+	void setMetrics(Metrics& _metrics)
+	{
+		metrics_ = &_metrics;
+	}
+
 	/// Takes a record of the layout topic.
 	void onRecord(const KeyedRecord& _record);
 
@@ -74,6 +82,7 @@
 	Scene scene() const;
 	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
 	void noteHole(const Scene& _scene, bool _unmended, Time _now);
+	void noteLosses(const Scene& _scene);
 	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
 	void order(const TargetLife& _life, LayerSpan _layers, Offset _fence);
@@ -97,6 +106,9 @@
 	Offset end_; //!< Of the layout topic, as far as it was read.
 	std::map<std::string, Ordered> ordered_;
 	ChangeTurn turn_;
+	LayerLosses losses_;
+	uint32_t modelLayers_ = 0; //!< Of the model that was seen last; 0: none yet.
+	Metrics* metrics_ = nullptr;
 	std::function<void()> onBehind_;
 	Time holeAt_;            //!< Since when layers have been missing; 0: none are.
 	Time appendedAt_;        //!< When this node last tried to append.
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -41,6 +41,7 @@
 		PathChanges,    //!< Requests that went on over another path.
 		DeadTargets,    //!< Targets taken as dead when a path was silent.
 		SurplusAnswers, //!< Answers that belonged to another request.
+		LayerLosses,    //!< Losses of layers of a data hall that ended.
 
 		Count
 	};
@@ -55,8 +56,9 @@
 		TokenGap,
 		Request,
 		Claim,
-		Recovery, //!< From the last token before a break to the next one.
-		Pause,    //!< Between two events of a stream, when longer than its route's objective.
+		Recovery,  //!< From the last token before a break to the next one.
+		Pause,     //!< Between two events of a stream, when longer than its route's objective.
+		LayerLoss, //!< How long layers of a data hall had no holder.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -19,11 +19,12 @@
     "requests",        "tokens",          "resumes",       "retries",         "foreign_events",
     "repeated_events", "broken_attempts", "claim_appends", "claims",          "callers_gone",
     "turned_away",     "placements",      "moves",         "sends",           "answers",
-    "broken_streams",  "path_changes",    "dead_targets",  "surplus_answers",
+    "broken_streams",  "path_changes",    "dead_targets",  "surplus_answers", "layer_losses",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
-constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request", "claim", "recovery", "pause"};
+constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request",   "claim",
+                                        "recovery",    "pause",     "layer_loss"};
 static_assert(Timing::Count == sizeof(kTimingNames) / sizeof(kTimingNames[0]), "each timing needs its name");
 
 constexpr unsigned kBins = 60;
