Tests, failing: orders of the layout have a life

The test's clock can be set and its stand-in for orders keeps their fences; no earlier test is changed.

--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -33,7 +33,7 @@
 
 	bool readDesiredState(const std::string&, DesiredState& _state) const override
 	{
-		_state.version = StateVersion{1};
+		_state.version = StateVersion{version};
 		ServiceSpec service;
 		service.name = "engine";
 		service.hasEngine = true;
@@ -41,6 +41,7 @@
 		service.engine.layerMb = 1750;
 		service.engine.kvBytesPerToken = 590000;
 		service.engine.roomTokens = 100000;
+		service.engine.loadSeconds = loadSeconds;
 		service.engine.kinds = {CardKind{"fast", 72000, 2.4, 3.2}, CardKind{"small", 14400, 5.3, 7.9},
 		                        CardKind{"slow", 21600, 16, 8.2}};
 		_state.services.push_back(service);
@@ -58,15 +59,21 @@
 		words >> _record.card >> _record.layers.begin >> _record.layers.end >> _record.born.unixMillis;
 		return RecordFault::None;
 	}
+
+	uint64_t version = 1;
+	double loadSeconds = 0; //!< 0: the operator tells none.
 };
 
+/// Stands still until it is set.
 class StillClock : public ClockI
 {
 public:
 	Time now() const override
 	{
-		return Time{60000000};
+		return at;
 	}
+
+	Time at{60000000};
 };
 
 /// Remembers what is appended.
@@ -97,9 +104,10 @@
 class RememberedOrders : public RunnerOrdersI
 {
 public:
-	void hold(const RunnerRecord& _target, LayerSpan, Offset, OrderCall _call) override
+	void hold(const RunnerRecord& _target, LayerSpan, Offset _fence, OrderCall _call) override
 	{
 		ordered.push_back(_target.instance.text);
+		fences.push_back(_fence.value);
 		calls.push_back(std::move(_call));
 	}
 	void probe(const std::string&, Duration, ProbeCall) override
@@ -113,6 +121,7 @@
 	}
 
 	std::vector<std::string> ordered;
+	std::vector<uint64_t> fences;
 	std::vector<OrderCall> calls;
 };
 
@@ -135,6 +144,12 @@
 	CPPUNIT_TEST(anOrderThatAnotherTargetRefusedIsEvidence);
 	CPPUNIT_TEST(holdsThatNoTargetCanHaveAreNotCountedOn);
 	CPPUNIT_TEST(layersOutsideTheModelNameNoTarget);
+	CPPUNIT_TEST(aRefusedOrderIsMendedAtOnce);
+	CPPUNIT_TEST(aRefusalEndsTheOrderForAllNodes);
+	CPPUNIT_TEST(anUnansweredOrderIsSentAgain);
+	CPPUNIT_TEST(aNodeThatStartsKnowsTheOrdersUnderWay);
+	CPPUNIT_TEST(aSlowLoadCountsForItsTime);
+	CPPUNIT_TEST(othersSettleAnOrderWhoseAuthorDied);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -338,7 +353,219 @@
 		CPPUNIT_ASSERT_EQUAL(targets_.size(), view->services.at("engine")->targets.size());
 	}
 
+	/// A target refuses, since it is still busy with an earlier order. Its layers counted as held for 6 s, and nobody
+	/// got them.
+	void aRefusedOrderIsMendedAtOnce()
+	{
+		addEmpty();
+		addEmpty();
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const wire::LayoutChange first = changeAt(0);
+		orders_.calls.front()(LayoutOrderState::Unfit);
+		advance(200);
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
+		CPPUNIT_ASSERT(0 < changeAt(1).holds_size());
+		for (const wire::LayoutHold& hold : changeAt(1).holds())
+		{
+			const wire::LayoutHold& refused = first.holds(0);
+			CPPUNIT_ASSERT(refused.target() != hold.target() || refused.begin() != hold.begin() ||
+			               refused.end() != hold.end());
+		}
+	}
+
+	/// Another node counted on the order; the author's next record says that it was refused.
+	void aRefusalEndsTheOrderForAllNodes()
+	{
+		addEmpty();
+		addEmpty();
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper author(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(author, 1);
+		const std::size_t sent = orders_.calls.size();
+		LayoutKeeper other(loop_, log_, orders_, clock_, fleet_, settings_);
+		other.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		other.onCurrent(Offset{2});
+		other.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](LayoutOrderState::Unfit);
+		}
+		advance(200);
+		author.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
+		wire::LayoutChange news = changeAt(1);
+		news.clear_holds(); // what is ordered instead would hide whether the refusal is known
+		other.onRecord(KeyedRecord{"newest", news.SerializeAsString(), false, Offset{2}});
+		other.onCurrent(Offset{3});
+		other.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), log_.appended.size());
+		CPPUNIT_ASSERT(0 < changeAt(2).holds_size());
+	}
+
+	/// It may have been lost or taken: the same order under the same fence settles it, and undoes no later one.
+	void anUnansweredOrderIsSentAgain()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const std::size_t sent = orders_.calls.size();
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](0 == index ? LayoutOrderState::Unknown : LayoutOrderState::Begun);
+		}
+		advance(600);
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(sent + 1, orders_.ordered.size());
+		CPPUNIT_ASSERT_EQUAL(orders_.ordered.front(), orders_.ordered.back());
+		CPPUNIT_ASSERT_EQUAL(orders_.fences.front(), orders_.fences.back());
+		advance(600);
+		keeper.start(); // one question at a time
+		CPPUNIT_ASSERT_EQUAL(sent + 1, orders_.ordered.size());
+		orders_.calls.back()(LayoutOrderState::Held);
+		advance(600);
+		keeper.start();
+		CPPUNIT_ASSERT_EQUAL(sent + 1, orders_.ordered.size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
+	/// The topic keeps its newest record only. A node that starts ordered targets to hold something else while they
+	/// loaded what an earlier record had ordered.
+	void aNodeThatStartsKnowsTheOrdersUnderWay()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper author(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(author, 1);
+		restart(otherLoss());
+		advance(200);
+		author.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
+		LayoutKeeper starting(loop_, log_, orders_, clock_, fleet_, settings_);
+		starting.onRecord(KeyedRecord{"newest", log_.appended.back(), false, Offset{2}});
+		starting.onCurrent(Offset{3});
+		starting.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
+	}
+
+	/// A load that takes its time is not ordered to somebody else before that time is over, and is then.
+	void aSlowLoadCountsForItsTime()
+	{
+		documents_.version = 2;
+		documents_.loadSeconds = 800; // 10 s a layer
+		fleet_.onOperatorRecord(KeyedRecord{"config", "2", false, Offset{1}});
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper author(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(author, 1);
+		LayoutKeeper other(loop_, log_, orders_, clock_, fleet_, settings_);
+		other.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{1}});
+		other.onCurrent(Offset{2});
+		advance(9000);
+		other.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+		advance(2000000);
+		other.start();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
+	}
+
+	/// The author ended before it sent its orders: when they should have been carried out, another node sends them
+	/// under the same fence.
+	void othersSettleAnOrderWhoseAuthorDied()
+	{
+		documents_.version = 2;
+		documents_.loadSeconds = 8;
+		fleet_.onOperatorRecord(KeyedRecord{"config", "2", false, Offset{1}});
+		suspect(alone(), kSureSuspicion);
+		look();
+		CPPUNIT_ASSERT(orders_.ordered.empty());
+		LayoutKeeper other(loop_, log_, orders_, clock_, fleet_, settings_);
+		other.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{4}});
+		other.onCurrent(Offset{5});
+		other.start();
+		CPPUNIT_ASSERT(orders_.ordered.empty());
+		std::size_t looks = 0;
+		for (; looks < 60 && orders_.ordered.empty(); ++looks)
+		{
+			advance(200);
+			other.start();
+		}
+		CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(changeAt(0).holds_size()), orders_.ordered.size());
+		CPPUNIT_ASSERT_EQUAL(uint64_t(5), orders_.fences.front());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
 private:
+	wire::LayoutChange changeAt(std::size_t _index) const
+	{
+		wire::LayoutChange change;
+		CPPUNIT_ASSERT(change.ParseFromString(log_.appended.at(_index)));
+		return change;
+	}
+
+	/// A node makes a change, which is the record at an offset, and sends its orders.
+	void makeChange(LayoutKeeper& _keeper, uint64_t _offset)
+	{
+		const std::size_t before = log_.appended.size();
+		_keeper.onCurrent(Offset{_offset});
+		_keeper.start();
+		CPPUNIT_ASSERT_EQUAL(before + 1, log_.appended.size());
+		log_.calls.back()(KeyedAppend{StoreState::Done, Offset{_offset}, Offset{_offset + 1}});
+		_keeper.onRecord(KeyedRecord{"newest", log_.appended.back(), false, Offset{_offset}});
+		_keeper.onCurrent(Offset{_offset + 1});
+		CPPUNIT_ASSERT(!orders_.calls.empty());
+	}
+
+	/// A target comes that holds nothing and could take any range.
+	void addEmpty()
+	{
+		add("fast", 1);
+		put(targets_.size() - 1, LayerSpan{}, kBorn);
+		fleet_.onRunnersCurrent();
+	}
+
+	/// Time passes, and the desired state stays proven.
+	void advance(int64_t _millis)
+	{
+		clock_.at = clock_.at + Duration::fromMillis(_millis);
+		fleet_.onOperatorCurrent(clock_.now());
+	}
+
+	/// @returns a target that holds layers which no other one does, and that is not ordered anything nor the lost one.
+	std::size_t otherLoss() const
+	{
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const bool isOrdered =
+			    orders_.ordered.end() != std::find(orders_.ordered.begin(), orders_.ordered.end(), nameOf(index));
+			if (index != alone() && !isOrdered && holdsAlone(index))
+			{
+				return index;
+			}
+		}
+		CPPUNIT_FAIL("no other target holds layers alone");
+		return 0;
+	}
+
+	bool holdsAlone(std::size_t _target) const
+	{
+		const LayerSpan span = targets_[_target].held;
+		for (uint32_t layer = span.begin; layer < span.end; ++layer)
+		{
+			const auto holders = std::count_if(targets_.begin(), targets_.end(),
+			                                   [layer](const LayoutTarget& _one)
+			                                   {
+				                                   return _one.held.begin <= layer && layer < _one.held.end;
+			                                   });
+			if (1 == holders)
+			{
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/// @returns the layers that the last change names.
 	std::vector<LayerSpan> orderedSpans() const
 	{
