Orders of the layout have a life that every node knows

Cause: an order counted as held by all nodes for a fixed 6 s, whatever became of it. A refused one hid a missing range for that long; an unanswered one was only logged; a load of more than 6 s was ordered a second time elsewhere. The layout topic keeps its newest record only, so a node that started while orders were under way knew those of the last record and ordered the targets of earlier ones to hold something else, which they refused as busy.

Ruled out: a longer fixed time, since a refusal then hides the range longer; a key of its own for each record, since a node that starts would not know how old each is; resending an earlier order after a later one, since it meets the later one's fence, or undoes it where targets do not go by fences.

Change: OrderBook (core, pure) holds each order from its record until the registry shows it, the target refuses it, or nothing tells of it for longer than its load can take (the operator's load time by the share of new layers, times the slowest of the last eight, plus the registry's lag of 3.3 s, plus 3 s to ask). A refusal ends it at once; its author appends that in a record, and for 3 s the plan does without that target where others hold what it holds. Unanswered and overdue orders are sent again under their fence, by the author or else by the first three nodes of the row. A record tells of all orders its author knows, with age and time left. OrderDesk sends, logs each step ('Order of the layout goes on.', ms since ordered) and counts them. Switch: order-lives.

Tests: of the six that failed, aRefusedOrderIsMendedAtOnce went through a message that had ended (a fault of the test, found when it first got so far), and othersSettleAnOrderWhoseAuthorDied had all orders due at once, while each has its own load: it now wants each one sent once under the fence, and none before 3 s. ForeignRecordTest.changedLayoutRecordsAreBorne and fuzz.fixed look at the told orders as well. New: OrderBookTest (14), three in ForeignRecordTest.

--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -30,6 +30,7 @@
 		SharedTries,     //!< Few nodes of a hall look whether a store that is out answers again.
 		IdlePolls,       //!< Targets without work are asked seldom how slow they are.
 		RefusalEvidence, //!< What a target refuses for not holding it is asked of it by no other request for a while.
+		OrderLives,      //!< An order to hold layers counts by what is known of it, not for a fixed time.
 
 		Count
 	};
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/entry/include/entry/runnerorders.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_ENTRY_RUNNERORDERS_H_HEADER_GUARD
 #define SEDGECART_ENTRY_RUNNERORDERS_H_HEADER_GUARD
 
+#include <base/layoutorderstate.h>
 #include <base/runner.h>
 #include <base/units.h>
 #include <entry/pathstop.h>
@@ -14,23 +15,6 @@
 namespace sedgecart
 {
 
-/// What a target made of an order.
-struct LayoutOrderState
-{
-	enum Enum
-	{
-		Begun,
-		Held,        //!< It holds these layers already.
-		Unfit,       //!< It does not fit the target's state.
-		Fenced,      //!< The target has seen a higher fence.
-		Invalid,     //!< The target does not know such an order.
-		OtherTarget, //!< Another target is at the address by now.
-		Unknown,     //!< No answer: it may be carried out, also later.
-
-		Count
-	};
-};
-
 /// @returns "begun" and so on.
 const char* nameOf(LayoutOrderState::Enum _state);
 
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -3,10 +3,12 @@
 #ifndef SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
 
+#include "losssight_p.h"
+#include "orderdesk_p.h"
+
 #include <base/clock.h>
 #include <base/incarnation.h>
 #include <core/changeturn.h>
-#include <core/layerlosses.h>
 #include <core/layoutplan.h>
 #include <entry/keyedlog.h>
 #include <entry/mechanisms.h>
@@ -16,8 +18,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -50,7 +50,8 @@
 	/// From now on orders and losses of layers are counted there.
 	void setMetrics(Metrics& _metrics)
 	{
-		metrics_ = &_metrics;
+		desk_.setMetrics(_metrics);
+		losses_.setMetrics(_metrics);
 	}
 
 	/// Takes a record of the layout topic.
@@ -60,14 +61,6 @@
 	void onCurrent(Offset _end);
 
 private:
-	/// What a target was ordered to hold, until the registry shows it.
-	struct Ordered
-	{
-		TargetLife life; //!< The order counts for no other start of the target.
-		LayerSpan layers;
-		Time at;
-	};
-
 	/// The targets that run a model in layers, as the layout sees them.
 	struct Scene
 	{
@@ -81,34 +74,26 @@
 	void look();
 	Scene scene() const;
 	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
+	Scene withoutRefusing(const Scene& _scene) const;
+	std::vector<LayoutOrder> withoutRefused(const Scene& _scene, std::vector<LayoutOrder> _orders) const;
 	void noteHole(const Scene& _scene, bool _unmended, Time _now);
-	void noteLosses(const Scene& _scene);
 	std::size_t place() const;
 	void append(const Scene& _scene, const std::vector<LayoutOrder>& _orders);
-	void order(const TargetLife& _life, LayerSpan _layers, Offset _fence);
-	void onOrderAnswered(const TargetLife& _life, LayoutOrderState::Enum _state);
-	bool mayOrder(const TargetLife& _life) const;
-	bool isStale(const RunnerRecord& _target) const;
-	LayerSpan effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const;
-	void forgetShown(Time _now);
-	std::set<std::string> lostTargets() const;
+	void onAppended(const KeyedAppend& _outcome);
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
 
 	boost::asio::steady_timer timer_;
 	KeyedLogI& log_;
-	RunnerOrdersI& orders_;
 	const ClockI& clock_;
 	const FleetController& fleet_;
 	std::string node_;
 	Mechanisms mechanisms_;
+	OrderDesk desk_;
 	LayoutPolicy policy_;
 	Incarnation incarnation_;
 	Offset end_; //!< Of the layout topic, as far as it was read.
-	std::map<std::string, Ordered> ordered_;
 	ChangeTurn turn_;
-	LayerLosses losses_;
-	uint32_t modelLayers_ = 0; //!< Of the model that was seen last; 0: none yet.
-	Metrics* metrics_ = nullptr;
+	LossSight losses_;
 	std::function<void()> onBehind_;
 	Time holeAt_;            //!< Since when layers have been missing; 0: none are.
 	Time appendedAt_;        //!< When this node last tried to append.
--- a/packages/entry/src/layoutrecord_p.h
+++ b/packages/entry/src/layoutrecord_p.h
@@ -5,6 +5,7 @@
 
 #include <base/recordfault.h>
 #include <base/runner.h>
+#include <core/holdorder.h>
 
 #include <cstdint>
 #include <string>
@@ -21,14 +22,31 @@
 	LayerSpan layers;
 };
 
+/// An earlier order, as a record tells of it to nodes that have not read its own record, or know less of it. Times are
+/// spans, since nodes share no clock.
+struct ToldOrder
+{
+	LayoutHoldRecord hold;
+	Offset fence;
+	OrderPhase::Enum phase = OrderPhase::Ordered;
+	LayoutOrderState::Enum reason = LayoutOrderState::Unknown; //!< Of a refusal.
+	Duration age;                                              //!< Since it was ordered.
+	Duration left;                                             //!< The author counts on it for so long yet.
+	Duration load;
+};
+
 /// A change of the layout, as it was read.
 struct LayoutRecord
 {
 	std::string author; //!< Incarnation of the node that sends the orders.
 	std::vector<LayoutHoldRecord> holds;
-	uint32_t passedOver = 0; //!< Holds that name no target, or layers that end before they begin.
+	std::vector<ToldOrder> told; //!< Earlier orders: under way, or refused a moment ago.
+	uint32_t passedOver = 0;     //!< Holds and orders that name no target, or what cannot be.
 };
 
+/// @returns a record as the layout's topic keeps it.
+std::string writeLayoutRecord(const LayoutRecord& _record);
+
 /// Reads a record of the layout's topic. Whether a model has the layers is not looked at.
 /// @param _record set if there is no fault.
 /// @returns why the record is no change of the layout; RecordFault::None: it is.
--- /dev/null
+++ b/packages/entry/src/losssight.cpp
@@ -0,0 +1,40 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "losssight_p.h"
+
+#include "spantext_p.h"
+
+#include <logging/logging.h>
+#include <metrics/metrics.h>
+
+namespace sedgecart
+{
+
+void LossSight::look(uint32_t _layers, const std::vector<RunnerRecord>& _records, Time _now)
+{
+	layers_ = 0 < _layers ? _layers : layers_;
+	LayerLosses::Holdings holdings;
+	for (const RunnerRecord& record : _records)
+	{
+		holdings[record.hall].push_back(record.layers);
+	}
+	for (const LayerLossNews& news : losses_.look(layers_, holdings, _now))
+	{
+		tell(news);
+	}
+}
+
+void LossSight::tell(const LayerLossNews& _news) const
+{
+	logEvent(
+	    LogPart::Layout, _news.ends ? LogLevel::Info : LogLevel::Warning,
+	    _news.ends ? "Layers are held again." : "Layers have no holder.",
+	    {{"hall", _news.hall}, {"layers", spansText(_news.layers)}, {"ms", std::to_string(_news.lasted.millis())}});
+	if (_news.ends && nullptr != metrics_)
+	{
+		metrics_->add(Counter::LayerLosses);
+		metrics_->observe(Timing::LayerLoss, _news.lasted);
+	}
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/sparetarget_p.h
@@ -0,0 +1,19 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
+
+#include <cstddef>
+#include <vector>
+
+namespace sedgecart
+{
+
+struct LayoutTarget;
+
+/// @returns true if others of its hall hold each layer that a target holds.
+bool isSpare(const std::vector<LayoutTarget>& _targets, std::size_t _target);
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -49,6 +49,27 @@
 	return change.SerializeAsString();
 }
 
+ToldOrder toldOrder()
+{
+	ToldOrder told;
+	told.hold = LayoutHoldRecord{InstanceId{"i-9"}, BirthTime{1790000000000}, LayerSpan{20, 40}};
+	told.fence = Offset{17};
+	told.phase = OrderPhase::Refused;
+	told.reason = LayoutOrderState::Unfit;
+	told.age = Duration::fromMillis(1200);
+	told.left = Duration::fromMillis(3400);
+	told.load = Duration::fromMillis(5600);
+	return told;
+}
+
+bool isPossible(const ToldOrder& _told)
+{
+	constexpr int64_t kHour = 3600000;
+	const bool isOrder = !_told.hold.target.text.empty() && _told.hold.layers.begin <= _told.hold.layers.end;
+	const bool isInTime = _told.age.millis() <= kHour && _told.left.millis() <= kHour && _told.load.millis() <= kHour;
+	return isOrder && isInTime && _told.phase <= OrderPhase::Refused && _told.reason < LayoutOrderState::Count;
+}
+
 std::string nodePlace()
 {
 	wire::NodePlace place;
@@ -67,6 +88,9 @@
 	CPPUNIT_TEST(layoutRecordsHaveTheirReasons);
 	CPPUNIT_TEST(oneBadHoldLosesNoOther);
 	CPPUNIT_TEST(changedLayoutRecordsAreBorne);
+	CPPUNIT_TEST(ordersThatARecordTellsComeBack);
+	CPPUNIT_TEST(oldAndNewVersionsReadEachOther);
+	CPPUNIT_TEST(ordersThatCannotBeArePassedOver);
 	CPPUNIT_TEST(nodePlacesHaveTheirReasons);
 	CPPUNIT_TEST(changedNodePlacesAreBorne);
 	CPPUNIT_TEST(changedPacksAreBorne);
@@ -101,22 +125,79 @@
 
 	void changedLayoutRecordsAreBorne()
 	{
-		CPPUNIT_ASSERT(
-		    rc::check("a changed layout record",
-		              []
-		              {
-			              LayoutRecord record;
-			              const std::string text = changed(layoutChange({LayerSpan{0, 40}, LayerSpan{40, 80}}));
-			              if (RecordFault::None != readLayoutRecord(text, record))
-			              {
-				              return;
-			              }
-			              for (const LayoutHoldRecord& hold : record.holds)
-			              {
-				              RC_ASSERT(!hold.target.text.empty());
-				              RC_ASSERT(hold.layers.begin <= hold.layers.end);
-			              }
-		              }));
+		CPPUNIT_ASSERT(rc::check("a changed layout record",
+		                         []
+		                         {
+			                         LayoutRecord record;
+			                         LayoutRecord sound;
+			                         readLayoutRecord(layoutChange({LayerSpan{0, 40}, LayerSpan{40, 80}}), sound);
+			                         sound.told = {toldOrder(), toldOrder()};
+			                         const std::string text = changed(writeLayoutRecord(sound));
+			                         if (RecordFault::None != readLayoutRecord(text, record))
+			                         {
+				                         return;
+			                         }
+			                         for (const LayoutHoldRecord& hold : record.holds)
+			                         {
+				                         RC_ASSERT(!hold.target.text.empty());
+				                         RC_ASSERT(hold.layers.begin <= hold.layers.end);
+			                         }
+			                         for (const ToldOrder& told : record.told)
+			                         {
+				                         RC_ASSERT(isPossible(told));
+			                         }
+		                         }));
+	}
+
+	void ordersThatARecordTellsComeBack()
+	{
+		const LayoutRecord written{"node-1", {}, {toldOrder()}, 0};
+		LayoutRecord record;
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(writeLayoutRecord(written), record));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), record.told.size());
+		CPPUNIT_ASSERT_EQUAL(0U, record.passedOver);
+		const ToldOrder& told = record.told.front();
+		CPPUNIT_ASSERT_EQUAL(std::string("i-9"), told.hold.target.text);
+		CPPUNIT_ASSERT_EQUAL(int64_t(1790000000000), told.hold.born.unixMillis);
+		CPPUNIT_ASSERT((LayerSpan{20, 40}) == told.hold.layers);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(17), told.fence.value);
+		CPPUNIT_ASSERT_EQUAL(OrderPhase::Refused, told.phase);
+		CPPUNIT_ASSERT_EQUAL(LayoutOrderState::Unfit, told.reason);
+		CPPUNIT_ASSERT_EQUAL(int64_t(1200), told.age.millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(3400), told.left.millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(5600), told.load.millis());
+	}
+
+	/// Nodes of two versions stand beside each other while one takes the other's place.
+	void oldAndNewVersionsReadEachOther()
+	{
+		LayoutRecord record;
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(layoutChange({LayerSpan{0, 40}}), record));
+		CPPUNIT_ASSERT(record.told.empty());
+		record.told.push_back(toldOrder());
+		wire::LayoutChange old; // knows no orders that are told
+		CPPUNIT_ASSERT(old.ParseFromString(writeLayoutRecord(record)));
+		CPPUNIT_ASSERT_EQUAL(std::string("node-1"), old.author());
+		CPPUNIT_ASSERT_EQUAL(1, old.holds_size());
+		CPPUNIT_ASSERT_EQUAL(std::string("i-1"), old.holds(0).target());
+	}
+
+	void ordersThatCannotBeArePassedOver()
+	{
+		ToldOrder nobody = toldOrder();
+		nobody.hold.target.text.clear();
+		ToldOrder backward = toldOrder();
+		backward.hold.layers = LayerSpan{40, 20};
+		ToldOrder unheardOf = toldOrder();
+		unheardOf.phase = static_cast<OrderPhase::Enum>(77);
+		ToldOrder endless = toldOrder();
+		endless.left = Duration{INT64_MAX};
+		LayoutRecord record;
+		const LayoutRecord written{"node-1", {}, {nobody, backward, unheardOf, endless}, 0};
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(writeLayoutRecord(written), record));
+		CPPUNIT_ASSERT_EQUAL(3U, record.passedOver);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), record.told.size());
+		CPPUNIT_ASSERT(isPossible(record.told.front()));
 	}
 
 	void nodePlacesHaveTheirReasons()
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -367,8 +367,9 @@
 		advance(200);
 		keeper.start();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), log_.appended.size());
-		CPPUNIT_ASSERT(0 < changeAt(1).holds_size());
-		for (const wire::LayoutHold& hold : changeAt(1).holds())
+		const wire::LayoutChange second = changeAt(1);
+		CPPUNIT_ASSERT(0 < second.holds_size());
+		for (const wire::LayoutHold& hold : second.holds())
 		{
 			const wire::LayoutHold& refused = first.holds(0);
 			CPPUNIT_ASSERT(refused.target() != hold.target() || refused.begin() != hold.begin() ||
@@ -485,14 +486,27 @@
 		other.onCurrent(Offset{5});
 		other.start();
 		CPPUNIT_ASSERT(orders_.ordered.empty());
-		std::size_t looks = 0;
-		for (; looks < 60 && orders_.ordered.empty(); ++looks)
+		const wire::LayoutChange change = changeAt(0);
+		const auto wanted = static_cast<std::size_t>(change.holds_size());
+		advance(3000); // no load is over and shown by then
+		other.start();
+		CPPUNIT_ASSERT(orders_.ordered.empty());
+		for (std::size_t looks = 0; looks < 60 && orders_.ordered.size() < wanted; ++looks)
 		{
 			advance(200);
 			other.start();
 		}
-		CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(changeAt(0).holds_size()), orders_.ordered.size());
-		CPPUNIT_ASSERT_EQUAL(uint64_t(5), orders_.fences.front());
+		CPPUNIT_ASSERT_EQUAL(wanted, orders_.ordered.size());
+		for (const wire::LayoutHold& hold : change.holds())
+		{
+			CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1),
+			                     std::count(orders_.ordered.begin(), orders_.ordered.end(), hold.target()));
+		}
+		CPPUNIT_ASSERT(std::all_of(orders_.fences.begin(), orders_.fences.end(),
+		                           [](uint64_t _fence)
+		                           {
+			                           return 5 == _fence;
+		                           }));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
 	}
 
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -33,15 +33,23 @@
 		Claims,
 		CallersGone,
 		TurnedAway,
-		Placements,     //!< Layer ranges given to other targets by this node.
-		Moves,          //!< Streams taken from a slow chain to a faster one.
-		Sends,          //!< Requests sent to a target or path, those that were sent again as well.
-		Answers,        //!< Answers of targets that were passed on whole.
-		BrokenStreams,  //!< Streams that could not be finished.
-		PathChanges,    //!< Requests that went on over another path.
-		DeadTargets,    //!< Targets taken as dead when a path was silent.
-		SurplusAnswers, //!< Answers that belonged to another request.
-		LayerLosses,    //!< Losses of layers of a data hall that ended.
+		Placements,       //!< Layer ranges given to other targets by this node.
+		Moves,            //!< Streams taken from a slow chain to a faster one.
+		Sends,            //!< Requests sent to a target or path, those that were sent again as well.
+		Answers,          //!< Answers of targets that were passed on whole.
+		BrokenStreams,    //!< Streams that could not be finished.
+		PathChanges,      //!< Requests that went on over another path.
+		DeadTargets,      //!< Targets taken as dead when a path was silent.
+		SurplusAnswers,   //!< Answers that belonged to another request.
+		LayerLosses,      //!< Losses of layers of a data hall that ended.
+		OrdersSent,       //!< Orders to hold layers that this node sent, those sent again as well.
+		OrdersKnown,      //!< Orders to hold layers that this node knows of, whoever sends them.
+		OrdersBegun,      //!< Of them: the target has begun, by its answer to this node or by a record.
+		OrdersHeld,       //!< The target says that it holds the layers.
+		OrdersRefused,    //!< The target refused.
+		OrdersUnanswered, //!< No answer came.
+		OrdersShown,      //!< The registry shows the layers.
+		OrdersGivenUp,    //!< Not counted on any more, though nothing shows what became of them.
 
 		Count
 	};
@@ -56,9 +64,10 @@
 		TokenGap,
 		Request,
 		Claim,
-		Recovery,  //!< From the last token before a break to the next one.
-		Pause,     //!< Between two events of a stream, when longer than its route's objective.
-		LayerLoss, //!< How long layers of a data hall had no holder.
+		Recovery,   //!< From the last token before a break to the next one.
+		Pause,      //!< Between two events of a stream, when longer than its route's objective.
+		OrderShown, //!< From an order to hold layers until the registry shows them.
+		LayerLoss,  //!< How long layers of a data hall had no holder.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -16,15 +16,17 @@
 {
 
 constexpr const char* kCounterNames[] = {
-    "requests",        "tokens",          "resumes",       "retries",         "foreign_events",
-    "repeated_events", "broken_attempts", "claim_appends", "claims",          "callers_gone",
-    "turned_away",     "placements",      "moves",         "sends",           "answers",
-    "broken_streams",  "path_changes",    "dead_targets",  "surplus_answers", "layer_losses",
+    "requests",          "tokens",          "resumes",         "retries",         "foreign_events",
+    "repeated_events",   "broken_attempts", "claim_appends",   "claims",          "callers_gone",
+    "turned_away",       "placements",      "moves",           "sends",           "answers",
+    "broken_streams",    "path_changes",    "dead_targets",    "surplus_answers", "layer_losses",
+    "orders_sent",       "orders_known",    "orders_begun",    "orders_held",     "orders_refused",
+    "orders_unanswered", "orders_shown",    "orders_given_up",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
-constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request",   "claim",
-                                        "recovery",    "pause",     "layer_loss"};
+constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request",     "claim",
+                                        "recovery",    "pause",     "order_shown", "layer_loss"};
 static_assert(Timing::Count == sizeof(kTimingNames) / sizeof(kTimingNames[0]), "each timing needs its name");
 
 constexpr unsigned kBins = 60;
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -135,6 +135,11 @@
 	{
 		require(!hold.target.text.empty() && hold.layers.begin <= hold.layers.end, "holds can be true");
 	}
+	for (const ToldOrder& told : record.told)
+	{
+		require(!told.hold.target.text.empty() && told.hold.layers.begin <= told.hold.layers.end, "orders can be true");
+		require(told.phase <= OrderPhase::Refused && told.reason < LayoutOrderState::Count, "phases are known");
+	}
 }
 
 void runNode(const std::string& _bytes)
