sedgecart losses: a line for each loss of layers

Cause: windows of requests do not tell when layers were lost, when they were ordered and when the registry showed them.

Change: LayerLossList reads 'Layers have no holder.', 'Layers are held again.' and 'Order of the layout goes on.'; what nodes of all logs saw of one hall at overlapping times is one loss. A node that ended meanwhile tells no end; its word counts only where no other node told of the loss.

Ruled out: one line for each node's word, which repeats each loss by the number of nodes.

Conclusion: a loss can be read beside the requests that it cost.

--- a/packages/ctl/include/ctl/lossledger.h
+++ b/packages/ctl/include/ctl/lossledger.h
@@ -3,6 +3,8 @@
 #ifndef SEDGECART_CTL_LOSSLEDGER_H_HEADER_GUARD
 #define SEDGECART_CTL_LOSSLEDGER_H_HEADER_GUARD
 
+#include <ctl/layerlosslist.h>
+
 #include <array>
 #include <cstdint>
 #include <iosfwd>
@@ -57,7 +59,8 @@
 	/// from the first request.
 	std::string csv() const;
 
-	/// @returns a table for people: a line for each window and hall, with all services together.
+	/// @returns a table for people: a line for each window and hall, with all services together, and behind them one
+	/// for each loss of layers.
 	std::string table() const;
 
 private:
@@ -95,6 +98,7 @@
 	std::map<std::string, std::string> halls_; //!< By node.
 	std::map<std::string, Request> underWay_;  //!< By node and request.
 	std::map<Key, Counts> counts_;
+	LayerLossList layerLosses_;
 };
 
 } // namespace sedgecart
--- a/packages/ctl/src/lossledger.cpp
+++ b/packages/ctl/src/lossledger.cpp
@@ -98,6 +98,7 @@
 	}
 	if (_record.request.empty())
 	{
+		layerLosses_.take(_record);
 		return;
 	}
 	if ("Request is not let in." == _record.message)
@@ -245,7 +246,7 @@
 		}
 		text += '\n';
 	}
-	return text;
+	return text + layerLosses_.text(firstAt());
 }
 
 } // namespace sedgecart
