Test, failing: slow loads delay no question

An order whose author died before it sent it is asked about only when the slowest of the last eight loads would be over, up to four times its own time: OrderBookTest.slowLoadsDelayNoQuestion fails (unit.core).

--- a/packages/core/tests/orderbooktest.cpp
+++ b/packages/core/tests/orderbooktest.cpp
@@ -20,6 +20,7 @@
 	CPPUNIT_TEST(aBusyTargetMayHaveTakenWhatWasNotAnswered);
 	CPPUNIT_TEST(aTargetThatIsBusyForEverIsGivenUp);
 	CPPUNIT_TEST(slowLoadsGiveLaterOnesMoreTime);
+	CPPUNIT_TEST(slowLoadsDelayNoQuestion);
 	CPPUNIT_TEST(whatARecordTellsIsTaken);
 	CPPUNIT_TEST(aRecordBringsNoEndedOrderBack);
 	CPPUNIT_TEST(aRestartEndsIt);
@@ -116,6 +117,22 @@
 		CPPUNIT_ASSERT(counts(kNew, 30000 + 2 * (5000 + kLag)));
 	}
 
+	/// An order that its author never sent would wait for as long as the slowest load took.
+	void slowLoadsDelayNoQuestion()
+	{
+		take(kOld, 7, 5000);
+		show(kOld, 4 * (5000 + kLag));
+		book_.take(life(), kNew, Offset{9}, Duration::fromMillis(5000), false, at(50000));
+		const int64_t alone = 50000 + 5000 + kLag;
+		CPPUNIT_ASSERT(book_.dueAgain(0, at(alone)).empty());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), book_.dueAgain(0, at(alone + 1)).size());
+		send(9, alone + 1);
+		book_.onAnswer(life(), Offset{9}, LayoutOrderState::Unfit, at(alone + 10));
+		CPPUNIT_ASSERT(!book_.hasNews()); // the others count on it for longer yet
+		CPPUNIT_ASSERT(book_.dueAgain(0, at(alone + kLag)).empty());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), book_.dueAgain(0, at(alone + 20 + kLag)).size());
+	}
+
 	void whatARecordTellsIsTaken()
 	{
 		HoldOrder told = order(kNew, 7, 5000);
