An order is asked about when its own load should be over

Cause: the first question about an overdue order waited as the order counts, for up to four times its load, since the slowest of the last eight loads lengthens both. An order whose author died before it sent it, as one whose answer was lost, was then found out after half a minute.

Change: OrderBook asks from when the load alone and the registry's lag are over (askFrom); the order counts as before.

Ruled out: fewer remembered loads, which shortens what slow loads need.

--- a/packages/core/src/orderbook.cpp
+++ b/packages/core/src/orderbook.cpp
@@ -63,6 +63,7 @@
 	order.orderedAt = _now;
 	order.load = 0 < _load.micros ? _load : kUsualLoad;
 	order.own = _own;
+	order.askFrom = _now + order.load + kRegistryLag;
 	const Duration counts = hasLives_ ? expected(order) : kFixedLife;
 	order.dueAt = _now + counts;
 	order.countsUntil = hasLives_ ? order.dueAt + kSettleTime : order.dueAt;
@@ -80,6 +81,7 @@
 	{
 		HoldOrder order = _told;
 		order.load = 0 < _told.load.micros ? _told.load : kUsualLoad;
+		order.askFrom = _told.orderedAt + order.load + kRegistryLag;
 		order.dueAt = _told.orderedAt + expected(order);
 		order.phase = OrderPhase::Ordered;
 		add(order);
@@ -179,10 +181,12 @@
 	switch (_state)
 	{
 	case LayoutOrderState::Begun:
+		order->askFrom = _now + order->load + kRegistryLag;
 		extend(*order, expected(*order) + kSettleTime, _now);
 		set(*order, OrderPhase::Begun, _now);
 		break;
 	case LayoutOrderState::Held:
+		order->askFrom = _now + kRegistryLag;
 		extend(*order, kRegistryLag + kSettleTime, _now);
 		set(*order, OrderPhase::Held, _now);
 		break;
@@ -217,6 +221,7 @@
 		refuse(_order, LayoutOrderState::Unfit, _now);
 		return;
 	}
+	_order.askFrom = OrderPhase::Unanswered == _order.phase ? _order.askFrom : _now + kRegistryLag;
 	extend(_order, kSettleTime + kRegistryLag, _now);
 }
 
@@ -372,7 +377,7 @@
 	{
 		const HoldOrder& order = row.second.back(); // an earlier one could undo it, or meets its fence
 		const bool isOpen = order.own && OrderPhase::Unanswered == order.phase;
-		const bool isLate = order.dueAt + turn < _now && (order.own || _place < kAskers);
+		const bool isLate = order.askFrom + turn < _now && (order.own || _place < kAskers);
 		const bool mayAsk = order.isUnderWay() && !order.asking && !(_now < order.askAgainAt);
 		if (mayAsk && (isOpen || isLate))
 		{
