--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -32,6 +32,7 @@
 		RefusalEvidence, //!< What a target refuses for not holding it is asked of it by no other request for a while.
 		MakeBeforeBreak, //!< Layout orders leave running requests their memory and every layer a holder.
 		StopPace,        //!< What comes during a stop is let in by the time that answers took of late.
+		OrderLives,      //!< An order to hold layers counts by what is known of it, not for a fixed time.
 
 		Count
 	};
