Test, failing: RelayMachine lets a begun answer wait for a place

The interface of the wait, without its logic: waitForPlace(), onPlaceMayBeFree(), waiting(), sendsLeft(), ResendBar::TurnedAway. Ten cases of RelayMachineTest, of which eight fail (nothing waits yet); whatHasNotBegunDoesNotWait and whatMayNotRunAgainDoesNotWait hold what must stay. anyOrderOfEventsKeepsThePromises draws waits as well, and now also holds that each arrival but the first is paid for, once.

--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -70,6 +70,7 @@
 		AllowanceSpent, //!< The retry budget allows no more repeats for now.
 		NoTargets,      //!< There is no other target or path.
 		NoRoom,         //!< All others are full.
+		TurnedAway,     //!< Targets turned it away one after another.
 		TimeUp,         //!< Its time is over.
 
 		Count
@@ -127,13 +128,18 @@
 
 	/// Breaks off an answer that was begun.
 	virtual void breakOff() = 0;
+
+	/// There is no place for the request now, and its answer has begun. It counts at no target meanwhile.
+	/// @returns false if its caller does not stay long enough; else `onPlaceMayBeFree` follows.
+	virtual bool waitForPlace() = 0;
 };
 
 /// Decides what becomes of one request, from its first send to its final answer. Pure: events go in, actions come out,
 /// so that any order of events can be tried. Holds these promises:
 /// - what is answered as not run was never begun by a target;
 /// - what may not be repeated is sent again only after a target said that it did not run it;
-/// - an answer that was begun ends as complete only with its last byte, and goes on only where it stopped.
+/// - an answer that was begun ends as complete only with its last byte, and goes on only where it stopped;
+/// - while it waits for a place no target works on it, and nothing is sent once its caller has gone.
 class RelayMachine
 {
 public:
@@ -169,6 +175,9 @@
 	/// @param _notRun its target says that it did not run the request.
 	void onKeptEnded(bool _notRun);
 
+	/// There may be a place for a request that waits for one.
+	void onPlaceMayBeFree();
+
 	/// The caller went away.
 	void onCallerGone();
 
@@ -181,6 +190,15 @@
 		return done_;
 	}
 
+	/// @returns true while its answer has begun and there is no place for it.
+	bool waiting() const
+	{
+		return waiting_;
+	}
+
+	/// @returns how many more sends may be turned away.
+	uint32_t sendsLeft() const;
+
 	/// @returns true while the answer under way is passed on in pieces.
 	bool passing() const
 	{
@@ -231,7 +249,11 @@
 	bool mayMove();
 	std::optional<uint64_t> resumePoint() const;
 	void noteSend();
+	bool mayWait() const;
+	bool waitForPlace();
 	void send(bool _repeat);
+	void sendAgain(ErrorKind::Enum _otherwise);
+	void waitOrFail(ErrorKind::Enum _otherwise);
 	void returnToKept();
 	void dropKept();
 	void afterNotRun();
@@ -245,7 +267,8 @@
 	std::string whole_; //!< Bytes that end with a whole event.
 	RelayHead head_;
 	uint32_t sends_ = 0;
-	uint32_t runs_ = 0; //!< Ended sends that may have run, and the one that is kept.
+	uint32_t runs_ = 0;    //!< Ended sends that may have run, and the one that is kept.
+	uint32_t refused_ = 0; //!< Sends that were turned away or reached nobody, since the last that ran.
 	std::optional<KeptSend> kept_;
 	bool arrived_ = false; //!< Some send has reached a target.
 	bool prepaid_ = false; //!< A repeat is paid for that has not reached a target yet.
@@ -254,6 +277,7 @@
 	bool underWay_ = false; //!< A send is under way and bytes may have reached its target.
 	bool streaming_ = false;
 	bool headPassed_ = false;
+	bool waiting_ = false;
 	bool done_ = false;
 };
 
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -15,7 +15,8 @@
 constexpr uint32_t kSendsNotRun = 3;
 
 constexpr const char* kBarNames[ResendBar::Count] = {
-    "none", "not_repeatable", "runs_spent", "sends_spent", "allowance_spent", "no_targets", "no_room", "time_up",
+    "none",       "not_repeatable", "runs_spent",  "sends_spent", "allowance_spent",
+    "no_targets", "no_room",        "turned_away", "time_up",
 };
 
 constexpr const char* kBreakNames[SendBreak::Count] = {"not_sent", "broken", "silent"};
@@ -72,6 +73,16 @@
 	bar_ = ResendBar::None;
 }
 
+uint32_t RelayMachine::sendsLeft() const
+{
+	const uint32_t most = facts_.maxRuns + kSendsNotRun;
+	return sends_ < most ? most - sends_ : 0;
+}
+
+void RelayMachine::onPlaceMayBeFree()
+{
+}
+
 void RelayMachine::send(bool _repeat)
 {
 	const SendOutcome::Enum outcome = actions_.send(resumePoint());
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -57,6 +57,7 @@
 	}
 	bool payRepeat() override
 	{
+		payments += mayRepeat ? 1 : 0;
 		return mayRepeat;
 	}
 	void passHead() override
@@ -83,6 +84,11 @@
 	{
 		++breaks;
 	}
+	bool waitForPlace() override
+	{
+		waits += mayWait ? 1 : 0;
+		return mayWait;
+	}
 
 	uint32_t finals() const
 	{
@@ -91,6 +97,9 @@
 
 	SendOutcome::Enum outcome = SendOutcome::Begun;
 	bool mayRepeat = true;
+	bool mayWait = false; //!< The caller stays long enough.
+	uint32_t payments = 0;
+	uint32_t waits = 0;
 	std::optional<uint64_t> resumedAfter;
 	uint32_t sends = 0;
 	uint32_t cancels = 0;
@@ -144,6 +153,16 @@
 	CPPUNIT_TEST(whatReachedNoTargetNeedsNoAllowance);
 	CPPUNIT_TEST(aRepeatThatReachedNoTargetIsPaidOnce);
 	CPPUNIT_TEST(eventsBeforeAGapArePassedOn);
+	CPPUNIT_TEST(begunStreamWaitsWhereThereIsNoRoom);
+	CPPUNIT_TEST(waitEndsWhenItsCallerStaysNoLonger);
+	CPPUNIT_TEST(refusalsAreSpreadOverTheWait);
+	CPPUNIT_TEST(allowanceIsWaitedFor);
+	CPPUNIT_TEST(repeatThatWaitsIsPaidOnce);
+	CPPUNIT_TEST(whatHasNotBegunDoesNotWait);
+	CPPUNIT_TEST(whatMayNotRunAgainDoesNotWait);
+	CPPUNIT_TEST(callerGoneEndsTheWait);
+	CPPUNIT_TEST(timeUpEndsTheWait);
+	CPPUNIT_TEST(nothingElseEndsTheWait);
 	CPPUNIT_TEST(anyOrderOfEventsKeepsThePromises);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -445,8 +464,186 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(0), *notes.resumedAfter);
 	}
 
+	void begunStreamWaitsWhereThereIsNoRoom()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		CPPUNIT_ASSERT(machine.waiting());
+		CPPUNIT_ASSERT(ResendBar::NoRoom == machine.bar());
+		notes.outcome = SendOutcome::NoTargets;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT(machine.waiting());
+		CPPUNIT_ASSERT(ResendBar::NoTargets == machine.bar());
+		CPPUNIT_ASSERT_EQUAL(2U, notes.waits);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals());
+		notes.outcome = SendOutcome::Begun;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT(!machine.waiting());
+		CPPUNIT_ASSERT(0 == notes.resumedAfter.value_or(99));
+		stream(machine);
+		machine.onBody(event(1));
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(event(0) + event(1), notes.body);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.heads);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.ends);
+	}
+
+	void waitEndsWhenItsCallerStaysNoLonger()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		CPPUNIT_ASSERT(machine.waiting());
+		notes.mayWait = false;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+		CPPUNIT_ASSERT(ResendBar::NoRoom == machine.bar());
+		CPPUNIT_ASSERT(machine.done());
+		CPPUNIT_ASSERT(!machine.waiting());
+	}
+
+	/// Five refusals within some milliseconds must not spend all sends: the second and each later one is waited behind.
+	void refusalsAreSpreadOverTheWait()
+	{
+		Notes notes;
+		notes.mayWait = true;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0));
+		machine.onBroken(SendBreak::Broken);
+		turnAway(machine);
+		CPPUNIT_ASSERT_EQUAL(3U, notes.sends);
+		for (uint32_t sends = 3; sends < 5; ++sends)
+		{
+			turnAway(machine);
+			CPPUNIT_ASSERT_EQUAL(sends, notes.sends);
+			CPPUNIT_ASSERT(machine.waiting());
+			CPPUNIT_ASSERT_EQUAL(5 - sends, machine.sendsLeft());
+			CPPUNIT_ASSERT(ResendBar::TurnedAway == machine.bar());
+			machine.onPlaceMayBeFree();
+		}
+		turnAway(machine);
+		CPPUNIT_ASSERT_EQUAL(5U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+		CPPUNIT_ASSERT(ResendBar::SendsSpent == machine.bar());
+	}
+
+	void allowanceIsWaitedFor()
+	{
+		Notes notes;
+		notes.mayWait = true;
+		notes.mayRepeat = false;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0) + "id: 1\nda");
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT(machine.waiting());
+		CPPUNIT_ASSERT(ResendBar::AllowanceSpent == machine.bar());
+		notes.mayRepeat = true;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		stream(machine);
+		machine.onBody(event(1));
+		machine.onWhole();
+		CPPUNIT_ASSERT_EQUAL(event(0) + event(1), notes.body);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.payments);
+	}
+
+	void repeatThatWaitsIsPaidOnce()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		machine.onPlaceMayBeFree();
+		notes.mayRepeat = false; // the allowance is spent by now
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT(machine.waiting());
+		CPPUNIT_ASSERT(ResendBar::NoRoom == machine.bar());
+		notes.outcome = SendOutcome::Begun;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT_EQUAL(2U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.payments);
+	}
+
+	void whatHasNotBegunDoesNotWait()
+	{
+		Notes notes;
+		notes.mayWait = true;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		machine.onSent();
+		notes.outcome = SendOutcome::NoRoom;
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), notes.refusals.size());
+		CPPUNIT_ASSERT_EQUAL(0U, notes.waits);
+	}
+
+	void whatMayNotRunAgainDoesNotWait()
+	{
+		for (const bool resumable : {false, true})
+		{
+			Notes notes;
+			RelayMachine machine(facts(RequestKind::Stream, resumable, resumable ? 1 : 2), notes);
+			cutWithoutRoom(notes, machine);
+			CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+			CPPUNIT_ASSERT_EQUAL(0U, notes.waits);
+		}
+	}
+
+	void callerGoneEndsTheWait()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		CPPUNIT_ASSERT(machine.waiting());
+		machine.onCallerGone();
+		notes.outcome = SendOutcome::Begun;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT(machine.done());
+		CPPUNIT_ASSERT(!machine.waiting());
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(0U, notes.finals());
+	}
+
+	void timeUpEndsTheWait()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		CPPUNIT_ASSERT(machine.waiting());
+		machine.onTimeUp();
+		notes.outcome = SendOutcome::Begun;
+		machine.onPlaceMayBeFree();
+		CPPUNIT_ASSERT(ResendBar::TimeUp == machine.bar());
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.breaks);
+	}
+
+	/// What an ended send still brings changes nothing.
+	void nothingElseEndsTheWait()
+	{
+		Notes notes;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		cutWithoutRoom(notes, machine);
+		notes.outcome = SendOutcome::Begun;
+		CPPUNIT_ASSERT(!machine.onSuspected());
+		CPPUNIT_ASSERT(!machine.onKeptSpeaks());
+		machine.onHead(kSuccess);
+		machine.onBody(event(1));
+		machine.onWhole();
+		machine.onBroken(SendBreak::Broken);
+		CPPUNIT_ASSERT(machine.waiting());
+		CPPUNIT_ASSERT_EQUAL(event(0), notes.body);
+		CPPUNIT_ASSERT_EQUAL(1U, notes.sends);
+	}
+
 	/// A random target, caller and clock: one final answer at most, "not run" only if true, at most once if it must be,
-	/// and a stream that is a prefix of the events, whole when it ends as complete.
+	/// and a stream that is a prefix of the events, whole when it ends as complete. Each arrival at a target but the
+	/// first is paid for, once, and nothing is sent while it waits.
 	void anyOrderOfEventsKeepsThePromises()
 	{
 		CPPUNIT_ASSERT(rc::check(
@@ -465,6 +662,13 @@
 				    notes.mayRepeat = 0 != *rc::gen::inRange<int>(0, 4);
 				    notes.outcome = static_cast<SendOutcome::Enum>(
 				        0 == *rc::gen::inRange<int>(0, 8) ? *rc::gen::inRange<int>(0, SendOutcome::Count) : 0);
+				    notes.mayWait = *rc::gen::arbitrary<bool>();
+				    if (machine.waiting())
+				    {
+					    RC_ASSERT(0U == notes.finals() && 1U == notes.heads);
+					    leaveWait(machine, notes, *rc::gen::inRange<int>(0, 8));
+					    continue;
+				    }
 				    if (0 == *rc::gen::inRange<int>(0, 5))
 				    {
 					    machine.onSuspected();
@@ -477,6 +681,8 @@
 			    const bool once = RequestKind::AtMostOnce == kind || (RequestKind::Stream == kind && !resumable);
 			    RC_ASSERT(!once || target.runs <= 1U);
 			    RC_ASSERT(target.runs <= maxRuns);
+			    RC_ASSERT(target.arrivals <= notes.payments + 1);
+			    RC_ASSERT(notes.payments <= target.arrivals);
 			    for (const ErrorKind::Enum refusal : notes.refusals)
 			    {
 				    RC_ASSERT(Ran::No != answerOf(refusal).ran || 0U == target.runs);
@@ -500,6 +706,50 @@
 		CPPUNIT_ASSERT(_machine.onSuspected());
 	}
 
+	/// A stream whose target cut it after one event, when all others are full.
+	static void cutWithoutRoom(Notes& _notes, RelayMachine& _machine)
+	{
+		_notes.mayWait = true;
+		_machine.begin();
+		stream(_machine);
+		_machine.onBody(event(0));
+		_notes.outcome = SendOutcome::NoRoom;
+		_machine.onBroken(SendBreak::Broken);
+	}
+
+	static void turnAway(RelayMachine& _machine)
+	{
+		_machine.onSent();
+		_machine.onHead(kNotRun);
+		_machine.onWhole();
+	}
+
+	/// What may happen to a request that waits.
+	static void leaveWait(RelayMachine& _machine, const Notes& _notes, int _choice)
+	{
+		const uint32_t sends = _notes.sends;
+		if (0 == _choice)
+		{
+			_machine.onCallerGone();
+			_machine.onPlaceMayBeFree();
+			RC_ASSERT(sends == _notes.sends);
+			return;
+		}
+		if (1 == _choice)
+		{
+			_machine.onTimeUp();
+			RC_ASSERT(sends == _notes.sends);
+			return;
+		}
+		if (2 == _choice)
+		{
+			RC_ASSERT(!_machine.onSuspected());
+			RC_ASSERT(sends == _notes.sends);
+			return;
+		}
+		_machine.onPlaceMayBeFree();
+	}
+
 	static void stream(RelayMachine& _machine)
 	{
 		_machine.onSent();
@@ -531,6 +781,7 @@
 		}
 
 		uint32_t runs = 0;
+		uint32_t arrivals = 0;
 
 	private:
 		void beforeSent(int _choice)
@@ -546,6 +797,7 @@
 				return;
 			}
 			sent_ = true;
+			++arrivals;
 			machine_.onSent();
 		}
 
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -272,6 +272,11 @@
 	caller_->abort();
 }
 
+bool RequestRelay::waitForPlace()
+{
+	return false;
+}
+
 void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
 {
 	log_.outcome(_sentence, _level, _cause, send_ ? send_->answer.atFault : std::string());
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -51,6 +51,7 @@
 	void passWhole() override;
 	void refuse(ErrorKind::Enum _kind) override;
 	void breakOff() override;
+	bool waitForPlace() override;
 
 	void onSent(const RelaySend& _send);
 	HeadVerdict::Enum onHead(RelaySend& _send, MessageHead& _head);
--- a/packages/entry/tests/suspicioncosttest.cpp
+++ b/packages/entry/tests/suspicioncosttest.cpp
@@ -290,6 +290,10 @@
 	{
 		++failures_;
 	}
+	bool waitForPlace() override
+	{
+		return false;
+	}
 
 private:
 	static RelayFacts facts()
