A begun stream that finds no place waits for one while its caller stays

Cause: RelayMachine ended a begun answer at the first look that found no room, no target or no allowance, and spent its sends on refusals that follow each other within milliseconds.

Not taken, by reasoning alone: more sends; the bound of maxRuns + 3 stays.

Change: RelayMachine::waitForPlace(), where the head was passed on, the stream may run once more and has sends left. After the second refusal in a row it waits as well, so that the sends that are left are spread over the wait. A repeat is paid once for each arrival, as before. Meanwhile the request counts at no target and the watch sees no path. Targets that only turned the stream away are chosen again 200 ms later, in a wait only. Metrics: sedgecart_stream_waits_total, sedgecart_stream_places_total. The gap that a wait makes is not learned as the usual gap of events.

--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -14,6 +14,10 @@
 /// Sends beside those that ran: a target that refused, or could not be reached, costs a caller little time.
 constexpr uint32_t kSendsNotRun = 3;
 
+/// A begun answer that was turned away is sent elsewhere at once, as another target may have room. When that turns it
+/// away too, the fleet is short of room: further sends at once would spend them all within some milliseconds.
+constexpr uint32_t kRefusedAtOnce = 1;
+
 constexpr const char* kBarNames[ResendBar::Count] = {
     "none",       "not_repeatable", "runs_spent",  "sends_spent", "allowance_spent",
     "no_targets", "no_room",        "turned_away", "time_up",
@@ -79,8 +83,45 @@
 	return sends_ < most ? most - sends_ : 0;
 }
 
+/// What has not begun is refused at once: its caller can come back, and nothing is lost.
+bool RelayMachine::mayWait() const
+{
+	const bool maySend = repeatable() && runs_ < facts_.maxRuns && 0 < sendsLeft();
+	return headPassed_ && !kept_ && maySend;
+}
+
+bool RelayMachine::waitForPlace()
+{
+	waiting_ = mayWait() && actions_.waitForPlace();
+	return waiting_;
+}
+
+void RelayMachine::waitOrFail(ErrorKind::Enum _otherwise)
+{
+	if (!waitForPlace())
+	{
+		fail(_otherwise);
+	}
+}
+
+void RelayMachine::sendAgain(ErrorKind::Enum _otherwise)
+{
+	if (!payRepeat())
+	{
+		waitOrFail(_otherwise);
+		return;
+	}
+	send(true);
+}
+
 void RelayMachine::onPlaceMayBeFree()
 {
+	if (done_ || !waiting_)
+	{
+		return;
+	}
+	waiting_ = false;
+	sendAgain(ErrorKind::TargetLost);
 }
 
 void RelayMachine::send(bool _repeat)
@@ -94,7 +135,7 @@
 	bar_ = SendOutcome::NoRoom == outcome ? ResendBar::NoRoom : ResendBar::NoTargets;
 	if (_repeat && 0 < runs_)
 	{
-		fail(ErrorKind::TargetLost);
+		waitOrFail(ErrorKind::TargetLost);
 		return;
 	}
 	fail(SendOutcome::NoRoom == outcome ? ErrorKind::Overloaded : ErrorKind::NoTargets);
@@ -109,7 +150,7 @@
 
 void RelayMachine::onHead(const RelayHead& _head)
 {
-	if (done_)
+	if (done_ || waiting_)
 	{
 		return;
 	}
@@ -125,7 +166,7 @@
 
 void RelayMachine::onBody(std::string_view _bytes)
 {
-	if (done_ || !streaming_)
+	if (done_ || waiting_ || !streaming_)
 	{
 		return;
 	}
@@ -144,7 +185,7 @@
 
 void RelayMachine::onWhole()
 {
-	if (done_)
+	if (done_ || waiting_)
 	{
 		return;
 	}
@@ -190,7 +231,7 @@
 
 void RelayMachine::onBroken(SendBreak::Enum _how)
 {
-	if (done_)
+	if (done_ || waiting_)
 	{
 		return;
 	}
@@ -206,29 +247,36 @@
 void RelayMachine::afterNotRun()
 {
 	underWay_ = false;
-	const bool again = sends_ < facts_.maxRuns + kSendsNotRun;
-	bar_ = again ? ResendBar::None : ResendBar::SendsSpent;
-	if (again && payRepeat())
+	++refused_;
+	const ErrorKind::Enum otherwise = 0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused;
+	if (0 == sendsLeft())
+	{
+		bar_ = ResendBar::SendsSpent;
+		fail(otherwise);
+		return;
+	}
+	bar_ = ResendBar::TurnedAway;
+	if (kRefusedAtOnce < refused_ && waitForPlace())
 	{
-		send(true);
 		return;
 	}
-	fail(0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused);
+	sendAgain(otherwise);
 }
 
 void RelayMachine::afterRun(ErrorKind::Enum _otherwise)
 {
 	++runs_;
 	underWay_ = false;
+	refused_ = 0;
 	const bool again = repeatable() && runs_ < facts_.maxRuns;
-	bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
-	if (again && payRepeat())
+	if (!again)
 	{
-		splitter_.continueElsewhere();
-		send(true);
+		bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
+		fail(_otherwise);
 		return;
 	}
-	fail(_otherwise);
+	splitter_.continueElsewhere();
+	sendAgain(_otherwise);
 }
 
 /// @returns true if the send under way may be followed by another while it has not failed.
@@ -237,15 +285,15 @@
 	if (!underWay_)
 	{
 		bar_ = ResendBar::SendsSpent;
-		return sends_ < facts_.maxRuns + kSendsNotRun;
+		return 0 < sendsLeft();
 	}
 	bar_ = repeatable() ? ResendBar::RunsSpent : ResendBar::NotRepeatable;
-	return repeatable() && runs_ + 1 < facts_.maxRuns && sends_ < facts_.maxRuns + kSendsNotRun;
+	return repeatable() && runs_ + 1 < facts_.maxRuns && 0 < sendsLeft();
 }
 
 bool RelayMachine::onSuspected()
 {
-	if (done_ || !mayMove())
+	if (done_ || waiting_ || !mayMove())
 	{
 		return false;
 	}
@@ -358,6 +406,7 @@
 {
 	dropKept();
 	done_ = true;
+	waiting_ = false;
 	underWay_ = false;
 }
 
--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -30,6 +30,7 @@
 		SharedTries,     //!< Few nodes of a hall look whether a store that is out answers again.
 		IdlePolls,       //!< Targets without work are asked seldom how slow they are.
 		RefusalEvidence, //!< What a target refuses for not holding it is asked of it by no other request for a while.
+		StreamWaits,     //!< A stream that has begun waits for a place at a target while its caller stays.
 
 		Count
 	};
--- /dev/null
+++ b/packages/entry/src/answerpasser.cpp
@@ -0,0 +1,115 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "answerpasser_p.h"
+
+#include "pathwatch_p.h"
+#include "relaycontext_p.h"
+#include "relayplan_p.h"
+
+#include <base/clock.h>
+#include <entry/wireformat.h>
+#include <metrics/metrics.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
+constexpr Duration kComeBack = Duration::fromMillis(250);
+
+/// Bytes that a caller may leave untaken before its stream is given up.
+constexpr std::size_t kMostBacklog = 4UL * 1024 * 1024;
+
+} // namespace
+
+AnswerPasser::AnswerPasser(const RelayContext& _context, const RelayPlan& _plan, const RelayLog& _log,
+                           std::shared_ptr<ServerConnection> _caller)
+    : context_(_context),
+      plan_(_plan),
+      log_(_log),
+      caller_(std::move(_caller))
+{
+}
+
+void AnswerPasser::passHead(const MessageHead& _head)
+{
+	AnswerStart start;
+	start.status = _head.status;
+	start.headers = context_.wire.callerHeaders(_head.headers);
+	start.framing = BodyFraming::Chunked;
+	caller_->start(start, std::string_view());
+}
+
+void AnswerPasser::passPiece(std::string_view _bytes)
+{
+	passedAt_ = context_.clock.now();
+	caller_->send(_bytes);
+	if (kMostBacklog < caller_->backlog())
+	{
+		caller_->abort();
+	}
+}
+
+void AnswerPasser::passEnd(uint16_t _status)
+{
+	context_.metrics.add(Counter::Answers);
+	log_.passedOn(_status, times_);
+	caller_->finish();
+}
+
+void AnswerPasser::passWhole(const MessageHead& _head, const std::string& _body)
+{
+	context_.metrics.add(Counter::Answers);
+	times_.firstAt = context_.clock.now();
+	log_.passedOn(_head.status, times_);
+	AnswerStart start;
+	start.status = _head.status;
+	start.headers = context_.wire.callerHeaders(_head.headers);
+	start.noBody = "HEAD" == plan_.request.head.method;
+	start.length = _body.size();
+	caller_->start(start, _body);
+	caller_->finish();
+}
+
+void AnswerPasser::refuse(const ErrorAnswer& _answer)
+{
+	AnswerStart start;
+	start.status = _answer.status;
+	start.headers = context_.wire.ownHeaders(plan_.caller.id, _answer.retry ? kComeBack : Duration{});
+	caller_->start(start, std::string_view());
+	caller_->finish();
+}
+
+void AnswerPasser::breakOff()
+{
+	context_.metrics.add(Counter::BrokenStreams);
+	caller_->abort();
+}
+
+Duration AnswerPasser::noteProgress(uint64_t _events, Time _placedAt)
+{
+	const Time now = context_.clock.now();
+	Duration pause;
+	if (0 == _events)
+	{
+		times_.firstAt = now;
+		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
+	}
+	else
+	{
+		pause = now - times_.lastAt;
+		if (!(times_.lastAt < _placedAt)) // a wait tells nothing of the pace of targets
+		{
+			context_.watch.noteGap(pause);
+		}
+		times_.longestPause = std::max(times_.longestPause, pause);
+	}
+	times_.lastAt = now;
+	return pause;
+}
+
+} // namespace sedgecart
--- a/packages/entry/src/mechanisms.cpp
+++ b/packages/entry/src/mechanisms.cpp
@@ -13,9 +13,9 @@
 {
 
 constexpr const char* kNames[Mechanism::Count] = {
-    "second-copies", "own-evidence", "path-watch",  "pace-polls",       "head-slots", "move-spread",
-    "mean-answer",   "busy-last",    "lapse-grace", "tight-halls",      "link-bound", "start-waits",
-    "hall-loads",    "shared-tries", "idle-polls",  "refusal-evidence",
+    "second-copies", "own-evidence", "path-watch",  "pace-polls",       "head-slots",   "move-spread",
+    "mean-answer",   "busy-last",    "lapse-grace", "tight-halls",      "link-bound",   "start-waits",
+    "hall-loads",    "shared-tries", "idle-polls",  "refusal-evidence", "stream-waits",
 };
 
 constexpr const char* kNothing = "none";
--- a/packages/entry/src/relaylog.cpp
+++ b/packages/entry/src/relaylog.cpp
@@ -2,6 +2,7 @@
 
 #include "relaylog_p.h"
 
+#include "placewait_p.h"
 #include "relayplan_p.h"
 #include "requestpath_p.h"
 
@@ -10,11 +11,13 @@
 namespace sedgecart
 {
 
-RelayLog::RelayLog(const ClockI& _clock, const RelayPlan& _plan, const RelayMachine& _machine, const RequestPath& _path)
+RelayLog::RelayLog(const ClockI& _clock, const RelayPlan& _plan, const RelayMachine& _machine, const RequestPath& _path,
+                   const PlaceWait& _wait)
     : clock_(_clock),
       plan_(_plan),
       machine_(_machine),
-      path_(_path)
+      path_(_path),
+      wait_(_wait)
 {
 }
 
@@ -42,6 +45,7 @@
 	          {"longest_pause_ms", std::to_string(_times.longestPause.millis())},
 	          {"events", std::to_string(machine_.events())},
 	          {"sends", std::to_string(machine_.sends())},
+	          {"waited_ms", std::to_string(wait_.length().millis())},
 	          {"held_ms", std::to_string((clock_.now() - plan_.arrivedAt).millis())}},
 	         plan_.caller.id);
 }
@@ -59,6 +63,7 @@
 	          {"service", plan_.service},
 	          {"target", headName()},
 	          {"at_fault", _atFault},
+	          {"waited_ms", std::to_string(wait_.length().millis())},
 	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
 	          {"left_ms", std::to_string((plan_.giveUpAt - now).millis())}},
 	         plan_.caller.id);
--- a/packages/entry/src/relaylog_p.h
+++ b/packages/entry/src/relaylog_p.h
@@ -13,6 +13,7 @@
 {
 
 class ClockI;
+class PlaceWait;
 class RelayMachine;
 class RequestPath;
 struct RelayPlan;
@@ -30,7 +31,8 @@
 {
 public:
 	/// All must outlive it.
-	RelayLog(const ClockI& _clock, const RelayPlan& _plan, const RelayMachine& _machine, const RequestPath& _path);
+	RelayLog(const ClockI& _clock, const RelayPlan& _plan, const RelayMachine& _machine, const RequestPath& _path,
+	         const PlaceWait& _wait);
 
 	/// Tells where the request goes and what decided it.
 	void sent(bool _resumes) const;
@@ -50,6 +52,7 @@
 	const RelayPlan& plan_;
 	const RelayMachine& machine_;
 	const RequestPath& path_;
+	const PlaceWait& wait_;
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/requestpath.cpp
+++ b/packages/entry/src/requestpath.cpp
@@ -8,6 +8,7 @@
 #include <core/linkuse.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -259,14 +260,39 @@
 
 void RequestPath::passOver(const FleetTarget& _target)
 {
+	full_.erase(_target.record.life());
 	failed_.insert(_target.record.life());
 }
 
+/// What failed it for another reason stays passed over.
+void RequestPath::passOverUntil(const FleetTarget& _target, Time _until)
+{
+	const bool isNew = failed_.insert(_target.record.life()).second;
+	if (isNew)
+	{
+		full_[_target.record.life()] = _until;
+	}
+}
+
 void RequestPath::forgive(const FleetTarget& _target)
 {
 	failed_.erase(_target.record.life());
 }
 
+void RequestPath::forgiveFull()
+{
+	const Time now = context_.clock.now();
+	for (auto row = full_.begin(); full_.end() != row;)
+	{
+		const bool isOver = row->second < now;
+		if (isOver)
+		{
+			failed_.erase(row->first);
+		}
+		row = isOver ? full_.erase(row) : std::next(row);
+	}
+}
+
 double RequestPath::tightestRoom() const
 {
 	constexpr bool kMoves = false;
--- a/packages/entry/src/requestpath_p.h
+++ b/packages/entry/src/requestpath_p.h
@@ -12,6 +12,7 @@
 #include <entry/pathstop.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -97,9 +98,16 @@
 	/// The target is not chosen again for this request.
 	void passOver(const FleetTarget& _target);
 
+	/// The same for a target that turned the request away, and may have room later: it is chosen again if it is
+	/// forgiven after that moment.
+	void passOverUntil(const FleetTarget& _target, Time _until);
+
 	/// The target may be chosen again.
 	void forgive(const FleetTarget& _target);
 
+	/// Targets that were passed over until now may be chosen again.
+	void forgiveFull();
+
 	/// @returns entry nodes that share the targets, as of the last choice.
 	uint32_t nodes() const
 	{
@@ -138,9 +146,10 @@
 	const RelayContext& context_;
 	const RelayPlan& plan_;
 	Place place_;
-	std::unique_ptr<LoadHold> hold_; //!< Null while the request counts nowhere.
-	std::unique_ptr<Kept> kept_;     //!< Null if it is nowhere else.
-	std::set<TargetLife> failed_;    //!< Targets that failed this request.
+	std::unique_ptr<LoadHold> hold_;  //!< Null while the request counts nowhere.
+	std::unique_ptr<Kept> kept_;      //!< Null if it is nowhere else.
+	std::set<TargetLife> failed_;     //!< Targets that failed this request.
+	std::map<TargetLife, Time> full_; //!< Those of them that only turned it away, and until when to pass them over.
 };
 
 } // namespace sedgecart
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -25,18 +25,6 @@
 /// only after a second, and another target costs less than that wait.
 constexpr Duration kConnectBound = Duration::fromMillis(150);
 
-/// How long a target that failed is passed over where there is another.
-constexpr Duration kAvoidedFor = Duration::fromMillis(1500);
-
-/// The same for one that turned a request away: it is full, drains or gives layers up. Some requests end meanwhile.
-constexpr Duration kFullFor = Duration::fromMillis(200);
-
-/// When a caller that was refused is to come back: about a request's time at a target, so that room may be free again.
-constexpr Duration kComeBack = Duration::fromMillis(250);
-
-/// Bytes that a caller may leave untaken before its stream is given up.
-constexpr std::size_t kMostBacklog = 4UL * 1024 * 1024;
-
 /// Other paths that one send may try before it is given up.
 constexpr uint32_t kMostRepaths = 3;
 
@@ -56,12 +44,14 @@
                            std::function<void()> _onDone)
     : context_(_context),
       plan_(std::move(_plan)),
-      caller_(std::move(_caller)),
       onDone_(std::move(_onDone)),
       machine_(plan_.facts, *this),
       timer_(_context.loop),
       path_(context_, plan_),
-      log_(context_.clock, plan_, machine_, path_)
+      wait_(context_, plan_),
+      log_(context_.clock, plan_, machine_, path_, wait_),
+      passer_(context_, plan_, log_, std::move(_caller)),
+      blame_(context_, path_, log_)
 {
 }
 
@@ -216,41 +206,22 @@
 
 void RequestRelay::passHead()
 {
-	AnswerStart start;
-	start.status = send_->head.status;
-	start.headers = context_.wire.callerHeaders(send_->head.headers);
-	start.framing = BodyFraming::Chunked;
-	caller_->start(start, std::string_view());
+	passer_.passHead(send_->head);
 }
 
 void RequestRelay::passBody(std::string_view _bytes)
 {
-	caller_->send(_bytes);
-	if (kMostBacklog < caller_->backlog())
-	{
-		caller_->abort();
-	}
+	passer_.passPiece(_bytes);
 }
 
 void RequestRelay::passEnd()
 {
-	context_.metrics.add(Counter::Answers);
-	log_.passedOn(send_->head.status, times_);
-	caller_->finish();
+	passer_.passEnd(send_->head.status);
 }
 
 void RequestRelay::passWhole()
 {
-	context_.metrics.add(Counter::Answers);
-	times_.firstAt = context_.clock.now();
-	log_.passedOn(send_->head.status, times_);
-	AnswerStart start;
-	start.status = send_->head.status;
-	start.headers = context_.wire.callerHeaders(send_->head.headers);
-	start.noBody = "HEAD" == plan_.request.head.method;
-	start.length = send_->body.size();
-	caller_->start(start, send_->body);
-	caller_->finish();
+	passer_.passWhole(send_->head, send_->body);
 }
 
 void RequestRelay::refuse(ErrorKind::Enum _kind)
@@ -258,23 +229,44 @@
 	const ErrorAnswer& answer = answerOf(_kind);
 	context_.metrics.addError(_kind);
 	logOutcome("Request is refused.", LogLevel::Info, answer.name);
-	AnswerStart start;
-	start.status = answer.status;
-	start.headers = context_.wire.ownHeaders(plan_.caller.id, answer.retry ? kComeBack : Duration{});
-	caller_->start(start, std::string_view());
-	caller_->finish();
+	passer_.refuse(answer);
 }
 
 void RequestRelay::breakOff()
 {
-	context_.metrics.add(Counter::BrokenStreams);
 	logOutcome("Stream is broken off.", LogLevel::Warning, nameOf(machine_.lastBreak()));
-	caller_->abort();
+	passer_.breakOff();
 }
 
 bool RequestRelay::waitForPlace()
 {
-	return false;
+	path_.release();
+	const bool isFirst = !wait_.open();
+	const std::weak_ptr<RequestRelay> weak = weak_from_this();
+	const auto look = [weak]
+	{
+		const std::shared_ptr<RequestRelay> self = weak.lock();
+		if (self)
+		{
+			self->onPlaceMayBeFree();
+		}
+	};
+	const bool waits = ResendBar::TurnedAway == machine_.bar()
+	                       ? wait_.pauseTurnedAway(passer_.passedAt(), machine_.sendsLeft(), look)
+	                       : wait_.pause(passer_.passedAt(), look);
+	if (waits && isFirst)
+	{
+		context_.metrics.add(Counter::StreamWaits);
+		logOutcome("Stream waits for a place.", LogLevel::Info, nameOf(machine_.bar()));
+	}
+	return waits;
+}
+
+void RequestRelay::onPlaceMayBeFree()
+{
+	path_.forgiveFull();
+	machine_.onPlaceMayBeFree();
+	finishIfDone();
 }
 
 void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
@@ -307,10 +299,21 @@
 	if (_send.sound && takes)
 	{
 		machine_.onHead(RelayHead{_send.head.status, _send.answer.notRun});
+		notePlaced();
 	}
 	return HeadVerdict::Take;
 }
 
+/// A wait for a place ends once a target goes on with the stream.
+void RequestRelay::notePlaced()
+{
+	if (wait_.open() && machine_.passing())
+	{
+		wait_.onPlaced();
+		context_.metrics.add(Counter::StreamPlaces);
+	}
+}
+
 void RequestRelay::onBody(RelaySend& _send, std::string_view _bytes)
 {
 	const bool good = _send.sound && isSuccess(_send.head.status);
@@ -337,28 +340,12 @@
 /// Remembers that bytes came, and tells of a pause that makes the stream late.
 void RequestRelay::noteProgress()
 {
-	const Time now = context_.clock.now();
-	if (0 == machine_.events())
-	{
-		times_.firstAt = now;
-		context_.metrics.observe(Timing::FirstToken, now - plan_.arrivedAt);
-	}
-	else
-	{
-		notePause(now - times_.lastAt);
-	}
-	times_.lastAt = now;
-	send_->progressAt = now;
-}
-
-void RequestRelay::notePause(Duration _pause)
-{
-	context_.watch.noteGap(_pause);
-	times_.longestPause = std::max(times_.longestPause, _pause);
-	if (0 < plan_.pauseObjective.micros && plan_.pauseObjective < _pause)
+	const Duration pause = passer_.noteProgress(machine_.events(), wait_.placedAt());
+	send_->progressAt = context_.clock.now();
+	if (0 < plan_.pauseObjective.micros && plan_.pauseObjective < pause)
 	{
-		context_.metrics.observe(Timing::Pause, _pause);
-		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string(_pause.millis()) + " ms");
+		context_.metrics.observe(Timing::Pause, pause);
+		logOutcome("Stream paused for too long.", LogLevel::Info, std::to_string(pause.millis()) + " ms");
 	}
 }
 
@@ -374,7 +361,7 @@
 	context_.pool.giveBack(path_.head().record, _send.takeConnection());
 	if (_send.answer.notRun)
 	{
-		avoidAtFault();
+		blame_.avoid(_send.answer);
 	}
 	else if (kFirstServerError <= _send.head.status)
 	{
@@ -399,14 +386,14 @@
 		return;
 	}
 	path_.release();
-	avoidAtFault();
+	blame_.avoid(_send.answer);
 	machine_.onBroken(isUnsent(_how) ? SendBreak::NotSent : SendBreak::Broken);
 	finishIfDone();
 }
 
 std::vector<const FleetTarget*> RequestRelay::pathTargets() const
 {
-	const bool watched = !machine_.done() && send_ && path_.hasEngine() && !send_->repathing;
+	const bool watched = !machine_.done() && !machine_.waiting() && send_ && path_.hasEngine() && !send_->repathing;
 	return watched ? path_.targets() : std::vector<const FleetTarget*>();
 }
 
@@ -422,7 +409,7 @@
 
 void RequestRelay::onTargetDead(const FleetTarget& _target)
 {
-	if (machine_.done() || !send_)
+	if (machine_.done() || machine_.waiting() || !send_)
 	{
 		return;
 	}
@@ -464,7 +451,8 @@
 	    [weak, other, send, suspect = _suspect](RepathState::Enum _state, const std::string& _atFault)
 	    {
 		    const std::shared_ptr<RequestRelay> self = weak.lock();
-		    if (self && !self->machine_.done() && self->send_ == send.lock())
+		    const bool goesOn = self && !self->machine_.done() && !self->machine_.waiting();
+		    if (goesOn && self->send_ == send.lock())
 		    {
 			    self->onRepathed(suspect, other, _state, _atFault);
 		    }
@@ -497,36 +485,6 @@
 	move(_suspect);
 }
 
-/// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
-void RequestRelay::avoidAtFault()
-{
-	const FleetTarget* const named = RequestPath::findByAddress(path_.place(), send_->answer.atFault);
-	const FleetTarget& failed = nullptr == named ? path_.head() : *named;
-	path_.passOver(failed);
-	const Duration span = send_->answer.notRun ? kFullFor : kAvoidedFor;
-	failed.load->avoidedUntil.store((context_.clock.now() + span).micros, std::memory_order_relaxed);
-	logOutcome("Target failed a request.", LogLevel::Info, failed.record.instance.text);
-	if (send_->answer.notHeld && (nullptr != named || send_->answer.atFault.empty()))
-	{
-		noteNotHeld(failed);
-	}
-}
-
-/// The target's own word that its record is not true: no other request has to be refused to find that out.
-void RequestRelay::noteNotHeld(const FleetTarget& _failed)
-{
-	const Time now = context_.clock.now();
-	if (!context_.mechanisms.on(Mechanism::RefusalEvidence))
-	{
-		return;
-	}
-	if (!_failed.load->lacks(_failed.record.layers, now))
-	{
-		logOutcome("Target does not hold what its record shows.", LogLevel::Warning, _failed.record.instance.text);
-	}
-	_failed.load->noteNotHeld(_failed.record.layers, now + kNotHeldFor);
-}
-
 void RequestRelay::finishIfDone()
 {
 	if (!machine_.done() || !onDone_)
@@ -534,6 +492,7 @@
 		return;
 	}
 	timer_.cancel();
+	wait_.cancel();
 	context_.metrics.observe(Timing::Request, context_.clock.now() - plan_.arrivedAt);
 	const std::function<void()> call = std::move(onDone_);
 	onDone_ = nullptr;
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -3,12 +3,15 @@
 #ifndef SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 
+#include "answerpasser_p.h"
 #include "pathwatch_p.h"
+#include "placewait_p.h"
 #include "relaycontext_p.h"
 #include "relaylog_p.h"
 #include "relayplan_p.h"
 #include "relaysend_p.h"
 #include "requestpath_p.h"
+#include "targetblame_p.h"
 
 #include <aio/clientconnection.h>
 #include <aio/serverconnection.h>
@@ -78,25 +81,25 @@
 	void onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
 	                const std::string& _atFault);
 	void noteProgress();
-	void notePause(Duration _pause);
+	void notePlaced();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
-	void avoidAtFault();
-	void noteNotHeld(const FleetTarget& _failed);
+	void onPlaceMayBeFree();
 	void startTimer();
 	void finishIfDone();
 	void logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const;
 
 	RelayContext context_;
 	RelayPlan plan_;
-	std::shared_ptr<ServerConnection> caller_;
 	std::function<void()> onDone_;
 	RelayMachine machine_;
 	boost::asio::steady_timer timer_;
 	RequestPath path_;
+	PlaceWait wait_;
 	RelayLog log_;
+	AnswerPasser passer_;
+	TargetBlame blame_;
 	std::shared_ptr<RelaySend> send_; //!< Under way, or the last one.
 	std::shared_ptr<RelaySend> kept_; //!< Suspected to be dead, until the one under way brings something.
-	AnswerTimes times_;
 };
 
 } // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/targetblame.cpp
@@ -0,0 +1,63 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "targetblame_p.h"
+
+#include "relaylog_p.h"
+#include "requestpath_p.h"
+
+#include <base/clock.h>
+#include <entry/mechanisms.h>
+#include <entry/wireformat.h>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+/// How long a target that failed is passed over where there is another.
+constexpr Duration kAvoidedFor = Duration::fromMillis(1500);
+
+/// The same for one that turned a request away: it is full, drains or gives layers up. Some requests end meanwhile.
+constexpr Duration kFullFor = Duration::fromMillis(200);
+
+} // namespace
+
+TargetBlame::TargetBlame(const RelayContext& _context, RequestPath& _path, const RelayLog& _log)
+    : context_(_context),
+      path_(_path),
+      log_(_log)
+{
+}
+
+void TargetBlame::avoid(const TargetAnswer& _answer)
+{
+	const FleetTarget* const named = RequestPath::findByAddress(path_.place(), _answer.atFault);
+	const FleetTarget& failed = nullptr == named ? path_.head() : *named;
+	const Time until = context_.clock.now() + (_answer.notRun ? kFullFor : kAvoidedFor);
+	_answer.notRun ? path_.passOverUntil(failed, until) : path_.passOver(failed);
+	failed.load->avoidedUntil.store(until.micros, std::memory_order_relaxed);
+	log_.outcome("Target failed a request.", LogLevel::Info, failed.record.instance.text, _answer.atFault);
+	if (_answer.notHeld && (nullptr != named || _answer.atFault.empty()))
+	{
+		noteNotHeld(failed, _answer.atFault);
+	}
+}
+
+/// The target's own word that its record is not true: no other request has to be refused to find that out.
+void TargetBlame::noteNotHeld(const FleetTarget& _failed, const std::string& _atFault)
+{
+	const Time now = context_.clock.now();
+	if (!context_.mechanisms.on(Mechanism::RefusalEvidence))
+	{
+		return;
+	}
+	if (!_failed.load->lacks(_failed.record.layers, now))
+	{
+		const std::string& name = _failed.record.instance.text;
+		log_.outcome("Target does not hold what its record shows.", LogLevel::Warning, name, _atFault);
+	}
+	_failed.load->noteNotHeld(_failed.record.layers, now + kNotHeldFor);
+}
+
+} // namespace sedgecart
--- /dev/null
+++ b/packages/entry/src/targetblame_p.h
@@ -0,0 +1,40 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
+#define SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
+
+#include "relaycontext_p.h"
+
+#include <logging/logging.h>
+
+#include <string>
+
+namespace sedgecart
+{
+
+class RelayLog;
+class RequestPath;
+struct FleetTarget;
+struct TargetAnswer;
+
+/// Finds the target that failed one request, and has it passed over. Loop thread only.
+class TargetBlame
+{
+public:
+	/// All must outlive it.
+	TargetBlame(const RelayContext& _context, RequestPath& _path, const RelayLog& _log);
+
+	/// Passes over, for this request and for a moment for others, the target that the answer names, or else the first.
+	void avoid(const TargetAnswer& _answer);
+
+private:
+	void noteNotHeld(const FleetTarget& _failed, const std::string& _atFault);
+
+	const RelayContext& context_;
+	RequestPath& path_;
+	const RelayLog& log_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -41,6 +41,8 @@
 		PathChanges,    //!< Requests that went on over another path.
 		DeadTargets,    //!< Targets taken as dead when a path was silent.
 		SurplusAnswers, //!< Answers that belonged to another request.
+		StreamWaits,    //!< Waits of streams that had begun and found no place.
+		StreamPlaces,   //!< Such waits that ended at a target that went on with the stream.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -16,10 +16,10 @@
 {
 
 constexpr const char* kCounterNames[] = {
-    "requests",        "tokens",          "resumes",       "retries",         "foreign_events",
-    "repeated_events", "broken_attempts", "claim_appends", "claims",          "callers_gone",
-    "turned_away",     "placements",      "moves",         "sends",           "answers",
-    "broken_streams",  "path_changes",    "dead_targets",  "surplus_answers",
+    "requests",        "tokens",        "resumes",       "retries",        "foreign_events", "repeated_events",
+    "broken_attempts", "claim_appends", "claims",        "callers_gone",   "turned_away",    "placements",
+    "moves",           "sends",         "answers",       "broken_streams", "path_changes",   "dead_targets",
+    "surplus_answers", "stream_waits",  "stream_places",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
