--- a/tests/entry/placewaitproof.cpp
+++ b/tests/entry/placewaitproof.cpp
@@ -165,6 +165,8 @@
 	CPPUNIT_TEST(goesOnWhenATargetComes);
 	CPPUNIT_TEST(goesOnWhenASlotIsFree);
 	CPPUNIT_TEST(isBrokenOffBeforeItsCallerLeaves);
+	CPPUNIT_TEST(waitCountsFromTheLastEvent);
+	CPPUNIT_TEST(isBrokenOffAtOnceWhenSwitchedOff);
 	CPPUNIT_TEST(endsWithItsCaller);
 	CPPUNIT_TEST(whatHasNotBegunIsRefusedAtOnce);
 	CPPUNIT_TEST_SUITE_END();
@@ -241,6 +243,62 @@
 		CPPUNIT_ASSERT_EQUAL(1U, scene.sends());
 	}
 
+	/// The stream is cut some time after its last event: its caller has waited by then.
+	void waitCountsFromTheLastEvent()
+	{
+		EntryHarness harness;
+		std::shared_ptr<ServerConnection> held;
+		FakeTarget& target =
+		    harness.addEngine(LayerSpan{0, 8},
+		                      [&held](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		                      {
+			                      if ("/stream/" != _request.head.target)
+			                      {
+				                      answerWhole(*_caller, _request, 200, "{}");
+				                      return;
+			                      }
+			                      startStream(*_caller, _request, 0, 0);
+			                      held = _caller;
+		                      });
+		harness.start();
+		TestCaller caller(harness.callerAddress());
+		caller.send(textOf(stream("id1")));
+		caller.receiveUntil(eventText(0));
+		std::this_thread::sleep_for(kNoPlaceFor);
+		target.post(
+		    [&held]
+		    {
+			    held->send(eventText(1));
+		    });
+		caller.receiveUntil(eventText(1));
+		const Clock::time_point from = Clock::now();
+		std::this_thread::sleep_for(kNoPlaceFor);
+		target.post(
+		    [&held]
+		    {
+			    held->abort();
+		    });
+		const CallerAnswer answer = caller.receive();
+		const Clock::duration waited = Clock::now() - from;
+		CPPUNIT_ASSERT(!answer.whole);
+		CPPUNIT_ASSERT(kLeastWait < waited);
+		CPPUNIT_ASSERT(waited < kCallersWait);
+	}
+
+	void isBrokenOffAtOnceWhenSwitchedOff()
+	{
+		EntryHarness harness;
+		std::string unknown;
+		CPPUNIT_ASSERT(harness.settings().mechanisms.setOff("stream-waits", unknown));
+		CutScene scene;
+		scene.addTo(harness);
+		harness.start();
+		const Clock::time_point from = Clock::now();
+		const CallerAnswer answer = harness.call(stream("id1"));
+		CPPUNIT_ASSERT(!answer.whole);
+		CPPUNIT_ASSERT(Clock::now() - from < kLeastWait);
+	}
+
 	/// The caller leaves while the stream waits: nobody is sent it again, also once there is a place.
 	void endsWithItsCaller()
 	{
