RequestRelay: the change of a path is a class of its own

PathChange asks a first target to go on over other parts; the relay only says whether the send is still under way, and moves when that fails.

--- /dev/null
+++ b/packages/entry/src/pathchange.cpp
@@ -0,0 +1,79 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "pathchange_p.h"
+
+#include "relaylog_p.h"
+#include "relayplan_p.h"
+#include "relaysend_p.h"
+
+#include <base/clock.h>
+#include <metrics/metrics.h>
+
+namespace sedgecart
+{
+
+PathChange::PathChange(const RelayContext& _context, const RelayPlan& _plan, RequestPath& _path, const RelayLog& _log)
+    : context_(_context),
+      plan_(_plan),
+      path_(_path),
+      log_(_log)
+{
+}
+
+bool PathChange::begin(const std::shared_ptr<RelaySend>& _send, const IsUnderWay& _isUnderWay,
+                       const OnFailed& _onFailed)
+{
+	RequestPath::Place other;
+	if (0 == _send->repathsLeft || !path_.chooseRest(other))
+	{
+		return false;
+	}
+	--_send->repathsLeft;
+	_send->repathing = true;
+	const std::weak_ptr<RelaySend> send = _send;
+	context_.orders.repath(
+	    path_.head().record.address, plan_.caller.id, RequestPath::stopsOf(other),
+	    [this, send, other, _isUnderWay, _onFailed](RepathState::Enum _state, const std::string& _atFault)
+	    {
+		    if (!_isUnderWay())
+		    {
+			    return;
+		    }
+		    const std::shared_ptr<RelaySend> current = send.lock();
+		    onAnswer(*current, other, _state);
+		    const bool again = mayTryOthers(other, _state, _atFault) && begin(current, _isUnderWay, _onFailed);
+		    if (RepathState::Moved != _state && !again)
+		    {
+			    _onFailed();
+		    }
+	    });
+	return true;
+}
+
+void PathChange::onAnswer(RelaySend& _send, const RequestPath::Place& _place, RepathState::Enum _state)
+{
+	_send.repathing = false;
+	log_.outcome("Request changes its path.", LogLevel::Info, nameOf(_state), _send.answer.atFault);
+	if (RepathState::Moved == _state)
+	{
+		context_.metrics.add(Counter::PathChanges);
+		path_.changeTo(_place);
+		_send.progressAt = context_.clock.now();
+	}
+}
+
+/// Passes over the part that its holder is said to lack.
+/// @returns true if one of the parts is missing.
+bool PathChange::mayTryOthers(const RequestPath::Place& _place, RepathState::Enum _state, const std::string& _atFault)
+{
+	const FleetTarget* const missing =
+	    RepathState::NoPart == _state ? RequestPath::findByAddress(_place, _atFault) : nullptr;
+	if (nullptr == missing)
+	{
+		return false;
+	}
+	path_.passOver(*missing);
+	return true;
+}
+
+} // namespace sedgecart
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -51,7 +51,8 @@
       wait_(context_, plan_),
       log_(context_.clock, plan_, machine_, path_, wait_),
       passer_(context_, plan_, log_, std::move(_caller)),
-      blame_(context_, path_, log_)
+      blame_(context_, path_, log_),
+      pathChange_(context_, plan_, path_, log_)
 {
 }
 
@@ -415,7 +416,7 @@
 	}
 	path_.passOver(_target);
 	const bool isHead = path_.head().load == _target.load;
-	if (isHead || !repath(_target))
+	if (isHead || !changePath(_target))
 	{
 		move(_target);
 	}
@@ -433,56 +434,22 @@
 	logOutcome("Request stays with a silent target.", LogLevel::Info, nameOf(machine_.bar()));
 }
 
-/// Asks the first target to go on over other parts.
-/// @returns false if there are none, or too many were tried.
-bool RequestRelay::repath(const FleetTarget& _suspect)
+/// @returns false if there is no other way around the target.
+bool RequestRelay::changePath(const FleetTarget& _suspect)
 {
-	RequestPath::Place other;
-	if (0 == send_->repathsLeft || !path_.chooseRest(other))
-	{
-		return false;
-	}
-	--send_->repathsLeft;
-	send_->repathing = true;
 	const std::weak_ptr<RequestRelay> weak = weak_from_this();
 	const std::weak_ptr<RelaySend> send = send_;
-	context_.orders.repath(
-	    path_.head().record.address, plan_.caller.id, RequestPath::stopsOf(other),
-	    [weak, other, send, suspect = _suspect](RepathState::Enum _state, const std::string& _atFault)
-	    {
-		    const std::shared_ptr<RequestRelay> self = weak.lock();
-		    const bool goesOn = self && !self->machine_.done() && !self->machine_.waiting();
-		    if (goesOn && self->send_ == send.lock())
-		    {
-			    self->onRepathed(suspect, other, _state, _atFault);
-		    }
-	    });
-	return true;
-}
-
-void RequestRelay::onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
-                              const std::string& _atFault)
-{
-	send_->repathing = false;
-	logOutcome("Request changes its path.", LogLevel::Info, nameOf(_state));
-	if (RepathState::Moved == _state)
+	const auto isUnderWay = [weak, send]
 	{
-		context_.metrics.add(Counter::PathChanges);
-		path_.changeTo(_place);
-		send_->progressAt = context_.clock.now();
-		return;
-	}
-	const FleetTarget* const missing =
-	    RepathState::NoPart == _state ? RequestPath::findByAddress(_place, _atFault) : nullptr;
-	if (nullptr != missing)
+		const std::shared_ptr<RequestRelay> self = weak.lock();
+		const bool goesOn = self && !self->machine_.done() && !self->machine_.waiting();
+		return goesOn && self->send_ == send.lock();
+	};
+	const auto onFailed = [weak, suspect = _suspect]
 	{
-		path_.passOver(*missing);
-		if (repath(_suspect))
-		{
-			return;
-		}
-	}
-	move(_suspect);
+		weak.lock()->move(suspect);
+	};
+	return pathChange_.begin(send_, isUnderWay, onFailed);
 }
 
 void RequestRelay::finishIfDone()
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -4,6 +4,7 @@
 #define SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 
 #include "answerpasser_p.h"
+#include "pathchange_p.h"
 #include "pathwatch_p.h"
 #include "placewait_p.h"
 #include "relaycontext_p.h"
@@ -77,9 +78,7 @@
 	void startSend(std::optional<uint64_t> _resumeAfter);
 	void retire(std::shared_ptr<RelaySend>&& _send);
 	void move(const FleetTarget& _suspect);
-	bool repath(const FleetTarget& _suspect);
-	void onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
-	                const std::string& _atFault);
+	bool changePath(const FleetTarget& _suspect);
 	void noteProgress();
 	void notePlaced();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
@@ -98,6 +97,7 @@
 	RelayLog log_;
 	AnswerPasser passer_;
 	TargetBlame blame_;
+	PathChange pathChange_;
 	std::shared_ptr<RelaySend> send_; //!< Under way, or the last one.
 	std::shared_ptr<RelaySend> kept_; //!< Suspected to be dead, until the one under way brings something.
 };
