--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/entry/include/entry/mechanisms.h
@@ -33,6 +33,7 @@
 		MakeBeforeBreak, //!< Layout orders leave running requests their memory and every layer a holder.
 		StopPace,        //!< What comes during a stop is let in by the time that answers took of late.
 		OrderLives,      //!< An order to hold layers counts by what is known of it, not for a fixed time.
+		StreamWaits,     //!< A stream that has begun waits for a place at a target while its caller stays.
 
 		Count
 	};
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/entry/src/requestrelay_p.h
@@ -3,12 +3,16 @@
 #ifndef SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
 
+#include "answerpasser_p.h"
+#include "pathchange_p.h"
 #include "pathwatch_p.h"
+#include "placewait_p.h"
 #include "relaycontext_p.h"
 #include "relaylog_p.h"
 #include "relayplan_p.h"
 #include "relaysend_p.h"
 #include "requestpath_p.h"
+#include "targetblame_p.h"
 
 #include <aio/clientconnection.h>
 #include <aio/serverconnection.h>
@@ -56,6 +60,7 @@
 	void passWhole() override;
 	void refuse(ErrorKind::Enum _kind) override;
 	void breakOff() override;
+	bool waitForPlace() override;
 
 	void onSent(const RelaySend& _send);
 	HeadVerdict::Enum onHead(RelaySend& _send, MessageHead& _head);
@@ -79,15 +84,13 @@
 	void startSend(std::optional<uint64_t> _resumeAfter);
 	void retire(std::shared_ptr<RelaySend>&& _send);
 	void move(const FleetTarget& _suspect);
-	bool repath(const FleetTarget& _suspect);
-	void onRepathed(const FleetTarget& _suspect, const RequestPath::Place& _place, RepathState::Enum _state,
-	                const std::string& _atFault);
+	bool changePath(const FleetTarget& _suspect);
 	void noteProgress();
-	void notePause(Duration _pause);
 	void noteCall();
+	void notePlaced();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
-	void avoidAtFault();
-	void noteNotHeld(const FleetTarget& _failed);
+	void onPlaceMayBeFree();
+	bool staysOn(const FleetTarget& _suspect);
 	void giveCallerUp();
 	void startTimer();
 	void finishIfDone();
@@ -95,15 +98,17 @@
 
 	RelayContext context_;
 	RelayPlan plan_;
-	std::shared_ptr<ServerConnection> caller_;
 	std::function<void()> onDone_;
 	RelayMachine machine_;
 	boost::asio::steady_timer timer_;
 	RequestPath path_;
+	PlaceWait wait_;
 	RelayLog log_;
+	AnswerPasser passer_;
+	TargetBlame blame_;
+	PathChange pathChange_;
 	std::shared_ptr<RelaySend> send_; //!< Under way, or the last one.
 	std::shared_ptr<RelaySend> kept_; //!< Suspected to be dead, until the one under way brings something.
-	AnswerTimes times_;
 	StreamMark mark_;
 };
 
--- a/packages/entry/tests/suspicioncosttest.cpp
+++ b/packages/entry/tests/suspicioncosttest.cpp
@@ -370,6 +370,10 @@
 	{
 		++failures_;
 	}
+	bool waitForPlace() override
+	{
+		return false;
+	}
 
 private:
 	static RelayFacts facts()
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -50,6 +50,8 @@
 		OrdersUnanswered, //!< No answer came.
 		OrdersShown,      //!< The registry shows the layers.
 		OrdersGivenUp,    //!< Not counted on any more, though nothing shows what became of them.
+		StreamWaits,      //!< Waits of streams that had begun and found no place.
+		StreamPlaces,     //!< Such waits that ended at a target that went on with the stream.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -21,7 +21,7 @@
     "turned_away",       "placements",      "moves",           "sends",           "answers",
     "broken_streams",    "path_changes",    "dead_targets",    "surplus_answers", "layer_losses",
     "orders_sent",       "orders_known",    "orders_begun",    "orders_held",     "orders_refused",
-    "orders_unanswered", "orders_shown",    "orders_given_up",
+    "orders_unanswered", "orders_shown",    "orders_given_up", "stream_waits",    "stream_places",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
