--- a/tests/entry/placewaitproof.cpp
+++ b/tests/entry/placewaitproof.cpp
@@ -198,6 +198,7 @@
 		std::this_thread::sleep_for(kNoPlaceFor);
 		scene.addTo(harness);
 		endsWhole(caller, scene);
+		CPPUNIT_ASSERT(counts(harness, 1, 1));
 	}
 
 	/// Each slot of the other target is taken; streams there end.
@@ -241,6 +242,7 @@
 		CPPUNIT_ASSERT(kLeastWait < waited);
 		CPPUNIT_ASSERT(waited < kCallersWait);
 		CPPUNIT_ASSERT_EQUAL(1U, scene.sends());
+		CPPUNIT_ASSERT(counts(harness, 1, 0));
 	}
 
 	/// The stream is cut some time after its last event: its caller has waited by then.
@@ -297,6 +299,7 @@
 		const CallerAnswer answer = harness.call(stream("id1"));
 		CPPUNIT_ASSERT(!answer.whole);
 		CPPUNIT_ASSERT(Clock::now() - from < kLeastWait);
+		CPPUNIT_ASSERT(counts(harness, 0, 0));
 	}
 
 	/// The caller leaves while the stream waits: nobody is sent it again, also once there is a place.
@@ -335,6 +338,17 @@
 	}
 
 private:
+	/// @returns true if the node has counted so many waits, and so many that ended at a target.
+	static bool counts(EntryHarness& _harness, int _waits, int _places)
+	{
+		TestCaller asker(_harness.settings().readyAddress);
+		asker.send("GET /metrics HTTP/1.1\r\nHost: n1\r\n\r\n");
+		const std::string metrics = asker.receive().body;
+		const std::string waits = "sedgecart_stream_waits_total " + std::to_string(_waits) + '\n';
+		const std::string places = "sedgecart_stream_places_total " + std::to_string(_places) + '\n';
+		return std::string::npos != metrics.find(waits) && std::string::npos != metrics.find(places);
+	}
+
 	static void endsWhole(TestCaller& _caller, const CutScene& _scene)
 	{
 		const CallerAnswer answer = _caller.receive();
