A stop reckons with events, not tokens, as lately seen

Cause: needed time was the bound in tokens times the time for an event. Where an event holds two tokens every stream of a usual bound was refused during a stop: needed_ms 20,000 to 33,000 beside left_ms 7,000. Change: events for each token of the bound, at most, as whole streams lately had them.

--- a/packages/core/include/core/answerpace.h
+++ b/packages/core/include/core/answerpace.h
@@ -5,6 +5,7 @@
 
 #include <base/desiredstate.h>
 #include <base/units.h>
+#include <core/recentmost.h>
 #include <core/recentspans.h>
 
 #include <cstdint>
@@ -37,7 +38,8 @@
 	void noteEvents(StreamMark& _mark, uint64_t _events, Time _now);
 
 	/// A stream is complete: one that was too short to tell its pace does so now.
-	void noteEnd(StreamMark& _mark, uint64_t _events, Time _now);
+	/// @param _mostTokens upper bound of its answer; 0 if it was not known.
+	void noteEnd(StreamMark& _mark, uint64_t _events, uint32_t _mostTokens, Time _now);
 
 	/// @param _mostTokens upper bound of a stream's answer; 0 if it is not known.
 	/// @returns how long a request that comes now may take.
@@ -45,10 +47,12 @@
 
 private:
 	void notePace(StreamMark& _mark, uint64_t _events, Time _now);
+	uint64_t mostEvents(uint32_t _mostTokens) const;
 
 	RecentSpans calls_;
-	RecentSpans firstEvents_; //!< From a stream's arrival on.
-	RecentSpans gaps_;        //!< Mean time for an event, of parts of streams.
+	RecentSpans firstEvents_;   //!< From a stream's arrival on.
+	RecentSpans gaps_;          //!< Mean time for an event, of parts of streams.
+	RecentMost eventsPerToken_; //!< Events of whole streams for each token of their bounds.
 };
 
 } // namespace sedgecart
--- /dev/null
+++ b/packages/core/include/core/recentmost.h
@@ -0,0 +1,37 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_CORE_RECENTMOST_H_HEADER_GUARD
+#define SEDGECART_CORE_RECENTMOST_H_HEADER_GUARD
+
+#include <cstdint>
+
+namespace sedgecart
+{
+
+/// The largest of the newest observed values: of the last full group of them and of the one that fills.
+class RecentMost
+{
+public:
+	void add(double _value);
+
+	/// @returns true once a group has been filled.
+	bool enough() const
+	{
+		return 0 < groups_;
+	}
+
+	double most() const;
+
+	/// Values of a group: fewer may all be of one kind of request.
+	static constexpr uint32_t kGroup = 128;
+
+private:
+	double current_ = 0;
+	double last_ = 0;
+	uint32_t count_ = 0; //!< Values in the group that fills.
+	uint32_t groups_ = 0;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_CORE_RECENTMOST_H_HEADER_GUARD
--- a/packages/core/src/answerpace.cpp
+++ b/packages/core/src/answerpace.cpp
@@ -3,6 +3,7 @@
 #include <core/answerpace.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace sedgecart
 {
@@ -58,8 +59,12 @@
 	}
 }
 
-void AnswerPace::noteEnd(StreamMark& _mark, uint64_t _events, Time _now)
+void AnswerPace::noteEnd(StreamMark& _mark, uint64_t _events, uint32_t _mostTokens, Time _now)
 {
+	if (0 < _mostTokens)
+	{
+		eventsPerToken_.add(static_cast<double>(_events) / _mostTokens);
+	}
 	if (!_mark.told && 0 < _mark.events && _mark.events < _events)
 	{
 		notePace(_mark, _events, _now);
@@ -76,15 +81,24 @@
 	_mark.told = true;
 }
 
+/// An event may hold several tokens, and answers may end well before their bound: an event counted for each token
+/// refuses what would end in time.
+uint64_t AnswerPace::mostEvents(uint32_t _mostTokens) const
+{
+	const uint32_t tokens = 0 == _mostTokens ? kUnknownTokens : _mostTokens;
+	const double share = eventsPerToken_.enough() ? std::min(1.0, eventsPerToken_.most()) : 1;
+	return static_cast<uint64_t>(std::ceil(tokens * share));
+}
+
 Duration AnswerPace::needed(RequestKind::Enum _kind, uint32_t _mostTokens) const
 {
 	if (RequestKind::Stream != _kind)
 	{
 		return observedOr(calls_, kCallAtFirst);
 	}
-	const int64_t tokens = 0 == _mostTokens ? kUnknownTokens : _mostTokens;
+	const auto events = static_cast<int64_t>(mostEvents(_mostTokens));
 	const Duration gap = observedOr(gaps_, kGapAtFirst);
-	return observedOr(firstEvents_, kFirstEventAtFirst) + Duration{tokens * gap.micros};
+	return observedOr(firstEvents_, kFirstEventAtFirst) + Duration{events * gap.micros};
 }
 
 } // namespace sedgecart
--- /dev/null
+++ b/packages/core/src/recentmost.cpp
@@ -0,0 +1,28 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <core/recentmost.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+void RecentMost::add(double _value)
+{
+	current_ = std::max(current_, _value);
+	++count_;
+	if (kGroup == count_)
+	{
+		last_ = current_;
+		current_ = 0;
+		count_ = 0;
+		++groups_;
+	}
+}
+
+double RecentMost::most() const
+{
+	return std::max(current_, last_);
+}
+
+} // namespace sedgecart
--- a/packages/core/tests/answerpacetest.cpp
+++ b/packages/core/tests/answerpacetest.cpp
@@ -53,7 +53,7 @@
 		}
 		if (before < came_ && came_ == events_)
 		{
-			_pace.noteEnd(mark_, events_, end());
+			_pace.noteEnd(mark_, events_, 0, end());
 		}
 	}
 
@@ -98,6 +98,7 @@
 	CPPUNIT_TEST(slowStreamsCountAsMuchAsFastOnes);
 	CPPUNIT_TEST(shortStreamsTellTheirPace);
 	CPPUNIT_TEST(aPauseIsNotThePaceOfTheWhole);
+	CPPUNIT_TEST(eventsOfSeveralTokensNeedLess);
 	CPPUNIT_TEST(whatIsLetInEndsInTheWindow);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +187,20 @@
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 500 / 29), pace.needed(RequestKind::Stream, 100).millis());
 	}
 
+	/// Each event holds two tokens at least, so that a bound of 100 tokens is one of 50 events.
+	void eventsOfSeveralTokensNeedLess()
+	{
+		AnswerPace pace;
+		for (uint32_t index = 0; index < RecentMost::kGroup; ++index)
+		{
+			StreamMark mark;
+			pace.noteEvents(mark, 1, at(100));
+			pace.noteEvents(mark, 50, at(100 + 49 * 20));
+			pace.noteEnd(mark, 50, 100, at(100 + 49 * 20));
+		}
+		CPPUNIT_ASSERT_EQUAL(int64_t(100 + 50 * 20), pace.needed(RequestKind::Stream, 100).millis());
+	}
+
 	/// Streams go over targets each of which keeps its pace, whatever it is; then a stop comes. Each target served some
 	/// of the streams before it. What is let in then has ended in the window, over whichever target it goes.
 	void whatIsLetInEndsInTheWindow()
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/entry/src/requestrelay.cpp
@@ -238,7 +238,7 @@
 
 void RequestRelay::passEnd()
 {
-	context_.pace.noteEnd(mark_, machine_.events(), passer_.lastAt());
+	context_.pace.noteEnd(mark_, machine_.events(), plan_.caller.mostTokens, passer_.lastAt());
 	passer_.passEnd(send_->head.status);
 }
 
