The orders that a layout record tells of are in the schema

Ruled out: "repeated LayoutHold told". So field 3 is "repeated bytes", each entry a LayoutHold that is read by itself within its own bound. uint32 or an enum for phase and reason: a number beyond 32 bits would be cut to a known one; they are uint64, as the hand codec compared them.

Zeros are no longer written; a field that is not there was read as 0 before too.

Tests: oldAndNewVersionsReadEachOther took the schema itself for a version that knows no told orders, which it no longer is; it now reads with a schema from which these fields are taken out, and asks the same. New: the bytes are those of the hand codec; one order that is cut, too large, not UTF-8, empty or of an impossible phase loses no other. All other tests stand as they were.

--- a/packages/entry/src/layoutrecord.cpp
+++ b/packages/entry/src/layoutrecord.cpp
@@ -5,8 +5,6 @@
 #include <wire/boundedparse.h>
 #include <wire/sedgecart.pb.h>
 
-#include <google/protobuf/unknown_field_set.h>
-
 #include <algorithm>
 
 namespace sedgecart
@@ -24,29 +22,9 @@
 /// Orders that a record may tell of: more than there are targets in a fleet.
 constexpr std::size_t kMostTold = 10000;
 
-/// Field of LayoutChange that holds a LayoutHold for each earlier order. Older versions of the program pass it over.
-constexpr int kToldField = 3;
-
 /// Longest time that a record can tell of an order, an hour: beyond any load, and sums of it fit.
 constexpr uint64_t kMostMillis = 3600UL * 1000;
 
-/// Further fields of a LayoutHold there.
-struct ToldField
-{
-	enum Enum
-	{
-		Fence = 5,
-		AgeMs = 6,
-		Phase = 7,
-		Reason = 8,
-		LeftMs = 9,
-		LoadMs = 10,
-	};
-};
-
-using google::protobuf::UnknownField;
-using google::protobuf::UnknownFieldSet;
-
 bool isSound(const wire::LayoutHold& _hold)
 {
 	return !_hold.target().empty() && _hold.begin() <= _hold.end();
@@ -66,22 +44,14 @@
 	_hold.set_end(_record.layers.end);
 }
 
-/// @returns a further field, 0 if it is not there.
-uint64_t numberOf(const UnknownFieldSet& _fields, ToldField::Enum _field)
+Duration durationOf(uint64_t _millis)
 {
-	uint64_t number = 0;
-	for (int index = 0; index < _fields.field_count(); ++index)
-	{
-		const UnknownField& field = _fields.field(index);
-		const bool isIt = _field == field.number() && UnknownField::TYPE_VARINT == field.type();
-		number = isIt ? field.varint() : number;
-	}
-	return number;
+	return Duration::fromMillis(static_cast<int64_t>(std::min(kMostMillis, _millis)));
 }
 
-Duration millisOf(const UnknownFieldSet& _fields, ToldField::Enum _field)
+uint64_t millisOf(Duration _duration)
 {
-	return Duration::fromMillis(static_cast<int64_t>(std::min(kMostMillis, numberOf(_fields, _field))));
+	return static_cast<uint64_t>(std::max<int64_t>(0, _duration.millis()));
 }
 
 /// @returns false if it can be no order.
@@ -92,20 +62,17 @@
 	{
 		return false;
 	}
-	const UnknownFieldSet& fields = hold.GetReflection()->GetUnknownFields(hold);
-	const uint64_t phase = numberOf(fields, ToldField::Phase);
-	const uint64_t reason = numberOf(fields, ToldField::Reason);
-	if (OrderPhase::Refused < phase || LayoutOrderState::Count <= reason)
+	if (OrderPhase::Refused < hold.phase() || LayoutOrderState::Count <= hold.reason())
 	{
 		return false;
 	}
 	_told.hold = holdOf(hold);
-	_told.fence = Offset{numberOf(fields, ToldField::Fence)};
-	_told.phase = static_cast<OrderPhase::Enum>(phase);
-	_told.reason = static_cast<LayoutOrderState::Enum>(reason);
-	_told.age = millisOf(fields, ToldField::AgeMs);
-	_told.left = millisOf(fields, ToldField::LeftMs);
-	_told.load = millisOf(fields, ToldField::LoadMs);
+	_told.fence = Offset{hold.fence()};
+	_told.phase = static_cast<OrderPhase::Enum>(hold.phase());
+	_told.reason = static_cast<LayoutOrderState::Enum>(hold.reason());
+	_told.age = durationOf(hold.age_ms());
+	_told.left = durationOf(hold.left_ms());
+	_told.load = durationOf(hold.load_ms());
 	return true;
 }
 
@@ -113,28 +80,21 @@
 {
 	wire::LayoutHold hold;
 	fill(_told.hold, hold);
-	UnknownFieldSet& fields = *hold.GetReflection()->MutableUnknownFields(&hold);
-	fields.AddVarint(ToldField::Fence, _told.fence.value);
-	fields.AddVarint(ToldField::AgeMs, static_cast<uint64_t>(std::max<int64_t>(0, _told.age.millis())));
-	fields.AddVarint(ToldField::Phase, _told.phase);
-	fields.AddVarint(ToldField::Reason, _told.reason);
-	fields.AddVarint(ToldField::LeftMs, static_cast<uint64_t>(std::max<int64_t>(0, _told.left.millis())));
-	fields.AddVarint(ToldField::LoadMs, static_cast<uint64_t>(std::max<int64_t>(0, _told.load.millis())));
+	hold.set_fence(_told.fence.value);
+	hold.set_age_ms(millisOf(_told.age));
+	hold.set_phase(_told.phase);
+	hold.set_reason(_told.reason);
+	hold.set_left_ms(millisOf(_told.left));
+	hold.set_load_ms(millisOf(_told.load));
 	return hold.SerializeAsString();
 }
 
 void readAllTold(const wire::LayoutChange& _change, LayoutRecord& _record)
 {
-	const UnknownFieldSet& fields = _change.GetReflection()->GetUnknownFields(_change);
-	for (int index = 0; index < fields.field_count(); ++index)
+	for (const std::string& text : _change.told())
 	{
-		const UnknownField& field = fields.field(index);
-		if (kToldField != field.number() || UnknownField::TYPE_LENGTH_DELIMITED != field.type())
-		{
-			continue;
-		}
 		ToldOrder told;
-		if (_record.told.size() < kMostTold && readTold(field.length_delimited(), told))
+		if (_record.told.size() < kMostTold && readTold(text, told))
 		{
 			_record.told.push_back(told);
 		}
@@ -155,10 +115,9 @@
 	{
 		fill(hold, *change.add_holds());
 	}
-	UnknownFieldSet& fields = *change.GetReflection()->MutableUnknownFields(&change);
 	for (const ToldOrder& told : _record.told)
 	{
-		fields.AddLengthDelimited(kToldField, textOf(told));
+		change.add_told(textOf(told));
 	}
 	return change.SerializeAsString();
 }
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -10,9 +10,14 @@
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/descriptor.pb.h>
+#include <google/protobuf/dynamic_message.h>
+#include <google/protobuf/unknown_field_set.h>
 #include <rapidcheck.h>
 
 #include <limits>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -62,6 +67,108 @@
 	return told;
 }
 
+using google::protobuf::UnknownFieldSet;
+
+/// @returns toldOrder() in binary form, made without the schema.
+std::string toldInBytes(uint64_t _phase)
+{
+	UnknownFieldSet hold;
+	hold.AddLengthDelimited(1, "i-9");
+	hold.AddVarint(2, 20);
+	hold.AddVarint(3, 40);
+	hold.AddVarint(4, 1790000000000);
+	hold.AddVarint(5, 17);
+	hold.AddVarint(6, 1200);
+	hold.AddVarint(7, _phase);
+	hold.AddVarint(8, LayoutOrderState::Unfit);
+	hold.AddVarint(9, 3400);
+	hold.AddVarint(10, 5600);
+	std::string text;
+	hold.SerializeToString(&text);
+	return text;
+}
+
+/// @returns a change that tells of these orders, made without the schema.
+std::string changeThatTells(const std::vector<std::string>& _told)
+{
+	UnknownFieldSet change;
+	change.AddLengthDelimited(1, "node-1");
+	for (const std::string& told : _told)
+	{
+		change.AddLengthDelimited(3, told);
+	}
+	std::string text;
+	change.SerializeToString(&text);
+	return text;
+}
+
+/// Takes the fields with numbers beyond _last out of a message of the schema.
+void dropFieldsAfter(int _last, const std::string& _message, google::protobuf::FileDescriptorProto& _schema)
+{
+	for (google::protobuf::DescriptorProto& message : *_schema.mutable_message_type())
+	{
+		for (int index = message.field_size() - 1; _message == message.name() && 0 <= index; --index)
+		{
+			if (_last < message.field(index).number())
+			{
+				message.mutable_field()->DeleteSubrange(index, 1);
+			}
+		}
+	}
+}
+
+/// A change of the layout as a version reads it that knows no orders which are told.
+class OldLayoutChange
+{
+public:
+	OldLayoutChange()
+	{
+		google::protobuf::FileDescriptorProto schema;
+		wire::LayoutChange::descriptor()->file()->CopyTo(&schema);
+		dropFieldsAfter(2, "LayoutChange", schema);
+		dropFieldsAfter(4, "LayoutHold", schema);
+		CPPUNIT_ASSERT(nullptr != pool_.BuildFile(schema));
+		const auto* const type = pool_.FindMessageTypeByName("sedgecart.wire.LayoutChange");
+		CPPUNIT_ASSERT_EQUAL(2, type->field_count());
+		message_.reset(factory_.GetPrototype(type)->New());
+	}
+
+	bool parse(const std::string& _text)
+	{
+		return message_->ParseFromString(_text);
+	}
+
+	std::string author() const
+	{
+		return textOf(*message_, 1);
+	}
+
+	int holdsSize() const
+	{
+		return message_->GetReflection()->FieldSize(*message_, holds());
+	}
+
+	std::string target(int _hold) const
+	{
+		return textOf(message_->GetReflection()->GetRepeatedMessage(*message_, holds(), _hold), 1);
+	}
+
+private:
+	const google::protobuf::FieldDescriptor* holds() const
+	{
+		return message_->GetDescriptor()->FindFieldByNumber(2);
+	}
+
+	static std::string textOf(const google::protobuf::Message& _message, int _field)
+	{
+		return _message.GetReflection()->GetString(_message, _message.GetDescriptor()->FindFieldByNumber(_field));
+	}
+
+	google::protobuf::DescriptorPool pool_;
+	google::protobuf::DynamicMessageFactory factory_;
+	std::unique_ptr<google::protobuf::Message> message_;
+};
+
 bool isPossible(const ToldOrder& _told)
 {
 	constexpr int64_t kHour = 3600000;
@@ -90,7 +197,9 @@
 	CPPUNIT_TEST(changedLayoutRecordsAreBorne);
 	CPPUNIT_TEST(ordersThatARecordTellsComeBack);
 	CPPUNIT_TEST(oldAndNewVersionsReadEachOther);
+	CPPUNIT_TEST(ordersThatAreToldKeepTheirForm);
 	CPPUNIT_TEST(ordersThatCannotBeArePassedOver);
+	CPPUNIT_TEST(oneUnreadableOrderLosesNoOther);
 	CPPUNIT_TEST(nodePlacesHaveTheirReasons);
 	CPPUNIT_TEST(changedNodePlacesAreBorne);
 	CPPUNIT_TEST(changedPacksAreBorne);
@@ -175,11 +284,18 @@
 		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(layoutChange({LayerSpan{0, 40}}), record));
 		CPPUNIT_ASSERT(record.told.empty());
 		record.told.push_back(toldOrder());
-		wire::LayoutChange old; // knows no orders that are told
-		CPPUNIT_ASSERT(old.ParseFromString(writeLayoutRecord(record)));
+		OldLayoutChange old;
+		CPPUNIT_ASSERT(old.parse(writeLayoutRecord(record)));
 		CPPUNIT_ASSERT_EQUAL(std::string("node-1"), old.author());
-		CPPUNIT_ASSERT_EQUAL(1, old.holds_size());
-		CPPUNIT_ASSERT_EQUAL(std::string("i-1"), old.holds(0).target());
+		CPPUNIT_ASSERT_EQUAL(1, old.holdsSize());
+		CPPUNIT_ASSERT_EQUAL(std::string("i-1"), old.target(0));
+	}
+
+	/// Nodes of another version know the fields by their numbers and types only.
+	void ordersThatAreToldKeepTheirForm()
+	{
+		const LayoutRecord written{"node-1", {}, {toldOrder()}, 0};
+		CPPUNIT_ASSERT(changeThatTells({toldInBytes(OrderPhase::Refused)}) == writeLayoutRecord(written));
 	}
 
 	void ordersThatCannotBeArePassedOver()
@@ -200,6 +316,22 @@
 		CPPUNIT_ASSERT(isPossible(record.told.front()));
 	}
 
+	void oneUnreadableOrderLosesNoOther()
+	{
+		const std::string sound = toldInBytes(OrderPhase::Refused);
+		const std::string cut = sound.substr(0, sound.size() - 1);
+		const std::string huge = sound + "\x7a\xd0\x0f" + std::string(2000, 'x');
+		const std::string noPhase = toldInBytes(uint64_t(1) << 32U); // a known one if it is cut to 32 bits
+		const std::string noUtf8 = std::string("\x0a\x02\xff\xff", 4);
+		LayoutRecord record;
+		const std::string text = changeThatTells({"\xff\xff", cut, huge, noPhase, noUtf8, std::string(), sound});
+		CPPUNIT_ASSERT_EQUAL(RecordFault::None, readLayoutRecord(text, record));
+		CPPUNIT_ASSERT_EQUAL(6U, record.passedOver);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), record.told.size());
+		CPPUNIT_ASSERT_EQUAL(uint64_t(17), record.told.front().fence.value);
+		CPPUNIT_ASSERT_EQUAL(int64_t(5600), record.told.front().load.millis());
+	}
+
 	void nodePlacesHaveTheirReasons()
 	{
 		NodeAddress node;
