A stop reckons with the usual pace; only a target's own refusal counts as want of room

Stop: reckoning with the slowest of two hundred parts of streams refused too much. Streams: two targets where nobody listens made a begun stream wait for room (found by review; test fails before).

--- a/packages/core/include/core/answerpace.h
+++ b/packages/core/include/core/answerpace.h
@@ -21,9 +21,8 @@
 	bool told = false;   //!< A pace of this stream has been told.
 };
 
-/// How long answers take here, by what was observed lately, so that a node that
-/// stops knows what will have ended in time. What few answers exceed counts,
-/// not the mean: one that is let in and does not end is reset.
+/// How long answers take here, by what was observed lately, so that a node that stops knows what will have ended in
+/// time.
 class AnswerPace
 {
 public:
--- a/packages/core/include/core/recentspans.h
+++ b/packages/core/include/core/recentspans.h
@@ -23,9 +23,8 @@
 	/// supposed at first.
 	bool enough() const;
 
-	/// @returns a span that at most one in two hundred exceeds; 0 if none was
-	/// observed.
-	Duration high() const;
+	/// @returns a span that at most one in so many exceeds; 0 if none was observed.
+	Duration exceededByOneIn(std::size_t _count) const;
 
 	/// Spans that are kept: some seconds of a busy node's, at which one in a
 	/// hundred is several.
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -268,7 +268,7 @@
 	RelayHead head_;
 	uint32_t sends_ = 0;
 	uint32_t runs_ = 0;    //!< Ended sends that may have run, and the one that is kept.
-	uint32_t refused_ = 0; //!< Sends that were turned away or reached nobody, since the last that ran.
+	uint32_t refused_ = 0; //!< Sends that targets turned away since the last that ran.
 	std::optional<KeptSend> kept_;
 	bool arrived_ = false; //!< Some send has reached a target.
 	bool prepaid_ = false; //!< A repeat is paid for that has not reached a target yet.
--- a/packages/core/src/answerpace.cpp
+++ b/packages/core/src/answerpace.cpp
@@ -26,11 +26,19 @@
 /// 200 ms, as a change of targets makes, would pass for the pace of the whole.
 constexpr Duration kPart = Duration::fromMillis(500);
 
-/// @returns what was observed, or what is supposed at first where that is
-/// longer and little was observed.
-Duration observedOr(const RecentSpans& _spans, Duration _atFirst)
+/// Of so many calls, first events and parts of streams one may take longer than is reckoned with. A stream that is let
+/// in and does not end is reset, one that is refused may end elsewhere: reckoning with the slowest one in two hundred
+/// parts refused what would have ended, worth of what was served 0.879 -> 0.727 (mean of 3 runs in which all nodes
+/// restart).
+constexpr std::size_t kCallsPerSlower = 200;
+constexpr std::size_t kFirstEventsPerSlower = 20;
+constexpr std::size_t kPartsPerSlower = 4;
+
+/// @returns what was observed, or what is supposed at first where that is longer and little was observed.
+Duration observedOr(const RecentSpans& _spans, std::size_t _perSlower, Duration _atFirst)
 {
-	return _spans.enough() ? _spans.high() : std::max(_spans.high(), _atFirst);
+	const Duration observed = _spans.exceededByOneIn(_perSlower);
+	return _spans.enough() ? observed : std::max(observed, _atFirst);
 }
 
 } // namespace
@@ -94,11 +102,11 @@
 {
 	if (RequestKind::Stream != _kind)
 	{
-		return observedOr(calls_, kCallAtFirst);
+		return observedOr(calls_, kCallsPerSlower, kCallAtFirst);
 	}
 	const auto events = static_cast<int64_t>(mostEvents(_mostTokens));
-	const Duration gap = observedOr(gaps_, kGapAtFirst);
-	return observedOr(firstEvents_, kFirstEventAtFirst) + Duration{events * gap.micros};
+	const Duration gap = observedOr(gaps_, kPartsPerSlower, kGapAtFirst);
+	return observedOr(firstEvents_, kFirstEventsPerSlower, kFirstEventAtFirst) + Duration{events * gap.micros};
 }
 
 } // namespace sedgecart
--- a/packages/core/src/recentspans.cpp
+++ b/packages/core/src/recentspans.cpp
@@ -7,14 +7,6 @@
 namespace sedgecart
 {
 
-namespace
-{
-
-/// Of so many spans one may exceed the high end.
-constexpr std::size_t kOneIn = 200;
-
-} // namespace
-
 void RecentSpans::add(Duration _span)
 {
 	if (spans_.size() < kKept)
@@ -31,14 +23,14 @@
 	return kEnough <= spans_.size();
 }
 
-Duration RecentSpans::high() const
+Duration RecentSpans::exceededByOneIn(std::size_t _count) const
 {
 	if (spans_.empty())
 	{
 		return Duration{};
 	}
 	std::vector<Duration> sorted = spans_;
-	const std::size_t above = sorted.size() / kOneIn;
+	const std::size_t above = sorted.size() / _count;
 	const auto place = sorted.end() - 1 - static_cast<std::ptrdiff_t>(above);
 	std::nth_element(sorted.begin(), place, sorted.end());
 	return *place;
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -247,7 +247,7 @@
 void RelayMachine::afterNotRun()
 {
 	underWay_ = false;
-	++refused_;
+	refused_ += head_.notRun ? 1 : 0; // where nobody listens another target may have room
 	const ErrorKind::Enum otherwise = 0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused;
 	if (0 == sendsLeft())
 	{
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -156,6 +156,7 @@
 	CPPUNIT_TEST(begunStreamWaitsWhereThereIsNoRoom);
 	CPPUNIT_TEST(waitEndsWhenItsCallerStaysNoLonger);
 	CPPUNIT_TEST(refusalsAreSpreadOverTheWait);
+	CPPUNIT_TEST(whereNobodyListensIsNoWantOfRoom);
 	CPPUNIT_TEST(allowanceIsWaitedFor);
 	CPPUNIT_TEST(repeatThatWaitsIsPaidOnce);
 	CPPUNIT_TEST(whatHasNotBegunDoesNotWait);
@@ -531,6 +532,22 @@
 		CPPUNIT_ASSERT(ResendBar::SendsSpent == machine.bar());
 	}
 
+	/// Two targets that are gone, one after the other, say nothing of the room that a third one has.
+	void whereNobodyListensIsNoWantOfRoom()
+	{
+		Notes notes;
+		notes.mayWait = true;
+		RelayMachine machine(facts(RequestKind::Stream, true, 2), notes);
+		machine.begin();
+		stream(machine);
+		machine.onBody(event(0));
+		machine.onBroken(SendBreak::Broken);
+		machine.onBroken(SendBreak::NotSent);
+		machine.onBroken(SendBreak::NotSent);
+		CPPUNIT_ASSERT(!machine.waiting());
+		CPPUNIT_ASSERT_EQUAL(4U, notes.sends);
+	}
+
 	void allowanceIsWaitedFor()
 	{
 		Notes notes;
