--- a/packages/core/tests/answerpacetest.cpp
+++ b/packages/core/tests/answerpacetest.cpp
@@ -158,7 +158,7 @@
 		CPPUNIT_ASSERT(!(pace.needed(RequestKind::Stream, 100) < millis(100 + 100 * 80)));
 	}
 
-	/// One stream in thirty does: what comes is not refused for it.
+	/// One stream in forty does: what comes is not refused for it.
 	void aFewSlowStreamsDoNotCount()
 	{
 		const AnswerPace pace = paceBesideSlow(1);
@@ -204,12 +204,12 @@
 	}
 
 private:
-	/// Streams over usual targets, 29 at least, and so many over slow ones.
+	/// Streams over usual targets, 40 at least, and so many over slow ones.
 	static AnswerPace paceBesideSlow(int _slow)
 	{
 		AnswerPace pace;
 		std::vector<KeptStream> streams;
-		for (int index = 0; index < std::max(29, 2 * _slow); ++index)
+		for (int index = 0; index < std::max(40, 2 * _slow); ++index)
 		{
 			streams.emplace_back(TargetPace{millis(100), millis(10)}, 600, at(index));
 		}
