Test: the model of a target goes back to the send that the machine returned to

Its target knew one send only.

Ruled out: a fault of the machine.

Change: the model keeps the state of a send when another is begun beside it, and takes it up again on a return. It follows after each event, as a return and a send beside between two steps could not be put in order later. It asks for more in two places: a return needs a kept send, and a kept send that is given up after it arrived counts as run, as its target may have begun it.

--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -36,6 +36,7 @@
 	{
 		const SendOutcome::Enum sent = send(_resumeAfter);
 		keeps = keeps || SendOutcome::Begun == sent;
+		besides += SendOutcome::Begun == sent ? 1 : 0;
 		return sent;
 	}
 	void dropKept() override
@@ -104,6 +105,7 @@
 	uint32_t sends = 0;
 	uint32_t cancels = 0;
 	uint32_t returns = 0;
+	uint32_t besides = 0; //!< Sends that were begun beside another.
 	bool keeps = false;
 	uint32_t heads = 0;
 	uint32_t ends = 0;
@@ -659,6 +661,7 @@
 			    machine.begin();
 			    for (int step = 0; step < 40 && !machine.done(); ++step)
 			    {
+				    target.follow();
 				    notes.mayRepeat = 0 != *rc::gen::inRange<int>(0, 4);
 				    notes.outcome = static_cast<SendOutcome::Enum>(
 				        0 == *rc::gen::inRange<int>(0, 8) ? *rc::gen::inRange<int>(0, SendOutcome::Count) : 0);
@@ -677,6 +680,7 @@
 				    }
 				    target.step(*rc::gen::inRange<int>(0, 10));
 			    }
+			    target.follow();
 			    RC_ASSERT(notes.finals() <= 1U);
 			    const bool once = RequestKind::AtMostOnce == kind || (RequestKind::Stream == kind && !resumable);
 			    RC_ASSERT(!once || target.runs <= 1U);
@@ -756,7 +760,8 @@
 		_machine.onHead(kSuccess);
 	}
 
-	/// A target that does one thing a step, in an order that a connection allows.
+	/// A target that does one thing a step, in an order that a connection allows. A send that is kept stands still: it
+	/// goes on where it was when the machine returns to it, and counts as run if it is given up after it arrived.
 	class RandomTarget
 	{
 	public:
@@ -764,26 +769,59 @@
 		{
 		}
 
-		void step(int _choice)
+		/// Takes up what the machine did on the last event. It is due after each: of a return and a send beside, which
+		/// came first could not be told otherwise.
+		void follow()
 		{
+			if (returns_ != notes_.returns)
+			{
+				returns_ = notes_.returns;
+				RC_ASSERT(kept_.has_value());
+				now_ = *kept_;
+				kept_.reset();
+			}
+			if (besides_ != notes_.besides)
+			{
+				besides_ = notes_.besides;
+				giveUpKept();
+				kept_ = now_;
+			}
 			if (sends_ != notes_.sends)
 			{
 				sends_ = notes_.sends;
-				sent_ = headed_ = ran_ = false;
-				next_ = notes_.resumedAfter ? *notes_.resumedAfter + 1 : 0;
+				now_ = Sending{};
+				now_.next = notes_.resumedAfter ? *notes_.resumedAfter + 1 : 0;
 			}
-			if (!sent_)
+			if (!notes_.keeps)
+			{
+				giveUpKept();
+			}
+		}
+
+		void step(int _choice)
+		{
+			if (!now_.sent)
 			{
 				beforeSent(_choice);
 				return;
 			}
-			headed_ ? afterHead(_choice) : beforeHead(_choice);
+			now_.headed ? afterHead(_choice) : beforeHead(_choice);
 		}
 
 		uint32_t runs = 0;
 		uint32_t arrivals = 0;
 
 	private:
+		/// How far one send has come.
+		struct Sending
+		{
+			uint64_t next = 0; //!< The event that it brings next.
+			bool sent = false;
+			bool headed = false;
+			bool ran = false;
+			bool refusing = false;
+		};
+
 		void beforeSent(int _choice)
 		{
 			if (0 == _choice)
@@ -796,7 +834,7 @@
 				machine_.onTimeUp();
 				return;
 			}
-			sent_ = true;
+			now_.sent = true;
 			++arrivals;
 			machine_.onSent();
 		}
@@ -805,8 +843,8 @@
 		{
 			if (0 == _choice)
 			{
-				headed_ = true;
-				refusing_ = true;
+				now_.headed = true;
+				now_.refusing = true;
 				machine_.onHead(kNotRun);
 				return;
 			}
@@ -821,8 +859,8 @@
 				machine_.onCallerGone();
 				return;
 			}
-			headed_ = true;
-			refusing_ = false;
+			now_.headed = true;
+			now_.refusing = false;
 			machine_.onHead(3 == _choice ? kFailed : kSuccess);
 		}
 
@@ -832,7 +870,7 @@
 			{
 				machine_.onBroken(SendBreak::Broken);
 			}
-			else if (1 == _choice || refusing_)
+			else if (1 == _choice || now_.refusing)
 			{
 				machine_.onWhole();
 			}
@@ -842,24 +880,32 @@
 			}
 			else
 			{
-				machine_.onBody(event(next_++));
+				machine_.onBody(event(now_.next++));
+			}
+		}
+
+		void giveUpKept()
+		{
+			if (kept_ && kept_->sent && !kept_->refusing)
+			{
+				runs += kept_->ran ? 0 : 1;
 			}
+			kept_.reset();
 		}
 
 		void run()
 		{
-			runs += ran_ ? 0 : 1;
-			ran_ = true;
+			runs += now_.ran ? 0 : 1;
+			now_.ran = true;
 		}
 
 		const Notes& notes_;
 		RelayMachine& machine_;
 		uint32_t sends_ = 0;
-		uint64_t next_ = 0;
-		bool sent_ = false;
-		bool headed_ = false;
-		bool ran_ = false;
-		bool refusing_ = false;
+		uint32_t besides_ = 0;
+		uint32_t returns_ = 0;
+		Sending now_;
+		std::optional<Sending> kept_;
 	};
 };
 
