The proofs of broken chains hold the stream until it is struck

Cause: LayersProof.frozenHeadComesBackLate and slowedLinkIsLeft failed once each on a busy machine at "0 < metric" after a whole answer. The statement that brings the other chains into force was run at the tenth token; a stream of 40 tokens goes on meanwhile and was over before the strike.

Ruled out: a node that does not go on elsewhere; the answer was whole and nothing was broken while it ran.

Change: a switch of the emulated engine, hold_token, holds a stream at a token. The stream waits for its first token, for which a node waits longest, while the statements are run, and at its thirteenth until it was struck. The proofs ask for more: the statements must be accepted, and the metric must stand at 0 just before the strike, so that the wait itself cannot be what it counts. For the slowed link the other targets are now there before the link is slow.

Not independent of speed: the strike itself has to come before the node takes the stream held at its thirteenth token for silent, 400 ms at least.

--- a/tests/proof/layersproof.cpp
+++ b/tests/proof/layersproof.cpp
@@ -11,10 +11,19 @@
 
 #include <csignal>
 #include <functional>
+#include <future>
 
 namespace sedgecart
 {
 
+namespace
+{
+
+constexpr uint32_t kStrikeAt = 10; // tokens that the caller has
+constexpr uint32_t kHeldAt = 13;   // this token and all later ones wait for the strike
+
+} // namespace
+
 class LayersProof : public CppUnit::TestFixture
 {
 	CPPUNIT_TEST_SUITE(LayersProof);
@@ -35,6 +44,7 @@
 		    [this]
 		    {
 			    cluster_.standin("a-tail").process->kill();
+			    letGo();
 		    });
 	}
 
@@ -53,6 +63,7 @@
 		    [this]
 		    {
 			    cluster_.standin("a-tail").process->signal(SIGSTOP);
+			    letGo();
 		    });
 		cluster_.standin("a-tail").process->signal(SIGCONT);
 		checkAnswer(complete(cluster_.at("n1"), ask()));
@@ -66,6 +77,7 @@
 			    cluster_.standin("a-head").process->signal(SIGSTOP);
 		    });
 		cluster_.standin("a-head").process->signal(SIGCONT);
+		letGo();
 		checkAnswer(complete(cluster_.at("n1"), ask()));
 	}
 
@@ -75,6 +87,7 @@
 		    [this]
 		    {
 			    cluster_.setSwitch("a-head", "cut", 1);
+			    letGo();
 		    });
 	}
 
@@ -84,6 +97,7 @@
 		    [this]
 		    {
 			    cluster_.setSwitch("a-head", "skip_receipt", 1);
+			    letGo();
 		    });
 		CPPUNIT_ASSERT(0 < cluster_.metric("n1", "sedgecart_broken_attempts_total"));
 	}
@@ -95,6 +109,7 @@
 		    [this]
 		    {
 			    cluster_.setSwitch("a-tail", "slow", 60);
+			    letGo();
 		    },
 		    "sedgecart_moves_total");
 	}
@@ -108,11 +123,10 @@
 		breakMidStream(
 		    [this]
 		    {
-			    cluster_.command("n1", "resume target a-tail");
-			    cluster_.command("n1", "resume target b-head");
 			    cluster_.setSwitch("a-head", "slow_link", 200);
+			    letGo();
 		    },
-		    "sedgecart_moves_total");
+		    "sedgecart_moves_total", {"resume target a-tail", "resume target b-head"});
 	}
 
 	void setUp() override
@@ -132,22 +146,54 @@
 	}
 
 	/// Strikes in the middle of a stream; the answer must be whole, and the metric tell how it went on.
-	void breakMidStream(const std::function<void()>& _break, const std::string& _metric = "sedgecart_resumes_total")
+	/// @param _break strikes, and lets the stream go if its head still listens.
+	/// @param _others statements that bring the chains that the stream can go on over.
+	void breakMidStream(const std::function<void()>& _break, const std::string& _metric = "sedgecart_resumes_total",
+	                    const std::vector<std::string>& _others = {"resume hall b"})
 	{
+		cluster_.setSwitch("a-head", "hold_token", 1);
+		std::future<void> opening = std::async(std::launch::async,
+		                                       [this, &_others]
+		                                       {
+			                                       openOthers(_others);
+		                                       });
 		Ask made = ask();
-		made.onToken = [this, &_break](uint32_t _tokens)
+		made.onToken = [this, &_break, &_metric](uint32_t _tokens)
 		{
-			if (10 == _tokens)
+			if (kStrikeAt == _tokens)
 			{
-				cluster_.command("n1", "resume hall b");
+				CPPUNIT_ASSERT_EQUAL(uint64_t{0}, cluster_.metric("n1", _metric));
 				_break();
 			}
 			return true;
 		};
-		checkAnswer(complete(cluster_.at("n1"), made));
+		const Answer answer = complete(cluster_.at("n1"), made);
+		opening.get();
+		checkAnswer(answer);
 		CPPUNIT_ASSERT(0 < cluster_.metric("n1", _metric));
 	}
 
+	/// Brings the other chains into force while the stream waits for its first token: a statement may take longer than
+	/// the whole stream. Then the stream goes on until it is struck.
+	void openOthers(const std::vector<std::string>& _statements)
+	{
+		CPPUNIT_ASSERT(eventually(
+		    [this]
+		    {
+			    return 1 == cluster_.activeAt("a-head");
+		    }));
+		for (const std::string& statement : _statements)
+		{
+			CPPUNIT_ASSERT_EQUAL(uint16_t{200}, cluster_.command("n1", statement).status);
+		}
+		cluster_.setSwitch("a-head", "hold_token", kHeldAt);
+	}
+
+	void letGo()
+	{
+		cluster_.setSwitch("a-head", "hold_token", 0);
+	}
+
 	void checkAnswer(const Answer& _answer)
 	{
 		CPPUNIT_ASSERT_EQUAL(std::string(), _answer.errorKind);
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -25,6 +25,7 @@
 constexpr int kUnavailable = 503;
 constexpr uint32_t kRatedPace = 1000; // thousandths
 constexpr std::chrono::milliseconds kHang{600000};
+constexpr std::chrono::milliseconds kLookAgain{2};
 constexpr std::chrono::milliseconds kSwapBound{200}; // for another activation to come
 
 std::string refusal(const std::string& _reason, const std::string& _target)
@@ -135,6 +136,7 @@
 	wire::Activation activation = activationOf(_open);
 	for (uint32_t position = _open.start_position(); position < _open.max_tokens(); ++position)
 	{
+		awaitRelease(_open, position);
 		const StreamPtr stream = slots_.find(_open.request(), _open.attempt());
 		activation.set_position(position);
 		wire::TokenEvent event;
@@ -171,6 +173,20 @@
 	_exchange.endStream();
 }
 
+/// Holds a stream until the switch lets its token go, or the stream is cancelled.
+void Engine::awaitRelease(const wire::StreamOpen& _open, uint32_t _position)
+{
+	const auto held = [this, _position]
+	{
+		const uint64_t first = switches_.get("hold_token");
+		return 0 != first && first <= uint64_t{_position} + 1;
+	};
+	while (held() && nullptr != slots_.find(_open.request(), _open.attempt()))
+	{
+		std::this_thread::sleep_for(kLookAgain);
+	}
+}
+
 void Engine::onActivation(HttpExchangeI& _exchange)
 {
 	wire::Activation activation;
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -48,6 +48,8 @@
 
 /// Emulates a model engine that holds a range of layers. Streams come in at the head of a chain; activations go from
 /// stage to stage over HTTP; every token carries the receipts of the layers that ran.
+/// A head's switch hold_token: a stream's tokens from this one on, counted from 1, wait until it changes (0: none
+/// does).
 class Engine : public Standin
 {
 public:
@@ -60,6 +62,7 @@
 private:
 	void openStream(HttpExchangeI& _exchange);
 	void runStream(HttpExchangeI& _exchange, const wire::StreamOpen& _open);
+	void awaitRelease(const wire::StreamOpen& _open, uint32_t _position);
 	void onActivation(HttpExchangeI& _exchange);
 	void onOrder(HttpExchangeI& _exchange);
 	void onKv(HttpExchangeI& _exchange);
