A stop waits for answers that callers still take

Cause: a stop waited for the requests under way only. A request is over when its answer is made, while the connection may still keep bytes that its caller has not taken. The node ended 2.8 s after the signal and its server reset such connections, with most of the bound of the stop left.

Ruled out: the bound of a caller that takes nothing (SEDGECART_CONFIG_UNACKNOWLEDGED_MS): the new test's caller takes the rest 3.2 s after the signal, within it. Counting connections whose request is with the handler: one that waits for a start would hold up a stop.

Change: a server counts the connections whose caller has not taken all of an answer; a stop waits for these too, within its window. What is left at the end is logged as `untaken`. The count rises before a request is over, and the request's end is released and acquired, so no look falls between. A server that ends closes connections whose answers are all written without a reset: a reset takes what the system still sends.

--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_AIO_SERVER_H_HEADER_GUARD
 #define SEDGECART_AIO_SERVER_H_HEADER_GUARD
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,10 @@
 	/// @returns the port it listens on.
 	uint16_t port() const;
 
+	/// @returns connections whose caller has not taken all of an answer yet: ended now, they would be reset. Any
+	/// thread.
+	uint32_t untaken() const;
+
 private:
 	class Impl;
 	std::shared_ptr<Impl> impl_;
--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -21,10 +21,12 @@
 } // namespace
 
 ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
+                                   std::shared_ptr<std::atomic<uint32_t>> _untaken,
                                    std::function<void(ServedConnection*)> _onClosed)
     : pump_(std::move(_socket)),
       timer_(pump_.socket().get_executor()),
       handler_(_handler),
+      untaken_(std::move(_untaken)),
       onClosed_(std::move(_onClosed))
 {
 }
@@ -36,6 +38,12 @@
 	waitReadable();
 }
 
+void ServedConnection::end()
+{
+	const bool allWritten = isResting() && 0 == pump_.kept();
+	allWritten ? closeNow() : abort();
+}
+
 void ServedConnection::waitReadable()
 {
 	const auto self = shared_from_this();
@@ -291,6 +299,7 @@
 		onEnd();
 		return;
 	}
+	countUntaken();
 	flush();
 }
 
@@ -315,6 +324,7 @@
 			    self->onEnd();
 			    return;
 		    }
+		    self->countUntaken();
 		    self->flush();
 		    if (self->isResting() && 0 == self->pump_.kept())
 		    {
@@ -358,9 +368,21 @@
 	}
 	const auto self = shared_from_this();
 	phase_ = Phase::Closed;
+	countUntaken();
 	timer_.cancel();
 	pump_.close();
 	onClosed_(this);
 }
 
+void ServedConnection::countUntaken()
+{
+	const bool counts = Phase::Closed != phase_ && 0 < pump_.kept();
+	if (counts == counted_)
+	{
+		return;
+	}
+	counted_ = counts;
+	counts ? untaken_->fetch_add(1, std::memory_order_release) : untaken_->fetch_sub(1, std::memory_order_release);
+}
+
 } // namespace sedgecart
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -9,7 +9,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
+#include <memory>
 
 namespace sedgecart
 {
@@ -18,13 +20,18 @@
 class ServedConnection : public ServerConnection, public std::enable_shared_from_this<ServedConnection>
 {
 public:
+	/// @param _untaken count of connections whose caller has not taken all of an answer: is kept up by this one.
 	/// @param _onClosed called once, when it is over.
 	ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
-	                 std::function<void(ServedConnection*)> _onClosed);
+	                 std::shared_ptr<std::atomic<uint32_t>> _untaken, std::function<void(ServedConnection*)> _onClosed);
 
 	/// Begins to read the first request.
 	void begin();
 
+	/// Ends it with its server. A reset would take what the system still sends of an answer that is all written: only
+	/// an answer that is not gets one.
+	void end();
+
 	void start(const AnswerStart& _start, std::string_view _body) override;
 	void send(std::string_view _body) override;
 	void finish() override;
@@ -65,10 +72,12 @@
 	void readOn();
 	bool isResting() const;
 	void closeNow();
+	void countUntaken();
 
 	SocketPump pump_;
 	boost::asio::steady_timer timer_;
 	ServerHandlerI& handler_;
+	std::shared_ptr<std::atomic<uint32_t>> untaken_;
 	std::function<void(ServedConnection*)> onClosed_;
 	std::unique_ptr<MessageReader> reader_;
 	std::string waiting_;        //!< Bytes that came and were not used yet.
@@ -79,6 +88,7 @@
 	bool noBody_ = false;
 	bool last_ = false; //!< The connection ends behind this answer.
 	bool flushing_ = false;
+	bool counted_ = false; //!< In `untaken_`.
 };
 
 } // namespace sedgecart
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <atomic>
 #include <charconv>
 #include <unordered_map>
 
@@ -82,7 +83,7 @@
 		const auto all = connections_;
 		for (const auto& row : all)
 		{
-			row.second->abort();
+			row.second->end();
 		}
 	}
 
@@ -91,11 +92,16 @@
 		return acceptor_.local_endpoint().port();
 	}
 
+	uint32_t untaken() const
+	{
+		return untaken_->load(std::memory_order_acquire);
+	}
+
 private:
 	void add(Tcp::socket _socket)
 	{
 		const std::weak_ptr<Impl> weak = weak_from_this();
-		const auto connection = std::make_shared<ServedConnection>(std::move(_socket), handler_,
+		const auto connection = std::make_shared<ServedConnection>(std::move(_socket), handler_, untaken_,
 		                                                           [weak](ServedConnection* _closed)
 		                                                           {
 			                                                           if (const auto self = weak.lock())
@@ -110,6 +116,8 @@
 	asio::io_context& loop_;
 	Tcp::acceptor acceptor_;
 	ServerHandlerI& handler_;
+	/// Shared, since a handler may hold a connection longer than there is a server.
+	const std::shared_ptr<std::atomic<uint32_t>> untaken_ = std::make_shared<std::atomic<uint32_t>>(0);
 	std::unordered_map<ServedConnection*, std::shared_ptr<ServedConnection>> connections_;
 };
 
@@ -129,4 +137,9 @@
 	return impl_->port();
 }
 
+uint32_t Server::untaken() const
+{
+	return impl_->untaken();
+}
+
 } // namespace sedgecart
--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -104,7 +104,7 @@
 
 uint32_t EntryFront::active() const
 {
-	return active_.load(std::memory_order_relaxed);
+	return active_.load(std::memory_order_acquire); // what an ended request wrote is seen behind it
 }
 
 uint16_t EntryFront::onBadRequest(ReadState::Enum _why)
@@ -302,7 +302,7 @@
 	// The relay may be on the stack: it is freed by the loop.
 	boost::asio::post(context_.loop, [relay = row->second] {});
 	relays_.erase(row);
-	active_.fetch_sub(1, std::memory_order_relaxed);
+	active_.fetch_sub(1, std::memory_order_release);
 }
 
 } // namespace sedgecart
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -136,7 +136,7 @@
 		const StopWindow window(clock_.now(), Duration{stopBound_.load(std::memory_order_relaxed)});
 		beginStop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(front_.active())}});
-		while (window.callersStillCome(clock_.now()) || (0 < front_.active() && clock_.now() < window.end()))
+		while (window.callersStillCome(clock_.now()) || (isAnswering() && clock_.now() < window.end()))
 		{
 			sleepFor(kStopLook);
 		}
@@ -145,7 +145,8 @@
 		{
 			tellCutOff();
 		}
-		logEvent(LogPart::Node, LogLevel::Info, "Node ends.", {{"cut_off", std::to_string(cutOff)}});
+		logEvent(LogPart::Node, LogLevel::Info, "Node ends.",
+		         {{"cut_off", std::to_string(cutOff)}, {"untaken", std::to_string(callerServer_.untaken())}});
 	}
 
 	std::string dump() const
@@ -173,6 +174,13 @@
 		front_.stop(_window);
 	}
 
+	/// @returns true while there are requests under way, or answers that are made and that callers still take: a node
+	/// that ended then would reset them. In this order: an answer counts as untaken before its request is over.
+	bool isAnswering() const
+	{
+		return 0 < front_.active() || 0 < callerServer_.untaken();
+	}
+
 	void onReady()
 	{
 		{
--- a/tests/entry/stopproof.cpp
+++ b/tests/entry/stopproof.cpp
@@ -29,6 +29,12 @@
 constexpr Duration kBriefStop = Duration::fromMillis(3500);
 constexpr uint32_t kTooLongForIt = 100;
 
+/// More than two sockets hold, bytes.
+constexpr std::size_t kLargeBody = 12UL * 1024 * 1024;
+
+/// Later than a node that has nothing under way ends, and within the bound of the stop.
+constexpr Millis kTakenAfter{3200};
+
 TestRequest streamOf(uint32_t _events)
 {
 	TestRequest made;
@@ -71,6 +77,7 @@
 	CPPUNIT_TEST_SUITE(StopProof);
 	CPPUNIT_TEST(onlyWhatEndsInTimeIsLetIn);
 	CPPUNIT_TEST(switchedOffWhatWasSeenCountsForNothing);
+	CPPUNIT_TEST(anAnswerThatIsStillTakenEndsWhole);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +123,31 @@
 		CPPUNIT_ASSERT_EQUAL(uint16_t(200), statusInABriefStop("stop-pace"));
 	}
 
+	/// It is made before the signal, and its caller takes the rest of it later, within the bound.
+	void anAnswerThatIsStillTakenEndsWhole()
+	{
+		EntryHarness harness;
+		harness.addPlain(
+		    [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    answerWhole(*_caller, _request, 200, std::string(kLargeBody, 'x'));
+		    });
+		harness.start();
+		TestCaller slow(harness.callerAddress());
+		slow.send(textOf(TestRequest{}));
+		slow.receiveUntil("xxxx");
+		auto stopped = std::async(std::launch::async,
+		                          [&harness]
+		                          {
+			                          harness.stop();
+		                          });
+		std::this_thread::sleep_for(kTakenAfter);
+		const CallerAnswer answer = slow.receive();
+		stopped.wait();
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(kLargeBody, answer.body.size());
+	}
+
 private:
 	/// @returns what a stream gets that comes during a stop, too long for it at the pace that the node has seen.
 	/// @param _off mechanisms that are off.
