Small next requests are kept up to the bound only

Cause: reading pauses when more than SEDGECART_CONFIG_PIPELINED_BYTES of next requests wait, but the end of each answer let in one more read (up to SEDGECART_CONFIG_SCRATCH_BYTES), however much still waited. A caller that sends many small requests ahead had the node keep them without end.

Ruled out: pausing only while a request is answered. One answered at once leaves the connection idle for a moment with bytes that wait, and the next read came before the next request was taken.

Change: it reads on when some of what came was used and what waits is within the bound; the pause asks for the bytes alone, in any phase.

--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -70,22 +70,27 @@
 	{
 		onBytes(bytes);
 	}
-	const bool full = SEDGECART_CONFIG_PIPELINED_BYTES < waiting_.size() && Phase::Answering == phase_;
-	if (full)
+	if (Phase::Closed == phase_)
 	{
-		paused_ = true; // what the caller sends on while it waits is not read without end
 		return;
 	}
-	if (Phase::Closed != phase_)
+	if (!hasRoom())
 	{
-		waitReadable();
+		paused_ = true; // what the caller sends on while it waits is not read without end
+		return;
 	}
+	waitReadable();
 }
 
-/// The answer under way is made: there is room again for what the caller sent on meanwhile.
+bool ServedConnection::hasRoom() const
+{
+	return waiting_.size() <= SEDGECART_CONFIG_PIPELINED_BYTES;
+}
+
+/// Some of what the caller sent on was used. Reading once for each answer would let in more than the answer used up.
 void ServedConnection::readOn()
 {
-	if (paused_)
+	if (paused_ && hasRoom())
 	{
 		paused_ = false;
 		waitReadable();
@@ -120,6 +125,7 @@
 	std::size_t used = 0;
 	const ReadState::Enum state = reader_->feed(waiting_, used);
 	waiting_.erase(0, used);
+	readOn();
 	if (ReadState::Done == state)
 	{
 		onRequestDone();
@@ -210,7 +216,6 @@
 		return;
 	}
 	becomeIdle();
-	readOn();
 	if (waiting_.empty())
 	{
 		return;
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -70,6 +70,7 @@
 	void linger();
 	void rest();
 	void readOn();
+	bool hasRoom() const;
 	bool isResting() const;
 	void closeNow();
 	void countUntaken();
@@ -82,7 +83,7 @@
 	std::unique_ptr<MessageReader> reader_;
 	std::string waiting_;        //!< Bytes that came and were not used yet.
 	std::size_t keptBefore_ = 0; //!< Bytes that the caller had not taken when its time to take them last began.
-	bool paused_ = false;        //!< Reading waits for the answer under way.
+	bool paused_ = false;        //!< Reading waits until some of what came is used.
 	Phase::Enum phase_ = Phase::Idle;
 	bool chunked_ = false;
 	bool noBody_ = false;
--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -36,6 +36,17 @@
 /// More than two sockets hold, bytes.
 constexpr std::size_t kLargeBody = 12UL * 1024 * 1024;
 
+/// Answers that are made while a caller sends small requests, and how long the server has for each.
+constexpr int kAnswers = 200;
+constexpr Millis kAnswerPace{10};
+
+/// What one caller sends in one go and at most, bytes.
+constexpr std::size_t kManySmall = 64UL * 1024;
+constexpr std::size_t kMostSent = 64UL * 1024 * 1024;
+
+/// Far more than the answered requests make room for, and a sixth of one read of the server for each answer, bytes.
+constexpr std::size_t kMostLetIn = 2UL * 1024 * 1024;
+
 /// A server on a thread of its own. It answers requests when the test says, or at once with a large body.
 class HeldServer : public ServerHandlerI
 {
@@ -179,6 +190,13 @@
 		socket_.close();
 	}
 
+	/// Ends what another thread sends, too.
+	void shutdown()
+	{
+		boost::system::error_code ignored; // the server may have closed first
+		socket_.shutdown(Tcp::socket::shutdown_both, ignored);
+	}
+
 private:
 	boost::asio::io_context loop_;
 	Tcp::socket socket_;
@@ -217,6 +235,7 @@
 	CPPUNIT_TEST(aCallerThatTakesNothingIsGivenUp);
 	CPPUNIT_TEST(aLargeNextRequestEndsNoAnswer);
 	CPPUNIT_TEST(aCallerThatLeavesIsSeen);
+	CPPUNIT_TEST(smallNextRequestsAreNotKeptWithoutEnd);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -288,7 +307,56 @@
 		    }));
 	}
 
+	/// Each answer lets in no more than it makes room for: the sender has to wait.
+	void smallNextRequestsAreNotKeptWithoutEnd()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		std::atomic<std::size_t> sent{0};
+		std::atomic<bool> over{false};
+		std::thread sender(
+		    [&]
+		    {
+			    sendSmall(caller, sent, over);
+		    });
+		std::this_thread::sleep_for(Millis(500));
+		const std::size_t before = sent;
+		for (int made = 0; made < kAnswers; ++made)
+		{
+			server.answerAll();
+			std::this_thread::sleep_for(kAnswerPace);
+		}
+		const std::size_t after = sent;
+		over = true;
+		caller.shutdown();
+		sender.join();
+		CPPUNIT_ASSERT(kAnswers / 2 < server.requests());
+		CPPUNIT_ASSERT(after - before < kMostLetIn);
+	}
+
 private:
+	/// Sends small requests until it is told to end or the connection ends.
+	static void sendSmall(PlainCaller& _caller, std::atomic<std::size_t>& _sent, const std::atomic<bool>& _over)
+	{
+		std::string many;
+		while (many.size() < kManySmall)
+		{
+			many += get("/small");
+		}
+		try
+		{
+			while (!_over && _sent < kMostSent)
+			{
+				_caller.send(many);
+				_sent += many.size();
+			}
+		}
+		catch (const boost::system::system_error&)
+		{
+			// the test ends the connection under a send that waits
+		}
+	}
+
 	static void getsAll(const std::string& _lines, Millis _wait)
 	{
 		HeldServer server;
