A caller that leaves while reading is paused is seen

Cause: while more than SEDGECART_CONFIG_PIPELINED_BYTES of next requests wait, nothing is read, and the end of the caller's side was met by reading only. Targets worked on for a caller that had left.

Ruled out: waiting for an error or a hang-up on the socket: the end of one side is neither. Waiting until it is readable: it is, all the time. Reading a further bounded amount: only moves the bound.

Change: while reading is paused and a request is with the handler, the connection asks the system every 100 ms whether the peer's side has ended, which needs no reading. A call of the timer that waited for its turn while the timer was set anew is now dropped: the look shares the timer with the idle bound, and a late look would have closed an idle connection. As when reading is not paused, a caller that only closes its sending side counts as gone. Not seen still: an end behind more bytes than the system takes in unread.

--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -18,6 +18,10 @@
 
 constexpr uint16_t kRequestTimeout = 408;
 
+/// How long targets may work on for a caller that left while reading was paused. Chosen, not measured: short beside an
+/// answer, and a connection on which reading is paused is rare.
+constexpr Duration kPausedLook = Duration::fromMillis(100);
+
 } // namespace
 
 ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
@@ -77,11 +81,21 @@
 	if (!hasRoom())
 	{
 		paused_ = true; // what the caller sends on while it waits is not read without end
+		watchPaused();
 		return;
 	}
 	waitReadable();
 }
 
+/// Without reading, the end of the caller's side is not met: the answer would be made for nobody.
+void ServedConnection::watchPaused()
+{
+	if (paused_ && Phase::Answering == phase_)
+	{
+		setTimer(kPausedLook);
+	}
+}
+
 bool ServedConnection::hasRoom() const
 {
 	return waiting_.size() <= SEDGECART_CONFIG_PIPELINED_BYTES;
@@ -144,6 +158,7 @@
 	request.head = std::move(reader_->head());
 	request.body = std::move(reader_->body());
 	reader_.reset();
+	watchPaused();
 	last_ = !request.head.keepAlive;
 	handler_.onRequest(shared_from_this(), std::move(request));
 }
@@ -270,7 +285,15 @@
 
 void ServedConnection::onTimer()
 {
-	if (Phase::Reading == phase_)
+	if (std::chrono::steady_clock::now() < timer_.expiry())
+	{
+		return; // it was set anew while this call waited for its turn
+	}
+	if (Phase::Answering == phase_ && paused_)
+	{
+		pump_.peerEnded() ? onEnd() : watchPaused();
+	}
+	else if (Phase::Reading == phase_)
 	{
 		refuseWith(kRequestTimeout);
 	}
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -70,6 +70,7 @@
 	void linger();
 	void rest();
 	void readOn();
+	void watchPaused();
 	bool hasRoom() const;
 	bool isResting() const;
 	void closeNow();
--- a/packages/aio/src/socketpump.cpp
+++ b/packages/aio/src/socketpump.cpp
@@ -11,6 +11,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace sedgecart
@@ -70,6 +71,14 @@
 	return isWait(error);
 }
 
+bool SocketPump::peerEnded()
+{
+	pollfd look{};
+	look.fd = socket_.native_handle();
+	look.events = POLLRDHUP;
+	return 0 < poll(&look, 1, 0);
+}
+
 bool SocketPump::write(std::string_view _bytes)
 {
 	if (!kept_.empty())
--- a/packages/aio/src/socketpump_p.h
+++ b/packages/aio/src/socketpump_p.h
@@ -48,6 +48,10 @@
 	/// @returns true if the peer has neither sent anything that was not read yet nor closed its side.
 	bool isQuiet();
 
+	/// @returns true if the peer closed its side or the connection broke, also behind bytes that were not read yet.
+	/// @remarks An end behind more bytes than the system takes in unread is not seen.
+	bool peerEnded();
+
 	/// Writes what the socket takes and keeps the rest.
 	/// @returns false if the connection broke.
 	bool write(std::string_view _bytes);
--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -47,6 +47,9 @@
 /// Far more than the answered requests make room for, and a sixth of one read of the server for each answer, bytes.
 constexpr std::size_t kMostLetIn = 2UL * 1024 * 1024;
 
+/// Sent behind what is kept of a next request: less than a socket holds, bytes.
+constexpr std::size_t kBehindKept = 20000;
+
 /// A server on a thread of its own. It answers requests when the test says, or at once with a large body.
 class HeldServer : public ServerHandlerI
 {
@@ -236,6 +239,7 @@
 	CPPUNIT_TEST(aLargeNextRequestEndsNoAnswer);
 	CPPUNIT_TEST(aCallerThatLeavesIsSeen);
 	CPPUNIT_TEST(smallNextRequestsAreNotKeptWithoutEnd);
+	CPPUNIT_TEST(aCallerThatLeavesBehindALargeNextRequestIsSeen);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -334,6 +338,26 @@
 		CPPUNIT_ASSERT(after - before < kMostLetIn);
 	}
 
+	void aCallerThatLeavesBehindALargeNextRequestIsSeen()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(get("/first"));
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.requests();
+		    }));
+		caller.send(largePost().substr(0, SEDGECART_CONFIG_PIPELINED_BYTES + kBehindKept));
+		std::this_thread::sleep_for(Millis(200));
+		caller.close();
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.gone();
+		    }));
+	}
+
 private:
 	/// Sends small requests until it is told to end or the connection ends.
 	static void sendSmall(PlainCaller& _caller, std::atomic<std::size_t>& _sent, const std::atomic<bool>& _over)
