--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -18,13 +18,19 @@
 
 constexpr uint16_t kRequestTimeout = 408;
 
+/// How long targets may work on for a caller that left while reading was paused. Chosen, not measured: short beside an
+/// answer, and a connection on which reading is paused is rare.
+constexpr Duration kPausedLook = Duration::fromMillis(100);
+
 } // namespace
 
 ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
+                                   std::shared_ptr<std::atomic<uint32_t>> _untaken,
                                    std::function<void(ServedConnection*)> _onClosed)
     : pump_(std::move(_socket)),
       timer_(pump_.socket().get_executor()),
       handler_(_handler),
+      untaken_(std::move(_untaken)),
       onClosed_(std::move(_onClosed))
 {
 }
@@ -36,6 +42,12 @@
 	waitReadable();
 }
 
+void ServedConnection::end()
+{
+	const bool allWritten = isResting() && 0 == pump_.kept();
+	allWritten ? closeNow() : abort();
+}
+
 void ServedConnection::waitReadable()
 {
 	const auto self = shared_from_this();
@@ -62,22 +74,37 @@
 	{
 		onBytes(bytes);
 	}
-	const bool full = SEDGECART_CONFIG_PIPELINED_BYTES < waiting_.size() && Phase::Answering == phase_;
-	if (full)
+	if (Phase::Closed == phase_)
+	{
+		return;
+	}
+	if (!hasRoom())
 	{
 		paused_ = true; // what the caller sends on while it waits is not read without end
+		watchPaused();
 		return;
 	}
-	if (Phase::Closed != phase_)
+	waitReadable();
+}
+
+/// Without reading, the end of the caller's side is not met: the answer would be made for nobody.
+void ServedConnection::watchPaused()
+{
+	if (paused_ && Phase::Answering == phase_)
 	{
-		waitReadable();
+		setTimer(kPausedLook);
 	}
 }
 
-/// The answer under way is made: there is room again for what the caller sent on meanwhile.
+bool ServedConnection::hasRoom() const
+{
+	return waiting_.size() <= SEDGECART_CONFIG_PIPELINED_BYTES;
+}
+
+/// Some of what the caller sent on was used. Reading once for each answer would let in more than the answer used up.
 void ServedConnection::readOn()
 {
-	if (paused_)
+	if (paused_ && hasRoom())
 	{
 		paused_ = false;
 		waitReadable();
@@ -112,6 +139,7 @@
 	std::size_t used = 0;
 	const ReadState::Enum state = reader_->feed(waiting_, used);
 	waiting_.erase(0, used);
+	readOn();
 	if (ReadState::Done == state)
 	{
 		onRequestDone();
@@ -130,6 +158,7 @@
 	request.head = std::move(reader_->head());
 	request.body = std::move(reader_->body());
 	reader_.reset();
+	watchPaused();
 	last_ = !request.head.keepAlive;
 	handler_.onRequest(shared_from_this(), std::move(request));
 }
@@ -202,7 +231,6 @@
 		return;
 	}
 	becomeIdle();
-	readOn();
 	if (waiting_.empty())
 	{
 		return;
@@ -257,7 +285,15 @@
 
 void ServedConnection::onTimer()
 {
-	if (Phase::Reading == phase_)
+	if (std::chrono::steady_clock::now() < timer_.expiry())
+	{
+		return; // it was set anew while this call waited for its turn
+	}
+	if (Phase::Answering == phase_ && paused_)
+	{
+		pump_.peerEnded() ? onEnd() : watchPaused();
+	}
+	else if (Phase::Reading == phase_)
 	{
 		refuseWith(kRequestTimeout);
 	}
@@ -291,6 +327,7 @@
 		onEnd();
 		return;
 	}
+	countUntaken();
 	flush();
 }
 
@@ -315,6 +352,7 @@
 			    self->onEnd();
 			    return;
 		    }
+		    self->countUntaken();
 		    self->flush();
 		    if (self->isResting() && 0 == self->pump_.kept())
 		    {
@@ -358,9 +396,21 @@
 	}
 	const auto self = shared_from_this();
 	phase_ = Phase::Closed;
+	countUntaken();
 	timer_.cancel();
 	pump_.close();
 	onClosed_(this);
 }
 
+void ServedConnection::countUntaken()
+{
+	const bool counts = Phase::Closed != phase_ && 0 < pump_.kept();
+	if (counts == counted_)
+	{
+		return;
+	}
+	counted_ = counts;
+	counts ? untaken_->fetch_add(1, std::memory_order_release) : untaken_->fetch_sub(1, std::memory_order_release);
+}
+
 } // namespace sedgecart
