Failing test: a refusal that nodes tell each other never ends

Two nodes that write a record every 2 s keep one refusal of a target alive: whoever has forgotten it takes it anew. Beside it: a refusal that comes late must end the order for all nodes, and one of long ago is not taken.

--- a/packages/core/tests/orderbooktest.cpp
+++ b/packages/core/tests/orderbooktest.cpp
@@ -28,6 +28,9 @@
 	CPPUNIT_TEST(oneNodeAfterTheOtherAsks);
 	CPPUNIT_TEST(anEarlierOrderIsNotSentAgain);
 	CPPUNIT_TEST(switchedOffItCountsForAFixedTime);
+	CPPUNIT_TEST(aRefusalThatNodesTellEachOtherEnds);
+	CPPUNIT_TEST(aLateRefusalEndsTheOrderAndIsTold);
+	CPPUNIT_TEST(aRefusalOfLongAgoIsNotTaken);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,6 +229,72 @@
 		CPPUNIT_ASSERT(!book.hasNews() && book.told().empty() && book.dueAgain(0, at(5000)).empty());
 	}
 
+	/// One refusal; two nodes write a record in turn, each 2 s, for 30 s.
+	void aRefusalThatNodesTellEachOtherEnds()
+	{
+		OrderBook other{true};
+		take(kNew, 7, 2000);
+		send(7, 10);
+		book_.onAnswer(life(), Offset{7}, LayoutOrderState::Unfit, at(20));
+		int64_t now = 100;
+		for (int round = 0; round < 15; ++round, now += 2000)
+		{
+			OrderBook& author = 0 == round % 2 ? book_ : other;
+			OrderBook& reader = 0 == round % 2 ? other : book_;
+			author.pass(at(now));
+			reader.pass(at(now));
+			for (const HoldOrder& known : author.told())
+			{
+				HoldOrder told; // as a record tells it
+				told.life = known.life;
+				told.layers = known.layers;
+				told.fence = known.fence;
+				told.orderedAt = known.orderedAt;
+				told.load = known.load;
+				told.phase = known.phase;
+				told.reason = known.reason;
+				const Duration left = std::max(Duration{}, known.countsUntil - at(now));
+				reader.takeTold(told, left, at(now));
+			}
+		}
+		CPPUNIT_ASSERT(!book_.isRefused(life(), kNew, at(now)));
+		CPPUNIT_ASSERT(!other.isRefused(life(), kNew, at(now)));
+	}
+
+	/// A target may refuse when it is asked what became of an order, long after it was ordered: whoever counts on it
+	/// has to know, and whoever is told must not order the same at once.
+	void aLateRefusalEndsTheOrderAndIsTold()
+	{
+		constexpr int64_t kLate = 6000;
+		OrderBook other{true};
+		take(kNew, 7, 5000);
+		other.take(life(), kNew, Offset{7}, Duration::fromMillis(5000), false, at(0));
+		send(7, kLate);
+		book_.onAnswer(life(), Offset{7}, LayoutOrderState::OtherTarget, at(kLate));
+		book_.pass(at(kLate + 200));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), book_.told().size());
+		CPPUNIT_ASSERT_EQUAL(OrderPhase::Refused, book_.told().front().phase);
+		other.takeTold(book_.told().front(), Duration{}, at(kLate + 300));
+		CPPUNIT_ASSERT(nullptr == other.counting(life(), at(kLate + 300)));
+		CPPUNIT_ASSERT(other.isRefused(life(), kNew, at(kLate + 300)));
+		book_.pass(at(kLate + OrderBook::kRefusedFor.millis()));
+		CPPUNIT_ASSERT(book_.told().empty());
+	}
+
+	void aRefusalOfLongAgoIsNotTaken()
+	{
+		const int64_t over = OrderBook::kRefusedFor.millis();
+		HoldOrder told = order(kNew, 7, 5000);
+		told.phase = OrderPhase::Refused;
+		told.reason = LayoutOrderState::Unfit;
+		book_.takeTold(told, Duration::fromMillis(4000), at(over));
+		CPPUNIT_ASSERT(book_.told().empty() && nullptr == book_.counting(life(), at(over)));
+		CPPUNIT_ASSERT(!book_.hasRefused(life(), at(over)));
+		book_.takeTold(told, Duration::fromMillis(4000), at(over - 1));
+		CPPUNIT_ASSERT(book_.hasRefused(life(), at(over - 1)));
+		CPPUNIT_ASSERT(!book_.hasRefused(life(), at(over)));
+	}
+
 private:
 	static constexpr LayerSpan kOld{0, 20};
 	static constexpr LayerSpan kNew{20, 40};
