A refusal that nodes tell each other ends

Cause: each node that had forgotten a refusal took it anew from another's record, kept it for its full time from then on, and told it on. Ruled out: counting every refusal from the order's age. A target also refuses when it is asked what became of an order, seconds after it was ordered; that refusal would be over before it was told, and the others would count on the order. Change: who counts on the order keeps its refusal from when it learns of it, which happens once; who does not takes it only while it is young by the order's age, and for the rest of that time. A refusal that has passed is not told any more.

--- a/packages/core/include/core/holdorder.h
+++ b/packages/core/include/core/holdorder.h
@@ -47,6 +47,7 @@
 	Time dueAt;                                                //!< Should be shown by then.
 	Time countsUntil;
 	Time refusedUntil; //!< Not to be asked again before.
+	Time toldUntil;    //!< Its refusal is told to other nodes until then.
 	Time askAgainAt;   //!< Not to be sent again before.
 	bool asking = false;
 	uint32_t sends = 0; //!< By this node.
--- a/packages/core/include/core/orderbook.h
+++ b/packages/core/include/core/orderbook.h
@@ -108,7 +108,7 @@
 	void set(HoldOrder& _order, OrderPhase::Enum _phase, Time _now);
 	void extend(HoldOrder& _order, Duration _by, Time _now);
 	void settleBusy(HoldOrder& _order, Time _now);
-	void refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _now);
+	void refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _from, Time _now);
 	void noteUnanswered(HoldOrder& _order, Time _now);
 	static bool isFromBefore(const Orders& _orders, const HoldOrder& _order, Time _now);
 	void dropBefore(Orders& _orders, const HoldOrder& _by, Time _now);
--- a/packages/core/src/orderbook.cpp
+++ b/packages/core/src/orderbook.cpp
@@ -77,6 +77,14 @@
 void OrderBook::takeTold(const HoldOrder& _told, Duration _left, Time _now)
 {
 	HoldOrder* known = find(_told.life, _told.fence);
+	// Who counted on the order keeps its refusal from now on. Whoever did not may have forgotten it: it lasts by the
+	// order's age, so that nodes do not tell it to each other for ever.
+	const Time refusedFrom = nullptr == known ? std::min(_told.orderedAt, _now) : _now;
+	const bool isRefusal = OrderPhase::Refused == _told.phase;
+	if (isRefusal && !(_now < refusedFrom + kRefusedFor))
+	{
+		return;
+	}
 	if (nullptr == known)
 	{
 		HoldOrder order = _told;
@@ -92,9 +100,9 @@
 	{
 		return;
 	}
-	if (OrderPhase::Refused == _told.phase)
+	if (isRefusal)
 	{
-		refuse(*known, _told.reason, _now);
+		refuse(*known, _told.reason, refusedFrom, _now);
 		return;
 	}
 	// Nobody may keep an order counted for ever: the bound is this node's own.
@@ -197,7 +205,7 @@
 		settleBusy(*order, _now);
 		break;
 	default:
-		refuse(*order, _state, _now);
+		refuse(*order, _state, _now, _now);
 	}
 	hasNews_ = hasNews_ || (hasLives_ && isLate && order->isUnderWay());
 }
@@ -218,14 +226,15 @@
 	const bool mayBeTaken = 1 < _order.sends || !_order.own;
 	if (!mayBeTaken)
 	{
-		refuse(_order, LayoutOrderState::Unfit, _now);
+		refuse(_order, LayoutOrderState::Unfit, _now, _now);
 		return;
 	}
 	_order.askFrom = OrderPhase::Unanswered == _order.phase ? _order.askFrom : _now + kRegistryLag;
 	extend(_order, kSettleTime + kRegistryLag, _now);
 }
 
-void OrderBook::refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _now)
+/// @param _from the refusal lasts from then on.
+void OrderBook::refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _from, Time _now)
 {
 	_order.reason = _reason;
 	hasNews_ = hasNews_ || (hasLives_ && 0 < _order.sends);
@@ -237,7 +246,8 @@
 		return;
 	}
 	// A higher fence is a later order's, which the plan knows: nothing to wait for.
-	_order.refusedUntil = LayoutOrderState::Fenced == _reason ? _now : _now + kRefusedFor;
+	_order.toldUntil = _from + kRefusedFor;
+	_order.refusedUntil = LayoutOrderState::Fenced == _reason ? _now : _order.toldUntil;
 	set(_order, OrderPhase::Refused, _now);
 }
 
@@ -314,6 +324,10 @@
 			{
 				set(order, OrderPhase::GivenUp, _now);
 			}
+			else if (OrderPhase::Refused == order.phase && !(_now < order.toldUntil))
+			{
+				order.phase = OrderPhase::GivenUp; // no event: its end has been told
+			}
 		}
 		const auto ended = std::remove_if(orders.begin(), orders.end(),
 		                                  [_now](const HoldOrder& _order)
