--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -150,6 +150,7 @@
 	CPPUNIT_TEST(aNodeThatStartsKnowsTheOrdersUnderWay);
 	CPPUNIT_TEST(aSlowLoadCountsForItsTime);
 	CPPUNIT_TEST(othersSettleAnOrderWhoseAuthorDied);
+	CPPUNIT_TEST(anOrderThatHasNoRoomAnyMoreIsNotSentAgain);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -510,6 +511,41 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
 	}
 
+	/// The order got no answer, and by the time that it is sent again, requests have filled its target.
+	void anOrderThatHasNoRoomAnyMoreIsNotSentAgain()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const std::size_t sent = orders_.calls.size();
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](LayoutOrderState::Unknown);
+		}
+		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const LayoutTarget& one = targets_[index];
+			const auto room = static_cast<uint64_t>(roomFor(engine, one.card, one.held.size()));
+			fleet_.loads().at(nameOf(index))->tokenLayers = room * one.held.size();
+		}
+		advance(600);
+		keeper.start();
+		const wire::LayoutChange change = changeAt(0);
+		CPPUNIT_ASSERT(0 < sent);
+		for (std::size_t index = sent; index < orders_.ordered.size(); ++index)
+		{
+			for (const wire::LayoutHold& hold : change.holds())
+			{
+				if (hold.target() == orders_.ordered[index])
+				{
+					const LayoutTarget& one = targets_[indexOf(hold.target())];
+					CPPUNIT_ASSERT(hold.end() - hold.begin() <= one.held.size());
+				}
+			}
+		}
+	}
+
 private:
 	wire::LayoutChange changeAt(std::size_t _index) const
 	{
