--- a/packages/core/include/core/holdorder.h
+++ b/packages/core/include/core/holdorder.h
@@ -43,15 +43,23 @@
 	OrderPhase::Enum phase = OrderPhase::Ordered;
 	LayoutOrderState::Enum reason = LayoutOrderState::Unknown; //!< Of a refusal.
 	bool own = false;                                          //!< This node sends it.
+	bool onlyCounted = false;                                  //!< This node never sends it again.
 	Time askFrom;                                              //!< Alone, its load would be shown by then.
 	Time dueAt;                                                //!< Should be shown by then.
 	Time countsUntil;
 	Time refusedUntil; //!< Not to be asked again before.
+	Time toldUntil;    //!< Its refusal is told to other nodes until then.
 	Time askAgainAt;   //!< Not to be sent again before.
 	bool asking = false;
 	uint32_t sends = 0; //!< By this node.
 	Duration age;       //!< Of an event: since it was ordered.
 
+	/// @returns true if the target has told that it carries the order out: sent again it changes nothing there.
+	bool isTaken() const
+	{
+		return OrderPhase::Begun == phase || OrderPhase::Held == phase;
+	}
+
 	/// @returns true until the order has ended.
 	bool isUnderWay() const
 	{
--- a/packages/core/include/core/orderbook.h
+++ b/packages/core/include/core/orderbook.h
@@ -42,6 +42,12 @@
 	/// The order cannot be sent now.
 	void putOff(const HoldOrder& _order, Time _now);
 
+	/// The order is counted on, and this node never sends it again: it does not know how old the order is.
+	void onlyCount(const HoldOrder& _order);
+
+	/// The order would do harm by now: this node neither sends it again nor counts on it.
+	void giveUp(const HoldOrder& _order, Time _now);
+
 	/// A target answered this node, or did not.
 	void onAnswer(const TargetLife& _life, Offset _fence, LayoutOrderState::Enum _state, Time _now);
 
@@ -108,7 +114,7 @@
 	void set(HoldOrder& _order, OrderPhase::Enum _phase, Time _now);
 	void extend(HoldOrder& _order, Duration _by, Time _now);
 	void settleBusy(HoldOrder& _order, Time _now);
-	void refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _now);
+	void refuse(HoldOrder& _order, LayoutOrderState::Enum _reason, Time _from, Time _now);
 	void noteUnanswered(HoldOrder& _order, Time _now);
 	static bool isFromBefore(const Orders& _orders, const HoldOrder& _order, Time _now);
 	void dropBefore(Orders& _orders, const HoldOrder& _by, Time _now);
--- a/packages/entry/src/orderdesk_p.h
+++ b/packages/entry/src/orderdesk_p.h
@@ -11,6 +11,7 @@
 #include <entry/runnerorders.h>
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace sedgecart
@@ -20,11 +21,26 @@
 class Metrics;
 struct ServiceSpec;
 
+/// What a node does for the orders of a record.
+struct OrderPart
+{
+	enum Enum
+	{
+		Send,      //!< It sends them: it made the record.
+		Settle,    //!< It sends them again if nothing tells what became of them.
+		OnlyCount, //!< It counts on them: the record may be hours old.
+
+		Count
+	};
+};
+
 /// Sends the orders of the layout, keeps their book and tells their lives. What is decided of an order is the book's.
 /// Control thread only.
 class OrderDesk
 {
 public:
+	using OrderCheck = std::function<bool(const HoldOrder&)>;
+
 	OrderDesk(RunnerOrdersI& _orders, const ClockI& _clock, const FleetController& _fleet,
 	          const Mechanisms& _mechanisms);
 
@@ -36,12 +52,13 @@
 
 	/// Takes a record of the layout.
 	/// @param _offset its orders' fence follows from it.
-	/// @param _send whether this node sends its orders.
-	void take(const LayoutRecord& _record, Offset _offset, bool _send);
+	/// @param _part of this node in the orders that it has not known before.
+	void take(const LayoutRecord& _record, Offset _offset, OrderPart::Enum _part);
 
 	/// Takes what the registry shows, sends again what is to be settled, and ends what is over.
 	/// @param _place of this node among all, from 0.
-	void step(std::size_t _place);
+	/// @param _leavesInUse whether an order still does no harm to what runs. One that does is given up.
+	void step(std::size_t _place, const OrderCheck& _leavesInUse);
 
 	/// Adds all that this node knows of earlier orders to a record that is about to be stored.
 	void tell(LayoutRecord& _record);
@@ -58,6 +75,9 @@
 	/// @returns what a target holds or was ordered to hold. Layers that its model does not have were ordered by nobody.
 	LayerSpan effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const;
 
+	/// @returns true if a target's order is counted on, but may be of long ago.
+	bool isOnlyCounted(const RunnerRecord& _target) const;
+
 	/// @returns true if what the registry shows of a target is known to be gone: it has started again, or refuses its
 	/// part.
 	bool isStale(const RunnerRecord& _target) const;
@@ -69,8 +89,9 @@
 	bool refuses(const RunnerRecord& _target, LayerSpan _layers) const;
 
 private:
-	void take(const ToldOrder& _told);
+	void take(const ToldOrder& _told, OrderPart::Enum _part);
 	void send(const HoldOrder& _order);
+	void sendAgain(const HoldOrder& _order, const OrderCheck& _leavesInUse);
 	void onAnswered(const HoldOrder& _order, LayoutOrderState::Enum _state);
 	bool maySend(const HoldOrder& _order) const;
 	Duration loadOf(const LayoutHoldRecord& _hold) const;
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -150,6 +150,9 @@
 	CPPUNIT_TEST(aNodeThatStartsKnowsTheOrdersUnderWay);
 	CPPUNIT_TEST(aSlowLoadCountsForItsTime);
 	CPPUNIT_TEST(othersSettleAnOrderWhoseAuthorDied);
+	CPPUNIT_TEST(aNodeThatStartsSendsNoOrderOfLongAgo);
+	CPPUNIT_TEST(anOrderThatHasNoRoomAnyMoreIsNotSentAgain);
+	CPPUNIT_TEST(anOrderThatIsBegunIsAskedForWhateverRuns);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -482,6 +485,7 @@
 		look();
 		CPPUNIT_ASSERT(orders_.ordered.empty());
 		LayoutKeeper other(loop_, log_, orders_, clock_, fleet_, settings_);
+		other.onCurrent(Offset{4}); // it has been running, and reads the record when it is made
 		other.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{4}});
 		other.onCurrent(Offset{5});
 		other.start();
@@ -510,7 +514,89 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
 	}
 
+	/// The order got no answer, and by the time that it is sent again, requests have filled its target.
+	void anOrderThatHasNoRoomAnyMoreIsNotSentAgain()
+	{
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const std::size_t sent = orders_.calls.size();
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](LayoutOrderState::Unknown);
+		}
+		fillTargets();
+		advance(600);
+		keeper.start();
+		const wire::LayoutChange change = changeAt(0);
+		CPPUNIT_ASSERT(0 < sent);
+		for (std::size_t index = sent; index < orders_.ordered.size(); ++index)
+		{
+			for (const wire::LayoutHold& hold : change.holds())
+			{
+				if (hold.target() == orders_.ordered[index])
+				{
+					const LayoutTarget& one = targets_[indexOf(hold.target())];
+					CPPUNIT_ASSERT(hold.end() - hold.begin() <= one.held.size());
+				}
+			}
+		}
+	}
+
+	/// The target loads already, and the question changes nothing there.
+	void anOrderThatIsBegunIsAskedForWhateverRuns()
+	{
+		documents_.version = 2;
+		documents_.loadSeconds = 8;
+		fleet_.onOperatorRecord(KeyedRecord{"config", "2", false, Offset{1}});
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const std::size_t sent = orders_.calls.size();
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](LayoutOrderState::Begun);
+		}
+		fillTargets();
+		for (int looks = 0; looks < 60; ++looks)
+		{
+			advance(200);
+			keeper.start();
+		}
+		CPPUNIT_ASSERT_EQUAL(2 * sent, orders_.ordered.size());
+	}
+
+	/// The newest record is hours old, and its order never came to anything; nothing is lost now.
+	void aNodeThatStartsSendsNoOrderOfLongAgo()
+	{
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+			keeper.onRecord(KeyedRecord{"newest", changeOf(index, LayerSpan{0, 1}, kBorn), false, Offset{1}});
+			keeper.onCurrent(Offset{2});
+			for (int looks = 0; looks < 60; ++looks)
+			{
+				keeper.start();
+				advance(200);
+			}
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), orders_.ordered.size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), log_.appended.size());
+	}
+
 private:
+	/// Requests take all the memory that the layers held now leave.
+	void fillTargets()
+	{
+		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const LayoutTarget& one = targets_[index];
+			const auto room = static_cast<uint64_t>(roomFor(engine, one.card, one.held.size()));
+			fleet_.loads().at(nameOf(index))->tokenLayers = room * one.held.size();
+		}
+	}
+
 	wire::LayoutChange changeAt(std::size_t _index) const
 	{
 		wire::LayoutChange change;
