--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -50,6 +50,10 @@
 /// Sent behind what is kept of a next request: less than a socket holds, bytes.
 constexpr std::size_t kBehindKept = 20000;
 
+/// More than a caller with so small a receive buffer holds, and less than a sending socket does, bytes.
+constexpr std::size_t kSystemBody = 100UL * 1024;
+constexpr int kSmallReceive = 8 * 1024;
+
 /// A server on a thread of its own. It answers requests when the test says, or at once with a large body.
 class HeldServer : public ServerHandlerI
 {
@@ -110,6 +114,11 @@
 			answer(*_connection, std::string(kLargeBody, 'x'));
 			return;
 		}
+		if ("/system" == _request.head.target)
+		{
+			answer(*_connection, std::string(kSystemBody, 'x'));
+			return;
+		}
 		waiting_.push_back(_connection);
 	}
 	void onCallerGone(const ServerConnection& _connection) override
@@ -170,6 +179,13 @@
 		socket_.connect(_server);
 	}
 
+	/// @param _receiveBytes size of the socket's receive buffer.
+	PlainCaller(const Tcp::endpoint& _server, int _receiveBytes) : socket_(loop_, Tcp::v4())
+	{
+		socket_.set_option(boost::asio::socket_base::receive_buffer_size(_receiveBytes));
+		socket_.connect(_server);
+	}
+
 	void send(const std::string& _text)
 	{
 		boost::asio::write(socket_, boost::asio::buffer(_text));
@@ -240,6 +256,7 @@
 	CPPUNIT_TEST(aCallerThatLeavesIsSeen);
 	CPPUNIT_TEST(smallNextRequestsAreNotKeptWithoutEnd);
 	CPPUNIT_TEST(aCallerThatLeavesBehindALargeNextRequestIsSeen);
+	CPPUNIT_TEST(aServerThatEndsTakesNoWrittenAnswerWithIt);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -358,6 +375,19 @@
 		    }));
 	}
 
+	/// The system still sends what the server has written; a reset would take it.
+	void aServerThatEndsTakesNoWrittenAnswerWithIt()
+	{
+		auto server = std::make_unique<HeldServer>();
+		PlainCaller caller(server->endpoint(), kSmallReceive);
+		caller.send(get("/system"));
+		std::this_thread::sleep_for(Millis(200));
+		server.reset();
+		const std::string answer = caller.receive();
+		const std::size_t body = answer.find("\r\n\r\n") + 4;
+		CPPUNIT_ASSERT_EQUAL(kSystemBody, answer.size() - body);
+	}
+
 private:
 	/// Sends small requests until it is told to end or the connection ends.
 	static void sendSmall(PlainCaller& _caller, std::atomic<std::size_t>& _sent, const std::atomic<bool>& _over)
