An order that would harm what runs is not sent again

Cause: the plan asked what an order leaves to running requests once, before its record; the order was sent again later without the question. Ruled out: asking for an order that its target has said it carries out. Its question changes nothing there, and giving up a load under way would have its range ordered to a second target. Change: before an order is sent again this node asks the check of the plan (LayoutInUse, one copy) over the targets as they are without the order: memory of running requests, and the last target that serves a layer. An order that does not pass is given up, as is one to a target that leaves or is thought dead. With make-before-break switched off nothing is asked.

--- a/packages/core/include/core/holdorder.h
+++ b/packages/core/include/core/holdorder.h
@@ -53,6 +53,12 @@
 	uint32_t sends = 0; //!< By this node.
 	Duration age;       //!< Of an event: since it was ordered.
 
+	/// @returns true if the target has told that it carries the order out: sent again it changes nothing there.
+	bool isTaken() const
+	{
+		return OrderPhase::Begun == phase || OrderPhase::Held == phase;
+	}
+
 	/// @returns true until the order has ended.
 	bool isUnderWay() const
 	{
--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -62,6 +62,11 @@
 std::vector<LayoutOrder> planLayout(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets,
                                     const LayoutPolicy& _policy);
 
+/// @returns true if an order to a target in use leaves all requests under way their memory and takes no layer from the
+/// last target that serves it. Where a layer is lost to all halls nothing passes, and only memory counts.
+/// @param _targets as they are without the order.
+bool leavesInUse(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const LayoutOrder& _order);
+
 /// What a repair may do beside giving lost ranges to targets that hold nothing or only second copies.
 struct RepairScope
 {
--- a/packages/core/include/core/orderbook.h
+++ b/packages/core/include/core/orderbook.h
@@ -42,6 +42,9 @@
 	/// The order cannot be sent now.
 	void putOff(const HoldOrder& _order, Time _now);
 
+	/// The order would do harm by now: this node neither sends it again nor counts on it.
+	void giveUp(const HoldOrder& _order, Time _now);
+
 	/// A target answered this node, or did not.
 	void onAnswer(const TargetLife& _life, Offset _fence, LayoutOrderState::Enum _state, Time _now);
 
--- a/packages/core/src/layoutinuse.cpp
+++ b/packages/core/src/layoutinuse.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+bool leavesInUse(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets, const LayoutOrder& _order)
+{
+	return LayoutInUse(_engine, _targets).allows({_order});
+}
+
 LayoutInUse::LayoutInUse(const EngineSpec& _engine, const std::vector<LayoutTarget>& _targets)
     : engine_(_engine),
       targets_(_targets),
--- a/packages/core/src/orderbook.cpp
+++ b/packages/core/src/orderbook.cpp
@@ -176,6 +176,15 @@
 	}
 }
 
+void OrderBook::giveUp(const HoldOrder& _order, Time _now)
+{
+	HoldOrder* const order = find(_order.life, _order.fence);
+	if (nullptr != order && order->isUnderWay())
+	{
+		set(*order, OrderPhase::GivenUp, _now);
+	}
+}
+
 void OrderBook::onAnswer(const TargetLife& _life, Offset _fence, LayoutOrderState::Enum _state, Time _now)
 {
 	HoldOrder* const order = find(_life, _fence);
--- a/packages/core/tests/layoutinusetest.cpp
+++ b/packages/core/tests/layoutinusetest.cpp
@@ -126,6 +126,7 @@
 	CPPUNIT_TEST(whatIsBeingLoadedIsNoHolderYet);
 	CPPUNIT_TEST(whereNobodyServesALayerAChainMayShift);
 	CPPUNIT_TEST(ordersLeaveWhatRuns);
+	CPPUNIT_TEST(oneOrderIsAskedFor);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -213,6 +214,22 @@
 		              });
 		CPPUNIT_ASSERT(holds);
 	}
+
+	/// An order is asked for alone before it is sent again.
+	void oneOrderIsAskedFor()
+	{
+		std::vector<LayoutTarget> one = servingHalls(1);
+		const std::vector<LayoutTarget> two = servingHalls(2);
+		const LayerSpan held = one[0].held;
+		const LayoutOrder away{0, one[1].held};
+		const LayoutOrder more{0, LayerSpan{held.begin, held.end + 1}};
+		CPPUNIT_ASSERT(!leavesInUse(engine(), one, away));
+		CPPUNIT_ASSERT(leavesInUse(engine(), two, away));
+		CPPUNIT_ASSERT(leavesInUse(engine(), one, more));
+		fill(one);
+		CPPUNIT_ASSERT(!leavesInUse(engine(), one, more));
+		CPPUNIT_ASSERT(leavesInUse(engine(), one, LayoutOrder{0, held}));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LayoutInUseTest);
--- a/packages/core/tests/orderbooktest.cpp
+++ b/packages/core/tests/orderbooktest.cpp
@@ -31,6 +31,7 @@
 	CPPUNIT_TEST(aRefusalThatNodesTellEachOtherEnds);
 	CPPUNIT_TEST(aLateRefusalEndsTheOrderAndIsTold);
 	CPPUNIT_TEST(aRefusalOfLongAgoIsNotTaken);
+	CPPUNIT_TEST(whatIsGivenUpIsToldAndNotSentAgain);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -295,6 +296,18 @@
 		CPPUNIT_ASSERT(!book_.hasRefused(life(), at(over)));
 	}
 
+	void whatIsGivenUpIsToldAndNotSentAgain()
+	{
+		take(kNew, 7, 5000);
+		send(7, 0);
+		book_.onAnswer(life(), Offset{7}, LayoutOrderState::Unknown, at(1500));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), book_.dueAgain(0, at(2100)).size());
+		book_.giveUp(order(kNew, 7, 5000), at(2100));
+		CPPUNIT_ASSERT_EQUAL(OrderPhase::GivenUp, lastEvent().phase);
+		CPPUNIT_ASSERT(!counts(kNew, 2100));
+		CPPUNIT_ASSERT(book_.dueAgain(0, at(9000)).empty());
+	}
+
 private:
 	static constexpr LayerSpan kOld{0, 20};
 	static constexpr LayerSpan kNew{20, 40};
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -133,7 +133,8 @@
 	return (own + others) / _held.size();
 }
 
-LayoutKeeper::Scene LayoutKeeper::scene() const
+/// @param _without an order that is not counted on.
+LayoutKeeper::Scene LayoutKeeper::scene(const HoldOrder* _without) const
 {
 	Scene scene;
 	std::map<std::string, uint32_t> halls;
@@ -151,7 +152,8 @@
 			continue;
 		}
 		const uint32_t hall = halls.emplace(record.hall, static_cast<uint32_t>(halls.size())).first->second;
-		const LayerSpan held = desk_.effectiveLayers(record, *service);
+		const bool isWithout = nullptr != _without && _without->life.instance == record.instance;
+		const LayerSpan held = isWithout ? record.layers : desk_.effectiveLayers(record, *service);
 		scene.engine = &service->engine;
 		scene.anyHeld = scene.anyHeld || 0 < held.size();
 		const LayerSpan serves = commonSpan(record.layers, held);
@@ -161,6 +163,25 @@
 	return scene;
 }
 
+/// Requests begin and targets leave between a record and the time that its order is sent again.
+bool LayoutKeeper::leavesInUse(const HoldOrder& _order) const
+{
+	if (!policy_.makeBeforeBreak)
+	{
+		return true;
+	}
+	const Scene seen = scene(&_order);
+	for (std::size_t index = 0; index < seen.records.size(); ++index)
+	{
+		if (seen.records[index].instance == _order.life.instance)
+		{
+			const LayoutOrder order{static_cast<uint32_t>(index), _order.layers};
+			return sedgecart::leavesInUse(*seen.engine, seen.targets, order);
+		}
+	}
+	return false; // it leaves, or is thought dead, and the plan gives its range to others
+}
+
 std::vector<LayoutOrder> LayoutKeeper::wantedOrders(const Scene& _scene)
 {
 	const Time now = clock_.now();
@@ -213,7 +234,11 @@
 void LayoutKeeper::look()
 {
 	const std::size_t ownPlace = place();
-	desk_.step(ownPlace);
+	desk_.step(ownPlace,
+	           [this](const HoldOrder& _order)
+	           {
+		           return leavesInUse(_order);
+	           });
 	const Scene seen = scene();
 	losses_.look(nullptr != seen.engine ? seen.engine->layers : 0, seen.records, clock_.now());
 	const Scene free = withoutRefusing(seen);
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -72,7 +72,8 @@
 
 	void tick();
 	void look();
-	Scene scene() const;
+	Scene scene(const HoldOrder* _without = nullptr) const;
+	bool leavesInUse(const HoldOrder& _order) const;
 	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
 	Scene withoutRefusing(const Scene& _scene) const;
 	std::vector<LayoutOrder> withoutRefused(const Scene& _scene, std::vector<LayoutOrder> _orders) const;
--- a/packages/entry/src/orderdesk.cpp
+++ b/packages/entry/src/orderdesk.cpp
@@ -107,7 +107,7 @@
 	return nullptr != service && service->hasEngine ? service : nullptr;
 }
 
-void OrderDesk::step(std::size_t _place)
+void OrderDesk::step(std::size_t _place, const OrderCheck& _leavesInUse)
 {
 	const Time now = clock_.now();
 	for (const auto& row : fleet_.runners())
@@ -117,18 +117,26 @@
 	book_.pass(now);
 	for (const HoldOrder& order : book_.dueAgain(_place, now))
 	{
-		if (maySend(order))
-		{
-			send(order);
-		}
-		else
-		{
-			book_.putOff(order, now);
-		}
+		sendAgain(order, _leavesInUse);
 	}
 	tellLives();
 }
 
+void OrderDesk::sendAgain(const HoldOrder& _order, const OrderCheck& _leavesInUse)
+{
+	if (!maySend(_order))
+	{
+		book_.putOff(_order, clock_.now());
+		return;
+	}
+	if (!_order.isTaken() && !_leavesInUse(_order))
+	{
+		book_.giveUp(_order, clock_.now());
+		return;
+	}
+	send(_order);
+}
+
 void OrderDesk::tell(LayoutRecord& _record)
 {
 	isTelling_ = book_.hasNews();
--- a/packages/entry/src/orderdesk_p.h
+++ b/packages/entry/src/orderdesk_p.h
@@ -11,6 +11,7 @@
 #include <entry/runnerorders.h>
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace sedgecart
@@ -25,6 +26,8 @@
 class OrderDesk
 {
 public:
+	using OrderCheck = std::function<bool(const HoldOrder&)>;
+
 	OrderDesk(RunnerOrdersI& _orders, const ClockI& _clock, const FleetController& _fleet,
 	          const Mechanisms& _mechanisms);
 
@@ -41,7 +44,8 @@
 
 	/// Takes what the registry shows, sends again what is to be settled, and ends what is over.
 	/// @param _place of this node among all, from 0.
-	void step(std::size_t _place);
+	/// @param _leavesInUse whether an order still does no harm to what runs. One that does is given up.
+	void step(std::size_t _place, const OrderCheck& _leavesInUse);
 
 	/// Adds all that this node knows of earlier orders to a record that is about to be stored.
 	void tell(LayoutRecord& _record);
@@ -71,6 +75,7 @@
 private:
 	void take(const ToldOrder& _told);
 	void send(const HoldOrder& _order);
+	void sendAgain(const HoldOrder& _order, const OrderCheck& _leavesInUse);
 	void onAnswered(const HoldOrder& _order, LayoutOrderState::Enum _state);
 	bool maySend(const HoldOrder& _order) const;
 	Duration loadOf(const LayoutHoldRecord& _hold) const;
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -151,6 +151,7 @@
 	CPPUNIT_TEST(aSlowLoadCountsForItsTime);
 	CPPUNIT_TEST(othersSettleAnOrderWhoseAuthorDied);
 	CPPUNIT_TEST(anOrderThatHasNoRoomAnyMoreIsNotSentAgain);
+	CPPUNIT_TEST(anOrderThatIsBegunIsAskedForWhateverRuns);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -522,13 +523,7 @@
 		{
 			orders_.calls[index](LayoutOrderState::Unknown);
 		}
-		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
-		for (std::size_t index = 0; index < targets_.size(); ++index)
-		{
-			const LayoutTarget& one = targets_[index];
-			const auto room = static_cast<uint64_t>(roomFor(engine, one.card, one.held.size()));
-			fleet_.loads().at(nameOf(index))->tokenLayers = room * one.held.size();
-		}
+		fillTargets();
 		advance(600);
 		keeper.start();
 		const wire::LayoutChange change = changeAt(0);
@@ -546,7 +541,42 @@
 		}
 	}
 
+	/// The target loads already, and the question changes nothing there.
+	void anOrderThatIsBegunIsAskedForWhateverRuns()
+	{
+		documents_.version = 2;
+		documents_.loadSeconds = 8;
+		fleet_.onOperatorRecord(KeyedRecord{"config", "2", false, Offset{1}});
+		suspect(alone(), kSureSuspicion);
+		LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+		makeChange(keeper, 1);
+		const std::size_t sent = orders_.calls.size();
+		for (std::size_t index = 0; index < sent; ++index)
+		{
+			orders_.calls[index](LayoutOrderState::Begun);
+		}
+		fillTargets();
+		for (int looks = 0; looks < 60; ++looks)
+		{
+			advance(200);
+			keeper.start();
+		}
+		CPPUNIT_ASSERT_EQUAL(2 * sent, orders_.ordered.size());
+	}
+
 private:
+	/// Requests take all the memory that the layers held now leave.
+	void fillTargets()
+	{
+		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			const LayoutTarget& one = targets_[index];
+			const auto room = static_cast<uint64_t>(roomFor(engine, one.card, one.held.size()));
+			fleet_.loads().at(nameOf(index))->tokenLayers = room * one.held.size();
+		}
+	}
+
 	wire::LayoutChange changeAt(std::size_t _index) const
 	{
 		wire::LayoutChange change;
