Failing test: a node that starts sends an order of long ago

The newest record of the layout may be hours old; a node that starts read it, counted its orders as new and sent them when their time was over.

--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -150,6 +150,7 @@
 	CPPUNIT_TEST(aNodeThatStartsKnowsTheOrdersUnderWay);
 	CPPUNIT_TEST(aSlowLoadCountsForItsTime);
 	CPPUNIT_TEST(othersSettleAnOrderWhoseAuthorDied);
+	CPPUNIT_TEST(aNodeThatStartsSendsNoOrderOfLongAgo);
 	CPPUNIT_TEST(anOrderThatHasNoRoomAnyMoreIsNotSentAgain);
 	CPPUNIT_TEST(anOrderThatIsBegunIsAskedForWhateverRuns);
 	CPPUNIT_TEST_SUITE_END();
@@ -564,6 +565,24 @@
 		CPPUNIT_ASSERT_EQUAL(2 * sent, orders_.ordered.size());
 	}
 
+	/// The newest record is hours old, and its order never came to anything; nothing is lost now.
+	void aNodeThatStartsSendsNoOrderOfLongAgo()
+	{
+		for (std::size_t index = 0; index < targets_.size(); ++index)
+		{
+			LayoutKeeper keeper(loop_, log_, orders_, clock_, fleet_, settings_);
+			keeper.onRecord(KeyedRecord{"newest", changeOf(index, LayerSpan{0, 1}, kBorn), false, Offset{1}});
+			keeper.onCurrent(Offset{2});
+			for (int looks = 0; looks < 60; ++looks)
+			{
+				keeper.start();
+				advance(200);
+			}
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), orders_.ordered.size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), log_.appended.size());
+	}
+
 private:
 	/// Requests take all the memory that the layers held now leave.
 	void fillTargets()
