A node that starts sends no order of long ago

Cause: a record of the layout tells no time. A node that starts took the newest one for new, counted its orders from then on, and sent them again when their time was over. Change: what a node reads before it is current it counts on and never sends again. The test othersSettleAnOrderWhoseAuthorDied gave the record to a node that had just started, which is the case that the new rule forbids; it could not be told from an order of long ago. Its node now is current before the record comes, as its comment says. Ruled out: not counting on such orders; aNodeThatStartsKnowsTheOrdersUnderWay needs them.

--- a/packages/core/include/core/holdorder.h
+++ b/packages/core/include/core/holdorder.h
@@ -43,6 +43,7 @@
 	OrderPhase::Enum phase = OrderPhase::Ordered;
 	LayoutOrderState::Enum reason = LayoutOrderState::Unknown; //!< Of a refusal.
 	bool own = false;                                          //!< This node sends it.
+	bool onlyCounted = false;                                  //!< This node never sends it again.
 	Time askFrom;                                              //!< Alone, its load would be shown by then.
 	Time dueAt;                                                //!< Should be shown by then.
 	Time countsUntil;
--- a/packages/core/include/core/orderbook.h
+++ b/packages/core/include/core/orderbook.h
@@ -42,6 +42,9 @@
 	/// The order cannot be sent now.
 	void putOff(const HoldOrder& _order, Time _now);
 
+	/// The order is counted on, and this node never sends it again: it does not know how old the order is.
+	void onlyCount(const HoldOrder& _order);
+
 	/// The order would do harm by now: this node neither sends it again nor counts on it.
 	void giveUp(const HoldOrder& _order, Time _now);
 
--- a/packages/core/src/orderbook.cpp
+++ b/packages/core/src/orderbook.cpp
@@ -176,6 +176,15 @@
 	}
 }
 
+void OrderBook::onlyCount(const HoldOrder& _order)
+{
+	HoldOrder* const order = find(_order.life, _order.fence);
+	if (nullptr != order)
+	{
+		order->onlyCounted = true;
+	}
+}
+
 void OrderBook::giveUp(const HoldOrder& _order, Time _now)
 {
 	HoldOrder* const order = find(_order.life, _order.fence);
@@ -402,7 +411,7 @@
 		const bool isOpen = order.own && OrderPhase::Unanswered == order.phase;
 		const bool isLate = order.askFrom + turn < _now && (order.own || _place < kAskers);
 		const bool mayAsk = order.isUnderWay() && !order.asking && !(_now < order.askAgainAt);
-		if (mayAsk && (isOpen || isLate))
+		if (mayAsk && !order.onlyCounted && (isOpen || isLate))
 		{
 			due.push_back(order);
 		}
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/entry/src/layoutkeeper.cpp
@@ -117,7 +117,8 @@
 	          {"earlier_orders", std::to_string(change.told.size())},
 	          {"passed_over", std::to_string(change.passedOver)},
 	          {"orders_sent_here", own && fresh ? "true" : "false"}});
-	desk_.take(change, _record.offset, own && fresh);
+	const OrderPart::Enum others = known_ ? OrderPart::Settle : OrderPart::OnlyCount;
+	desk_.take(change, _record.offset, own && fresh ? OrderPart::Send : others);
 }
 
 /// @returns the tokens of the requests under way over a target.
@@ -133,8 +134,8 @@
 	return (own + others) / _held.size();
 }
 
-/// @param _without an order that is not counted on.
-LayoutKeeper::Scene LayoutKeeper::scene(const HoldOrder* _without) const
+/// @param _uncounted targets that are taken for what the registry shows, whatever they were ordered.
+LayoutKeeper::Scene LayoutKeeper::scene(const TargetCheck& _uncounted) const
 {
 	Scene scene;
 	std::map<std::string, uint32_t> halls;
@@ -152,8 +153,7 @@
 			continue;
 		}
 		const uint32_t hall = halls.emplace(record.hall, static_cast<uint32_t>(halls.size())).first->second;
-		const bool isWithout = nullptr != _without && _without->life.instance == record.instance;
-		const LayerSpan held = isWithout ? record.layers : desk_.effectiveLayers(record, *service);
+		const LayerSpan held = _uncounted(record) ? record.layers : desk_.effectiveLayers(record, *service);
 		scene.engine = &service->engine;
 		scene.anyHeld = scene.anyHeld || 0 < held.size();
 		const LayerSpan serves = commonSpan(record.layers, held);
@@ -170,7 +170,11 @@
 	{
 		return true;
 	}
-	const Scene seen = scene(&_order);
+	const Scene seen = scene(
+	    [&_order](const RunnerRecord& _target)
+	    {
+		    return _order.life.instance == _target.instance;
+	    });
 	for (std::size_t index = 0; index < seen.records.size(); ++index)
 	{
 		if (seen.records[index].instance == _order.life.instance)
@@ -239,10 +243,14 @@
 	           {
 		           return leavesInUse(_order);
 	           });
-	const Scene seen = scene();
+	const Scene seen = scene(
+	    [](const RunnerRecord&)
+	    {
+		    return false;
+	    });
 	losses_.look(nullptr != seen.engine ? seen.engine->layers : 0, seen.records, clock_.now());
 	const Scene free = withoutRefusing(seen);
-	const std::vector<LayoutOrder> orders = withoutRefused(free, wantedOrders(free));
+	const std::vector<LayoutOrder> orders = withoutDoubtful(free, withoutRefused(free, wantedOrders(free)));
 	const Time now = clock_.now();
 	const bool hasNews = desk_.hasNews();
 	turn_.setFleet(ownPlace, fleet_.nodes().size());
@@ -283,6 +291,29 @@
 	return _orders;
 }
 
+/// An order that may be of long ago was carried out or was not.
+/// @returns the orders if a change is wanted in both cases, else none.
+std::vector<LayoutOrder> LayoutKeeper::withoutDoubtful(const Scene& _scene, std::vector<LayoutOrder> _orders) const
+{
+	const auto isDoubtful = [this](const RunnerRecord& _target)
+	{
+		return desk_.isOnlyCounted(_target);
+	};
+	const bool hasDoubt = std::any_of(_scene.records.begin(), _scene.records.end(), isDoubtful);
+	if (!_orders.empty() && hasDoubt && wantsNothing(scene(isDoubtful)))
+	{
+		_orders.clear();
+	}
+	return _orders;
+}
+
+/// @returns true if a layout is complete, so that no change would better it.
+bool LayoutKeeper::wantsNothing(const Scene& _scene) const
+{
+	constexpr RepairScope kAll{true, true};
+	return _scene.anyHeld && repairLayout(*_scene.engine, _scene.targets, policy_, kAll).empty();
+}
+
 void LayoutKeeper::append(const Scene& _scene, const std::vector<LayoutOrder>& _orders)
 {
 	LayoutRecord change;
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/entry/src/layoutkeeper_p.h
@@ -72,7 +72,11 @@
 
 	void tick();
 	void look();
-	Scene scene(const HoldOrder* _without = nullptr) const;
+	using TargetCheck = std::function<bool(const RunnerRecord&)>;
+
+	Scene scene(const TargetCheck& _uncounted) const;
+	bool wantsNothing(const Scene& _scene) const;
+	std::vector<LayoutOrder> withoutDoubtful(const Scene& _scene, std::vector<LayoutOrder> _orders) const;
 	bool leavesInUse(const HoldOrder& _order) const;
 	std::vector<LayoutOrder> wantedOrders(const Scene& _scene);
 	Scene withoutRefusing(const Scene& _scene) const;
--- a/packages/entry/src/orderdesk.cpp
+++ b/packages/entry/src/orderdesk.cpp
@@ -46,16 +46,17 @@
 {
 }
 
-void OrderDesk::take(const LayoutRecord& _record, Offset _offset, bool _send)
+void OrderDesk::take(const LayoutRecord& _record, Offset _offset, OrderPart::Enum _part)
 {
 	const Time now = clock_.now();
 	// Fences count from 1: a target takes 0 for none.
 	const Offset fence{_offset.value + 1};
+	const bool sends = OrderPart::Send == _part;
 	if (mechanisms_.on(Mechanism::OrderLives))
 	{
 		for (const ToldOrder& told : _record.told)
 		{
-			take(told);
+			take(told, _part);
 		}
 	}
 	for (const LayoutHoldRecord& hold : _record.holds)
@@ -64,8 +65,12 @@
 		order.life = TargetLife{hold.target, hold.born};
 		order.layers = hold.layers;
 		order.fence = fence;
-		book_.take(order.life, order.layers, fence, loadOf(hold), _send, now);
-		if (_send && maySend(order))
+		book_.take(order.life, order.layers, fence, loadOf(hold), sends, now);
+		if (OrderPart::OnlyCount == _part)
+		{
+			book_.onlyCount(order);
+		}
+		if (sends && maySend(order))
 		{
 			send(order);
 		}
@@ -73,7 +78,7 @@
 	tellLives();
 }
 
-void OrderDesk::take(const ToldOrder& _told)
+void OrderDesk::take(const ToldOrder& _told, OrderPart::Enum _part)
 {
 	const Time now = clock_.now();
 	HoldOrder order;
@@ -84,6 +89,7 @@
 	order.load = _told.load;
 	order.phase = _told.phase;
 	order.reason = _told.reason;
+	order.onlyCounted = OrderPart::OnlyCount == _part;
 	book_.takeTold(order, _told.left, now);
 }
 
@@ -171,6 +177,12 @@
 	return nullptr != order && isSpanOf(_service, order->layers) ? order->layers : _target.layers;
 }
 
+bool OrderDesk::isOnlyCounted(const RunnerRecord& _target) const
+{
+	const HoldOrder* const order = book_.counting(_target.life(), clock_.now());
+	return nullptr != order && order->onlyCounted;
+}
+
 bool OrderDesk::isStale(const RunnerRecord& _target) const
 {
 	const auto load = fleet_.loads().find(_target.instance.text);
--- a/packages/entry/src/orderdesk_p.h
+++ b/packages/entry/src/orderdesk_p.h
@@ -21,6 +21,19 @@
 class Metrics;
 struct ServiceSpec;
 
+/// What a node does for the orders of a record.
+struct OrderPart
+{
+	enum Enum
+	{
+		Send,      //!< It sends them: it made the record.
+		Settle,    //!< It sends them again if nothing tells what became of them.
+		OnlyCount, //!< It counts on them: the record may be hours old.
+
+		Count
+	};
+};
+
 /// Sends the orders of the layout, keeps their book and tells their lives. What is decided of an order is the book's.
 /// Control thread only.
 class OrderDesk
@@ -39,8 +52,8 @@
 
 	/// Takes a record of the layout.
 	/// @param _offset its orders' fence follows from it.
-	/// @param _send whether this node sends its orders.
-	void take(const LayoutRecord& _record, Offset _offset, bool _send);
+	/// @param _part of this node in the orders that it has not known before.
+	void take(const LayoutRecord& _record, Offset _offset, OrderPart::Enum _part);
 
 	/// Takes what the registry shows, sends again what is to be settled, and ends what is over.
 	/// @param _place of this node among all, from 0.
@@ -62,6 +75,9 @@
 	/// @returns what a target holds or was ordered to hold. Layers that its model does not have were ordered by nobody.
 	LayerSpan effectiveLayers(const RunnerRecord& _target, const ServiceSpec& _service) const;
 
+	/// @returns true if a target's order is counted on, but may be of long ago.
+	bool isOnlyCounted(const RunnerRecord& _target) const;
+
 	/// @returns true if what the registry shows of a target is known to be gone: it has started again, or refuses its
 	/// part.
 	bool isStale(const RunnerRecord& _target) const;
@@ -73,7 +89,7 @@
 	bool refuses(const RunnerRecord& _target, LayerSpan _layers) const;
 
 private:
-	void take(const ToldOrder& _told);
+	void take(const ToldOrder& _told, OrderPart::Enum _part);
 	void send(const HoldOrder& _order);
 	void sendAgain(const HoldOrder& _order, const OrderCheck& _leavesInUse);
 	void onAnswered(const HoldOrder& _order, LayoutOrderState::Enum _state);
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -485,6 +485,7 @@
 		look();
 		CPPUNIT_ASSERT(orders_.ordered.empty());
 		LayoutKeeper other(loop_, log_, orders_, clock_, fleet_, settings_);
+		other.onCurrent(Offset{4}); // it has been running, and reads the record when it is made
 		other.onRecord(KeyedRecord{"newest", log_.appended.front(), false, Offset{4}});
 		other.onCurrent(Offset{5});
 		other.start();
