--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/entry/tests/layoutkeepertest.cpp
@@ -726,7 +726,7 @@
 		const EngineSpec& engine = fleet_.routes()->findService("engine")->engine;
 		for (int index = 0; index < _count; ++index)
 		{
-			targets_.push_back(LayoutTarget{0, *findKind(engine, _card), LayerSpan{}, 0});
+			targets_.push_back(LayoutTarget{0, *findKind(engine, _card), LayerSpan{}, 0, LayerSpan{}});
 		}
 	}
 
