--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -179,6 +179,7 @@
 	CPPUNIT_TEST(nodeThatStartsLoadsThroughItsHall);
 	CPPUNIT_TEST(hubGoneTheOtherReads);
 	CPPUNIT_TEST(changedSettingsAreInForce);
+	CPPUNIT_TEST(anOldViewDeniesNothing);
 	CPPUNIT_TEST(nodeThatTheStoreTurnsAwayStaysCurrent);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -208,6 +209,26 @@
 		CPPUNIT_ASSERT(harness.callUntil(request("/plain/"), 200));
 	}
 
+	/// A node cut off from the store for 7 s said of a route that had come meanwhile that there is none ("cause":
+	/// "unknown_route", "config_age_ms":"7650"), and of requests with keys, in the same moment, that it does not know yet
+	/// ("catching_up"). What an old view lacks may be there by now.
+	void anOldViewDeniesNothing()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		TestRequest unknownKey = request("/plain/");
+		unknownKey.key = "unknown";
+		CPPUNIT_ASSERT_EQUAL(uint16_t(404), harness.call(request("/unknown/")).status);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(401), harness.call(unknownKey).status);
+		harness.settings().keyBoundStrict = true;
+		harness.settings().keyBound = Duration::fromMillis(1);
+		harness.reload();
+		CPPUNIT_ASSERT(harness.callUntil(request("/plain/"), 503));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), harness.call(request("/unknown/")).status);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), harness.call(unknownKey).status);
+	}
+
 	/// It gets no topic from the store itself, and serves all the same.
 	void nodeThatStartsLoadsThroughItsHall()
 	{
