A node with an old view denies nothing: not known yet instead of unknown

Cause: a node whose proof of the desired state is older than its bound answered requests with keys by "not known yet" (503), but unknown routes and keys by 404 and 401, though its view may lack what has come since. Change: one freshness for all three. Unit and entry proofs pass; the test failed before (404 for 503).

--- a/packages/entry/src/entryfront.cpp
+++ b/packages/entry/src/entryfront.cpp
@@ -120,7 +120,7 @@
 	return ReadState::BodyTooLarge == _why ? kBodyTooLarge : kBadRequest;
 }
 
-bool EntryFront::keysAreFresh() const
+bool EntryFront::viewIsFresh() const
 {
 	if (!settings_.keyBoundStrict)
 	{
@@ -135,9 +135,11 @@
                            Entry& _entry, ErrorKind::Enum& _fault) const
 {
 	_entry.route = _routes.findRoute(_caller.host, _request.head.target);
+	// What an old view lacks may have come meanwhile: a node cut off for 7 s denied routes that were 5 s old.
+	const bool fresh = viewIsFresh();
 	if (nullptr == _entry.route)
 	{
-		_fault = ErrorKind::UnknownRoute;
+		_fault = fresh ? ErrorKind::UnknownRoute : ErrorKind::CatchingUp;
 		return false;
 	}
 	if (_entry.route->withoutKey || !_routes.state().keysNeeded)
@@ -147,11 +149,11 @@
 	_entry.holder = _routes.findHolder(_caller.key);
 	if (nullptr == _entry.holder)
 	{
-		_fault = ErrorKind::BadKey;
+		_fault = fresh ? ErrorKind::BadKey : ErrorKind::CatchingUp;
 		return false;
 	}
 	_fault = ErrorKind::CatchingUp;
-	return keysAreFresh();
+	return fresh;
 }
 
 /// @returns true if a request that comes during the stop will have ended before the process does.
--- a/packages/entry/src/entryfront_p.h
+++ b/packages/entry/src/entryfront_p.h
@@ -64,7 +64,7 @@
 
 	bool findEntry(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
 	               Entry& _entry, ErrorKind::Enum& _fault) const;
-	bool keysAreFresh() const;
+	bool viewIsFresh() const;
 	bool endsInTime(const Entry& _entry, const CallerRequest& _caller) const;
 	void letIn(HeldRequest&& _held);
 	bool holdForStart(HeldRequest& _held, const CallerRequest& _caller);
