--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -210,7 +210,8 @@
 	}
 
 	/// A node cut off from the store for 7 s said of a route that had come meanwhile that there is none ("cause":
-	/// "unknown_route", "config_age_ms":"7650"), and of requests with keys, in the same moment, that it does not know yet
+	/// "unknown_route", "config_age_ms":"7650"), and of requests with keys, in the same moment, that it does not know
+	/// yet
 	/// ("catching_up"). What an old view lacks may be there by now.
 	void anOldViewDeniesNothing()
 	{
