--- a/packages/entry/src/crashkeeper_p.h
+++ b/packages/crash/include/crash/crashkeeper.h
@@ -1,13 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_CRASHKEEPER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_CRASHKEEPER_P_H_HEADER_GUARD
-
-#include "crashnews_p.h"
+#ifndef SEDGECART_CRASH_CRASHKEEPER_H_HEADER_GUARD
+#define SEDGECART_CRASH_CRASHKEEPER_H_HEADER_GUARD
 
 #include <base/clock.h>
 #include <core/crashledger.h>
-#include <entry/keyedlog.h>
+#include <crash/crashnews.h>
+#include <ports/keyedlog.h>
 
 #include <functional>
 #include <map>
@@ -117,4 +116,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_CRASHKEEPER_P_H_HEADER_GUARD
+#endif // SEDGECART_CRASH_CRASHKEEPER_H_HEADER_GUARD
--- a/packages/entry/src/crashnews_p.h
+++ b/packages/crash/include/crash/crashnews.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_CRASHNEWS_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_CRASHNEWS_P_H_HEADER_GUARD
+#ifndef SEDGECART_CRASH_CRASHNEWS_H_HEADER_GUARD
+#define SEDGECART_CRASH_CRASHNEWS_H_HEADER_GUARD
 
 #include <base/recordfault.h>
 #include <core/crashledger.h>
@@ -51,4 +51,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_CRASHNEWS_P_H_HEADER_GUARD
+#endif // SEDGECART_CRASH_CRASHNEWS_H_HEADER_GUARD
--- a/packages/entry/src/crashsink_p.h
+++ b/packages/crash/include/crash/crashsink.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_CRASHSINK_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_CRASHSINK_P_H_HEADER_GUARD
+#ifndef SEDGECART_CRASH_CRASHSINK_H_HEADER_GUARD
+#define SEDGECART_CRASH_CRASHSINK_H_HEADER_GUARD
 
 #include <base/targetlife.h>
 #include <core/crashledger.h>
@@ -24,4 +24,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_CRASHSINK_P_H_HEADER_GUARD
+#endif // SEDGECART_CRASH_CRASHSINK_H_HEADER_GUARD
--- a/packages/entry/src/crashwatch_p.h
+++ b/packages/crash/include/crash/crashwatch.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_CRASHWATCH_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_CRASHWATCH_P_H_HEADER_GUARD
-
-#include "crashsink_p.h"
-#include "fleetview_p.h"
+#ifndef SEDGECART_CRASH_CRASHWATCH_H_HEADER_GUARD
+#define SEDGECART_CRASH_CRASHWATCH_H_HEADER_GUARD
 
 #include <base/clock.h>
 #include <core/recentidentities.h>
-#include <entry/runnerorders.h>
+#include <crash/crashsink.h>
+#include <fleet/fleetview.h>
+#include <ports/runnerorders.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -97,4 +96,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_CRASHWATCH_P_H_HEADER_GUARD
+#endif // SEDGECART_CRASH_CRASHWATCH_H_HEADER_GUARD
--- a/packages/entry/src/crashkeeper.cpp
+++ b/packages/crash/src/crashkeeper.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "crashkeeper_p.h"
-
-#include "fleetview_p.h"
+#include <crash/crashkeeper.h>
 
+#include <fleet/fleetview.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 #include <wire/sedgecart.pb.h>
--- a/packages/entry/src/crashwatch.cpp
+++ b/packages/crash/src/crashwatch.cpp
@@ -1,10 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "crashwatch_p.h"
-
-#include "lifecheck_p.h"
+#include <crash/crashwatch.h>
 
 #include <aio/timer.h>
+#include <fleet/lifecheck.h>
+
 #include <algorithm>
 #include <chrono>
 #include <memory>
--- a/packages/entry/tests/crashrequesttest.cpp
+++ b/packages/crash/tests/crashrequesttest.cpp
@@ -4,10 +4,9 @@
 // count at zero: 7 sends and more reached targets after the third had ended. Here the real decisions play in virtual
 // time: nodes of several data halls, reports to hubs as HallExchange sends them, a store; callers at all nodes at once.
 
-#include "../src/crashkeeper_p.h"
-#include "../src/fleetview_p.h"
-#include "playedloop.h"
-
+#include <crash/crashkeeper.h>
+#include <fleet/fleetview.h>
+#include <harness/playedloop.h>
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/tests/crashwatchtest.cpp
+++ b/packages/crash/tests/crashwatchtest.cpp
@@ -4,9 +4,8 @@
 // run once: "Target ended under requests." named three targets within 5 ms, and "Request is blocked." followed. The
 // caller's next attempt was refused for what its first had not done.
 
-#include "../src/crashwatch_p.h"
-
 #include <base/steadyclock.h>
+#include <crash/crashwatch.h>
 
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -3,16 +3,15 @@
 #ifndef SEDGECART_ENTRY_ENTRYCONTROL_P_H_HEADER_GUARD
 #define SEDGECART_ENTRY_ENTRYCONTROL_P_H_HEADER_GUARD
 
-#include "crashkeeper_p.h"
-#include "fleetcontroller_p.h"
-#include "follower_p.h"
-#include "hallexchange_p.h"
-#include "halllog_p.h"
-#include "layoutkeeper_p.h"
-#include "pacepoll_p.h"
-
 #include <aio/timer.h>
-#include <entry/entrysettings.h>
+#include <crash/crashkeeper.h>
+#include <fleet/fleetcontroller.h>
+#include <fleet/follower.h>
+#include <hall/hallexchange.h>
+#include <hall/halllog.h>
+#include <layout/layoutkeeper.h>
+#include <loads/pacepoll.h>
+#include <settings/entrysettings.h>
 
 #include <functional>
 #include <memory>
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -2,20 +2,27 @@
 
 #include <entry/entrynode.h>
 
-#include "crashwatch_p.h"
 #include "entrycontrol_p.h"
-#include "entryfront_p.h"
 #include "readyface_p.h"
-#include "retryledger_p.h"
-#include "targetpool_p.h"
 
 #include <aio/server.h>
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
 #include <core/answerpace.h>
 #include <core/stopwindow.h>
+#include <crash/crashwatch.h>
+#include <fleet/fleetview.h>
+#include <loads/pathwatch.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
+#include <ports/documents.h>
+#include <ports/entryports.h>
+#include <ports/keyedlog.h>
+#include <ports/runnerorders.h>
+#include <ports/wireformat.h>
+#include <relay/entryfront.h>
+#include <relay/retryledger.h>
+#include <relay/targetpool.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
--- a/packages/entry/src/readyface.cpp
+++ b/packages/entry/src/readyface.cpp
@@ -2,8 +2,8 @@
 
 #include "readyface_p.h"
 
-#include <entry/wireformat.h>
 #include <metrics/metrics.h>
+#include <ports/wireformat.h>
 
 namespace sedgecart
 {
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/layoutrecord_p.h"
-#include "../src/loadrows_p.h"
-#include "../src/nodeplace_p.h"
-#include "../src/recordpack_p.h"
-#include "../src/topicnews_p.h"
+#include "../../hall/src/recordpack_p.h"
+#include "../../hall/src/topicnews_p.h"
 
 #include <base/endpointtext.h>
+#include <fleet/nodeplace.h>
+#include <layout/layoutrecord.h>
+#include <loads/loadrows.h>
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/src/fleetcontroller_p.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_FLEETCONTROLLER_H_HEADER_GUARD
+#define SEDGECART_FLEET_FLEETCONTROLLER_H_HEADER_GUARD
 
-#include "addressclaims_p.h"
-#include "fleetview_p.h"
-#include "follower_p.h"
-#include "nodeplace_p.h"
-
-#include <entry/documents.h>
+#include <fleet/addressclaims.h>
+#include <fleet/fleetview.h>
+#include <fleet/follower.h>
+#include <fleet/nodeplace.h>
+#include <ports/documents.h>
 
 #include <algorithm>
 #include <map>
@@ -171,4 +170,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_FLEETCONTROLLER_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_FLEETCONTROLLER_H_HEADER_GUARD
--- a/packages/entry/src/fleetview_p.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -1,16 +1,15 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
-
-#include "passedover_p.h"
-#include "suspecttable_p.h"
+#ifndef SEDGECART_FLEET_FLEETVIEW_H_HEADER_GUARD
+#define SEDGECART_FLEET_FLEETVIEW_H_HEADER_GUARD
 
 #include <base/rcucell.h>
 #include <base/runner.h>
 #include <base/units.h>
 #include <core/linkuse.h>
 #include <core/routetable.h>
+#include <fleet/passedover.h>
+#include <fleet/suspecttable.h>
 
 #include <algorithm>
 #include <atomic>
@@ -141,4 +140,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_FLEETVIEW_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_FLEETVIEW_H_HEADER_GUARD
--- a/packages/entry/src/follower_p.h
+++ b/packages/fleet/include/fleet/follower.h
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_FOLLOWER_H_HEADER_GUARD
+#define SEDGECART_FLEET_FOLLOWER_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
-#include <entry/keyedlog.h>
+#include <ports/keyedlog.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -106,4 +106,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_FOLLOWER_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_FOLLOWER_H_HEADER_GUARD
--- a/packages/entry/src/lifecheck_p.h
+++ b/packages/fleet/include/fleet/lifecheck.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_LIFECHECK_H_HEADER_GUARD
+#define SEDGECART_FLEET_LIFECHECK_H_HEADER_GUARD
 
 #include <base/targetlife.h>
 
@@ -19,4 +19,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LIFECHECK_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_LIFECHECK_H_HEADER_GUARD
--- a/packages/entry/src/nodeplace_p.h
+++ b/packages/fleet/include/fleet/nodeplace.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_NODEPLACE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_NODEPLACE_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_NODEPLACE_H_HEADER_GUARD
+#define SEDGECART_FLEET_NODEPLACE_H_HEADER_GUARD
 
 #include <base/recordfault.h>
 
@@ -25,4 +25,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_NODEPLACE_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_NODEPLACE_H_HEADER_GUARD
--- a/packages/entry/src/passedover_p.h
+++ b/packages/fleet/include/fleet/passedover.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PASSEDOVER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PASSEDOVER_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_PASSEDOVER_H_HEADER_GUARD
+#define SEDGECART_FLEET_PASSEDOVER_H_HEADER_GUARD
 
 #include <base/recordfault.h>
 
@@ -64,4 +64,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PASSEDOVER_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_PASSEDOVER_H_HEADER_GUARD
--- a/packages/entry/src/suspecttable_p.h
+++ b/packages/fleet/include/fleet/suspecttable.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_SUSPECTTABLE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_SUSPECTTABLE_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_SUSPECTTABLE_H_HEADER_GUARD
+#define SEDGECART_FLEET_SUSPECTTABLE_H_HEADER_GUARD
 
 #include <base/requestidentity.h>
 #include <base/units.h>
@@ -28,4 +28,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_SUSPECTTABLE_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_SUSPECTTABLE_H_HEADER_GUARD
--- a/packages/entry/src/targetfit_p.h
+++ b/packages/fleet/include/fleet/targetfit.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TARGETFIT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TARGETFIT_P_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_TARGETFIT_H_HEADER_GUARD
+#define SEDGECART_FLEET_TARGETFIT_H_HEADER_GUARD
 
 #include <base/recordfault.h>
 
@@ -22,4 +22,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TARGETFIT_P_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_TARGETFIT_H_HEADER_GUARD
--- a/packages/entry/src/addressclaims.cpp
+++ b/packages/fleet/src/addressclaims.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "addressclaims_p.h"
+#include <fleet/addressclaims.h>
 
 namespace sedgecart
 {
--- a/packages/entry/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "fleetcontroller_p.h"
-
-#include "targetfit_p.h"
+#include <fleet/fleetcontroller.h>
 
+#include <fleet/targetfit.h>
 #include <logging/logging.h>
 
 #include <algorithm>
--- a/packages/entry/src/follower.cpp
+++ b/packages/fleet/src/follower.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "follower_p.h"
+#include <fleet/follower.h>
 
 #include <algorithm>
 #include <chrono>
--- a/packages/entry/src/lifecheck.cpp
+++ b/packages/fleet/src/lifecheck.cpp
@@ -1,11 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "lifecheck_p.h"
+#include <fleet/lifecheck.h>
 
-#include "fleetview_p.h"
-
-#include <entry/runnerorders.h>
+#include <fleet/fleetview.h>
 #include <logging/logging.h>
+#include <ports/runnerorders.h>
 
 namespace sedgecart
 {
--- a/packages/entry/src/nodeplace.cpp
+++ b/packages/fleet/src/nodeplace.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "nodeplace_p.h"
+#include <fleet/nodeplace.h>
 
 #include <base/endpointtext.h>
 #include <wire/boundedparse.h>
--- a/packages/entry/src/passedover.cpp
+++ b/packages/fleet/src/passedover.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "passedover_p.h"
+#include <fleet/passedover.h>
 
 #include <logging/logging.h>
 #include <metrics/metrics.h>
--- a/packages/entry/src/targetfit.cpp
+++ b/packages/fleet/src/targetfit.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "targetfit_p.h"
+#include <fleet/targetfit.h>
 
 #include <base/desiredstate.h>
 #include <base/runner.h>
--- a/packages/entry/tests/fleetcontrollertest.cpp
+++ b/packages/fleet/tests/fleetcontrollertest.cpp
@@ -1,7 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/fleetcontroller_p.h"
-
+#include <fleet/fleetcontroller.h>
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/tests/followertest.cpp
+++ b/packages/fleet/tests/followertest.cpp
@@ -1,8 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/follower_p.h"
-
 #include <base/steadyclock.h>
+#include <fleet/follower.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/entry/tests/passedovertest.cpp
+++ b/packages/fleet/tests/passedovertest.cpp
@@ -1,8 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/addressclaims_p.h"
-#include "../src/passedover_p.h"
-
+#include <fleet/addressclaims.h>
+#include <fleet/passedover.h>
 #include <metrics/metrics.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/src/hallexchange_p.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -1,16 +1,15 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_HALLEXCHANGE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_HALLEXCHANGE_P_H_HEADER_GUARD
-
-#include "hallnodes_p.h"
-#include "hubfollower_p.h"
-#include "loadboard_p.h"
-#include "loadreports_p.h"
-#include "reportanswers_p.h"
+#ifndef SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
+#define SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
+#include <hall/hallnodes.h>
+#include <hall/hubfollower.h>
+#include <hall/reportanswers.h>
+#include <loads/loadboard.h>
+#include <loads/loadreports.h>
 #include <peer/peerlink.h>
 
 #include <boost/asio/io_context.hpp>
@@ -104,4 +103,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_HALLEXCHANGE_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
--- a/packages/entry/src/halllog_p.h
+++ b/packages/hall/include/hall/halllog.h
@@ -1,12 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_HALLLOG_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_HALLLOG_P_H_HEADER_GUARD
-
-#include "topiccache_p.h"
+#ifndef SEDGECART_HALL_HALLLOG_H_HEADER_GUARD
+#define SEDGECART_HALL_HALLLOG_H_HEADER_GUARD
 
 #include <base/clock.h>
-#include <entry/keyedlog.h>
+#include <hall/topiccache.h>
+#include <ports/keyedlog.h>
 
 #include <array>
 #include <optional>
@@ -153,4 +152,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_HALLLOG_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_HALLLOG_H_HEADER_GUARD
--- a/packages/entry/src/hallnodes_p.h
+++ b/packages/hall/include/hall/hallnodes.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_HALLNODES_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_HALLNODES_P_H_HEADER_GUARD
+#ifndef SEDGECART_HALL_HALLNODES_H_HEADER_GUARD
+#define SEDGECART_HALL_HALLNODES_H_HEADER_GUARD
 
 #include <core/hubchoice.h>
 
@@ -40,4 +40,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_HALLNODES_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_HALLNODES_H_HEADER_GUARD
--- a/packages/entry/src/hubfollower_p.h
+++ b/packages/hall/include/hall/hubfollower.h
@@ -1,12 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_HUBFOLLOWER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_HUBFOLLOWER_P_H_HEADER_GUARD
-
-#include "halllog_p.h"
+#ifndef SEDGECART_HALL_HUBFOLLOWER_H_HEADER_GUARD
+#define SEDGECART_HALL_HUBFOLLOWER_H_HEADER_GUARD
 
 #include <base/clock.h>
 #include <core/hubchoice.h>
+#include <hall/halllog.h>
 
 #include <atomic>
 #include <cstdint>
@@ -102,4 +101,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_HUBFOLLOWER_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_HUBFOLLOWER_H_HEADER_GUARD
--- a/packages/entry/src/topiccache_p.h
+++ b/packages/hall/include/hall/topiccache.h
@@ -1,10 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TOPICCACHE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TOPICCACHE_P_H_HEADER_GUARD
+#ifndef SEDGECART_HALL_TOPICCACHE_H_HEADER_GUARD
+#define SEDGECART_HALL_TOPICCACHE_H_HEADER_GUARD
 
 #include <base/units.h>
-#include <entry/keyedlog.h>
+#include <ports/keyedlog.h>
 
 #include <array>
 #include <cstddef>
@@ -86,4 +86,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TOPICCACHE_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_TOPICCACHE_H_HEADER_GUARD
--- a/packages/entry/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -1,13 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "hallexchange_p.h"
+#include <hall/hallexchange.h>
 
-#include "crashkeeper_p.h"
-#include "fleetcontroller_p.h"
-#include "loadrows_p.h"
-#include "passedover_p.h"
-
-#include <entry/entrysettings.h>
+#include <crash/crashkeeper.h>
+#include <fleet/fleetcontroller.h>
+#include <fleet/passedover.h>
+#include <loads/loadrows.h>
+#include <settings/entrysettings.h>
 #include <wire/sedgecart.pb.h>
 
 #include <boost/asio/post.hpp>
--- a/packages/entry/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -1,12 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "halllog_p.h"
-
-#include "passedover_p.h"
+#include <hall/halllog.h>
 
 #include <base/digest.h>
-#include <entry/documents.h>
+#include <fleet/passedover.h>
 #include <logging/logging.h>
+#include <ports/documents.h>
 
 namespace sedgecart
 {
--- a/packages/entry/src/hallnodes.cpp
+++ b/packages/hall/src/hallnodes.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "hallnodes_p.h"
+#include <hall/hallnodes.h>
 
-#include "fleetcontroller_p.h"
+#include <fleet/fleetcontroller.h>
 
 #include <algorithm>
 #include <set>
--- a/packages/entry/src/hubfollower.cpp
+++ b/packages/hall/src/hubfollower.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "hubfollower_p.h"
+#include <hall/hubfollower.h>
 
 #include "topicnews_p.h"
 
--- a/packages/entry/src/recordpack_p.h
+++ b/packages/hall/src/recordpack_p.h
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RECORDPACK_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RECORDPACK_P_H_HEADER_GUARD
+#ifndef SEDGECART_HALL_RECORDPACK_P_H_HEADER_GUARD
+#define SEDGECART_HALL_RECORDPACK_P_H_HEADER_GUARD
 
-#include <entry/keyedlog.h>
+#include <ports/keyedlog.h>
 
 #include <string>
 #include <vector>
@@ -33,4 +33,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RECORDPACK_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_RECORDPACK_P_H_HEADER_GUARD
--- a/packages/entry/src/reportanswers.cpp
+++ b/packages/hall/src/reportanswers.cpp
@@ -1,14 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "reportanswers_p.h"
+#include <hall/reportanswers.h>
 
-#include "hubfollower_p.h"
-#include "loadboard_p.h"
-#include "loadrows_p.h"
-#include "topiccache_p.h"
 #include "topicnews_p.h"
 
-#include <entry/entrysettings.h>
+#include <hall/hubfollower.h>
+#include <hall/topiccache.h>
+#include <loads/loadboard.h>
+#include <loads/loadrows.h>
+#include <settings/entrysettings.h>
 #include <wire/sedgecart.pb.h>
 
 namespace sedgecart
--- a/packages/entry/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "topiccache_p.h"
+#include <hall/topiccache.h>
 
 #include "recordpack_p.h"
 
--- a/packages/entry/src/topicnews_p.h
+++ b/packages/hall/src/topicnews_p.h
@@ -1,12 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TOPICNEWS_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TOPICNEWS_P_H_HEADER_GUARD
-
-#include "halllog_p.h"
-#include "topiccache_p.h"
+#ifndef SEDGECART_HALL_TOPICNEWS_P_H_HEADER_GUARD
+#define SEDGECART_HALL_TOPICNEWS_P_H_HEADER_GUARD
 
 #include <base/units.h>
+#include <hall/halllog.h>
+#include <hall/topiccache.h>
 
 #include <cstdint>
 
@@ -29,4 +28,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TOPICNEWS_P_H_HEADER_GUARD
+#endif // SEDGECART_HALL_TOPICNEWS_P_H_HEADER_GUARD
--- a/packages/entry/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -1,8 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/halllog_p.h"
 #include "../src/recordpack_p.h"
 
+#include <hall/halllog.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <random>
--- a/packages/entry/tests/playedhall.cpp
+++ b/packages/hall/tests/playedhall.cpp
@@ -2,12 +2,11 @@
 
 #include "playedhall.h"
 
-#include "../src/hubfollower_p.h"
-#include "../src/loadboard_p.h"
-#include "../src/reportanswers_p.h"
-
 #include <base/digest.h>
-#include <entry/entrysettings.h>
+#include <hall/hubfollower.h>
+#include <hall/reportanswers.h>
+#include <loads/loadboard.h>
+#include <settings/entrysettings.h>
 #include <wire/sedgecart.pb.h>
 
 #include <algorithm>
--- a/packages/entry/tests/playedhall.h
+++ b/packages/hall/tests/playedhall.h
@@ -3,9 +3,10 @@
 #ifndef SEDGECART_ENTRY_TESTS_PLAYEDHALL_H_HEADER_GUARD
 #define SEDGECART_ENTRY_TESTS_PLAYEDHALL_H_HEADER_GUARD
 
-#include "playedloop.h"
 #include "playedstore.h"
 
+#include <harness/playedloop.h>
+
 #include <cstdint>
 #include <memory>
 #include <random>
--- a/packages/entry/tests/playedstore.h
+++ b/packages/hall/tests/playedstore.h
@@ -3,9 +3,8 @@
 #ifndef SEDGECART_ENTRY_TESTS_PLAYEDSTORE_H_HEADER_GUARD
 #define SEDGECART_ENTRY_TESTS_PLAYEDSTORE_H_HEADER_GUARD
 
-#include "playedloop.h"
-
-#include <entry/keyedlog.h>
+#include <harness/playedloop.h>
+#include <ports/keyedlog.h>
 
 #include <array>
 #include <map>
--- a/packages/entry/src/layoutkeeper_p.h
+++ b/packages/layout/include/layout/layoutkeeper.h
@@ -1,19 +1,18 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
-
-#include "losssight_p.h"
-#include "orderdesk_p.h"
+#ifndef SEDGECART_LAYOUT_LAYOUTKEEPER_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_LAYOUTKEEPER_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
 #include <base/incarnation.h>
 #include <core/changeturn.h>
 #include <core/layoutplan.h>
-#include <entry/keyedlog.h>
-#include <entry/mechanisms.h>
-#include <entry/runnerorders.h>
+#include <layout/losssight.h>
+#include <layout/orderdesk.h>
+#include <ports/keyedlog.h>
+#include <ports/runnerorders.h>
+#include <settings/mechanisms.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -108,4 +107,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LAYOUTKEEPER_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_LAYOUTKEEPER_H_HEADER_GUARD
--- a/packages/entry/src/layoutrecord_p.h
+++ b/packages/layout/include/layout/layoutrecord.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LAYOUTRECORD_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LAYOUTRECORD_P_H_HEADER_GUARD
+#ifndef SEDGECART_LAYOUT_LAYOUTRECORD_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_LAYOUTRECORD_H_HEADER_GUARD
 
 #include <base/recordfault.h>
 #include <base/runner.h>
@@ -54,4 +54,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LAYOUTRECORD_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_LAYOUTRECORD_H_HEADER_GUARD
--- a/packages/entry/src/losssight_p.h
+++ b/packages/layout/include/layout/losssight.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOSSSIGHT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOSSSIGHT_P_H_HEADER_GUARD
+#ifndef SEDGECART_LAYOUT_LOSSSIGHT_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_LOSSSIGHT_H_HEADER_GUARD
 
 #include <core/layerlosses.h>
 
@@ -39,4 +39,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOSSSIGHT_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_LOSSSIGHT_H_HEADER_GUARD
--- a/packages/entry/src/orderdesk_p.h
+++ b/packages/layout/include/layout/orderdesk.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_ORDERDESK_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_ORDERDESK_P_H_HEADER_GUARD
-
-#include "layoutrecord_p.h"
+#ifndef SEDGECART_LAYOUT_ORDERDESK_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_ORDERDESK_H_HEADER_GUARD
 
 #include <base/clock.h>
 #include <core/orderbook.h>
-#include <entry/mechanisms.h>
-#include <entry/runnerorders.h>
+#include <layout/layoutrecord.h>
+#include <ports/runnerorders.h>
+#include <settings/mechanisms.h>
 
 #include <cstddef>
 #include <functional>
@@ -111,4 +110,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_ORDERDESK_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_ORDERDESK_H_HEADER_GUARD
--- a/packages/entry/src/layoutkeeper.cpp
+++ b/packages/layout/src/layoutkeeper.cpp
@@ -1,16 +1,16 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "layoutkeeper_p.h"
+#include <layout/layoutkeeper.h>
 
-#include "fleetcontroller_p.h"
-#include "layoutrecord_p.h"
 #include "losttargets_p.h"
 #include "sparetarget_p.h"
-#include "targetfit_p.h"
 
 #include <base/digest.h>
-#include <entry/entrysettings.h>
+#include <fleet/fleetcontroller.h>
+#include <fleet/targetfit.h>
+#include <layout/layoutrecord.h>
 #include <logging/logging.h>
+#include <settings/entrysettings.h>
 
 #include <algorithm>
 #include <chrono>
--- a/packages/entry/src/layoutrecord.cpp
+++ b/packages/layout/src/layoutrecord.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "layoutrecord_p.h"
+#include <layout/layoutrecord.h>
 
 #include <wire/boundedparse.h>
 #include <wire/sedgecart.pb.h>
--- a/packages/entry/src/losssight.cpp
+++ b/packages/layout/src/losssight.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "losssight_p.h"
+#include <layout/losssight.h>
 
 #include "spantext_p.h"
 
--- a/packages/entry/src/losttargets.cpp
+++ b/packages/layout/src/losttargets.cpp
@@ -2,7 +2,7 @@
 
 #include "losttargets_p.h"
 
-#include "fleetcontroller_p.h"
+#include <fleet/fleetcontroller.h>
 
 #include <iterator>
 #include <map>
--- a/packages/entry/src/losttargets_p.h
+++ b/packages/layout/src/losttargets_p.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOSTTARGETS_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOSTTARGETS_P_H_HEADER_GUARD
+#ifndef SEDGECART_LAYOUT_LOSTTARGETS_P_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_LOSTTARGETS_P_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -19,4 +19,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOSTTARGETS_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_LOSTTARGETS_P_H_HEADER_GUARD
--- a/packages/entry/src/orderdesk.cpp
+++ b/packages/layout/src/orderdesk.cpp
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "orderdesk_p.h"
+#include <layout/orderdesk.h>
 
-#include "fleetcontroller_p.h"
 #include "spantext_p.h"
-#include "targetfit_p.h"
 
+#include <fleet/fleetcontroller.h>
+#include <fleet/targetfit.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
--- a/packages/entry/src/spantext_p.h
+++ b/packages/layout/src/spantext_p.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_SPANTEXT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_SPANTEXT_P_H_HEADER_GUARD
+#ifndef SEDGECART_LAYOUT_SPANTEXT_P_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_SPANTEXT_P_H_HEADER_GUARD
 
 #include <base/runner.h>
 
@@ -30,4 +30,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_SPANTEXT_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_SPANTEXT_P_H_HEADER_GUARD
--- a/packages/entry/src/sparetarget_p.h
+++ b/packages/layout/src/sparetarget_p.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
+#ifndef SEDGECART_LAYOUT_SPARETARGET_P_H_HEADER_GUARD
+#define SEDGECART_LAYOUT_SPARETARGET_P_H_HEADER_GUARD
 
 #include <cstddef>
 #include <vector>
@@ -16,4 +16,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_SPARETARGET_P_H_HEADER_GUARD
+#endif // SEDGECART_LAYOUT_SPARETARGET_P_H_HEADER_GUARD
--- a/packages/entry/tests/layoutkeepertest.cpp
+++ b/packages/layout/tests/layoutkeepertest.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/fleetcontroller_p.h"
-#include "../src/layoutkeeper_p.h"
-
-#include <entry/entrysettings.h>
+#include <fleet/fleetcontroller.h>
+#include <layout/layoutkeeper.h>
+#include <settings/entrysettings.h>
 #include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/src/loadboard_p.h
+++ b/packages/loads/include/loads/loadboard.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
+#ifndef SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
+#define SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
 
 #include <base/targetlife.h>
 #include <base/units.h>
@@ -87,4 +87,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOADBOARD_P_H_HEADER_GUARD
+#endif // SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
--- a/packages/entry/src/loadreports_p.h
+++ b/packages/loads/include/loads/loadreports.h
@@ -1,11 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOADREPORTS_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOADREPORTS_P_H_HEADER_GUARD
-
-#include "loadboard_p.h"
+#ifndef SEDGECART_LOADS_LOADREPORTS_H_HEADER_GUARD
+#define SEDGECART_LOADS_LOADREPORTS_H_HEADER_GUARD
 
 #include <base/clock.h>
+#include <loads/loadboard.h>
 
 #include <cstdint>
 #include <deque>
@@ -55,4 +54,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOADREPORTS_P_H_HEADER_GUARD
+#endif // SEDGECART_LOADS_LOADREPORTS_H_HEADER_GUARD
--- a/packages/entry/src/loadrows_p.h
+++ b/packages/loads/include/loads/loadrows.h
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
+#ifndef SEDGECART_LOADS_LOADROWS_H_HEADER_GUARD
+#define SEDGECART_LOADS_LOADROWS_H_HEADER_GUARD
 
-#include "loadboard_p.h"
+#include <loads/loadboard.h>
 
 #include <google/protobuf/repeated_ptr_field.h>
 
@@ -26,4 +26,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOADROWS_P_H_HEADER_GUARD
+#endif // SEDGECART_LOADS_LOADROWS_H_HEADER_GUARD
--- a/packages/entry/src/pacepoll_p.h
+++ b/packages/loads/include/loads/pacepoll.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
-
-#include "fleetcontroller_p.h"
+#ifndef SEDGECART_LOADS_PACEPOLL_H_HEADER_GUARD
+#define SEDGECART_LOADS_PACEPOLL_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
 #include <core/pollplan.h>
-#include <entry/runnerorders.h>
+#include <fleet/fleetcontroller.h>
+#include <ports/runnerorders.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -52,4 +51,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PACEPOLL_P_H_HEADER_GUARD
+#endif // SEDGECART_LOADS_PACEPOLL_H_HEADER_GUARD
--- a/packages/entry/src/pathwatch_p.h
+++ b/packages/loads/include/loads/pathwatch.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
-
-#include "fleetview_p.h"
+#ifndef SEDGECART_LOADS_PATHWATCH_H_HEADER_GUARD
+#define SEDGECART_LOADS_PATHWATCH_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
 #include <core/awaketime.h>
-#include <entry/runnerorders.h>
+#include <fleet/fleetview.h>
+#include <ports/runnerorders.h>
 
 #include <map>
 #include <memory>
@@ -128,4 +127,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PATHWATCH_P_H_HEADER_GUARD
+#endif // SEDGECART_LOADS_PATHWATCH_H_HEADER_GUARD
--- a/packages/entry/src/loadboard.cpp
+++ b/packages/loads/src/loadboard.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "loadboard_p.h"
+#include <loads/loadboard.h>
 
 #include <algorithm>
 #include <limits>
--- a/packages/entry/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "loadreports_p.h"
+#include <loads/loadreports.h>
 
-#include "fleetcontroller_p.h"
+#include <fleet/fleetcontroller.h>
 
 #include <algorithm>
 
--- a/packages/entry/src/loadrows.cpp
+++ b/packages/loads/src/loadrows.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "loadrows_p.h"
+#include <loads/loadrows.h>
 
 #include <wire/sedgecart.pb.h>
 
--- a/packages/entry/src/pacepoll.cpp
+++ b/packages/loads/src/pacepoll.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "pacepoll_p.h"
-
-#include "lifecheck_p.h"
+#include <loads/pacepoll.h>
 
+#include <fleet/lifecheck.h>
 #include <logging/logging.h>
 
 #include <chrono>
--- a/packages/entry/tests/loadboardtest.cpp
+++ b/packages/loads/tests/loadboardtest.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/fleetview_p.h"
-#include "../src/loadboard_p.h"
+#include <fleet/fleetview.h>
+#include <loads/loadboard.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/entry/tests/pathwatchtest.cpp
+++ b/packages/loads/tests/pathwatchtest.cpp
@@ -1,7 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/pathwatch_p.h"
-
+#include <loads/pathwatch.h>
 #include <metrics/metrics.h>
 
 #include <boost/asio/io_context.hpp>
--- a/packages/entry/tests/suspicioncosttest.cpp
+++ b/packages/loads/tests/suspicioncosttest.cpp
@@ -7,9 +7,8 @@
 // over two targets; asked to go on over another second one, its first one may do so or not, and its answer may be late,
 // lost, or wrong.
 
-#include "../src/pathwatch_p.h"
-
 #include <core/relaymachine.h>
+#include <loads/pathwatch.h>
 #include <metrics/metrics.h>
 
 #include <boost/asio/io_context.hpp>
--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -1,16 +1,17 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <entry/documents.h>
 #include <entry/entrynode.h>
-#include <entry/entrysettings.h>
-#include <entry/keyedlog.h>
-#include <entry/runnerorders.h>
-#include <entry/settingsfile.h>
-#include <entry/wireformat.h>
 #include <logging/logging.h>
 #include <node/node.h>
 #include <node/settings.h>
 #include <platform/platform.h>
+#include <ports/documents.h>
+#include <ports/entryports.h>
+#include <ports/keyedlog.h>
+#include <ports/runnerorders.h>
+#include <ports/wireformat.h>
+#include <settings/entrysettings.h>
+#include <settings/settingsfile.h>
 
 #include <csignal>
 #include <cstring>
--- a/packages/entry/include/entry/documents.h
+++ b/packages/ports/include/ports/documents.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_DOCUMENTS_H_HEADER_GUARD
-#define SEDGECART_ENTRY_DOCUMENTS_H_HEADER_GUARD
+#ifndef SEDGECART_PORTS_DOCUMENTS_H_HEADER_GUARD
+#define SEDGECART_PORTS_DOCUMENTS_H_HEADER_GUARD
 
 #include <base/desiredstate.h>
 #include <base/recordfault.h>
@@ -39,4 +39,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_DOCUMENTS_H_HEADER_GUARD
+#endif // SEDGECART_PORTS_DOCUMENTS_H_HEADER_GUARD
--- a/packages/entry/include/entry/keyedlog.h
+++ b/packages/ports/include/ports/keyedlog.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_KEYEDLOG_H_HEADER_GUARD
-#define SEDGECART_ENTRY_KEYEDLOG_H_HEADER_GUARD
+#ifndef SEDGECART_PORTS_KEYEDLOG_H_HEADER_GUARD
+#define SEDGECART_PORTS_KEYEDLOG_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -103,4 +103,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_KEYEDLOG_H_HEADER_GUARD
+#endif // SEDGECART_PORTS_KEYEDLOG_H_HEADER_GUARD
--- a/packages/entry/include/entry/pathstop.h
+++ b/packages/ports/include/ports/pathstop.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
+#ifndef SEDGECART_PORTS_PATHSTOP_H_HEADER_GUARD
+#define SEDGECART_PORTS_PATHSTOP_H_HEADER_GUARD
 
 #include <base/runner.h>
 
@@ -19,4 +19,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PATHSTOP_H_HEADER_GUARD
+#endif // SEDGECART_PORTS_PATHSTOP_H_HEADER_GUARD
--- a/packages/entry/include/entry/runnerorders.h
+++ b/packages/ports/include/ports/runnerorders.h
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RUNNERORDERS_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RUNNERORDERS_H_HEADER_GUARD
+#ifndef SEDGECART_PORTS_RUNNERORDERS_H_HEADER_GUARD
+#define SEDGECART_PORTS_RUNNERORDERS_H_HEADER_GUARD
 
 #include <base/layoutorderstate.h>
 #include <base/runner.h>
 #include <base/units.h>
-#include <entry/pathstop.h>
+#include <ports/pathstop.h>
 
 #include <functional>
 #include <string>
@@ -89,4 +89,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RUNNERORDERS_H_HEADER_GUARD
+#endif // SEDGECART_PORTS_RUNNERORDERS_H_HEADER_GUARD
--- a/packages/entry/include/entry/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_WIREFORMAT_H_HEADER_GUARD
-#define SEDGECART_ENTRY_WIREFORMAT_H_HEADER_GUARD
+#ifndef SEDGECART_PORTS_WIREFORMAT_H_HEADER_GUARD
+#define SEDGECART_PORTS_WIREFORMAT_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
 #include <base/runner.h>
 #include <base/units.h>
-#include <entry/pathstop.h>
+#include <ports/pathstop.h>
 
 #include <cstdint>
 #include <optional>
@@ -77,4 +77,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_WIREFORMAT_H_HEADER_GUARD
+#endif // SEDGECART_PORTS_WIREFORMAT_H_HEADER_GUARD
--- a/packages/entry/src/portnames.cpp
+++ b/packages/ports/src/portnames.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <entry/keyedlog.h>
-#include <entry/runnerorders.h>
+#include <ports/keyedlog.h>
+#include <ports/runnerorders.h>
 
 namespace sedgecart
 {
--- a/packages/entry/src/entryfront_p.h
+++ b/packages/relay/include/relay/entryfront.h
@@ -1,17 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
-
-#include "fleetview_p.h"
-#include "requestrelay_p.h"
-#include "startqueue_p.h"
+#ifndef SEDGECART_RELAY_ENTRYFRONT_H_HEADER_GUARD
+#define SEDGECART_RELAY_ENTRYFRONT_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
 #include <base/errorkind.h>
 #include <core/startwait.h>
 #include <core/stopwindow.h>
-#include <entry/entrysettings.h>
+#include <relay/relaycontext.h>
+#include <settings/entrysettings.h>
 
 #include <atomic>
 #include <memory>
@@ -20,6 +17,16 @@
 namespace sedgecart
 {
 
+class RequestRelay;
+class RouteTable;
+class StartQueue;
+struct CallerLimits;
+struct CallerRequest;
+struct HeldRequest;
+struct HostRoute;
+struct KeyHolder;
+struct RelayPlan;
+
 /// Takes callers' requests: finds route and customer, and lets them in or answers at once. Loop thread only, but for
 /// `stop` and `active`.
 class EntryFront : public ServerHandlerI
@@ -78,7 +85,7 @@
 	EntrySettings settings_;
 	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
 	StartWait startWait_;
-	StartQueue startQueue_;
+	std::unique_ptr<StartQueue> startQueue_;
 	bool ready_ = false;
 	std::atomic<uint32_t> active_{0};
 	StopWindow stopWindow_{Time{}, Duration{}}; //!< Set before `closing_`.
@@ -87,4 +94,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_ENTRYFRONT_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_ENTRYFRONT_H_HEADER_GUARD
--- a/packages/entry/src/relaycontext_p.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_RELAYCONTEXT_H_HEADER_GUARD
+#define SEDGECART_RELAY_RELAYCONTEXT_H_HEADER_GUARD
 
 namespace boost::asio
 {
@@ -46,4 +46,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RELAYCONTEXT_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_RELAYCONTEXT_H_HEADER_GUARD
--- a/packages/entry/src/retryledger_p.h
+++ b/packages/relay/include/relay/retryledger.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RETRYLEDGER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RETRYLEDGER_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_RETRYLEDGER_H_HEADER_GUARD
+#define SEDGECART_RELAY_RETRYLEDGER_H_HEADER_GUARD
 
 #include <core/retryshare.h>
 
@@ -42,4 +42,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RETRYLEDGER_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_RETRYLEDGER_H_HEADER_GUARD
--- a/packages/entry/src/targetpool_p.h
+++ b/packages/relay/include/relay/targetpool.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TARGETPOOL_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TARGETPOOL_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_TARGETPOOL_H_HEADER_GUARD
+#define SEDGECART_RELAY_TARGETPOOL_H_HEADER_GUARD
 
 #include <aio/clientconnection.h>
 #include <base/clock.h>
@@ -52,4 +52,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TARGETPOOL_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_TARGETPOOL_H_HEADER_GUARD
--- a/packages/entry/src/answerpasser.cpp
+++ b/packages/relay/src/answerpasser.cpp
@@ -2,13 +2,13 @@
 
 #include "answerpasser_p.h"
 
-#include "pathwatch_p.h"
-#include "relaycontext_p.h"
 #include "relayplan_p.h"
 
 #include <base/clock.h>
-#include <entry/wireformat.h>
+#include <loads/pathwatch.h>
 #include <metrics/metrics.h>
+#include <ports/wireformat.h>
+#include <relay/relaycontext.h>
 
 #include <algorithm>
 
--- a/packages/entry/src/answerpasser_p.h
+++ b/packages/relay/src/answerpasser_p.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_ANSWERPASSER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_ANSWERPASSER_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_ANSWERPASSER_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_ANSWERPASSER_P_H_HEADER_GUARD
 
 #include "relaylog_p.h"
 
@@ -81,4 +81,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_ANSWERPASSER_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_ANSWERPASSER_P_H_HEADER_GUARD
--- a/packages/entry/src/entryfront.cpp
+++ b/packages/relay/src/entryfront.cpp
@@ -1,12 +1,16 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "entryfront_p.h"
+#include <relay/entryfront.h>
 
-#include "crashwatch_p.h"
+#include "relayplan_p.h"
+#include "requestrelay_p.h"
+#include "startqueue_p.h"
 
 #include <base/clock.h>
 #include <base/random.h>
 #include <core/answerpace.h>
+#include <crash/crashwatch.h>
+#include <fleet/fleetview.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
@@ -48,11 +52,11 @@
     : context_(_context),
       settings_(_settings),
       startWait_(_context.clock.now()),
-      startQueue_(_context.loop, _context.clock,
-                  [this](HeldRequest&& _held)
-                  {
-	                  letIn(std::move(_held));
-                  })
+      startQueue_(std::make_unique<StartQueue>(_context.loop, _context.clock,
+                                               [this](HeldRequest&& _held)
+                                               {
+	                                               letIn(std::move(_held));
+                                               }))
 {
 }
 
@@ -105,12 +109,12 @@
 void EntryFront::onReady()
 {
 	ready_ = true;
-	if (0 < startQueue_.size())
+	if (0 < startQueue_->size())
 	{
 		logEvent(LogPart::Requests, LogLevel::Info, "Requests that waited for the start are let in.",
-		         {{"requests", std::to_string(startQueue_.size())}});
+		         {{"requests", std::to_string(startQueue_->size())}});
 	}
-	startQueue_.releaseAll();
+	startQueue_->releaseAll();
 }
 
 uint32_t EntryFront::active() const
@@ -239,7 +243,7 @@
 	}
 	const Time now = context_.clock.now();
 	_held.until = startWait_.until(_caller.budget.value_or(kDefaultBudget), _held.arrivedAt);
-	return now < _held.until && startQueue_.hold(std::move(_held));
+	return now < _held.until && startQueue_->hold(std::move(_held));
 }
 
 void EntryFront::letIn(HeldRequest&& _held)
@@ -328,7 +332,7 @@
 
 void EntryFront::onCallerGone(const ServerConnection& _connection)
 {
-	startQueue_.drop(_connection);
+	startQueue_->drop(_connection);
 	const auto row = relays_.find(&_connection);
 	if (relays_.end() != row)
 	{
--- a/packages/entry/src/loadhold_p.h
+++ b/packages/relay/src/loadhold_p.h
@@ -1,11 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_LOADHOLD_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_LOADHOLD_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_LOADHOLD_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_LOADHOLD_P_H_HEADER_GUARD
 
-#include "fleetview_p.h"
 #include "targetchooser_p.h"
 
+#include <fleet/fleetview.h>
+
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -42,4 +43,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_LOADHOLD_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_LOADHOLD_P_H_HEADER_GUARD
--- a/packages/entry/src/pathchange_p.h
+++ b/packages/relay/src/pathchange_p.h
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PATHCHANGE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PATHCHANGE_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_PATHCHANGE_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_PATHCHANGE_P_H_HEADER_GUARD
 
-#include "relaycontext_p.h"
 #include "requestpath_p.h"
 
-#include <entry/runnerorders.h>
+#include <ports/runnerorders.h>
+#include <relay/relaycontext.h>
 
 #include <functional>
 #include <memory>
@@ -51,4 +51,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PATHCHANGE_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_PATHCHANGE_P_H_HEADER_GUARD
--- a/packages/entry/src/placewait.cpp
+++ b/packages/relay/src/placewait.cpp
@@ -6,7 +6,7 @@
 
 #include <base/clock.h>
 #include <base/random.h>
-#include <entry/mechanisms.h>
+#include <settings/mechanisms.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/entry/src/placewait_p.h
+++ b/packages/relay/src/placewait_p.h
@@ -1,12 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_PLACEWAIT_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_PLACEWAIT_P_H_HEADER_GUARD
-
-#include "relaycontext_p.h"
+#ifndef SEDGECART_RELAY_PLACEWAIT_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_PLACEWAIT_P_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/units.h>
+#include <relay/relaycontext.h>
 
 #include <cstdint>
 #include <functional>
@@ -74,4 +73,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_PLACEWAIT_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_PLACEWAIT_P_H_HEADER_GUARD
--- a/packages/entry/src/relayplan_p.h
+++ b/packages/relay/src/relayplan_p.h
@@ -1,13 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_RELAYPLAN_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_RELAYPLAN_P_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
 #include <base/requestidentity.h>
 #include <base/units.h>
 #include <core/relaymachine.h>
-#include <entry/wireformat.h>
+#include <ports/wireformat.h>
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RELAYPLAN_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_RELAYPLAN_P_H_HEADER_GUARD
--- a/packages/entry/src/relaysend_p.h
+++ b/packages/relay/src/relaysend_p.h
@@ -1,13 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_RELAYSEND_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_RELAYSEND_P_H_HEADER_GUARD
-
-#include "fleetview_p.h"
+#ifndef SEDGECART_RELAY_RELAYSEND_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_RELAYSEND_P_H_HEADER_GUARD
 
 #include <aio/clientconnection.h>
 #include <base/units.h>
-#include <entry/wireformat.h>
+#include <fleet/fleetview.h>
+#include <ports/wireformat.h>
 
 #include <cstdint>
 #include <memory>
@@ -61,4 +60,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_RELAYSEND_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_RELAYSEND_P_H_HEADER_GUARD
--- a/packages/entry/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -1,15 +1,15 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_REQUESTPATH_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_REQUESTPATH_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_REQUESTPATH_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_REQUESTPATH_P_H_HEADER_GUARD
 
-#include "fleetview_p.h"
 #include "loadhold_p.h"
-#include "relaycontext_p.h"
 #include "targetchooser_p.h"
 
 #include <core/relaymachine.h>
-#include <entry/pathstop.h>
+#include <fleet/fleetview.h>
+#include <ports/pathstop.h>
+#include <relay/relaycontext.h>
 
 #include <cstdint>
 #include <map>
@@ -154,4 +154,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_REQUESTPATH_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_REQUESTPATH_P_H_HEADER_GUARD
--- a/packages/entry/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -2,13 +2,12 @@
 
 #include "requestrelay_p.h"
 
-#include "crashwatch_p.h"
-#include "pathwatch_p.h"
-#include "retryledger_p.h"
-#include "targetpool_p.h"
-
 #include <base/clock.h>
+#include <crash/crashwatch.h>
+#include <loads/pathwatch.h>
 #include <metrics/metrics.h>
+#include <relay/retryledger.h>
+#include <relay/targetpool.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
--- a/packages/entry/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -1,13 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_REQUESTRELAY_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_REQUESTRELAY_P_H_HEADER_GUARD
 
 #include "answerpasser_p.h"
 #include "pathchange_p.h"
-#include "pathwatch_p.h"
 #include "placewait_p.h"
-#include "relaycontext_p.h"
 #include "relaylog_p.h"
 #include "relayplan_p.h"
 #include "relaysend_p.h"
@@ -19,8 +17,10 @@
 #include <aio/timer.h>
 #include <core/answerpace.h>
 #include <core/relaymachine.h>
-#include <entry/runnerorders.h>
-#include <entry/wireformat.h>
+#include <loads/pathwatch.h>
+#include <ports/runnerorders.h>
+#include <ports/wireformat.h>
+#include <relay/relaycontext.h>
 
 #include <functional>
 #include <memory>
@@ -115,4 +115,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_REQUESTRELAY_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_REQUESTRELAY_P_H_HEADER_GUARD
--- a/packages/entry/src/startqueue_p.h
+++ b/packages/relay/src/startqueue_p.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_STARTQUEUE_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_STARTQUEUE_P_H_HEADER_GUARD
+#ifndef SEDGECART_RELAY_STARTQUEUE_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_STARTQUEUE_P_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
 #include <aio/timer.h>
@@ -59,4 +59,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_STARTQUEUE_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_STARTQUEUE_P_H_HEADER_GUARD
--- a/packages/entry/src/targetblame.cpp
+++ b/packages/relay/src/targetblame.cpp
@@ -6,8 +6,8 @@
 #include "requestpath_p.h"
 
 #include <base/clock.h>
-#include <entry/mechanisms.h>
-#include <entry/wireformat.h>
+#include <ports/wireformat.h>
+#include <settings/mechanisms.h>
 
 namespace sedgecart
 {
--- a/packages/entry/src/targetblame_p.h
+++ b/packages/relay/src/targetblame_p.h
@@ -1,11 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
-
-#include "relaycontext_p.h"
+#ifndef SEDGECART_RELAY_TARGETBLAME_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_TARGETBLAME_P_H_HEADER_GUARD
 
 #include <logging/logging.h>
+#include <relay/relaycontext.h>
 
 #include <string>
 
@@ -37,4 +36,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TARGETBLAME_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_TARGETBLAME_P_H_HEADER_GUARD
--- a/packages/entry/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -1,14 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
-#define SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
-
-#include "fleetview_p.h"
+#ifndef SEDGECART_RELAY_TARGETCHOOSER_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_TARGETCHOOSER_P_H_HEADER_GUARD
 
 #include <base/random.h>
 #include <core/layerpath.h>
 #include <core/relaymachine.h>
-#include <entry/mechanisms.h>
+#include <fleet/fleetview.h>
+#include <settings/mechanisms.h>
 
 #include <set>
 #include <string>
@@ -60,4 +59,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_TARGETCHOOSER_P_H_HEADER_GUARD
+#endif // SEDGECART_RELAY_TARGETCHOOSER_P_H_HEADER_GUARD
--- a/packages/entry/src/targetpool.cpp
+++ b/packages/relay/src/targetpool.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "targetpool_p.h"
+#include <relay/targetpool.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
--- a/packages/entry/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -1,18 +1,17 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/requestpath_p.h"
-
-#include "../src/crashwatch_p.h"
-#include "../src/pathwatch_p.h"
 #include "../src/relayplan_p.h"
-#include "../src/retryledger_p.h"
-#include "../src/targetpool_p.h"
+#include "../src/requestpath_p.h"
 
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
 #include <core/answerpace.h>
 #include <core/layoutplan.h>
+#include <crash/crashwatch.h>
+#include <loads/pathwatch.h>
 #include <metrics/metrics.h>
+#include <relay/retryledger.h>
+#include <relay/targetpool.h>
 
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
--- a/packages/entry/include/entry/entrysettings.h
+++ b/packages/settings/include/settings/entrysettings.h
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
-#define SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
+#ifndef SEDGECART_SETTINGS_ENTRYSETTINGS_H_HEADER_GUARD
+#define SEDGECART_SETTINGS_ENTRYSETTINGS_H_HEADER_GUARD
 
 #include <base/requestidentity.h>
 #include <base/units.h>
 #include <core/retryshare.h>
-#include <entry/mechanisms.h>
+#include <settings/mechanisms.h>
 
 #include <cstdint>
 #include <set>
@@ -49,4 +49,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_ENTRYSETTINGS_H_HEADER_GUARD
+#endif // SEDGECART_SETTINGS_ENTRYSETTINGS_H_HEADER_GUARD
--- a/packages/entry/include/entry/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
-#define SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
+#ifndef SEDGECART_SETTINGS_MECHANISMS_H_HEADER_GUARD
+#define SEDGECART_SETTINGS_MECHANISMS_H_HEADER_GUARD
 
 #include <bitset>
 #include <string>
@@ -67,4 +67,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_MECHANISMS_H_HEADER_GUARD
+#endif // SEDGECART_SETTINGS_MECHANISMS_H_HEADER_GUARD
--- a/packages/entry/include/entry/settingsfile.h
+++ b/packages/settings/include/settings/settingsfile.h
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ENTRY_SETTINGSFILE_H_HEADER_GUARD
-#define SEDGECART_ENTRY_SETTINGSFILE_H_HEADER_GUARD
+#ifndef SEDGECART_SETTINGS_SETTINGSFILE_H_HEADER_GUARD
+#define SEDGECART_SETTINGS_SETTINGSFILE_H_HEADER_GUARD
 
-#include <entry/entrysettings.h>
+#include <settings/entrysettings.h>
 
 #include <string>
 
@@ -31,4 +31,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ENTRY_SETTINGSFILE_H_HEADER_GUARD
+#endif // SEDGECART_SETTINGS_SETTINGSFILE_H_HEADER_GUARD
--- a/packages/entry/src/entrysettings.cpp
+++ b/packages/settings/src/entrysettings.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <entry/entrysettings.h>
+#include <settings/entrysettings.h>
 
 #include <boost/program_options.hpp>
 
--- a/packages/entry/src/settingsfile.cpp
+++ b/packages/settings/src/settingsfile.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <entry/settingsfile.h>
+#include <settings/settingsfile.h>
 
 #include <fstream>
 #include <iterator>
--- a/packages/entry/tests/settingsfiletest.cpp
+++ b/packages/settings/tests/settingsfiletest.cpp
@@ -1,12 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <entry/settingsfile.h>
+#include <settings/settingsfile.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+
 #include <unistd.h>
 
 namespace sedgecart
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -2,11 +2,12 @@
 
 #include "entryharness.h"
 
-#include <entry/documents.h>
-#include <entry/runnerorders.h>
-#include <entry/wireformat.h>
 #include <logging/logging.h>
 #include <platform/platform.h>
+#include <ports/documents.h>
+#include <ports/entryports.h>
+#include <ports/runnerorders.h>
+#include <ports/wireformat.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -8,7 +8,7 @@
 
 #include <base/runner.h>
 #include <entry/entrynode.h>
-#include <entry/entrysettings.h>
+#include <settings/entrysettings.h>
 
 #include <memory>
 #include <string>
--- a/tests/entry/memorylog.h
+++ b/tests/entry/memorylog.h
@@ -3,7 +3,7 @@
 #ifndef SEDGECART_TESTS_ENTRY_MEMORYLOG_H_HEADER_GUARD
 #define SEDGECART_TESTS_ENTRY_MEMORYLOG_H_HEADER_GUARD
 
-#include <entry/keyedlog.h>
+#include <ports/keyedlog.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -2,19 +2,19 @@
 
 #include "decoders.h"
 
-#include "../../packages/entry/src/crashnews_p.h"
-#include "../../packages/entry/src/layoutrecord_p.h"
-#include "../../packages/entry/src/loadrows_p.h"
-#include "../../packages/entry/src/nodeplace_p.h"
-#include "../../packages/entry/src/recordpack_p.h"
-#include "../../packages/entry/src/topicnews_p.h"
+#include "../../packages/hall/src/recordpack_p.h"
+#include "../../packages/hall/src/topicnews_p.h"
 #include "../../packages/peer/src/peermessage_p.h"
 #include "../../platform/src/recordcodec_p.h"
 
 #include <base/endpointtext.h>
 #include <core/routetable.h>
-#include <entry/documents.h>
+#include <crash/crashnews.h>
+#include <fleet/nodeplace.h>
+#include <layout/layoutrecord.h>
+#include <loads/loadrows.h>
 #include <platform/platform.h>
+#include <ports/documents.h>
 #include <wire/sedgecart.pb.h>
 
 #include <boost/log/core.hpp>
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../../packages/entry/src/recordpack_p.h"
+#include "../../packages/hall/src/recordpack_p.h"
 #include "../../platform/src/recordcodec_p.h"
 
 #include <wire/sedgecart.pb.h>
