Loads that other nodes did not tell yet are guessed from this node's own

Hypothesis: when all nodes come back after a loss of power, each chooses by the same prices and hears of the others 0.15 to 0.3 s later at the earliest, so that they overrun the cheapest heads. Ruled out: want of slots or room altogether (heads of a hall have some 700 slots; room rose to 81 in 100 only).

Change: what this node put on a target since the others' last word counts once for each other node of the hall, with a weight that is small where the change is within the spread of chance. Only the order of targets goes by it: a request that finds no place by the guess is placed by what is known. Switch: unheard-loads. Ways weighed: as before; the guess until the first word only (not built: the first totals count few nodes); always with full weight (not built: in calm seconds a node of 20 would see 19 requests for each of its own).

--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -142,6 +142,7 @@
 	void noteFit(const RunnerRecord& _record);
 	void noteLeft(const RouteTable& _next);
 	void publish();
+	uint32_t hallPeers() const;
 	void publishLeft(FleetView& _view);
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec,
 	                                                 const std::shared_ptr<const RouteTable>& _routes);
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -40,6 +40,8 @@
 	std::atomic<bool> ended{false};             //!< The target has started again since: what it held and ran is gone.
 	std::atomic<uint32_t> requests{0};          //!< From this node, with the target as first of their path.
 	std::atomic<uint64_t> tokenLayers{0};       //!< From this node: tokens times layers, as estimated.
+	std::atomic<uint32_t> heardRequests{0};     //!< Of `requests`, what the others' last word rests on.
+	std::atomic<uint64_t> heardTokenLayers{0};  //!< The same of `tokenLayers`.
 	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
 	std::atomic<uint64_t> othersTokenLayers{0}; //!< The same.
 	std::atomic<int64_t> avoidedUntil{0};       //!< Steady clock, microseconds; it failed a moment ago.
@@ -125,7 +127,8 @@
 {
 	std::shared_ptr<const RouteTable> routes; //!< Null until a desired state is known.
 	std::map<std::string, std::shared_ptr<const FleetService>> services;
-	uint32_t nodes = 1; //!< Entry nodes, this one included.
+	uint32_t nodes = 1;     //!< Entry nodes, this one included.
+	uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
 };
 
 /// The view of the moment, and how old its proof is.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -425,6 +425,18 @@
 	}
 }
 
+/// @returns the other nodes of this hall; this one may not have read its own record yet.
+uint32_t FleetController::hallPeers() const
+{
+	const auto isHere = [this](const auto& _row)
+	{
+		const auto hall = halls_.find(_row.second.hall);
+		return halls_.end() != hall && kHomeHall == hall->second;
+	};
+	const auto here = static_cast<uint32_t>(std::count_if(nodes_.begin(), nodes_.end(), isHere));
+	return here - std::min(1U, here);
+}
+
 void FleetController::publish()
 {
 	changed_ = false;
@@ -435,6 +447,7 @@
 	auto view = std::make_unique<FleetView>();
 	view->routes = routes_;
 	view->nodes = std::max<uint32_t>(1, static_cast<uint32_t>(nodes_.size()));
+	view->hallPeers = hallPeers();
 	for (const ServiceSpec& spec : routes_->state().services)
 	{
 		view->services.emplace(spec.name, buildService(spec, routes_));
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -132,7 +132,7 @@
 	LoadTable hall = board_.addUp(_own, clock_.now());
 	LoadTable others = board_.totals()->loads;
 	subtractLoads(others, _own);
-	reports_.setOthers(others);
+	reports_.setOthers(others, _own);
 	return hall;
 }
 
--- a/packages/loads/include/loads/loadreports.h
+++ b/packages/loads/include/loads/loadreports.h
@@ -35,7 +35,8 @@
 	void takeTotals(LoadTable&& _totals, uint64_t _counted);
 
 	/// The other nodes have this under way.
-	void setOthers(const LoadTable& _others);
+	/// @param _counted what this node had under way by then.
+	void setOthers(const LoadTable& _others, const LoadTable& _counted);
 
 private:
 	TargetLife lifeOf(const std::string& _instance) const;
--- a/packages/loads/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -68,21 +68,25 @@
 void LoadReports::takeTotals(LoadTable&& _totals, uint64_t _counted)
 {
 	LoadTable others = std::move(_totals);
-	for (const Sent& sent : sent_)
+	const auto isCounted = [_counted](const Sent& _sent)
 	{
-		if (sent.number == _counted)
-		{
-			subtractLoads(others, sent.loads);
-		}
-	}
-	setOthers(others);
+		return _sent.number == _counted;
+	};
+	const auto sent = std::find_if(sent_.begin(), sent_.end(), isCounted);
+	const LoadTable counted = sent_.end() == sent ? LoadTable{} : sent->loads;
+	subtractLoads(others, counted);
+	setOthers(others, counted);
 }
 
-void LoadReports::setOthers(const LoadTable& _others)
+void LoadReports::setOthers(const LoadTable& _others, const LoadTable& _counted)
 {
 	for (const auto& row : fleet_.loads())
 	{
-		const LoadAmount amount = loadAt(_others, lifeOf(row.first));
+		const TargetLife life = lifeOf(row.first);
+		const LoadAmount amount = loadAt(_others, life);
+		const LoadAmount counted = loadAt(_counted, life);
+		row.second->heardTokenLayers.store(counted.tokenLayers, std::memory_order_relaxed);
+		row.second->heardRequests.store(counted.requests, std::memory_order_relaxed);
 		row.second->othersTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
 		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
 		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -84,7 +84,8 @@
 	const auto tokens = static_cast<double>(heldTokens());
 	const Time now = context_.clock.now();
 	const double linkTaken = context_.link.taken(now);
-	return ChoiceQuery{*_place.service, _barred, _place.nodes, tokens, now, context_.mechanisms, linkTaken, _moves};
+	return ChoiceQuery{*_place.service,     _barred,   _place.nodes, tokens,          now,
+	                   context_.mechanisms, linkTaken, _moves,       _place.hallPeers};
 }
 
 /// Finds a path in the fleet as it is now.
@@ -95,6 +96,7 @@
 		const auto row = view->services.find(plan_.service);
 		_place.service = view->services.end() == row ? nullptr : row->second;
 		_place.nodes = view->nodes;
+		_place.hallPeers = view->hallPeers;
 	}
 	if (!_place.service)
 	{
@@ -181,6 +183,7 @@
 		{
 			_rest.service = now;
 			_rest.nodes = view->nodes;
+			_rest.hallPeers = view->hallPeers;
 			_rest.choice.parts.resize(1); // of the old path only the first part is known there
 			_rest.choice.parts.front().candidate = index;
 		}
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -33,6 +33,7 @@
 	{
 		std::shared_ptr<const FleetService> service;
 		uint32_t nodes = 1;
+		uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
 		Choice choice;
 	};
 
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -3,6 +3,7 @@
 #include "targetchooser_p.h"
 
 #include <core/layoutplan.h>
+#include <core/unheardload.h>
 
 #include <algorithm>
 #include <limits>
@@ -50,6 +51,9 @@
 /// heads by chance: a random price up to this, microseconds, some times what sets the halls' chains apart.
 constexpr uint32_t kMoveSpread = 20000;
 
+/// For what goes by the nodes' word alone.
+const UnheardLoad kAllHeard(0);
+
 /// Extra of a target that failed a moment ago, microseconds; more than any way around it.
 constexpr double kAvoidedCost = 1e7;
 
@@ -83,9 +87,10 @@
 	return _target.load->requests.load(std::memory_order_relaxed) < share;
 }
 
-/// @returns the part of a target's slots that requests take with this one, by this node's and the others' word; above 1
-/// when it has none left. A request that begins there takes a slot to its end; beyond that they queue.
-double slotsTaken(const FleetTarget& _target)
+/// @returns the part of a target's slots that requests take with this one, by this node's and the others' word and what
+/// is guessed of the others; above 1 when it has none left. A request that begins there takes a slot to its end; beyond
+/// that they queue.
+double slotsTaken(const FleetTarget& _target, const UnheardLoad& _unheard)
 {
 	if (0 == _target.record.slots)
 	{
@@ -93,16 +98,17 @@
 	}
 	const uint32_t own = _target.load->requests.load(std::memory_order_relaxed);
 	const uint32_t others = _target.load->othersRequests.load(std::memory_order_relaxed);
-	return static_cast<double>(own + others + 1) / _target.record.slots;
+	const uint32_t heard = _target.load->heardRequests.load(std::memory_order_relaxed);
+	return (own + others + 1 + _unheard.at(own, heard)) / _target.record.slots;
 }
 
-bool hasSlot(const FleetTarget& _target)
+bool hasSlot(const FleetTarget& _target, const UnheardLoad& _unheard)
 {
-	return slotsTaken(_target) <= 1;
+	return slotsTaken(_target, _unheard) <= 1;
 }
 
 /// @returns the part of a target's room that requests would take with this one; above 1 when they do not fit.
-double roomTaken(const FleetTarget& _target, const ChoiceQuery& _query)
+double roomTaken(const FleetTarget& _target, const ChoiceQuery& _query, const UnheardLoad& _unheard)
 {
 	if (nullptr == _target.card)
 	{
@@ -112,7 +118,8 @@
 	const double room = roomFor(_query.service.spec->engine, *_target.card, layers) * layers;
 	const double own = static_cast<double>(_target.load->tokenLayers.load(std::memory_order_relaxed));
 	const double others = static_cast<double>(_target.load->othersTokenLayers.load(std::memory_order_relaxed));
-	return room <= 0 ? 1 : (own + others + _query.tokens * layers) / room;
+	const double heard = static_cast<double>(_target.load->heardTokenLayers.load(std::memory_order_relaxed));
+	return room <= 0 ? 1 : (own + others + _unheard.at(own, heard) + _query.tokens * layers) / room;
 }
 
 /// @returns how much dearer a loaded target is than an idle one, as a multiple of its own time: little up to half of
@@ -127,35 +134,51 @@
 bool isFull(const FleetTarget& _target, const ChoiceQuery& _query)
 {
 	const bool leads = 0 == _target.record.layers.begin;
-	const bool mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
-	return kFull <= roomTaken(_target, _query) || (leads && !mayLead);
+	const bool mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, kAllHeard);
+	return kFull <= roomTaken(_target, _query, kAllHeard) || (leads && !mayLead);
 }
 
-PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query)
+PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query, const UnheardLoad& _unheard)
 {
 	const EngineSpec& engine = _query.service.spec->engine;
 	PathCandidate candidate;
 	candidate.hall = _target.hall;
 	candidate.held = _target.record.layers;
 	candidate.usable = nullptr != _target.card && !isPassedOver(_target, _query);
-	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target);
+	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, _unheard);
 	const double step = (nullptr == _target.card ? 1 : _target.card->stepFactor) * _target.load->pace();
 	const bool slotsCount = _query.mechanisms.on(Mechanism::HeadSlots);
-	candidate.costOfLead = slotsCount ? kLeadPrice * loadPrice(slotsTaken(_target)) : 0;
-	const double taken = roomTaken(_target, _query);
+	candidate.costOfLead = slotsCount ? kLeadPrice * loadPrice(slotsTaken(_target, _unheard)) : 0;
+	const double taken = roomTaken(_target, _query, _unheard);
 	candidate.usable = candidate.usable && taken < kFull;
 	candidate.costPerLayer = engine.stepMs * 1000 / engine.layers * step * (1 + loadPrice(taken));
 	candidate.costOfPart = kPartCost + (isAvoided(_target, _query.now) ? kAvoidedCost : 0);
 	return candidate;
 }
 
-std::vector<PathCandidate> candidatesOf(const ChoiceQuery& _query)
+/// @returns what the other nodes of the hall may have put on the service's targets since their last word.
+UnheardLoad unheardOf(const ChoiceQuery& _query)
+{
+	if (!_query.mechanisms.on(Mechanism::UnheardLoads))
+	{
+		return kAllHeard;
+	}
+	UnheardLoad unheard(_query.hallPeers);
+	for (const FleetTarget& target : _query.service.targets)
+	{
+		unheard.count(target.load->requests.load(std::memory_order_relaxed),
+		              target.load->heardRequests.load(std::memory_order_relaxed));
+	}
+	return unheard;
+}
+
+std::vector<PathCandidate> candidatesOf(const ChoiceQuery& _query, const UnheardLoad& _unheard)
 {
 	std::vector<PathCandidate> candidates;
 	candidates.reserve(_query.service.targets.size());
 	for (const FleetTarget& target : _query.service.targets)
 	{
-		candidates.push_back(candidateOf(target, _query));
+		candidates.push_back(candidateOf(target, _query, _unheard));
 	}
 	return candidates;
 }
@@ -201,6 +224,17 @@
 	return query;
 }
 
+bool findSpreadPath(const ChoiceQuery& _query, const UnheardLoad& _unheard, RandomI& _random, Choice& _choice)
+{
+	std::vector<PathCandidate> candidates = candidatesOf(_query, _unheard);
+	const bool spread = _query.moves && _query.mechanisms.on(Mechanism::MoveSpread);
+	for (std::size_t index = 0; spread && index < candidates.size(); ++index)
+	{
+		candidates[index].costOfLead += static_cast<double>(_random.below(kMoveSpread));
+	}
+	return findPath(candidates, pathQuery(_query), _choice.parts);
+}
+
 } // namespace
 
 SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
@@ -236,16 +270,12 @@
 	return any ? SendOutcome::NoRoom : SendOutcome::NoTargets;
 }
 
+/// A guess moves requests to where others are not guessed to be; it never refuses one.
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice)
 {
-	std::vector<PathCandidate> candidates = candidatesOf(_query);
-	const bool spread = _query.moves && _query.mechanisms.on(Mechanism::MoveSpread);
-	for (std::size_t index = 0; spread && index < candidates.size(); ++index)
-	{
-		candidates[index].costOfLead += static_cast<double>(_random.below(kMoveSpread));
-	}
-	const PathQuery query = pathQuery(_query);
-	if (findPath(candidates, query, _choice.parts))
+	const UnheardLoad unheard = unheardOf(_query);
+	if (findSpreadPath(_query, unheard, _random, _choice) ||
+	    (!unheard.isNothing() && findSpreadPath(_query, kAllHeard, _random, _choice)))
 	{
 		return SendOutcome::Begun;
 	}
@@ -269,7 +299,7 @@
 	double most = 0;
 	for (const PathPart& part : _choice.parts)
 	{
-		most = std::max(most, roomTaken(_query.service.targets[part.candidate], _query));
+		most = std::max(most, roomTaken(_query.service.targets[part.candidate], _query, kAllHeard));
 	}
 	return most;
 }
@@ -289,7 +319,7 @@
 bool chooseRest(const ChoiceQuery& _query, uint32_t _crossings, Choice& _choice)
 {
 	const PathPart head = _choice.parts.front();
-	std::vector<PathCandidate> candidates = candidatesOf(_query);
+	std::vector<PathCandidate> candidates = candidatesOf(_query, unheardOf(_query));
 	candidates[head.candidate].usable = false; // a target has one part of a path
 	PathQuery query = pathQuery(_query);
 	query.firstLayer = head.layers.end;
--- a/packages/relay/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -31,8 +31,9 @@
 	double tokens = 0;                  //!< That the request takes at each of its layers.
 	Time now;
 	const Mechanisms& mechanisms;
-	double linkTaken = 0; //!< Part of the link between halls that requests took lately.
-	bool moves = false;   //!< It leaves a path that failed, as many others may at this moment.
+	double linkTaken = 0;   //!< Part of the link between halls that requests took lately.
+	bool moves = false;     //!< It leaves a path that failed, as many others may at this moment.
+	uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
 };
 
 /// Chooses a target of a plain service: the one with least under way from here, in this data hall first.
