Streams that callers resume are sent few at a time by a node that has just started

Hypothesis: after a loss of all nodes the streams that were cut, late already, come back in one moment and are read before new requests, which are then late as well.

Change: ResumePace. After a start one resumed stream at a time is sent by a node, one more with each that is read within the pause objective, half as many after each that is not; the others wait in order, 1.5 s at most. Five seconds without a late one open it. WaitQueue (before: StartQueue) holds them. Switch: resume-pace.

--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -9,6 +9,7 @@
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
 #include <core/answerpace.h>
+#include <core/resumepace.h>
 #include <core/stopwindow.h>
 #include <crash/crashwatch.h>
 #include <fleet/fleetview.h>
@@ -81,6 +82,7 @@
 	      log_(_ports.makeLog(controlLoop_, _settings.storeAddress)),
 	      orders_(_ports.makeOrders(controlLoop_)),
 	      random_(entropy()),
+	      resumes_(clock_.now()),
 	      pool_(requestLoop_, clock_),
 	      retries_(_settings.retries),
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
@@ -88,7 +90,7 @@
 	      crashes_(requestLoop_, clock_, *pathOrders_, cell_, *this),
 	      ready_(*wire_, metrics_),
 	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
-	                          watch_, *pathOrders_, started_.mechanisms, pace_, crashes_},
+	                          watch_, *pathOrders_, started_.mechanisms, pace_, crashes_, resumes_},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -281,7 +283,8 @@
 	FleetCell cell_;
 	Metrics metrics_;
 	SeededRandom random_;
-	AnswerPace pace_; //!< Of the request loop.
+	AnswerPace pace_;    //!< Of the request loop.
+	ResumePace resumes_; //!< Of the request loop.
 	TargetPool pool_;
 	RetryLedger retries_;
 	std::unique_ptr<RunnerOrdersI> pathOrders_; //!< For the request loop.
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -52,6 +52,7 @@
 		OrdersGivenUp,    //!< Not counted on any more, though nothing shows what became of them.
 		StreamWaits,      //!< Waits of streams that had begun and found no place.
 		StreamPlaces,     //!< Such waits that ended at a target that went on with the stream.
+		ResumesHeld,      //!< Resumed streams that waited until others had been read.
 		TargetCrashes,    //!< Targets that ended while this node ran requests there.
 		RequestsBlocked,  //!< Requests that this node found to end targets.
 
--- a/packages/relay/include/relay/entryfront.h
+++ b/packages/relay/include/relay/entryfront.h
@@ -19,7 +19,7 @@
 
 class RequestRelay;
 class RouteTable;
-class StartQueue;
+class WaitQueue;
 struct CallerLimits;
 struct CallerRequest;
 struct HeldRequest;
@@ -75,6 +75,7 @@
 	bool endsInTime(const Entry& _entry, const CallerRequest& _caller) const;
 	void letIn(HeldRequest&& _held);
 	bool holdForStart(HeldRequest& _held, const CallerRequest& _caller);
+	bool holdResumed(HeldRequest& _held, const CallerRequest& _caller);
 	RelayPlan makePlan(const Entry& _entry, ServerRequest&& _request, CallerRequest&& _caller, Time _arrivedAt) const;
 	void answer(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id);
 	void refuseBlocked(ServerConnection& _connection, const RelayPlan& _plan, Duration _left);
@@ -85,7 +86,8 @@
 	EntrySettings settings_;
 	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
 	StartWait startWait_;
-	std::unique_ptr<StartQueue> startQueue_;
+	std::unique_ptr<WaitQueue> startQueue_;  //!< Requests that came before this node was ready.
+	std::unique_ptr<WaitQueue> resumeQueue_; //!< Streams that their callers resume, while others are read again.
 	bool ready_ = false;
 	std::atomic<uint32_t> active_{0};
 	StopWindow stopWindow_{Time{}, Duration{}}; //!< Set before `closing_`.
--- a/packages/relay/include/relay/relaycontext.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -19,6 +19,7 @@
 class Metrics;
 class PathWatch;
 class RandomI;
+class ResumePace;
 class RetryLedger;
 class RunnerOrdersI;
 class TargetPool;
@@ -42,6 +43,7 @@
 	const Mechanisms& mechanisms;
 	AnswerPace& pace;
 	CrashWatch& crashes;
+	ResumePace& resumes;
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/entryfront.cpp
+++ b/packages/relay/src/entryfront.cpp
@@ -4,11 +4,12 @@
 
 #include "relayplan_p.h"
 #include "requestrelay_p.h"
-#include "startqueue_p.h"
+#include "waitqueue_p.h"
 
 #include <base/clock.h>
 #include <base/random.h>
 #include <core/answerpace.h>
+#include <core/resumepace.h>
 #include <crash/crashwatch.h>
 #include <fleet/fleetview.h>
 #include <logging/logging.h>
@@ -52,11 +53,28 @@
     : context_(_context),
       settings_(_settings),
       startWait_(_context.clock.now()),
-      startQueue_(std::make_unique<StartQueue>(_context.loop, _context.clock,
-                                               [this](HeldRequest&& _held)
-                                               {
-	                                               letIn(std::move(_held));
-                                               }))
+      startQueue_(std::make_unique<WaitQueue>(
+          _context.loop, _context.clock,
+          []
+          {
+	          return false; // `onReady` lets all in
+          },
+          [this](HeldRequest&& _held)
+          {
+	          letIn(std::move(_held));
+          })),
+      resumeQueue_(std::make_unique<WaitQueue>(
+          _context.loop, _context.clock,
+          [this]
+          {
+	          return closing() || context_.resumes.admits(context_.clock.now());
+          },
+          [this](HeldRequest&& _held)
+          {
+	          active_.fetch_sub(1, std::memory_order_release);
+	          _held.waited = true;
+	          letIn(std::move(_held));
+          }))
 {
 }
 
@@ -231,7 +249,7 @@
 void EntryFront::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
 	context_.metrics.add(Counter::Requests);
-	letIn(HeldRequest{_connection, std::move(_request), context_.clock.now(), Time{}});
+	letIn(HeldRequest{_connection, std::move(_request), context_.clock.now(), Time{}, false});
 }
 
 /// @returns true if the request waits for the node to be ready.
@@ -246,6 +264,31 @@
 	return now < _held.until && startQueue_->hold(std::move(_held));
 }
 
+/// @returns true if a stream that its caller resumes waits until others have been read.
+bool EntryFront::holdResumed(HeldRequest& _held, const CallerRequest& _caller)
+{
+	const bool resumes = _caller.resumeAfter.has_value() && context_.mechanisms.on(Mechanism::ResumePace);
+	if (!resumes || _held.waited || closing())
+	{
+		return false;
+	}
+	const Time now = context_.clock.now();
+	const bool isNext = 0 == resumeQueue_->size();
+	if (isNext && context_.resumes.admits(now))
+	{
+		return false;
+	}
+	const Duration budget = _caller.budget.value_or(kDefaultBudget);
+	_held.until = now + std::min(ResumePace::kLongestHold, Duration{budget.micros / 2});
+	if (!resumeQueue_->hold(std::move(_held)))
+	{
+		return false;
+	}
+	active_.fetch_add(1, std::memory_order_relaxed);
+	context_.metrics.add(Counter::ResumesHeld);
+	return true;
+}
+
 void EntryFront::letIn(HeldRequest&& _held)
 {
 	const std::shared_ptr<ServerConnection> connection = _held.connection;
@@ -276,6 +319,10 @@
 		answer(*connection, ErrorKind::Stopping, caller.id);
 		return;
 	}
+	if (holdResumed(_held, caller))
+	{
+		return;
+	}
 	RelayPlan plan = makePlan(entry, std::move(_held.request), std::move(caller), _held.arrivedAt);
 	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan.identity);
 	if (blocked)
@@ -333,6 +380,10 @@
 void EntryFront::onCallerGone(const ServerConnection& _connection)
 {
 	startQueue_->drop(_connection);
+	if (resumeQueue_->drop(_connection))
+	{
+		active_.fetch_sub(1, std::memory_order_release);
+	}
 	const auto row = relays_.find(&_connection);
 	if (relays_.end() != row)
 	{
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -67,6 +67,10 @@
 	{
 		context_.watch.add(shared_from_this());
 	}
+	if (plan_.caller.resumeAfter)
+	{
+		resume_ = std::make_unique<ResumeTicket>(context_.resumes, context_.clock, plan_.pauseObjective);
+	}
 	context_.retries.onFirst(plan_.service, context_.clock.now());
 	machine_.begin();
 	finishIfDone();
@@ -370,6 +374,10 @@
 	{
 		noteProgress();
 		machine_.onBody(_bytes);
+		if (resume_ && 0 < machine_.events())
+		{
+			resume_->onEvent();
+		}
 		context_.pace.noteEvents(mark_, machine_.events(), passer_.lastAt());
 		finishIfDone();
 		return;
@@ -554,6 +562,7 @@
 	{
 		return;
 	}
+	resume_.reset();
 	timer_.cancel();
 	wait_.cancel();
 	context_.metrics.observe(Timing::Request, context_.clock.now() - plan_.arrivedAt);
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -10,6 +10,7 @@
 #include "relayplan_p.h"
 #include "relaysend_p.h"
 #include "requestpath_p.h"
+#include "resumeticket_p.h"
 #include "targetblame_p.h"
 
 #include <aio/clientconnection.h>
@@ -101,6 +102,7 @@
 	RelayPlan plan_;
 	std::function<void()> onDone_;
 	RelayMachine machine_;
+	std::unique_ptr<ResumeTicket> resume_; //!< Null if its caller does not resume a stream.
 	Timer timer_;
 	RequestPath path_;
 	PlaceWait wait_;
--- a/packages/relay/src/startqueue.cpp
+++ b/packages/relay/src/waitqueue.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "startqueue_p.h"
+#include "waitqueue_p.h"
 
 #include <algorithm>
 #include <chrono>
@@ -19,15 +19,16 @@
 
 } // namespace
 
-StartQueue::StartQueue(boost::asio::io_context& _loop, const ClockI& _clock,
-                       std::function<void(HeldRequest&&)> _release)
+WaitQueue::WaitQueue(boost::asio::io_context& _loop, const ClockI& _clock, std::function<bool()> _mayGo,
+                     Release _release)
     : timer_(_loop),
       clock_(_clock),
+      mayGo_(std::move(_mayGo)),
       release_(std::move(_release))
 {
 }
 
-bool StartQueue::hold(HeldRequest&& _request)
+bool WaitQueue::hold(HeldRequest&& _request)
 {
 	if (kMostHeld <= held_.size())
 	{
@@ -41,9 +42,9 @@
 	return true;
 }
 
-void StartQueue::releaseAll()
+void WaitQueue::releaseAll()
 {
-	std::vector<HeldRequest> all;
+	std::deque<HeldRequest> all;
 	all.swap(held_);
 	timer_.cancel();
 	for (HeldRequest& request : all)
@@ -52,16 +53,22 @@
 	}
 }
 
-void StartQueue::drop(const ServerConnection& _connection)
+bool WaitQueue::drop(const ServerConnection& _connection)
 {
 	const auto isIts = [&_connection](const HeldRequest& _request)
 	{
 		return &_connection == _request.connection.get();
 	};
-	held_.erase(std::remove_if(held_.begin(), held_.end(), isIts), held_.end());
+	const auto found = std::find_if(held_.begin(), held_.end(), isIts);
+	const bool isHere = held_.end() != found;
+	if (isHere)
+	{
+		held_.erase(found);
+	}
+	return isHere;
 }
 
-void StartQueue::releaseDue()
+void WaitQueue::releaseDue()
 {
 	const Time now = clock_.now();
 	const auto waits = [now](const HeldRequest& _request)
@@ -69,19 +76,35 @@
 		return now < _request.until;
 	};
 	const auto due = std::stable_partition(held_.begin(), held_.end(), waits);
-	std::vector<HeldRequest> released(std::make_move_iterator(due), std::make_move_iterator(held_.end()));
+	std::deque<HeldRequest> released(std::make_move_iterator(due), std::make_move_iterator(held_.end()));
 	held_.erase(due, held_.end());
 	for (HeldRequest& request : released)
 	{
 		release_(std::move(request));
 	}
+}
+
+void WaitQueue::releaseNext()
+{
+	HeldRequest next = std::move(held_.front());
+	held_.pop_front();
+	release_(std::move(next));
+}
+
+void WaitQueue::look()
+{
+	releaseDue();
+	while (!held_.empty() && mayGo_())
+	{
+		releaseNext();
+	}
 	if (!held_.empty())
 	{
 		wakeLater();
 	}
 }
 
-void StartQueue::wakeLater()
+void WaitQueue::wakeLater()
 {
 	timer_.expires_after(kLookAgain);
 	timer_.async_wait(
@@ -89,7 +112,7 @@
 	    {
 		    if (!_error)
 		    {
-			    releaseDue();
+			    look();
 		    }
 	    });
 }
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -7,6 +7,7 @@
 #include <base/steadyclock.h>
 #include <core/answerpace.h>
 #include <core/layoutplan.h>
+#include <core/resumepace.h>
 #include <crash/crashwatch.h>
 #include <loads/pathwatch.h>
 #include <metrics/metrics.h>
@@ -145,12 +146,13 @@
 	PathWatch watch_{loop_, clock_, orders_, metrics_};
 	Mechanisms mechanisms_;
 	AnswerPace pace_;
+	ResumePace resumes_{Time{}};
 	NoSink sink_;
 	CrashWatch crashes_{loop_, clock_, orders_, cell_, sink_};
 
 public:
-	const RelayContext context{loop_,    clock_,   wire_,  cell_,   cell_.link,  pool_, random_,
-	                           retries_, metrics_, watch_, orders_, mechanisms_, pace_, crashes_};
+	const RelayContext context{loop_,    clock_, wire_,   cell_,       cell_.link, pool_,    random_, retries_,
+	                           metrics_, watch_, orders_, mechanisms_, pace_,      crashes_, resumes_};
 };
 
 } // namespace
--- a/packages/relay/tests/startqueuetest.cpp
+++ b/packages/relay/tests/waitqueuetest.cpp
@@ -1,22 +1,25 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "../src/startqueue_p.h"
+#include "../src/waitqueue_p.h"
 
 #include <base/steadyclock.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace sedgecart
 {
 
-class StartQueueTest : public CppUnit::TestFixture
+class WaitQueueTest : public CppUnit::TestFixture
 {
-	CPPUNIT_TEST_SUITE(StartQueueTest);
+	CPPUNIT_TEST_SUITE(WaitQueueTest);
 	CPPUNIT_TEST(allAreReleasedInTheirOrder);
 	CPPUNIT_TEST(whatHasWaitedLongEnoughIsReleased);
+	CPPUNIT_TEST(whatMayGoIsReleasedInTurn);
 	CPPUNIT_TEST(itIsBounded);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +47,22 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue_.size());
 	}
 
+	/// One goes, and the next only when it may.
+	void whatMayGoIsReleasedInTurn()
+	{
+		CPPUNIT_ASSERT(queue_.hold(request("a", far())));
+		CPPUNIT_ASSERT(queue_.hold(request("b", far())));
+		CPPUNIT_ASSERT(queue_.hold(request("c", far())));
+		mayGo_ = 2;
+		while (released_.size() < 2)
+		{
+			loop_.run_one();
+		}
+		loop_.run_one();
+		CPPUNIT_ASSERT((std::vector<std::string>{"a", "b"}) == released_);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue_.size());
+	}
+
 	void itIsBounded()
 	{
 		std::size_t held = 0;
@@ -74,13 +93,19 @@
 	boost::asio::io_context loop_;
 	SteadyClock clock_;
 	std::vector<std::string> released_;
-	StartQueue queue_{loop_, clock_,
-	                  [this](HeldRequest&& _request)
-	                  {
-		                  released_.push_back(_request.request.head.target);
-	                  }};
+	uint32_t mayGo_ = 0; //!< Requests that may go.
+	WaitQueue queue_{loop_, clock_,
+	                 [this]
+	                 {
+		                 return 0 < mayGo_;
+	                 },
+	                 [this](HeldRequest&& _request)
+	                 {
+		                 mayGo_ -= std::min(1U, mayGo_);
+		                 released_.push_back(_request.request.head.target);
+	                 }};
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(StartQueueTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(WaitQueueTest);
 
 } // namespace sedgecart
