--- a/packages/crash/include/crash/crashwatch.h
+++ b/packages/crash/include/crash/crashwatch.h
@@ -1,5 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `crash`: evidence that a request ends the targets that run it, and what follows from it.
+///
+/// `CrashWatch`, on the request loop, tells which requests ran where a target ended. `CrashKeeper`, on the control
+/// thread of each node, brings that to the hub of the hall and from hub to hub (`CrashNews`), asks `core/crashledger`
+/// for the verdict, and keeps blocked requests in the store. What is suspected or blocked is published to the request
+/// path as a table
+/// (`SuspectTable`), which is asked before each send.
+
 #ifndef SEDGECART_CRASH_CRASHWATCH_H_HEADER_GUARD
 #define SEDGECART_CRASH_CRASHWATCH_H_HEADER_GUARD
 
--- a/packages/entry/include/entry/entrynode.h
+++ b/packages/entry/include/entry/entrynode.h
@@ -1,5 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `entry`: one node as a process. It owns the two loops and their threads, wires the packages together, tells
+/// whether it is ready, and stops as planned.
+///
+/// The request loop carries callers, targets and `PathWatch`; the control loop carries followers, layout and the hall.
+/// They share the published view, the loads at targets and a few atomics; all else crosses by posting to the other
+/// loop.
+
 #ifndef SEDGECART_ENTRY_ENTRYNODE_H_HEADER_GUARD
 #define SEDGECART_ENTRY_ENTRYNODE_H_HEADER_GUARD
 
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -1,5 +1,17 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `fleet`: what a node knows of the fleet, and since when.
+///
+/// `Follower` reads one topic of the store, on the control thread. `FleetController` takes the records of the desired
+/// state, of targets and of nodes, and publishes an immutable `FleetView`; the request path reads it without a lock
+/// (RCU), and keeps a service of it for as long as a request is on its way. What changes more often than the view, the
+/// load at a target and the suspicions about it, stands in its `TargetLoad`, whose fields are atomic and live as long
+/// as that start of the target is known to somebody.
+///
+/// Records that name nothing to go by are passed over with a reason (`PassedOver`) and never change what is known.
+/// Which start of a target a record, an answer or a report is of says its `TargetLife`.
+
 #ifndef SEDGECART_FLEET_FLEETCONTROLLER_H_HEADER_GUARD
 #define SEDGECART_FLEET_FLEETCONTROLLER_H_HEADER_GUARD
 
--- a/packages/hall/include/hall/hallexchange.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -1,5 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `hall`: the nodes of one data hall among themselves, and halls with each other.
+///
+/// One node of a hall, its hub (`core/hubchoice`), reads the store; the others ask it for news seven times a second and
+/// tell it their loads (`HallExchange`). `HallLog` stands between a follower and the store: a read waits for the hub's
+/// next answer, and goes to the store itself when no hub answers in time. `TopicCache` keeps what was read, so that a
+/// node that starts loads whole topics from its hub, packed and paced. Hubs tell each other sums. Every answer says how
+/// old its proof was, so that a delay makes nothing look newer than it is.
+
 #ifndef SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
 #define SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
 
--- a/packages/layout/include/layout/layoutkeeper.h
+++ b/packages/layout/include/layout/layoutkeeper.h
@@ -1,5 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `layout`: which target holds which layers of the model.
+///
+/// Every node looks at the fleet five times a second (`LayoutKeeper`): where `core/layoutplan` wants a change, one node
+/// at a time, by `core/changeturn`, appends it to the layout's topic. The offset of that record is the fence of its
+/// orders, so that a later layout always wins at a target. `OrderDesk` sends the orders of this node's records, sends
+/// again what got no answer, and settles what others left; `core/orderbook` says what is known of each. `LossSight`
+/// tells of layers without a holder. Nobody leads: two authors at once cost one refused append.
+
 #ifndef SEDGECART_LAYOUT_LAYOUTKEEPER_H_HEADER_GUARD
 #define SEDGECART_LAYOUT_LAYOUTKEEPER_H_HEADER_GUARD
 
--- a/packages/loads/include/loads/loadboard.h
+++ b/packages/loads/include/loads/loadboard.h
@@ -1,5 +1,15 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `loads`: what is under way at targets, how slow they are and which of them are silent.
+///
+/// `LoadReports` makes this node's report and takes totals, from which its own part is taken off again; `LoadBoard`
+/// adds up the reports of a hall at its hub, and the sums of other halls. `PacePoll` asks targets how slow they are.
+/// `PathWatch` watches the streams of this node: who on a silent path does not answer is taken as dead, less surely
+/// where this node itself is late. All numbers of others are as old as their last word; the request path guesses what
+/// came since
+/// (`core/unheardload`).
+
 #ifndef SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
 #define SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
 
--- a/packages/relay/include/relay/entryfront.h
+++ b/packages/relay/include/relay/entryfront.h
@@ -1,5 +1,17 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `relay`: the way of a caller's request through a node, on the request loop.
+///
+/// `EntryFront` takes it, finds route and customer, and lets it in, lets it wait (`WaitQueue`), or refuses it at once.
+/// `RequestRelay` carries one request: `core/relaymachine` decides, the relay acts. `RequestPath` chooses targets
+/// (`TargetChooser`) and counts the request where it is; `RelaySend` is one exchange with a path's first target;
+/// `AnswerPasser` hands events on as they come. When a target of the path dies, `PathChange` has the rest of the path
+/// replaced, or the request goes on elsewhere behind its last event; a begun stream without a place waits
+/// (`PlaceWait`).
+///
+/// One final answer for each request; "not run" only if no target has begun it; what may not be repeated is sent once.
+
 #ifndef SEDGECART_RELAY_ENTRYFRONT_H_HEADER_GUARD
 #define SEDGECART_RELAY_ENTRYFRONT_H_HEADER_GUARD
 
--- a/packages/settings/include/settings/entrysettings.h
+++ b/packages/settings/include/settings/entrysettings.h
@@ -1,5 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `settings`: what the operator sets for one node, from its file, flags and environment, checked before
+/// anything starts. A wrong value is told with its field and what is allowed, and the process does not start by it.
+///
+/// `SettingsFile` tells when the file has changed; what takes a restart is named, the rest is taken at once.
+/// `Mechanisms` names each policy that can be switched off alone, to measure what it is worth.
+
 #ifndef SEDGECART_SETTINGS_ENTRYSETTINGS_H_HEADER_GUARD
 #define SEDGECART_SETTINGS_ENTRYSETTINGS_H_HEADER_GUARD
 
