--- a/packages/core/include/core/layoutplan.h
+++ b/packages/core/include/core/layoutplan.h
@@ -20,13 +20,6 @@
 	LayerSpan held;      //!< What it holds or has been ordered to hold; empty if nothing.
 	uint64_t tokens = 0; //!< Of the requests under way over it.
 	LayerSpan serves;    //!< What it lets new requests pass through now: held, loaded, and not about to be given up.
-
-	/// @returns true if it has not begun to load what it is to hold: it gives up what it held only when the requests
-	/// over that have ended, which takes seconds.
-	bool waits() const
-	{
-		return 0 < held.size() && 0 == serves.size() && 0 < tokens;
-	}
 };
 
 /// Give a target these layers to hold.
@@ -60,11 +53,6 @@
 	/// Whether orders leave running requests their memory and every layer somebody who serves it. Streams broken off in
 	/// 30 runs in which targets leave one after the other: 659 without, 58 with.
 	bool makeBeforeBreak = true;
-
-	/// Whether targets that hold nothing take a lost range that another target was given and waits to load. Answers
-	/// crashes that come in waves: the first loss finds only targets in use, and those that come back empty a moment
-	/// later would take second copies, while their hall is without a chain for as long as its longest stream.
-	bool emptyFirst = true;
 };
 
 /// Lays a model out over targets that hold nothing: whole chains in each data hall, since activations that cross
--- a/packages/core/src/layoutrepair.cpp
+++ b/packages/core/src/layoutrepair.cpp
@@ -52,7 +52,6 @@
 	            const LayoutPolicy& _policy, const LayoutInUse* _inUse)
 	    : engine_(_engine),
 	      inUse_(_inUse),
-	      emptyFirst_(_policy.emptyFirst),
 	      targets_(_targets),
 	      members_(_members),
 	      room_(plannedRoom(_engine, _targets, _members, _policy))
@@ -62,10 +61,6 @@
 	void run(const RepairScope& _scope, std::vector<LayoutOrder>& _orders)
 	{
 		fillHoles(_orders);
-		if (emptyFirst_)
-		{
-			overtake(_orders);
-		}
 		mendHoles(_scope, _orders);
 		if (0 < hole().size())
 		{
@@ -114,60 +109,6 @@
 		}
 	}
 
-	/// Lets empty targets take what only targets that wait are to hold: they load at once. What waits stays ordered and
-	/// becomes a second copy.
-	void overtake(std::vector<LayoutOrder>& _orders)
-	{
-		Members ready;
-		Members empty;
-		for (const uint32_t member : members_)
-		{
-			if (!targets_[member].waits())
-			{
-				ready.push_back(member);
-			}
-			if (isEmpty(member))
-			{
-				empty.push_back(member);
-			}
-		}
-		std::vector<uint32_t> held = coverage(engine_, targets_, ready);
-		for (LayerSpan range = firstHole(held); 0 < range.size(); range = firstHole(held))
-		{
-			const std::vector<LayoutTarget> before = targets_;
-			std::vector<LayoutOrder> orders = _orders;
-			if (takeOver(range, empty, orders) && loadsSooner(before, range))
-			{
-				_orders = std::move(orders);
-				const auto isTaken = [this](uint32_t _member)
-				{
-					return !isEmpty(_member);
-				};
-				empty.erase(std::remove_if(empty.begin(), empty.end(), isTaken), empty.end());
-			}
-			else
-			{
-				targets_ = before;
-			}
-			std::fill(held.begin(), held.begin() + range.end, 1); // ranges before it are settled
-		}
-	}
-
-	/// @returns true if what empty targets were ordered loads no longer than what waits for the same range.
-	bool loadsSooner(const std::vector<LayoutTarget>& _before, LayerSpan _range) const
-	{
-		uint32_t ordered = 0;
-		uint32_t waiting = 0;
-		for (const uint32_t member : members_)
-		{
-			const bool isNew = _before[member].held != targets_[member].held;
-			const bool waits = _before[member].waits() && 0 < commonSpan(_before[member].held, _range).size();
-			ordered = std::max(ordered, isNew ? targets_[member].held.size() : 0);
-			waiting = std::max(waiting, waits ? _before[member].held.size() : 0);
-		}
-		return ordered <= waiting;
-	}
-
 	/// @returns the empty target with least memory that can hold a range, the number of targets if there is none.
 	uint32_t smallestTaker(LayerSpan _range) const
 	{
@@ -238,7 +179,7 @@
 	{
 		for (LayerSpan lost = hole(); 0 < lost.size(); lost = hole())
 		{
-			const bool mended = takeOver(lost, freeMembers(), _orders) || (_scope.mayShift && shift(lost, _orders));
+			const bool mended = takeOver(lost, _orders) || (_scope.mayShift && shift(lost, _orders));
 			if (!mended)
 			{
 				return;
@@ -283,12 +224,13 @@
 	}
 
 	/// Lets targets that hold nothing, or second copies only, take over a lost range: as few as can keep their room.
-	bool takeOver(LayerSpan _lost, const Members& _free, std::vector<LayoutOrder>& _orders)
+	bool takeOver(LayerSpan _lost, std::vector<LayoutOrder>& _orders)
 	{
+		const Members free = freeMembers();
 		for (const double share : kRoomShares)
 		{
 			Members window;
-			for (const uint32_t member : _free)
+			for (const uint32_t member : free)
 			{
 				window.push_back(member);
 				const bool holds = _lost.size() <= layersThatFitAll(engine_, targets_, window, room_ * share);
@@ -408,7 +350,6 @@
 
 	const EngineSpec& engine_;
 	const LayoutInUse* inUse_;
-	bool emptyFirst_;
 	std::vector<LayoutTarget> targets_; //!< As they will be.
 	const Members& members_;
 	double room_; //!< That each target is planned with, tokens.
--- a/packages/core/tests/layoutplantest.cpp
+++ b/packages/core/tests/layoutplantest.cpp
@@ -95,23 +95,6 @@
 	}
 }
 
-/// @returns a hall whose first target is to hold a range that nobody serves, and that has two empty ones.
-std::vector<LayoutTarget> lossGivenToOne()
-{
-	constexpr uint32_t kLost = 8;
-	std::vector<LayoutTarget> targets;
-	add(targets, 0, kMiddle, 1);
-	targets[0].held = LayerSpan{0, kLost};
-	for (uint32_t begin = kLost; begin < 80; begin += kLost)
-	{
-		add(targets, 0, kMiddle, 1);
-		targets.back().held = LayerSpan{begin, begin + kLost};
-		targets.back().serves = targets.back().held;
-	}
-	add(targets, 0, kSmall, 2);
-	return targets;
-}
-
 /// @returns layers that some target of the hall holds.
 uint32_t covered(const std::vector<LayoutTarget>& _targets, uint32_t _hall)
 {
@@ -163,8 +146,6 @@
 	CPPUNIT_TEST(secondCopiesProtectAgainstLosses);
 	CPPUNIT_TEST(holdersOfSecondCopiesTakeOver);
 	CPPUNIT_TEST(theLeastBusyTakesOver);
-	CPPUNIT_TEST(emptyTargetsTakeWhatOneThatWaitsWasGiven);
-	CPPUNIT_TEST(whatLoadsIsLeftToLoad);
 	CPPUNIT_TEST(largeHallsGetShortChains);
 	CPPUNIT_TEST(hallsTooSmallShareAChain);
 	CPPUNIT_TEST(tightHallsKeepTheirOwnChainsBesideANarrowLink);
@@ -266,34 +247,6 @@
 		CPPUNIT_ASSERT(lost < targets.size());
 	}
 
-	/// A lost range was given to a target in use, which waits for the requests over it. Targets that come back empty
-	/// load it at once.
-	void emptyTargetsTakeWhatOneThatWaitsWasGiven()
-	{
-		std::vector<LayoutTarget> targets = lossGivenToOne();
-		targets[0].tokens = 50000;
-		const std::vector<LayoutOrder> orders = repairLayout(engine(), targets, kPolicy, RepairScope{});
-		std::vector<bool> loads(80, false);
-		for (const LayoutOrder& order : orders)
-		{
-			CPPUNIT_ASSERT_EQUAL(0U, targets[order.target].held.size());
-			std::fill(loads.begin() + order.layers.begin, loads.begin() + order.layers.end, true);
-		}
-		const LayerSpan lost = targets[0].held;
-		CPPUNIT_ASSERT_EQUAL(
-		    lost.size(), static_cast<uint32_t>(std::count(loads.begin() + lost.begin, loads.begin() + lost.end, true)));
-		LayoutPolicy off;
-		off.emptyFirst = false;
-		CPPUNIT_ASSERT(repairLayout(engine(), targets, off, RepairScope{}).empty());
-	}
-
-	/// Nothing passes over it any more, so that it is loading: others would only share the store's link with it.
-	void whatLoadsIsLeftToLoad()
-	{
-		const std::vector<LayoutTarget> targets = lossGivenToOne();
-		CPPUNIT_ASSERT(repairLayout(engine(), targets, kPolicy, RepairScope{}).empty());
-	}
-
 	/// A hall of more targets than a path may have parts is laid out in several chains, each of which a path can go.
 	void largeHallsGetShortChains()
 	{
--- a/packages/layout/src/layoutkeeper.cpp
+++ b/packages/layout/src/layoutkeeper.cpp
@@ -64,7 +64,6 @@
 		policy_.roomShare = 0;
 	}
 	policy_.tightAlone = mechanisms_.on(Mechanism::TightHalls);
-	policy_.emptyFirst = mechanisms_.on(Mechanism::EmptyFirst);
 	policy_.makeBeforeBreak = mechanisms_.on(Mechanism::MakeBeforeBreak);
 }
 
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -34,7 +34,6 @@
 		StopPace,        //!< What comes during a stop is let in by the time that answers took of late.
 		OrderLives,      //!< An order to hold layers counts by what is known of it, not for a fixed time.
 		StreamWaits,     //!< A stream that has begun waits for a place at a target while its caller stays.
-		EmptyFirst,      //!< Empty targets take a lost range that another target was given and waits to load.
 		ResumePace,      //!< A node that has just started sends few streams at once that callers resume.
 		UnheardLoads,    //!< What other nodes did not tell yet is guessed from what this one did.
 		CrashLedger,     //!< A request under which targets end is not sent any more.
