A resumed stream that is let in counts as under way throughout

Read cold: between its turn in the queue and its relay it was counted nowhere, so that a stop that looked just then could have ended the process.

--- a/packages/relay/src/entryfront.cpp
+++ b/packages/relay/src/entryfront.cpp
@@ -71,9 +71,9 @@
           },
           [this](HeldRequest&& _held)
           {
-	          active_.fetch_sub(1, std::memory_order_release);
 	          _held.waited = true;
 	          letIn(std::move(_held));
+	          active_.fetch_sub(1, std::memory_order_release); // last: a stop ends the process at none
           }))
 {
 }
