Rate limits that targets name are read from their answers, logged and counted

Now the adapter reads it (a header with anything but one finite number from 0 on is unreadable, counted, and changes nothing), and a node logs each change of a target's limit. No decision goes by it yet.

Test: WireFormatTest.rateLimitsAreRead.

--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -8,6 +8,7 @@
 #include <base/units.h>
 #include <core/linkuse.h>
 #include <core/routetable.h>
+#include <fleet/heardrate.h>
 #include <fleet/passedover.h>
 #include <fleet/suspecttable.h>
 
@@ -52,6 +53,7 @@
 	std::atomic<int64_t> refusedUntil{0};       //!< Steady clock, microseconds.
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
+	HeardRate ownRate;                          //!< As the target answered this node.
 
 	/// @returns this node's suspicion at a moment.
 	uint32_t ownSuspicion(Time _now) const
--- /dev/null
+++ b/packages/fleet/include/fleet/heardrate.h
@@ -0,0 +1,45 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
+#define SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
+
+#include <base/rateword.h>
+
+#include <atomic>
+#include <cstdint>
+
+namespace sedgecart
+{
+
+/// A target's last word on its rate limit. One thread writes, any thread reads.
+class HeardRate
+{
+public:
+	void set(const RateWord& _word)
+	{
+		perSecond_.store(_word.limit ? _word.limit->perSecond : kNoLimit, std::memory_order_relaxed);
+		heardAt_.store(_word.heardAt.micros, std::memory_order_release);
+	}
+
+	RateWord get() const
+	{
+		RateWord word;
+		word.heardAt = Time{heardAt_.load(std::memory_order_acquire)};
+		const double perSecond = perSecond_.load(std::memory_order_relaxed);
+		if (kNoLimit != perSecond)
+		{
+			word.limit = RequestRate{perSecond};
+		}
+		return word;
+	}
+
+private:
+	static constexpr double kNoLimit = -1;
+
+	std::atomic<double> perSecond_{kNoLimit};
+	std::atomic<int64_t> heardAt_{INT64_MIN}; //!< Steady clock, microseconds.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -33,28 +33,30 @@
 		Claims,
 		CallersGone,
 		TurnedAway,
-		Placements,       //!< Layer ranges given to other targets by this node.
-		Moves,            //!< Streams taken from a slow chain to a faster one.
-		Sends,            //!< Requests sent to a target or path, those that were sent again as well.
-		Answers,          //!< Answers of targets that were passed on whole.
-		BrokenStreams,    //!< Streams that could not be finished.
-		PathChanges,      //!< Requests that went on over another path.
-		DeadTargets,      //!< Targets taken as dead when a path was silent.
-		SurplusAnswers,   //!< Answers that belonged to another request.
-		LayerLosses,      //!< Losses of layers of a data hall that ended.
-		OrdersSent,       //!< Orders to hold layers that this node sent, those sent again as well.
-		OrdersKnown,      //!< Orders to hold layers that this node knows of, whoever sends them.
-		OrdersBegun,      //!< Of them: the target has begun, by its answer to this node or by a record.
-		OrdersHeld,       //!< The target says that it holds the layers.
-		OrdersRefused,    //!< The target refused.
-		OrdersUnanswered, //!< No answer came.
-		OrdersShown,      //!< The registry shows the layers.
-		OrdersGivenUp,    //!< Not counted on any more, though nothing shows what became of them.
-		StreamWaits,      //!< Waits of streams that had begun and found no place.
-		StreamPlaces,     //!< Such waits that ended at a target that went on with the stream.
-		ResumesHeld,      //!< Resumed streams that waited until others had been read.
-		TargetCrashes,    //!< Targets that ended while this node ran requests there.
-		RequestsBlocked,  //!< Requests that this node found to end targets.
+		Placements,        //!< Layer ranges given to other targets by this node.
+		Moves,             //!< Streams taken from a slow chain to a faster one.
+		Sends,             //!< Requests sent to a target or path, those that were sent again as well.
+		Answers,           //!< Answers of targets that were passed on whole.
+		BrokenStreams,     //!< Streams that could not be finished.
+		PathChanges,       //!< Requests that went on over another path.
+		DeadTargets,       //!< Targets taken as dead when a path was silent.
+		SurplusAnswers,    //!< Answers that belonged to another request.
+		LayerLosses,       //!< Losses of layers of a data hall that ended.
+		OrdersSent,        //!< Orders to hold layers that this node sent, those sent again as well.
+		OrdersKnown,       //!< Orders to hold layers that this node knows of, whoever sends them.
+		OrdersBegun,       //!< Of them: the target has begun, by its answer to this node or by a record.
+		OrdersHeld,        //!< The target says that it holds the layers.
+		OrdersRefused,     //!< The target refused.
+		OrdersUnanswered,  //!< No answer came.
+		OrdersShown,       //!< The registry shows the layers.
+		OrdersGivenUp,     //!< Not counted on any more, though nothing shows what became of them.
+		StreamWaits,       //!< Waits of streams that had begun and found no place.
+		StreamPlaces,      //!< Such waits that ended at a target that went on with the stream.
+		ResumesHeld,       //!< Resumed streams that waited until others had been read.
+		TargetCrashes,     //!< Targets that ended while this node ran requests there.
+		RequestsBlocked,   //!< Requests that this node found to end targets.
+		RateLimits,        //!< Times that a target named another rate limit than before, or none any more.
+		UnreadableNotices, //!< Answers of targets that say something of themselves that cannot be read.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -49,6 +49,8 @@
     "resumes_held",
     "target_crashes",
     "requests_blocked",
+    "rate_limits",
+    "unreadable_notices",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -4,6 +4,7 @@
 #define SEDGECART_PORTS_WIREFORMAT_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
+#include <base/rateword.h>
 #include <base/runner.h>
 #include <base/units.h>
 #include <ports/pathstop.h>
@@ -40,6 +41,19 @@
 	uint32_t urgency = 5;
 };
 
+/// Whether a target's answer names the most requests a second that the target takes from all nodes together.
+struct RateNotice
+{
+	enum Enum
+	{
+		None,
+		Named,
+		Unreadable, //!< It names something that is no rate.
+
+		Count
+	};
+};
+
 /// What a target's answer says of itself.
 struct TargetAnswer
 {
@@ -48,6 +62,8 @@
 	bool notHeld = false;  //!< The stop at fault does not hold its part, or is another instance than was meant.
 	bool isSigned = false; //!< It carries the signature without which no answer counts as a success.
 	std::string atFault;   //!< "ip:port" of the stop that refused; empty if it names none.
+	RateNotice::Enum rateNotice = RateNotice::None;
+	RequestRate rateLimit; //!< Of the target that answers, if it is named.
 };
 
 /// Reads and writes what callers and targets speak. Translates only; safe from any thread.
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -52,6 +52,7 @@
       log_(context_.clock, plan_, machine_, path_, wait_),
       passer_(context_, plan_, log_, std::move(_caller)),
       blame_(context_, path_, log_),
+      notices_(context_),
       pathChange_(context_, plan_, path_, log_)
 {
 }
@@ -340,6 +341,7 @@
 		logOutcome("Surplus answer is thrown away.", LogLevel::Info, answer.id);
 		return HeadVerdict::Skip;
 	}
+	notices_.take(_send.target, answer);
 	_send.answer = std::move(answer);
 	_send.head = std::move(_head);
 	_send.sound = !isSuccess(_send.head.status) || (_send.answer.isSigned && !_send.answer.id.empty());
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -12,6 +12,7 @@
 #include "requestpath_p.h"
 #include "resumeticket_p.h"
 #include "targetblame_p.h"
+#include "targetnotices_p.h"
 
 #include <aio/clientconnection.h>
 #include <aio/serverconnection.h>
@@ -109,6 +110,7 @@
 	RelayLog log_;
 	AnswerPasser passer_;
 	TargetBlame blame_;
+	TargetNotices notices_;
 	PathChange pathChange_;
 	std::shared_ptr<RelaySend> send_; //!< Under way, or the last one.
 	std::shared_ptr<RelaySend> kept_; //!< Suspected to be dead, until the one under way brings something.
--- /dev/null
+++ b/packages/relay/src/targetnotices_p.h
@@ -0,0 +1,32 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_RELAY_TARGETNOTICES_P_H_HEADER_GUARD
+#define SEDGECART_RELAY_TARGETNOTICES_P_H_HEADER_GUARD
+
+#include <relay/relaycontext.h>
+
+namespace sedgecart
+{
+
+struct FleetTarget;
+struct TargetAnswer;
+
+/// Notes what a target says of itself in an answer, whatever request it answers. Loop thread only.
+class TargetNotices
+{
+public:
+	/// @param _context must outlive it.
+	explicit TargetNotices(const RelayContext& _context);
+
+	/// @param _target that answered.
+	void take(const FleetTarget& _target, const TargetAnswer& _answer) const;
+
+private:
+	void takeRate(const FleetTarget& _target, const TargetAnswer& _answer) const;
+
+	const RelayContext& context_;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_RELAY_TARGETNOTICES_P_H_HEADER_GUARD
