All nodes together send a target no more than the rate limit that it names

What callers saw: nothing yet; the target did.

Evidence: rates of 4.0 and 8.3 a second before the limit was named, 6.7 and 9.3 after; no reader of the header in the code. Ruled out: each node taking the limit as its own (no fall at all), repeats alone (only first sends).

The mend: a target's newest word on its limit, heard by whatever node, is told with the loads (age, since nodes share no clock) and stands with the target's life. RateGate (core, pure): few nodes send, those first in a hash order per target with the nodes of its hall before the others, no more senders than the limit has requests a second, each an equal part evenly spaced. So in any span at most the limit and one for each sender, with no message for a request and whatever herd comes; 4 L + L + 1 against the allowed 6 L + 5. Where nobody hears from the target its place is taken by the next. A closed target may still be a later part of a path. Asked at the one place where a send is chosen, for first sends, repeats, moves and resumed streams. Where all are closed the request is refused at once as not run, with the time until this node may send next.

Switch: rate-limits, with a case of its own.

--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -22,6 +22,7 @@
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
 #include <relay/entryfront.h>
+#include <relay/rateledger.h>
 #include <relay/retryledger.h>
 #include <relay/targetpool.h>
 
@@ -85,12 +86,13 @@
 	      resumes_(clock_.now()),
 	      pool_(requestLoop_, clock_),
 	      retries_(_settings.retries),
+	      rates_(_settings.name),
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      crashes_(requestLoop_, clock_, *pathOrders_, cell_, *this),
 	      ready_(*wire_, metrics_),
 	      front_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
-	                          watch_, *pathOrders_, started_.mechanisms, pace_, crashes_, resumes_},
+	                          watch_, *pathOrders_, started_.mechanisms, pace_, crashes_, resumes_, rates_},
 	             _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -287,6 +289,7 @@
 	ResumePace resumes_; //!< Of the request loop.
 	TargetPool pool_;
 	RetryLedger retries_;
+	RateLedger rates_;
 	std::unique_ptr<RunnerOrdersI> pathOrders_; //!< For the request loop.
 	PathWatch watch_;
 	CrashWatch crashes_; //!< Of the request loop.
--- a/packages/entry/tests/foreignrecordtest.cpp
+++ b/packages/entry/tests/foreignrecordtest.cpp
@@ -385,7 +385,7 @@
 			row.set_target("t");
 			row.set_requests(3);
 			row.set_pace(pace);
-			const LoadTable table = loadTableOf(sum.loads());
+			const LoadTable table = loadTableOf(sum.loads(), Time{});
 			CPPUNIT_ASSERT_EQUAL(0.0, table.at(TargetLife{InstanceId{"t"}, BirthTime{}}).pace);
 			CPPUNIT_ASSERT_EQUAL(3U, table.at(TargetLife{InstanceId{"t"}, BirthTime{}}).requests);
 		}
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -155,6 +155,7 @@
 	void noteLeft(const RouteTable& _next);
 	void publish();
 	uint32_t hallPeers() const;
+	void updateRoster();
 	void publishLeft(FleetView& _view);
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec,
 	                                                 const std::shared_ptr<const RouteTable>& _routes);
@@ -172,6 +173,7 @@
 	std::map<std::string, Gone> gone_;         //!< By instance, for `kGoneKept`.
 	std::map<std::string, uint32_t> halls_;    //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_; //!< By name.
+	std::shared_ptr<const NodeRoster> roster_; //!< The same, as the request path reads it; null before the first node.
 	AddressClaims addresses_;
 	std::set<std::string> lapsed_; //!< Instances that may come back.
 	Time fleetChangedAt_;
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -9,6 +9,7 @@
 #include <core/linkuse.h>
 #include <core/routetable.h>
 #include <fleet/heardrate.h>
+#include <fleet/noderoster.h>
 #include <fleet/passedover.h>
 #include <fleet/suspecttable.h>
 
@@ -54,6 +55,15 @@
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
 	HeardRate ownRate;                          //!< As the target answered this node.
+	HeardRate toldRate;                         //!< The same by other nodes' word.
+
+	/// @returns the target's newest word on its rate limit, to whatever node.
+	RateWord rate() const
+	{
+		const RateWord own = ownRate.get();
+		const RateWord told = toldRate.get();
+		return own.heardAt < told.heardAt ? told : own;
+	}
 
 	/// @returns this node's suspicion at a moment.
 	uint32_t ownSuspicion(Time _now) const
@@ -129,8 +139,9 @@
 {
 	std::shared_ptr<const RouteTable> routes; //!< Null until a desired state is known.
 	std::map<std::string, std::shared_ptr<const FleetService>> services;
-	uint32_t nodes = 1;     //!< Entry nodes, this one included.
-	uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
+	uint32_t nodes = 1;                       //!< Entry nodes, this one included.
+	uint32_t hallPeers = 0;                   //!< Other entry nodes of this data hall.
+	std::shared_ptr<const NodeRoster> roster; //!< Null while no node is known.
 };
 
 /// The view of the moment, and how old its proof is.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -367,12 +367,28 @@
 		cell_.passedOver.noteSound(RecordKind::Node, _record.key);
 		nodes_[_record.key] = node;
 	}
-	if (before != nodes_.size() && routes_)
+	if (before == nodes_.size())
+	{
+		return;
+	}
+	updateRoster();
+	if (routes_)
 	{
 		publish();
 	}
 }
 
+void FleetController::updateRoster()
+{
+	std::vector<NodeRoster::Node> nodes;
+	nodes.reserve(nodes_.size());
+	for (const auto& row : nodes_)
+	{
+		nodes.push_back(NodeRoster::Node{row.first, row.second.hall});
+	}
+	roster_ = std::make_shared<const NodeRoster>(std::move(nodes));
+}
+
 uint32_t FleetController::hallIndex(const std::string& _hall)
 {
 	const auto next = static_cast<uint32_t>(halls_.size());
@@ -448,6 +464,7 @@
 	view->routes = routes_;
 	view->nodes = std::max<uint32_t>(1, static_cast<uint32_t>(nodes_.size()));
 	view->hallPeers = hallPeers();
+	view->roster = roster_;
 	for (const ServiceSpec& spec : routes_->state().services)
 	{
 		view->services.emplace(spec.name, buildService(spec, routes_));
--- /dev/null
+++ b/packages/fleet/tests/noderostertest.cpp
@@ -0,0 +1,88 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include <fleet/noderoster.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+TargetLife life(const char* _instance, int64_t _born = 0)
+{
+	return TargetLife{InstanceId{_instance}, BirthTime{_born}};
+}
+
+std::vector<NodeRoster::Node> nodes()
+{
+	return {{"n1", "h1"}, {"n2", "h1"}, {"n3", "h2"}, {"n4", "h2"}, {"n5", "h2"}};
+}
+
+} // namespace
+
+class NodeRosterTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(NodeRosterTest);
+	CPPUNIT_TEST(eachNodeHasAPlaceAndTheTargetsHallGoesFirst);
+	CPPUNIT_TEST(allNodesAgreeWhateverTheOrderOfTheirRecords);
+	CPPUNIT_TEST(targetsHaveOrdersOfTheirOwn);
+	CPPUNIT_TEST(whoIsNotKnownComesLast);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void eachNodeHasAPlaceAndTheTargetsHallGoesFirst()
+	{
+		const NodeRoster roster(nodes());
+		std::set<uint32_t> ranks;
+		for (const NodeRoster::Node& node : nodes())
+		{
+			const RateOrder order = roster.orderFor(node.name, life("t1"), "h2");
+			CPPUNIT_ASSERT_EQUAL(3U, order.hallNodes);
+			CPPUNIT_ASSERT_EQUAL(5U, order.nodes);
+			CPPUNIT_ASSERT_EQUAL("h2" == node.hall, order.rank < 3U);
+			ranks.insert(order.rank);
+		}
+		CPPUNIT_ASSERT((std::set<uint32_t>{0, 1, 2, 3, 4}) == ranks);
+	}
+
+	void allNodesAgreeWhateverTheOrderOfTheirRecords()
+	{
+		std::vector<NodeRoster::Node> turned = nodes();
+		std::reverse(turned.begin(), turned.end());
+		const NodeRoster one(nodes());
+		const NodeRoster other(turned);
+		for (const NodeRoster::Node& node : turned)
+		{
+			CPPUNIT_ASSERT_EQUAL(one.orderFor(node.name, life("t1"), "h1").rank,
+			                     other.orderFor(node.name, life("t1"), "h1").rank);
+		}
+	}
+
+	void targetsHaveOrdersOfTheirOwn()
+	{
+		const NodeRoster roster(nodes());
+		std::set<uint32_t> ranks;
+		for (const char* const target : {"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9", "t10", "t11", "t12"})
+		{
+			ranks.insert(roster.orderFor("n3", life(target), "h2").rank);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), ranks.size());
+	}
+
+	void whoIsNotKnownComesLast()
+	{
+		const RateOrder order = NodeRoster(nodes()).orderFor("new", life("t1"), "h1");
+		CPPUNIT_ASSERT_EQUAL(5U, order.rank);
+		CPPUNIT_ASSERT_EQUAL(6U, order.nodes);
+		CPPUNIT_ASSERT_EQUAL(2U, order.hallNodes);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeRosterTest);
+
+} // namespace sedgecart
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -120,7 +120,7 @@
 	wire::PeerMessage message;
 	wire::HallReport& report = *message.mutable_hall_report();
 	hub_.beginReport(report);
-	putLoadRows(_own, *report.mutable_loads());
+	putLoadRows(_own, clock_.now(), *report.mutable_loads());
 	putCrashNews(crashes_.forReport(), *report.mutable_crash_news());
 	link_->send(_address, message);
 	reports_.keep(report.number(), _own);
@@ -140,7 +140,7 @@
 {
 	wire::PeerMessage message;
 	message.mutable_hall_sum()->set_node(name_);
-	putLoadRows(_hall, *message.mutable_hall_sum()->mutable_loads());
+	putLoadRows(_hall, clock_.now(), *message.mutable_hall_sum()->mutable_loads());
 	putCrashNews(crashes_.forSum(), *message.mutable_hall_sum()->mutable_crash_news());
 	return message;
 }
@@ -207,7 +207,7 @@
 	else if (_message.has_hall_sum())
 	{
 		const wire::HallSum& sum = _message.hall_sum();
-		board_.takeSum(sum.node(), loadTableOf(sum.loads()), clock_.now());
+		board_.takeSum(sum.node(), loadTableOf(sum.loads(), clock_.now()), clock_.now());
 		takeCrashNews(sum.crash_news(), &CrashKeeper::takeSum);
 	}
 	else if (_message.has_hall_answer())
@@ -264,7 +264,7 @@
 	}
 	if (hub_.takeAnswer(_answer) && _answer.is_hub() && !hub_.isHub())
 	{
-		reports_.takeTotals(loadTableOf(_answer.totals()), _answer.counted());
+		reports_.takeTotals(loadTableOf(_answer.totals(), clock_.now()), _answer.counted());
 		crashes_.takeAnswer(crashNewsOf(_answer.crash_news()));
 	}
 }
--- a/packages/hall/src/reportanswers.cpp
+++ b/packages/hall/src/reportanswers.cpp
@@ -41,7 +41,7 @@
 
 void ReportAnswers::answer(const wire::HallReport& _report, wire::HallAnswer& _answer)
 {
-	board_.takeReport(_report.node(), _report.number(), loadTableOf(_report.loads()), clock_.now());
+	board_.takeReport(_report.node(), _report.number(), loadTableOf(_report.loads(), clock_.now()), clock_.now());
 	_answer.set_node(self_);
 	_answer.set_number(_report.number());
 	_answer.set_is_hub(hub_.isHub());
@@ -60,7 +60,7 @@
 	{
 		return;
 	}
-	putLoadRows(totals->loads, *_answer.mutable_totals());
+	putLoadRows(totals->loads, clock_.now(), *_answer.mutable_totals());
 	const auto counted = totals->counted.find(_report.node());
 	_answer.set_counted(totals->counted.end() == counted ? 0 : counted->second);
 }
--- a/packages/loads/include/loads/loadrows.h
+++ b/packages/loads/include/loads/loadrows.h
@@ -18,11 +18,11 @@
 /// Loads as nodes tell them to each other.
 using LoadRows = google::protobuf::RepeatedPtrField<wire::FleetLoadRow>;
 
-/// Writes a table behind the rows that are there.
-void putLoadRows(const LoadTable& _table, LoadRows& _rows);
+/// Writes a table behind the rows that are there. Nodes share no clock: what was heard is told by its age.
+void putLoadRows(const LoadTable& _table, Time _now, LoadRows& _rows);
 
 /// @returns the table that was written.
-LoadTable loadTableOf(const LoadRows& _rows);
+LoadTable loadTableOf(const LoadRows& _rows, Time _now);
 
 } // namespace sedgecart
 
--- a/packages/loads/src/loadboard.cpp
+++ b/packages/loads/src/loadboard.cpp
@@ -34,6 +34,7 @@
 	addUpTo(_sum.requests, _more.requests);
 	addUpTo(_sum.suspicion, _more.suspicion);
 	_sum.pace = std::max(_sum.pace, _more.pace);
+	_sum.rate = _sum.rate.heardAt < _more.rate.heardAt ? _more.rate : _sum.rate;
 }
 
 } // namespace
--- a/packages/loads/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -24,6 +24,16 @@
 /// A target that is slower than usual by less is as usual: it costs no row in a report.
 constexpr double kUsualPace = 1.05;
 
+/// What a target said of its rate limit is told for so long, since a message may be lost.
+constexpr Duration kRateTold = Duration::fromMillis(3000);
+
+/// @returns the target's word to this node, if it is to be told.
+RateWord rateToTell(const TargetLoad& _load, Time _now)
+{
+	const RateWord word = _load.ownRate.get();
+	return word.isHeard() && _now < word.heardAt + kRateTold ? word : RateWord{};
+}
+
 } // namespace
 
 /// @returns the start of a target as the registry shows it.
@@ -42,8 +52,9 @@
 		const double pace = row.second->polledPace.load(std::memory_order_relaxed);
 		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
 		                        row.second->requests.load(std::memory_order_relaxed), row.second->ownSuspicion(now),
-		                        kUsualPace < pace ? pace : 0};
-		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.pace)
+		                        kUsualPace < pace ? pace : 0, rateToTell(*row.second, now)};
+		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.pace ||
+		    amount.rate.isHeard())
 		{
 			loads[lifeOf(row.first)] = amount;
 		}
@@ -91,6 +102,10 @@
 		row.second->othersRequests.store(amount.requests, std::memory_order_relaxed);
 		row.second->othersSuspicion.store(amount.suspicion, std::memory_order_relaxed);
 		row.second->toldPace.store(std::max(1.0, amount.pace), std::memory_order_relaxed);
+		if (row.second->toldRate.get().heardAt < amount.rate.heardAt)
+		{
+			row.second->toldRate.set(amount.rate);
+		}
 	}
 	const LoadAmount link = loadAt(_others, linkRow());
 	fleet_.link().setOthers(Duration{static_cast<int64_t>(link.tokenLayers)});
--- a/packages/loads/tests/loadboardtest.cpp
+++ b/packages/loads/tests/loadboardtest.cpp
@@ -2,6 +2,8 @@
 
 #include <fleet/fleetview.h>
 #include <loads/loadboard.h>
+#include <loads/loadrows.h>
+#include <wire/sedgecart.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,6 +29,8 @@
 	CPPUNIT_TEST(startsOfATargetDoNotAddUp);
 	CPPUNIT_TEST(sumsStopAtTheirMost);
 	CPPUNIT_TEST(everNewNodesAreNotKept);
+	CPPUNIT_TEST(theNewestWordOnARateLimitCounts);
+	CPPUNIT_TEST(rateLimitsAreToldByTheirAge);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +59,37 @@
 		CPPUNIT_ASSERT(board_.totals()->loads.empty());
 	}
 
+	/// A limit that was taken back must not come back with an older report.
+	void theNewestWordOnARateLimitCounts()
+	{
+		const Time later = kNow + Duration::fromMillis(100);
+		const LoadAmount limited{0, 0, 0, 0, RateWord{RequestRate{2.6}, kNow}};
+		const LoadAmount takenBack{0, 0, 0, 0, RateWord{std::nullopt, later}};
+		board_.takeReport("n2", 1, LoadTable{{life("t1"), takenBack}}, later);
+		board_.takeSum("far", LoadTable{{life("t1"), limited}}, later);
+		board_.addUp(LoadTable{{life("t1"), {100, 1}}}, later);
+		const RateWord word = board_.totals()->loads.at(life("t1")).rate;
+		CPPUNIT_ASSERT(!word.limit);
+		CPPUNIT_ASSERT_EQUAL(later.micros, word.heardAt.micros);
+	}
+
+	void rateLimitsAreToldByTheirAge()
+	{
+		const LoadTable table{{life("t1"), {100, 1, 0, 0, RateWord{RequestRate{2.6}, kNow}}},
+		                      {life("t2"), {100, 1, 0, 0, RateWord{std::nullopt, kNow}}},
+		                      {life("t3"), {100, 1}}};
+		wire::HallSum sum;
+		putLoadRows(table, kNow + Duration::fromMillis(250), *sum.mutable_loads());
+		const Time there{5000000}; // the clock of another node
+		const LoadTable told = loadTableOf(sum.loads(), there);
+		CPPUNIT_ASSERT_EQUAL(2.6, told.at(life("t1")).rate.limit->perSecond);
+		CPPUNIT_ASSERT_EQUAL(there.micros - 250000, told.at(life("t1")).rate.heardAt.micros);
+		CPPUNIT_ASSERT(told.at(life("t2")).rate.isHeard() && !told.at(life("t2")).rate.limit);
+		CPPUNIT_ASSERT(!told.at(life("t3")).rate.isHeard());
+		sum.mutable_loads(0)->set_rate_limit(-2);
+		CPPUNIT_ASSERT(!loadTableOf(sum.loads(), there).at(life("t1")).rate.isHeard());
+	}
+
 	void nothingFallsBelowZero()
 	{
 		LoadTable sum{{life("t1"), {100, 1}}};
--- a/packages/relay/include/relay/relaycontext.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -19,6 +19,7 @@
 class Metrics;
 class PathWatch;
 class RandomI;
+class RateLedger;
 class ResumePace;
 class RetryLedger;
 class RunnerOrdersI;
@@ -44,6 +45,7 @@
 	AnswerPace& pace;
 	CrashWatch& crashes;
 	ResumePace& resumes;
+	RateLedger& rates;
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -6,6 +6,7 @@
 
 #include <base/clock.h>
 #include <core/linkuse.h>
+#include <relay/rateledger.h>
 
 #include <algorithm>
 #include <iterator>
@@ -97,14 +98,50 @@
 		_place.service = view->services.end() == row ? nullptr : row->second;
 		_place.nodes = view->nodes;
 		_place.hallPeers = view->hallPeers;
+		_place.roster = view->roster;
 	}
+	untilOpen_.reset();
 	if (!_place.service)
 	{
 		return SendOutcome::NoTargets;
 	}
-	const ChoiceQuery wanted = query(_place, _barred, _moves);
-	return _place.service->spec->hasEngine ? choosePath(wanted, context_.random, _place.choice)
-	                                       : chooseTarget(wanted, context_.random, _place.choice);
+	const Closed closed = closedTargets(_place);
+	ChoiceQuery wanted = query(_place, _barred, _moves);
+	wanted.closed = &closed.targets;
+	const SendOutcome::Enum outcome = _place.service->spec->hasEngine
+	                                      ? choosePath(wanted, context_.random, _place.choice)
+	                                      : chooseTarget(wanted, context_.random, _place.choice);
+	if (SendOutcome::Begun != outcome && closed.opensAt < RateGate::kNever)
+	{
+		untilOpen_ = closed.opensAt - wanted.now;
+	}
+	return outcome;
+}
+
+RequestPath::Closed RequestPath::closedTargets(const Place& _place) const
+{
+	Closed closed{{}, RateGate::kNever};
+	if (!context_.mechanisms.on(Mechanism::RateLimits))
+	{
+		return closed;
+	}
+	const Time now = context_.clock.now();
+	for (const FleetTarget& target : _place.service->targets)
+	{
+		const Time opensAt = context_.rates.opensAt(target, _place.roster, now);
+		if (now < opensAt)
+		{
+			closed.targets.insert(target.record.life());
+			closed.opensAt = std::min(closed.opensAt, opensAt);
+		}
+	}
+	return closed;
+}
+
+/// The request goes to the first target: it counts against the rate that the target takes.
+void RequestPath::noteSend()
+{
+	context_.rates.onSent(head(), context_.clock.now());
 }
 
 /// Finds a path beside the one that the request is on, without what the request takes there: it leaves that, and a part
@@ -131,6 +168,7 @@
 	{
 		place_ = std::move(place);
 		hold();
+		noteSend();
 	}
 	return outcome;
 }
@@ -144,6 +182,7 @@
 		kept_ = std::make_unique<Kept>(Kept{std::move(place_), std::move(hold_)});
 		place_ = std::move(place);
 		hold();
+		noteSend();
 	}
 	return outcome;
 }
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,7 @@
 		std::shared_ptr<const FleetService> service;
 		uint32_t nodes = 1;
 		uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
+		std::shared_ptr<const NodeRoster> roster;
 		Choice choice;
 	};
 
@@ -109,6 +111,13 @@
 	/// Targets that were passed over until now may be chosen again.
 	void forgiveFull();
 
+	/// @returns how long until a target is open to this node's requests again, if the last choice found nothing and
+	/// some target was closed by its own word.
+	std::optional<Duration> untilOpen() const
+	{
+		return untilOpen_;
+	}
+
 	/// @returns entry nodes that share the targets, as of the last choice.
 	uint32_t nodes() const
 	{
@@ -138,11 +147,20 @@
 
 	Barred barred() const;
 	Barred barredBeside() const;
+	/// Targets that by their own word get no request from this node now.
+	struct Closed
+	{
+		std::set<TargetLife> targets;
+		Time opensAt; //!< The first of them that opens for this node; RateGate::kNever: none does.
+	};
+
 	ChoiceQuery query(const Place& _place, const Barred& _barred, bool _moves) const;
+	Closed closedTargets(const Place& _place) const;
 	SendOutcome::Enum find(const Barred& _barred, bool _moves, Place& _place) const;
 	SendOutcome::Enum findOther(bool _moves, Place& _place) const;
 	static const FleetTarget* headOf(const Place& _place);
 	void hold();
+	void noteSend();
 
 	const RelayContext& context_;
 	const RelayPlan& plan_;
@@ -151,6 +169,7 @@
 	std::unique_ptr<Kept> kept_;      //!< Null if it is nowhere else.
 	std::set<TargetLife> failed_;     //!< Targets that failed this request.
 	std::map<TargetLife, Time> full_; //!< Those of them that only turned it away, and until when to pass them over.
+	mutable std::optional<Duration> untilOpen_; //!< By the last choice.
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -279,7 +279,8 @@
 		noteCall(); // it would have taken at least as long
 	}
 	logOutcome("Request is refused.", LogLevel::Info, answer.name);
-	passer_.refuse(answer, context_.crashes.blockedFor(plan_.identity));
+	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan_.identity);
+	passer_.refuse(answer, blocked ? blocked : path_.untilOpen());
 }
 
 void RequestRelay::breakOff()
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -69,6 +69,11 @@
 	return 0 < _query.failed.count(_target.record.life()) || _target.isStale(_query.now);
 }
 
+bool isClosed(const FleetTarget& _target, const ChoiceQuery& _query)
+{
+	return nullptr != _query.closed && 0 < _query.closed->count(_target.record.life());
+}
+
 double loadOf(const FleetTarget& _target, Time _now)
 {
 	const double requests = _target.load->requests.load(std::memory_order_relaxed);
@@ -134,7 +139,8 @@
 bool isFull(const FleetTarget& _target, const ChoiceQuery& _query)
 {
 	const bool leads = 0 == _target.record.layers.begin;
-	const bool mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, kAllHeard);
+	const bool mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, kAllHeard) &&
+	                     !isClosed(_target, _query);
 	return kFull <= roomTaken(_target, _query, kAllHeard) || (leads && !mayLead);
 }
 
@@ -145,7 +151,8 @@
 	candidate.hall = _target.hall;
 	candidate.held = _target.record.layers;
 	candidate.usable = nullptr != _target.card && !isPassedOver(_target, _query);
-	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, _unheard);
+	candidate.mayLead = hasConnection(_target, *_query.service.spec, _query.nodes) && hasSlot(_target, _unheard) &&
+	                    !isClosed(_target, _query);
 	const double step = (nullptr == _target.card ? 1 : _target.card->stepFactor) * _target.load->pace();
 	const bool slotsCount = _query.mechanisms.on(Mechanism::HeadSlots);
 	candidate.costOfLead = slotsCount ? kLeadPrice * loadPrice(slotsTaken(_target, _unheard)) : 0;
@@ -251,7 +258,7 @@
 			continue;
 		}
 		any = true;
-		if (!hasConnection(targets[index], *_query.service.spec, _query.nodes))
+		if (!hasConnection(targets[index], *_query.service.spec, _query.nodes) || isClosed(targets[index], _query))
 		{
 			continue;
 		}
--- a/packages/relay/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -31,9 +31,11 @@
 	double tokens = 0;                  //!< That the request takes at each of its layers.
 	Time now;
 	const Mechanisms& mechanisms;
-	double linkTaken = 0;   //!< Part of the link between halls that requests took lately.
-	bool moves = false;     //!< It leaves a path that failed, as many others may at this moment.
-	uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
+	double linkTaken = 0;                         //!< Part of the link between halls that requests took lately.
+	bool moves = false;                           //!< It leaves a path that failed, as many others may at this moment.
+	uint32_t hallPeers = 0;                       //!< Other entry nodes of this data hall.
+	const std::set<TargetLife>* closed = nullptr; //!< Targets that by their own word get no request from this node now.
+	                                              //!< They may be later parts of a path. Null: none.
 };
 
 /// Chooses a target of a plain service: the one with least under way from here, in this data hall first.
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -11,6 +11,7 @@
 #include <crash/crashwatch.h>
 #include <loads/pathwatch.h>
 #include <metrics/metrics.h>
+#include <relay/rateledger.h>
 #include <relay/retryledger.h>
 #include <relay/targetpool.h>
 
@@ -149,10 +150,11 @@
 	ResumePace resumes_{Time{}};
 	NoSink sink_;
 	CrashWatch crashes_{loop_, clock_, orders_, cell_, sink_};
+	RateLedger rates_{"n1"};
 
 public:
-	const RelayContext context{loop_,    clock_, wire_,   cell_,       cell_.link, pool_,    random_, retries_,
-	                           metrics_, watch_, orders_, mechanisms_, pace_,      crashes_, resumes_};
+	const RelayContext context{loop_,    clock_, wire_,   cell_,       cell_.link, pool_,    random_,  retries_,
+	                           metrics_, watch_, orders_, mechanisms_, pace_,      crashes_, resumes_, rates_};
 };
 
 } // namespace
--- a/tests/entry/ratelimitproof.cpp
+++ b/tests/entry/ratelimitproof.cpp
@@ -199,6 +199,7 @@
 	CPPUNIT_TEST_SUITE(RateLimitProof);
 	CPPUNIT_TEST(aFirstTargetGetsNoMoreThanItNames);
 	CPPUNIT_TEST(aPlainTargetGetsNoMoreThanItNames);
+	CPPUNIT_TEST(switchedOffTheLimitIsNotKept);
 	CPPUNIT_TEST(aLimitTakenBackIsForgotten);
 	CPPUNIT_TEST(whereAllAreLimitedTheRestIsRefusedAtOnce);
 	CPPUNIT_TEST_SUITE_END();
@@ -216,6 +217,16 @@
 		scene.assertLimitHolds("/plain/");
 	}
 
+	void switchedOffTheLimitIsNotKept()
+	{
+		const Scene scene(Kind::Plain, "rate-limits");
+		const auto named = Clock::now();
+		Load load(scene.nodes, "/plain/");
+		std::this_thread::sleep_for(std::chrono::seconds(3));
+		load.stop();
+		CPPUNIT_ASSERT(kMostInWindow < scene.limited.mostInWindow(named));
+	}
+
 	void aLimitTakenBackIsForgotten()
 	{
 		Scene scene(Kind::Engine);
@@ -262,8 +273,11 @@
 	/// A target that names a limit and one that does not, before three nodes in two halls.
 	struct Scene
 	{
-		explicit Scene(Kind _kind)
+		/// @param _off mechanisms that are switched off.
+		explicit Scene(Kind _kind, const char* _off = "none")
 		{
+			std::string unknown;
+			CPPUNIT_ASSERT(harness.settings().mechanisms.setOff(_off, unknown));
 			other.setLimited(false);
 			for (LimitedTarget* const target : {&limited, &other})
 			{
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -186,6 +186,9 @@
 	for (const auto& row : _loads)
 	{
 		require(std::isfinite(row.second.pace) && 0 <= row.second.pace, "a pace is a number");
+		const RateWord& rate = row.second.rate;
+		require(!rate.limit || (std::isfinite(rate.limit->perSecond) && 0 <= rate.limit->perSecond),
+		        "a limit is a rate");
 	}
 	LoadTable sum = _loads;
 	addLoads(sum, _loads);
@@ -203,9 +206,9 @@
 		require(wire::PeerMessage::BODY_NOT_SET == message.body_case(), "nothing of what cannot be read");
 		return;
 	}
-	requireSound(loadTableOf(message.hall_report().loads()));
-	requireSound(loadTableOf(message.hall_answer().totals()));
-	requireSound(loadTableOf(message.hall_sum().loads()));
+	requireSound(loadTableOf(message.hall_report().loads(), Time{}));
+	requireSound(loadTableOf(message.hall_answer().totals(), Time{}));
+	requireSound(loadTableOf(message.hall_sum().loads(), Time{}));
 	requireSound(crashNewsOf(message.hall_report().crash_news()));
 	requireSound(crashNewsOf(message.hall_answer().crash_news()));
 	requireSound(crashNewsOf(message.hall_sum().crash_news()));
