--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -54,6 +54,19 @@
 	};
 };
 
+/// Whether a refusal asks this node to send the target nothing for a while.
+struct RestNotice
+{
+	enum Enum
+	{
+		None,
+		Asked,
+		Unreadable, //!< It names something that is no span of time.
+
+		Count
+	};
+};
+
 /// What a target's answer says of itself.
 struct TargetAnswer
 {
@@ -64,6 +77,8 @@
 	std::string atFault;   //!< "ip:port" of the stop that refused; empty if it names none.
 	RateNotice::Enum rateNotice = RateNotice::None;
 	RequestRate rateLimit; //!< Of the target that answers, if it is named.
+	RestNotice::Enum restNotice = RestNotice::None;
+	Duration rest; //!< That the target asks for.
 };
 
 /// Reads and writes what callers and targets speak. Translates only; safe from any thread.
--- a/packages/relay/src/targetnotices.cpp
+++ b/packages/relay/src/targetnotices.cpp
@@ -31,6 +31,7 @@
 	if (!_answer.notHeld)
 	{
 		takeRate(_target, _answer);
+		takeRest(_target, _answer);
 	}
 }
 
@@ -65,4 +66,23 @@
 	}
 }
 
+void TargetNotices::takeRest(const FleetTarget& _target, const TargetAnswer& _answer) const
+{
+	if (RestNotice::Unreadable == _answer.restNotice)
+	{
+		context_.metrics.add(Counter::UnreadableNotices);
+		return;
+	}
+	if (RestNotice::Asked != _answer.restNotice)
+	{
+		return;
+	}
+	context_.metrics.add(Counter::RestsAsked);
+	logEvent(LogPart::Targets, LogLevel::Info, "Target asks for rest.",
+	         {{"target", _target.record.instance.text},
+	          {"service", _target.record.service},
+	          {"hall", _target.record.hall},
+	          {"rest_ms", std::to_string(_answer.rest.millis())}});
+}
+
 } // namespace sedgecart
