--- a/tests/entry/ratelimitproof.cpp
+++ b/tests/entry/ratelimitproof.cpp
@@ -3,6 +3,7 @@
 // A target names the most requests a second that it takes from all nodes together. No node heard it: the target went on
 // to get as many as before, 34 in four seconds where 10 were its limit.
 
+#include "callerload.h"
 #include "entryharness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -40,11 +41,6 @@
 /// A request takes so long at a target, so that both targets are used.
 constexpr milliseconds kRun{50};
 
-/// Between two calls of one caller; all together offer many times the limit.
-constexpr milliseconds kCallPause{10};
-
-constexpr uint32_t kCallersOfANode = 2;
-
 /// Waits end by what is waited for; this bound only ends a test that failed.
 constexpr std::chrono::seconds kFarTooLong{30};
 
@@ -125,73 +121,6 @@
 	std::atomic<bool> limited_{true};
 };
 
-/// Calls each node again and again, on a thread a caller.
-class Load
-{
-public:
-	Load(const std::vector<std::string>& _nodes, const std::string& _path)
-	{
-		for (const std::string& node : _nodes)
-		{
-			for (uint32_t caller = 0; caller < kCallersOfANode; ++caller)
-			{
-				threads_.emplace_back(
-				    [this, node, _path, caller]
-				    {
-					    run(node, _path, std::to_string(caller));
-				    });
-			}
-		}
-	}
-
-	~Load()
-	{
-		stop();
-	}
-
-	Load(const Load&) = delete;
-	Load& operator=(const Load&) = delete;
-
-	void stop()
-	{
-		over_ = true;
-		for (std::thread& thread : threads_)
-		{
-			thread.join();
-		}
-		threads_.clear();
-	}
-
-	uint32_t served() const
-	{
-		return served_;
-	}
-
-	uint32_t notServed() const
-	{
-		return notServed_;
-	}
-
-private:
-	void run(const std::string& _node, const std::string& _path, const std::string& _caller)
-	{
-		TestRequest request;
-		request.path = _path;
-		for (uint32_t number = 0; !over_; ++number)
-		{
-			request.id = _node + '-' + _caller + '-' + std::to_string(number);
-			const CallerAnswer answer = EntryHarness::callAt(_node, request);
-			++(answer.whole && 200 == answer.status ? served_ : notServed_);
-			std::this_thread::sleep_for(kCallPause);
-		}
-	}
-
-	std::atomic<bool> over_{false};
-	std::atomic<uint32_t> served_{0};
-	std::atomic<uint32_t> notServed_{0};
-	std::vector<std::thread> threads_;
-};
-
 } // namespace
 
 class RateLimitProof : public CppUnit::TestFixture
@@ -221,7 +150,7 @@
 	{
 		const Scene scene(Kind::Plain, "rate-limits");
 		const auto named = Clock::now();
-		Load load(scene.nodes, "/plain/");
+		CallerLoad load(scene.nodes, "/plain/");
 		std::this_thread::sleep_for(std::chrono::seconds(3));
 		load.stop();
 		CPPUNIT_ASSERT(kMostInWindow < scene.limited.mostInWindow(named));
@@ -230,7 +159,7 @@
 	void aLimitTakenBackIsForgotten()
 	{
 		Scene scene(Kind::Engine);
-		const Load load(scene.nodes, "/stream/");
+		const CallerLoad load(scene.nodes, "/stream/");
 		std::this_thread::sleep_for(std::chrono::seconds(2));
 		scene.limited.setLimited(false);
 		const std::size_t before = scene.limited.arrivals().size();
@@ -292,7 +221,7 @@
 		void assertLimitHolds(const char* _path) const
 		{
 			const auto named = Clock::now();
-			Load load(nodes, _path);
+			CallerLoad load(nodes, _path);
 			std::this_thread::sleep_for(kLoad);
 			load.stop();
 			CPPUNIT_ASSERT(0 < load.served());
