A target that asks a node for rest gets none of its requests until it is over

What callers saw: each request that was sent there was turned away and went on elsewhere, 2 ms later and out of the retry allowance.

Evidence: in the log of the node the sends there follow each refusal by 0.20 to 0.57 s, all of them first sends; no reader of the header in the code. Ruled out: a changed record that brings the target back (none of it in the log), repeats (sends 1).

The mend: the end of the rest stands with the target's life, and the place where a send is chosen passes over a target as first of a path until then; the longest that was asked for counts. First sends, repeats, moves and resumed streams go by it alike. Where all targets rest, the request is refused at once as not run with the time until the first of them is over; where others are merely full the usual time stays.

Switch: target-rests, with a case of its own.

--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -54,8 +54,9 @@
 	std::atomic<int64_t> refusedUntil{0};       //!< Steady clock, microseconds.
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
-	HeardRate ownRate;                          //!< As the target answered this node.
-	HeardRate toldRate;                         //!< The same by other nodes' word.
+	std::atomic<int64_t> restUntil{INT64_MIN}; //!< Steady clock, microseconds; the target wants nothing from this node.
+	HeardRate ownRate;                         //!< As the target answered this node.
+	HeardRate toldRate;                        //!< The same by other nodes' word.
 
 	/// @returns the target's newest word on its rate limit, to whatever node.
 	RateWord rate() const
@@ -65,6 +66,13 @@
 		return own.heardAt < told.heardAt ? told : own;
 	}
 
+	/// The target asks this node for rest. What it asked for before counts on.
+	void noteRest(Time _until)
+	{
+		const int64_t before = restUntil.load(std::memory_order_relaxed);
+		restUntil.store(std::max(before, _until.micros), std::memory_order_relaxed);
+	}
+
 	/// @returns this node's suspicion at a moment.
 	uint32_t ownSuspicion(Time _now) const
 	{
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -111,28 +111,44 @@
 	const SendOutcome::Enum outcome = _place.service->spec->hasEngine
 	                                      ? choosePath(wanted, context_.random, _place.choice)
 	                                      : chooseTarget(wanted, context_.random, _place.choice);
-	if (SendOutcome::Begun != outcome && closed.opensAt < RateGate::kNever)
+	if (SendOutcome::Begun != outcome && closed.isAll && closed.opensAt < RateGate::kNever)
 	{
 		untilOpen_ = closed.opensAt - wanted.now;
 	}
 	return outcome;
 }
 
-RequestPath::Closed RequestPath::closedTargets(const Place& _place) const
+/// @returns when a target takes a request of this node by its own word.
+Time RequestPath::opensAt(const FleetTarget& _target, const Place& _place, Time _now) const
 {
-	Closed closed{{}, RateGate::kNever};
-	if (!context_.mechanisms.on(Mechanism::RateLimits))
+	Time opensAt = _now;
+	if (context_.mechanisms.on(Mechanism::RateLimits))
+	{
+		opensAt = context_.rates.opensAt(_target, _place.roster, _now);
+	}
+	if (context_.mechanisms.on(Mechanism::TargetRests))
 	{
-		return closed;
+		opensAt = std::max(opensAt, Time{_target.load->restUntil.load(std::memory_order_relaxed)});
 	}
+	return opensAt;
+}
+
+RequestPath::Closed RequestPath::closedTargets(const Place& _place) const
+{
+	Closed closed{{}, RateGate::kNever, true};
 	const Time now = context_.clock.now();
 	for (const FleetTarget& target : _place.service->targets)
 	{
-		const Time opensAt = context_.rates.opensAt(target, _place.roster, now);
-		if (now < opensAt)
+		const bool takesRequests = 0 == target.record.layers.begin;
+		const Time opens = opensAt(target, _place, now);
+		if (now < opens)
 		{
 			closed.targets.insert(target.record.life());
-			closed.opensAt = std::min(closed.opensAt, opensAt);
+			closed.opensAt = takesRequests ? std::min(closed.opensAt, opens) : closed.opensAt;
+		}
+		else if (takesRequests)
+		{
+			closed.isAll = false;
 		}
 	}
 	return closed;
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -111,8 +111,8 @@
 	/// Targets that were passed over until now may be chosen again.
 	void forgiveFull();
 
-	/// @returns how long until a target is open to this node's requests again, if the last choice found nothing and
-	/// some target was closed by its own word.
+	/// @returns how long until a target is open to this node's requests again, if the last choice found nothing because
+	/// all targets are closed by their own word.
 	std::optional<Duration> untilOpen() const
 	{
 		return untilOpen_;
@@ -151,10 +151,12 @@
 	struct Closed
 	{
 		std::set<TargetLife> targets;
-		Time opensAt; //!< The first of them that opens for this node; RateGate::kNever: none does.
+		Time opensAt;       //!< The first of them that opens for this node; RateGate::kNever: none does.
+		bool isAll = false; //!< All that a request can be sent to.
 	};
 
 	ChoiceQuery query(const Place& _place, const Barred& _barred, bool _moves) const;
+	Time opensAt(const FleetTarget& _target, const Place& _place, Time _now) const;
 	Closed closedTargets(const Place& _place) const;
 	SendOutcome::Enum find(const Barred& _barred, bool _moves, Place& _place) const;
 	SendOutcome::Enum findOther(bool _moves, Place& _place) const;
--- a/packages/relay/src/targetnotices.cpp
+++ b/packages/relay/src/targetnotices.cpp
@@ -77,6 +77,7 @@
 	{
 		return;
 	}
+	_target.load->noteRest(context_.clock.now() + _answer.rest);
 	context_.metrics.add(Counter::RestsAsked);
 	logEvent(LogPart::Targets, LogLevel::Info, "Target asks for rest.",
 	         {{"target", _target.record.instance.text},
--- a/tests/entry/restproof.cpp
+++ b/tests/entry/restproof.cpp
@@ -92,6 +92,10 @@
 	{
 		const std::lock_guard<std::mutex> lock(mutex_);
 		std::size_t count = 0;
+		if (!askedAt_)
+		{
+			return count;
+		}
 		for (const Clock::time_point at : arrivals_)
 		{
 			count += *askedAt_ + kOnTheWay < at && at < *askedAt_ + kRest ? 1 : 0;
@@ -143,6 +147,7 @@
 	CPPUNIT_TEST_SUITE(RestProof);
 	CPPUNIT_TEST(aFirstTargetIsLeftAlone);
 	CPPUNIT_TEST(aPlainTargetIsLeftAlone);
+	CPPUNIT_TEST(switchedOffItIsNotLeftAlone);
 	CPPUNIT_TEST(whereAllRestCallersHearWhenToComeBack);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +172,25 @@
 		assertLeftAlone(harness, "/plain/", resting);
 	}
 
+	void switchedOffItIsNotLeftAlone()
+	{
+		EntryHarness harness;
+		std::string unknown;
+		CPPUNIT_ASSERT(harness.settings().mechanisms.setOff("target-rests", unknown));
+		RestingTarget resting;
+		UsualTarget other;
+		harness.addPlain(resting.script());
+		other.serveOn(harness.addPlain(other.script()));
+		harness.start();
+		const CallerLoad load({harness.callerAddress()}, "/plain/");
+		const auto end = Clock::now() + kFarTooLong;
+		while (resting.whileResting() <= kMostWhileResting && Clock::now() < end)
+		{
+			std::this_thread::sleep_for(kRun);
+		}
+		CPPUNIT_ASSERT(Clock::now() < end);
+	}
+
 	void whereAllRestCallersHearWhenToComeBack()
 	{
 		EntryHarness harness;
