A target that says in an answer that it leaves gets no more requests

A target that leaves says so in all of them; a node went by the registry alone, which some of them never tell, and where the node is cut from the store tells it late.

Now the first such answer closes the target for new sends of this node, for its life: first sends, repeats, moves, resumed streams. It may still be a later part of a path until the registry says that it drains.

proof.leavingword: with the word switched off, as before, the target gets requests for the whole load; with it at most the two that are on their way. Switch: leaving-word, with a case of its own. WireFormatTest.leavingIsRead.

--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -54,6 +54,7 @@
 	std::atomic<int64_t> refusedUntil{0};       //!< Steady clock, microseconds.
 	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
 	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
+	std::atomic<bool> leaving{false};           //!< The target told this node in an answer that it is about to end.
 	std::atomic<int64_t> restUntil{INT64_MIN}; //!< Steady clock, microseconds; the target wants nothing from this node.
 	HeardRate ownRate;                         //!< As the target answered this node.
 	HeardRate toldRate;                        //!< The same by other nodes' word.
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -78,7 +78,8 @@
 	RateNotice::Enum rateNotice = RateNotice::None;
 	RequestRate rateLimit; //!< Of the target that answers, if it is named.
 	RestNotice::Enum restNotice = RestNotice::None;
-	Duration rest; //!< That the target asks for.
+	Duration rest;          //!< That the target asks for.
+	bool isLeaving = false; //!< The target that answers is about to end.
 };
 
 /// Reads and writes what callers and targets speak. Translates only; safe from any thread.
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -121,6 +121,10 @@
 /// @returns when a target takes a request of this node by its own word.
 Time RequestPath::opensAt(const FleetTarget& _target, const Place& _place, Time _now) const
 {
+	if (context_.mechanisms.on(Mechanism::LeavingWord) && _target.load->leaving.load(std::memory_order_relaxed))
+	{
+		return RateGate::kNever;
+	}
 	Time opensAt = _now;
 	if (context_.mechanisms.on(Mechanism::RateLimits))
 	{
--- a/packages/relay/src/targetnotices.cpp
+++ b/packages/relay/src/targetnotices.cpp
@@ -32,6 +32,7 @@
 	{
 		takeRate(_target, _answer);
 		takeRest(_target, _answer);
+		takeLeaving(_target, _answer);
 	}
 }
 
@@ -86,4 +87,16 @@
 	          {"rest_ms", std::to_string(_answer.rest.millis())}});
 }
 
+/// Counts for the whole life of the target: an answer without it may have been written before.
+void TargetNotices::takeLeaving(const FleetTarget& _target, const TargetAnswer& _answer) const
+{
+	if (!_answer.isLeaving || _target.load->leaving.exchange(true, std::memory_order_relaxed))
+	{
+		return;
+	}
+	logEvent(
+	    LogPart::Targets, LogLevel::Info, "Target says that it leaves.",
+	    {{"target", _target.record.instance.text}, {"service", _target.record.service}, {"hall", _target.record.hall}});
+}
+
 } // namespace sedgecart
