--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -207,6 +207,7 @@
 		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
 		text += ",\"passed_over\":" + cell_.passedOver.text();
 		text += ",\"suspects\":" + suspectsText();
+		text += ",\"reserved\":" + reservedText();
 		return text + "}";
 	}
 
@@ -229,6 +230,41 @@
 		return '[' + rows + ']';
 	}
 
+	/// @returns the targets that by their own word take few requests or none, as JSON.
+	std::string reservedText() const
+	{
+		const Time now = clock_.now();
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		std::string rows;
+		for (const auto& service : view->services)
+		{
+			for (const FleetTarget& target : service.second->targets)
+			{
+				const std::string row = reservedText(*target.load, now);
+				rows += row.empty() ? ""
+				                    : (rows.empty() ? "{" : ",{") + ("\"target\":\"" + target.record.instance.text) +
+				                          "\"," + row + '}';
+			}
+		}
+		return '[' + rows + ']';
+	}
+
+	/// @returns empty for a target that takes requests as usual.
+	static std::string reservedText(const TargetLoad& _load, Time _now)
+	{
+		const RateWord rate = _load.rate();
+		const Time restUntil{_load.restUntil.load(std::memory_order_relaxed)};
+		const bool rests = _now < restUntil;
+		const bool leaves = _load.leaving.load(std::memory_order_relaxed);
+		if (!rate.limit && !rests && !leaves)
+		{
+			return std::string();
+		}
+		return "\"limit_per_s\":" + (rate.limit ? std::to_string(rate.limit->perSecond) : "null") +
+		       ",\"rests_ms\":" + (rests ? std::to_string((restUntil - _now).millis()) : "null") +
+		       ",\"leaves\":" + (leaves ? "true" : "false");
+	}
+
 	void beginStop(const StopWindow& _window)
 	{
 		const std::lock_guard<std::mutex> lock(readyMutex_);
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -391,6 +391,11 @@
 	return callAt(settings_.callerAddress, _request);
 }
 
+std::string EntryHarness::dump() const
+{
+	return node_->dump();
+}
+
 CallerAnswer EntryHarness::callAt(const std::string& _address, const TestRequest& _request)
 {
 	TestCaller caller(_address);
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -134,6 +134,9 @@
 
 	CallerAnswer call(const TestRequest& _request) const;
 
+	/// @returns the first node's state.
+	std::string dump() const;
+
 	/// Calls until a status comes.
 	bool callUntil(const TestRequest& _request, uint16_t _status) const;
 
--- a/tests/entry/leavingwordproof.cpp
+++ b/tests/entry/leavingwordproof.cpp
@@ -146,6 +146,7 @@
 	{
 		const Scene scene(Scene::Kind::Plain);
 		scene.play("/plain/");
+		CPPUNIT_ASSERT(std::string::npos != scene.harness.dump().find("\"leaves\":true"));
 		CPPUNIT_ASSERT(0 < scene.leaving.requests());
 		CPPUNIT_ASSERT(scene.leaving.requests() <= kMostOnTheWay);
 	}
