A node that the store turns away stays with one reader

What callers saw: nodes served by a desired state some seconds old. Answers from the reader before do not count, so that the hub, and with it its hall, had no news from 4.2 to 12 s.

Now the reader holds while its word does and it answers.

HubChoiceTest.aHubStaysWithOneReaderWhileOthersTellAsWell failed before.

--- a/packages/core/src/hubchoice.cpp
+++ b/packages/core/src/hubchoice.cpp
@@ -184,8 +184,14 @@
 	takeAsOutIf(true, _now);
 }
 
+/// A hub that went from one reader to another with each word would lose the answers that are on their way.
 void HubChoice::onReader(const std::string& _node, Time _now)
 {
+	const bool hasOther = _node != reader_ && _now < readerUntil_ && !pausedNow(silent_, reader_, _now);
+	if (hasOther)
+	{
+		return;
+	}
 	reader_ = _node;
 	readerUntil_ = _now + kWordKept;
 }
--- a/packages/core/tests/hubchoicetest.cpp
+++ b/packages/core/tests/hubchoicetest.cpp
@@ -32,6 +32,7 @@
 	CPPUNIT_TEST(theHallWaitsWithAHubThatSaysTheStoreIsOut);
 	CPPUNIT_TEST(oneWithOldNewsIsPassedOverTwoAreAnOutage);
 	CPPUNIT_TEST(aHubReadsThroughTheNodeThatFoundAWay);
+	CPPUNIT_TEST(aHubStaysWithOneReaderWhileOthersTellAsWell);
 	CPPUNIT_TEST(whoIsGoneByStaysWithItsOwnWay);
 	CPPUNIT_TEST(eachNodeLooksInATurnOfItsOwn);
 	CPPUNIT_TEST(switchedOffEachLooksForItself);
@@ -150,6 +151,24 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("n10"), choice.choose(after(110)).name);
 	}
 
+	/// Each change of the reader loses the answers that are on their way: a hub that the store turned away went from
+	/// one reader to another, up to eight times a second, and its hall had no news for eight seconds.
+	void aHubStaysWithOneReaderWhileOthersTellAsWell()
+	{
+		HubChoice choice = largeHall("n10");
+		choice.onStore(false, kStart);
+		for (int64_t ms = 0; ms < 3000; ms += 150)
+		{
+			choice.onReader("n30", after(ms));
+			CPPUNIT_ASSERT_EQUAL(std::string("n30"), choice.choose(after(ms + 1)).name);
+			choice.onReader("n31", after(ms + 75));
+			CPPUNIT_ASSERT_EQUAL(std::string("n30"), choice.choose(after(ms + 76)).name);
+		}
+		choice.onSilent("n30", after(3000));
+		choice.onReader("n31", after(3010));
+		CPPUNIT_ASSERT_EQUAL(std::string("n31"), choice.choose(after(3020)).name);
+	}
+
 	/// Asking the hub would lead back to this node.
 	void whoIsGoneByStaysWithItsOwnWay()
 	{
