A node that is too far behind loads the newest records from its hub

A hub keeps 512 KB of a topic's latest records, of a desired state of 260 routes the last two seconds while changes come each 0.25 s. A node that was further behind was told that the hub does not know, and read the store instead; where the store answers the hub and not this node it never caught up: asked the hub, was sent to the store, by turns for eight seconds.

Ruled out: changes of the hub (none in that time), an old proof (the other topics of the same answers were taken).

Now the hub says that it holds the newest record of each key, and the node ends its read as one whose records are gone: its follower loads the topic anew, through the hub. Where records are too large to hand on the store is read as before.

--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -59,8 +59,9 @@
 	{
 		KeyedTopic::Enum topic = KeyedTopic::Operator;
 		Offset from;
-		bool whole = false; //!< The newest record of each key.
-		bool known = false; //!< The hub has every record from there on.
+		bool whole = false;       //!< The newest record of each key.
+		bool known = false;       //!< The hub has every record from there on.
+		bool wholeAtHand = false; //!< It has not, but the newest of each key.
 		KeyedPage page;
 	};
 
@@ -133,6 +134,7 @@
 	void keepWithin(KeyedTopic::Enum _topic, KeyedPage& _page);
 	void noteStore(KeyedTopic::Enum _topic, uint64_t _number, Time _sentAt, StoreState::Enum _state);
 	void release(KeyedTopic::Enum _topic);
+	void takeUnknown(const News& _news);
 	void tryOne();
 
 	KeyedLogI& store_;
--- a/packages/hall/include/hall/topiccache.h
+++ b/packages/hall/include/hall/topiccache.h
@@ -25,8 +25,9 @@
 	/// What is at hand from an offset on, or of the whole topic.
 	struct Found
 	{
-		bool begun = false; //!< Something of the topic is at hand.
-		bool known = false; //!< Every record asked for is at hand, and they are few enough to hand on.
+		bool begun = false;       //!< Something of the topic is at hand.
+		bool known = false;       //!< Every record asked for is at hand, and they are few enough to hand on.
+		bool wholeAtHand = false; //!< Some of them are kept no more, but the newest of each key are.
 		std::vector<KeyedRecord> records;
 		std::shared_ptr<const std::string> packed; //!< In place of records where these are large; else null.
 		Offset end;                                //!< Behind the last record at hand.
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -297,7 +297,7 @@
 	}
 	if (!_news.known)
 	{
-		release(_news.topic); // this node is further behind than the hub keeps
+		takeUnknown(_news);
 		return true;
 	}
 	if (!isConsistent(_news))
@@ -331,6 +331,23 @@
 	return true;
 }
 
+/// This node is further behind than the hub keeps news. Where the hub holds the newest of each key it is asked for
+/// these: the store may answer the hub and not this node.
+void HallLog::takeUnknown(const News& _news)
+{
+	if (!_news.wholeAtHand || _news.whole || !sharesLoads_)
+	{
+		release(_news.topic);
+		return;
+	}
+	std::optional<Waiting>& slot = waiting_[_news.topic];
+	const Waiting read = std::move(*slot);
+	slot.reset();
+	KeyedPage gone;
+	gone.state = StoreState::Gone;
+	read.call(std::move(gone));
+}
+
 void HallLog::releaseOverdue()
 {
 	const Time now = clock_.now();
--- a/packages/hall/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -105,6 +105,7 @@
 	Found found;
 	found.begun = row.known;
 	found.known = row.known && !(_from < row.begin);
+	found.wholeAtHand = row.whole && !found.known;
 	found.end = row.end < _from ? _from : row.end; // who is ahead has all that is at hand
 	found.provenAt = row.provenAt;
 	std::size_t bytes = 0;
--- a/packages/hall/src/topicnews.cpp
+++ b/packages/hall/src/topicnews.cpp
@@ -20,6 +20,7 @@
 void putTopicNews(const TopicCache::Found& _found, Time _now, wire::TopicNews& _news)
 {
 	_news.set_known(_found.known);
+	_news.set_whole_at_hand(_found.wholeAtHand);
 	_news.set_end(_found.end.value);
 	_news.set_age_us(static_cast<uint64_t>(std::max<int64_t>(0, (_now - _found.provenAt).micros)));
 	if (_found.packed)
@@ -40,6 +41,7 @@
 	news.from = Offset{_news.from()};
 	news.whole = _news.whole();
 	news.known = _news.known();
+	news.wholeAtHand = _news.whole_at_hand();
 	news.page.state = StoreState::Done;
 	news.page.end = Offset{_news.end()};
 	news.page.age = Duration{static_cast<int64_t>(std::min<uint64_t>(INT64_MAX, _news.age_us()))};
--- a/packages/hall/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -119,6 +119,8 @@
 	CPPUNIT_TEST(theHubsNewsAnswerARead);
 	CPPUNIT_TEST(oldNewsAreNotTaken);
 	CPPUNIT_TEST(whoIsTooFarBehindReadsTheStore);
+	CPPUNIT_TEST(whoIsTooFarBehindLoadsWhatTheHubHolds);
+	CPPUNIT_TEST(aHubTellsWhetherItHoldsTheWhole);
 	CPPUNIT_TEST(whatWaitsGoesToTheStoreWhenTheHubGoes);
 	CPPUNIT_TEST(oneReadTriesTheStore);
 	CPPUNIT_TEST(aReadThatWasGivenUpSaysNothingOfTheStore);
@@ -233,6 +235,32 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.reads.size());
 	}
 
+	/// Changes came faster than the hub keeps them, and the store turned the node away: it asked the hub for news that
+	/// were gone and the store for the rest, by turns, for eight seconds.
+	void whoIsTooFarBehindLoadsWhatTheHubHolds()
+	{
+		log_.setWay(HallLog::Way::Hub);
+		read(3);
+		log_.questions(kReport);
+		HallLog::News behind = news(3, 0, page(StoreState::Done, 9));
+		behind.known = false;
+		behind.wholeAtHand = true;
+		CPPUNIT_ASSERT(log_.onNews(std::move(behind), kReport));
+		CPPUNIT_ASSERT(store_.reads.empty());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+		CPPUNIT_ASSERT(StoreState::Gone == pages_[0].state); // a follower then loads anew
+	}
+
+	void aHubTellsWhetherItHoldsTheWhole()
+	{
+		read(3);
+		store_.answerLast(page(StoreState::Done, 5, {record(3), record(4)}));
+		CPPUNIT_ASSERT(!cache_.find(KeyedTopic::Operator, Offset{2}).wholeAtHand);
+		cache_.takeWhole(KeyedTopic::Operator, {record(4)}, Offset{5}, clock_.now());
+		CPPUNIT_ASSERT(cache_.find(KeyedTopic::Operator, Offset{2}).wholeAtHand);
+		CPPUNIT_ASSERT(!cache_.find(KeyedTopic::Operator, Offset{4}).wholeAtHand); // the news do
+	}
+
 	void whatWaitsGoesToTheStoreWhenTheHubGoes()
 	{
 		log_.setWay(HallLog::Way::Hub);
