--- a/packages/hall/tests/storeoutagetest.cpp
+++ b/packages/hall/tests/storeoutagetest.cpp
@@ -129,6 +129,7 @@
 	CPPUNIT_TEST(fewAskAStoreThatRefuses);
 	CPPUNIT_TEST(theReturnIsNoticed);
 	CPPUNIT_TEST(whoIsTurnedAwayReadsThroughAnother);
+	CPPUNIT_TEST(nineteenNodesDoNotRushAtTheReturn);
 	CPPUNIT_TEST(anyOutageEnds);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,13 @@
 		}
 	}
 
+	void nineteenNodesDoNotRushAtTheReturn()
+	{
+		constexpr std::size_t kNodes = 19;
+		constexpr uint64_t kRushSeed = 71;
+		CPPUNIT_ASSERT_LESSEQUAL(kMostCallsAfter, playOutage(kNodes, Outage::Silent, kRushSeed).mostCallsAfter);
+	}
+
 	void anyOutageEnds()
 	{
 		const bool holds = rc::check(
