An answer without a rate limit takes back what other nodes told

A node that had heard of a target's limit from others alone, and then got an answer without one, kept the limit: it took the answer for the usual case since the target had never told this node. Found in reading the change. Such a node is the one that tries the target when its senders are silent, so that nobody would have learned that the limit is gone.

RequestPathTest.anAnswerWithoutALimitTakesBackWhatOthersTold failed before. What RateLedger remembers is bounded.

--- a/packages/relay/src/rateledger.cpp
+++ b/packages/relay/src/rateledger.cpp
@@ -6,6 +6,14 @@
 namespace sedgecart
 {
 
+namespace
+{
+
+/// More than the targets that name a limit at one time.
+constexpr std::size_t kMostRows = 1000;
+
+} // namespace
+
 Time RateLedger::opensAt(const FleetTarget& _target, const std::shared_ptr<const NodeRoster>& _roster, Time _now)
 {
 	const RateWord word = _target.load->rate();
@@ -14,6 +22,10 @@
 		return _now;
 	}
 	const TargetLife life = _target.record.life();
+	if (kMostRows <= rows_.size() && 0 == rows_.count(life))
+	{
+		rows_.clear(); // mostly targets that are gone; the others are sent one request early
+	}
 	Row& row = rows_[life];
 	if (row.roster != _roster)
 	{
--- a/packages/relay/src/targetnotices.cpp
+++ b/packages/relay/src/targetnotices.cpp
@@ -49,7 +49,7 @@
 	{
 		word.limit = _answer.rateLimit;
 	}
-	const RateWord before = _target.load->ownRate.get();
+	const RateWord before = _target.load->rate();
 	if (!word.limit && !before.isHeard())
 	{
 		return; // the usual case
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -2,6 +2,7 @@
 
 #include "../src/relayplan_p.h"
 #include "../src/requestpath_p.h"
+#include "../src/targetnotices_p.h"
 
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
@@ -166,6 +167,7 @@
 	CPPUNIT_TEST(whatIsKeptCountsUntilItIsDropped);
 	CPPUNIT_TEST(aMoveNeedsAnotherFirstTarget);
 	CPPUNIT_TEST(theKeptFirstTargetIsNotChosen);
+	CPPUNIT_TEST(anAnswerWithoutALimitTakesBackWhatOthersTold);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +241,18 @@
 		path.dropKept();
 		CPPUNIT_ASSERT(SendOutcome::Begun == path.choose(true));
 	}
+
+	/// A node that only heard of a limit from others tries the target after a while, and tells them that it is gone.
+	void anAnswerWithoutALimitTakesBackWhatOthersTold()
+	{
+		Scene scene;
+		FleetTarget target;
+		target.load = std::make_shared<TargetLoad>();
+		target.load->toldRate.set(RateWord{RequestRate{2}, Time{1}});
+		TargetNotices(scene.context).take(target, TargetAnswer{});
+		CPPUNIT_ASSERT(target.load->ownRate.get().isHeard());
+		CPPUNIT_ASSERT(!target.load->rate().limit);
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestPathTest);
