Names of the field for what targets ask of nodes: advertised rate, backoff, drain notice

Renames only: RateWord is AdvertisedRate, HeardRate AdvertisedRateCell, rest is backoff, the leaving word a drain notice; the mechanisms are target-backoff and drain-notice, the tests proof.backoff and proof.drainnotice, and the state lists such targets under limited.

--- a/packages/base/include/base/rateword.h
+++ b/packages/base/include/base/advertisedrate.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_BASE_RATEWORD_H_HEADER_GUARD
-#define SEDGECART_BASE_RATEWORD_H_HEADER_GUARD
+#ifndef SEDGECART_BASE_ADVERTISEDRATE_H_HEADER_GUARD
+#define SEDGECART_BASE_ADVERTISEDRATE_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -18,7 +18,7 @@
 };
 
 /// What a target last said of the requests that it takes from all nodes together.
-struct RateWord
+struct AdvertisedRate
 {
 	std::optional<RequestRate> limit; //!< None: it names no limit.
 	Time heardAt{INT64_MIN};          //!< Steady clock of this node; the earliest there is if it said nothing yet.
@@ -32,4 +32,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_BASE_RATEWORD_H_HEADER_GUARD
+#endif // SEDGECART_BASE_ADVERTISEDRATE_H_HEADER_GUARD
--- a/packages/core/include/core/rategate.h
+++ b/packages/core/include/core/rategate.h
@@ -3,7 +3,7 @@
 #ifndef SEDGECART_CORE_RATEGATE_H_HEADER_GUARD
 #define SEDGECART_CORE_RATEGATE_H_HEADER_GUARD
 
-#include <base/rateword.h>
+#include <base/advertisedrate.h>
 #include <base/units.h>
 
 #include <cstdint>
@@ -35,10 +35,10 @@
 {
 public:
 	/// @returns true if a request may be sent to the target now.
-	bool admits(const RateWord& _word, const RateOrder& _order, Time _now) const;
+	bool admits(const AdvertisedRate& _word, const RateOrder& _order, Time _now) const;
 
 	/// @returns when this node may send next, as far as it depends on itself; kNever if it is no sender.
-	Time opensAt(const RateWord& _word, const RateOrder& _order, Time _now) const;
+	Time opensAt(const AdvertisedRate& _word, const RateOrder& _order, Time _now) const;
 
 	/// A request was sent there.
 	void onSent(Time _now)
--- a/packages/core/src/rategate.cpp
+++ b/packages/core/src/rategate.cpp
@@ -43,7 +43,7 @@
 }
 
 /// @returns true if it is this node's turn to be among the senders.
-bool isSender(const Shares& _shares, const RateWord& _word, const RateOrder& _order, Time _now)
+bool isSender(const Shares& _shares, const AdvertisedRate& _word, const RateOrder& _order, Time _now)
 {
 	const Duration quiet{std::max(kQuiet.micros, kQuietSpacings * _shares.spacing.micros)};
 	const auto turns = static_cast<uint64_t>(std::max<int64_t>(0, (_now - _word.heardAt).micros) / quiet.micros);
@@ -54,12 +54,12 @@
 
 } // namespace
 
-bool RateGate::admits(const RateWord& _word, const RateOrder& _order, Time _now) const
+bool RateGate::admits(const AdvertisedRate& _word, const RateOrder& _order, Time _now) const
 {
 	return !(_now < opensAt(_word, _order, _now));
 }
 
-Time RateGate::opensAt(const RateWord& _word, const RateOrder& _order, Time _now) const
+Time RateGate::opensAt(const AdvertisedRate& _word, const RateOrder& _order, Time _now) const
 {
 	if (!_word.limit)
 	{
--- a/packages/core/tests/rategatetest.cpp
+++ b/packages/core/tests/rategatetest.cpp
@@ -78,8 +78,8 @@
 	struct Node
 	{
 		RateGate gate;
-		RateWord word;
-		RateWord next; //!< Under way to it.
+		AdvertisedRate word;
+		AdvertisedRate next; //!< Under way to it.
 		Time nextAt;
 		Time sentAt;
 	};
@@ -95,7 +95,7 @@
 		for (Node& node : nodes_)
 		{
 			const auto late = static_cast<int64_t>(random_.below(static_cast<uint32_t>(fleet_.late.micros + 1)));
-			node.next = RateWord{RequestRate{fleet_.limit}, _now};
+			node.next = AdvertisedRate{RequestRate{fleet_.limit}, _now};
 			node.nextAt = _now + Duration{late};
 		}
 	}
@@ -240,14 +240,14 @@
 	void withoutALimitNobodyIsHeldBack()
 	{
 		const RateGate gate;
-		CPPUNIT_ASSERT(gate.admits(RateWord{}, RateOrder{8, 3, 9}, kStart));
-		CPPUNIT_ASSERT(gate.admits(RateWord{std::nullopt, kStart}, RateOrder{8, 3, 9}, kStart));
+		CPPUNIT_ASSERT(gate.admits(AdvertisedRate{}, RateOrder{8, 3, 9}, kStart));
+		CPPUNIT_ASSERT(gate.admits(AdvertisedRate{std::nullopt, kStart}, RateOrder{8, 3, 9}, kStart));
 	}
 
 	/// Or it could never take its word back.
 	void aTargetThatTakesNothingIsTriedSeldom()
 	{
-		const RateWord nothing{RequestRate{0}, kStart};
+		const AdvertisedRate nothing{RequestRate{0}, kStart};
 		const RateOrder first{0, 3, 9};
 		RateGate gate;
 		CPPUNIT_ASSERT(gate.admits(nothing, first, kStart));
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -207,7 +207,7 @@
 		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
 		text += ",\"passed_over\":" + cell_.passedOver.text();
 		text += ",\"suspects\":" + suspectsText();
-		text += ",\"reserved\":" + reservedText();
+		text += ",\"limited\":" + limitedText();
 		return text + "}";
 	}
 
@@ -230,8 +230,8 @@
 		return '[' + rows + ']';
 	}
 
-	/// @returns the targets that by their own word take few requests or none, as JSON.
-	std::string reservedText() const
+	/// @returns the targets that asked for few requests or none, as JSON.
+	std::string limitedText() const
 	{
 		const Time now = clock_.now();
 		const RcuCell<FleetView>::Reader view(cell_.view);
@@ -240,29 +240,29 @@
 		{
 			for (const FleetTarget& target : service.second->targets)
 			{
-				const std::string row = reservedText(*target.load, now);
-				rows += row.empty() ? ""
-				                    : (rows.empty() ? "{" : ",{") + ("\"target\":\"" + target.record.instance.text) +
-				                          "\"," + row + '}';
+				const std::string row = limitedText(target, now);
+				rows += rows.empty() || row.empty() ? row : ',' + row;
 			}
 		}
 		return '[' + rows + ']';
 	}
 
 	/// @returns empty for a target that takes requests as usual.
-	static std::string reservedText(const TargetLoad& _load, Time _now)
+	static std::string limitedText(const FleetTarget& _target, Time _now)
 	{
-		const RateWord rate = _load.rate();
-		const Time restUntil{_load.restUntil.load(std::memory_order_relaxed)};
-		const bool rests = _now < restUntil;
-		const bool leaves = _load.leaving.load(std::memory_order_relaxed);
-		if (!rate.limit && !rests && !leaves)
+		const AdvertisedRate rate = _target.load->rate();
+		const Time backoffUntil{_target.load->backoffUntil.load(std::memory_order_relaxed)};
+		const bool backsOff = _now < backoffUntil;
+		const bool drains = _target.load->draining.load(std::memory_order_relaxed);
+		if (!rate.limit && !backsOff && !drains)
 		{
 			return std::string();
 		}
-		return "\"limit_per_s\":" + (rate.limit ? std::to_string(rate.limit->perSecond) : "null") +
-		       ",\"rests_ms\":" + (rests ? std::to_string((restUntil - _now).millis()) : "null") +
-		       ",\"leaves\":" + (leaves ? "true" : "false");
+		std::string row = "{\"target\":\"" + _target.record.instance.text + '"';
+		row += ",\"limit_per_s\":" + (rate.limit ? std::to_string(rate.limit->perSecond) : "null");
+		row += ",\"backoff_ms\":" + (backsOff ? std::to_string((backoffUntil - _now).millis()) : "null");
+		row += ",\"draining\":" + std::string(drains ? "true" : "false");
+		return row + '}';
 	}
 
 	void beginStop(const StopWindow& _window)
--- a/packages/fleet/include/fleet/heardrate.h
+++ b/packages/fleet/include/fleet/advertisedratecell.h
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
-#define SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
+#ifndef SEDGECART_FLEET_ADVERTISEDRATECELL_H_HEADER_GUARD
+#define SEDGECART_FLEET_ADVERTISEDRATECELL_H_HEADER_GUARD
 
-#include <base/rateword.h>
+#include <base/advertisedrate.h>
 
 #include <atomic>
 #include <cstdint>
@@ -12,18 +12,18 @@
 {
 
 /// A target's last word on its rate limit. One thread writes, any thread reads.
-class HeardRate
+class AdvertisedRateCell
 {
 public:
-	void set(const RateWord& _word)
+	void set(const AdvertisedRate& _word)
 	{
 		perSecond_.store(_word.limit ? _word.limit->perSecond : kNoLimit, std::memory_order_relaxed);
 		heardAt_.store(_word.heardAt.micros, std::memory_order_release);
 	}
 
-	RateWord get() const
+	AdvertisedRate get() const
 	{
-		RateWord word;
+		AdvertisedRate word;
 		word.heardAt = Time{heardAt_.load(std::memory_order_acquire)};
 		const double perSecond = perSecond_.load(std::memory_order_relaxed);
 		if (kNoLimit != perSecond)
@@ -42,4 +42,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_FLEET_HEARDRATE_H_HEADER_GUARD
+#endif // SEDGECART_FLEET_ADVERTISEDRATECELL_H_HEADER_GUARD
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -8,7 +8,7 @@
 #include <base/units.h>
 #include <core/linkuse.h>
 #include <core/routetable.h>
-#include <fleet/heardrate.h>
+#include <fleet/advertisedratecell.h>
 #include <fleet/noderoster.h>
 #include <fleet/passedover.h>
 #include <fleet/suspecttable.h>
@@ -39,39 +39,39 @@
 /// What is under way at one start of a target. Lives as long as somebody knows that start; the next one gets its own.
 struct TargetLoad
 {
-	std::atomic<bool> ended{false};             //!< The target has started again since: what it held and ran is gone.
-	std::atomic<uint32_t> requests{0};          //!< From this node, with the target as first of their path.
-	std::atomic<uint64_t> tokenLayers{0};       //!< From this node: tokens times layers, as estimated.
-	std::atomic<uint32_t> heardRequests{0};     //!< Of `requests`, what the others' last word rests on.
-	std::atomic<uint64_t> heardTokenLayers{0};  //!< The same of `tokenLayers`.
-	std::atomic<uint32_t> othersRequests{0};    //!< From the other nodes, by their last word.
-	std::atomic<uint64_t> othersTokenLayers{0}; //!< The same.
-	std::atomic<int64_t> avoidedUntil{0};       //!< Steady clock, microseconds; it failed a moment ago.
-	std::atomic<uint32_t> suspicion{0};         //!< How sure this node is that it is dead, until `suspectedUntil`.
-	std::atomic<int64_t> suspectedUntil{0};     //!< Steady clock, microseconds.
-	std::atomic<uint32_t> othersSuspicion{0};   //!< Sum of the other nodes', by their last word.
-	std::atomic<uint64_t> refusedLayers{0};     //!< See `noteNotHeld`; begin in the upper half, end in the lower.
-	std::atomic<int64_t> refusedUntil{0};       //!< Steady clock, microseconds.
-	std::atomic<double> polledPace{1};          //!< So many times slower than usual, as this node has asked.
-	std::atomic<double> toldPace{1};            //!< The same by other nodes' word.
-	std::atomic<bool> leaving{false};           //!< The target told this node in an answer that it is about to end.
-	std::atomic<int64_t> restUntil{INT64_MIN}; //!< Steady clock, microseconds; the target wants nothing from this node.
-	HeardRate ownRate;                         //!< As the target answered this node.
-	HeardRate toldRate;                        //!< The same by other nodes' word.
+	std::atomic<bool> ended{false};               //!< The target has started again since: what it held and ran is gone.
+	std::atomic<uint32_t> requests{0};            //!< From this node, with the target as first of their path.
+	std::atomic<uint64_t> tokenLayers{0};         //!< From this node: tokens times layers, as estimated.
+	std::atomic<uint32_t> heardRequests{0};       //!< Of `requests`, what the others' last word rests on.
+	std::atomic<uint64_t> heardTokenLayers{0};    //!< The same of `tokenLayers`.
+	std::atomic<uint32_t> othersRequests{0};      //!< From the other nodes, by their last word.
+	std::atomic<uint64_t> othersTokenLayers{0};   //!< The same.
+	std::atomic<int64_t> avoidedUntil{0};         //!< Steady clock, microseconds; it failed a moment ago.
+	std::atomic<uint32_t> suspicion{0};           //!< How sure this node is that it is dead, until `suspectedUntil`.
+	std::atomic<int64_t> suspectedUntil{0};       //!< Steady clock, microseconds.
+	std::atomic<uint32_t> othersSuspicion{0};     //!< Sum of the other nodes', by their last word.
+	std::atomic<uint64_t> refusedLayers{0};       //!< See `noteNotHeld`; begin in the upper half, end in the lower.
+	std::atomic<int64_t> refusedUntil{0};         //!< Steady clock, microseconds.
+	std::atomic<double> polledPace{1};            //!< So many times slower than usual, as this node has asked.
+	std::atomic<double> toldPace{1};              //!< The same by other nodes' word.
+	std::atomic<bool> draining{false};            //!< The target told this node in an answer that it is about to end.
+	std::atomic<int64_t> backoffUntil{INT64_MIN}; //!< Steady clock, microseconds; this node sends the target nothing.
+	AdvertisedRateCell ownRate;                   //!< As the target answered this node.
+	AdvertisedRateCell toldRate;                  //!< The same by other nodes' word.
 
 	/// @returns the target's newest word on its rate limit, to whatever node.
-	RateWord rate() const
+	AdvertisedRate rate() const
 	{
-		const RateWord own = ownRate.get();
-		const RateWord told = toldRate.get();
+		const AdvertisedRate own = ownRate.get();
+		const AdvertisedRate told = toldRate.get();
 		return own.heardAt < told.heardAt ? told : own;
 	}
 
-	/// The target asks this node for rest. What it asked for before counts on.
-	void noteRest(Time _until)
+	/// The target asks this node to back off. What it asked for before counts on.
+	void noteBackoff(Time _until)
 	{
-		const int64_t before = restUntil.load(std::memory_order_relaxed);
-		restUntil.store(std::max(before, _until.micros), std::memory_order_relaxed);
+		const int64_t before = backoffUntil.load(std::memory_order_relaxed);
+		backoffUntil.store(std::max(before, _until.micros), std::memory_order_relaxed);
 	}
 
 	/// @returns this node's suspicion at a moment.
--- a/packages/loads/include/loads/loadboard.h
+++ b/packages/loads/include/loads/loadboard.h
@@ -13,7 +13,7 @@
 #ifndef SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
 #define SEDGECART_LOADS_LOADBOARD_H_HEADER_GUARD
 
-#include <base/rateword.h>
+#include <base/advertisedrate.h>
 #include <base/targetlife.h>
 #include <base/units.h>
 
@@ -34,7 +34,7 @@
 	uint32_t requests = 0;
 	uint32_t suspicion = 0; //!< That the target is dead, of all nodes together.
 	double pace = 0;        //!< How many times slower than usual the target is; 0: not known, or as usual.
-	RateWord rate;          //!< The target's newest word on its rate limit.
+	AdvertisedRate rate;    //!< The target's newest word on its rate limit.
 };
 
 /// Loads by the start of the target that they are at; those without any are left out. What nodes tell of two starts of
--- a/packages/loads/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -28,10 +28,10 @@
 constexpr Duration kRateTold = Duration::fromMillis(3000);
 
 /// @returns the target's word to this node, if it is to be told.
-RateWord rateToTell(const TargetLoad& _load, Time _now)
+AdvertisedRate rateToTell(const TargetLoad& _load, Time _now)
 {
-	const RateWord word = _load.ownRate.get();
-	return word.isHeard() && _now < word.heardAt + kRateTold ? word : RateWord{};
+	const AdvertisedRate word = _load.ownRate.get();
+	return word.isHeard() && _now < word.heardAt + kRateTold ? word : AdvertisedRate{};
 }
 
 } // namespace
--- a/packages/loads/src/loadrows.cpp
+++ b/packages/loads/src/loadrows.cpp
@@ -22,7 +22,7 @@
 /// A word on a rate limit is not told for longer, microseconds.
 constexpr uint64_t kMostRateAge = 60ULL * 1000 * 1000;
 
-void putRate(const RateWord& _word, Time _now, wire::FleetLoadRow& _row)
+void putRate(const AdvertisedRate& _word, Time _now, wire::FleetLoadRow& _row)
 {
 	if (_word.isHeard())
 	{
@@ -32,15 +32,15 @@
 }
 
 /// @returns nothing heard for what is no rate.
-RateWord rateOf(const wire::FleetLoadRow& _row, Time _now)
+AdvertisedRate rateOf(const wire::FleetLoadRow& _row, Time _now)
 {
 	const bool isNone = kNoLimit == _row.rate_limit();
 	const bool isRate = std::isfinite(_row.rate_limit()) && 0 <= _row.rate_limit();
 	if (0 == _row.rate_age_us() || kMostRateAge < _row.rate_age_us() || (!isNone && !isRate))
 	{
-		return RateWord{};
+		return AdvertisedRate{};
 	}
-	RateWord word;
+	AdvertisedRate word;
 	word.heardAt = Time{_now.micros - static_cast<int64_t>(_row.rate_age_us() - 1)};
 	if (isRate)
 	{
--- a/packages/loads/tests/loadboardtest.cpp
+++ b/packages/loads/tests/loadboardtest.cpp
@@ -63,20 +63,20 @@
 	void theNewestWordOnARateLimitCounts()
 	{
 		const Time later = kNow + Duration::fromMillis(100);
-		const LoadAmount limited{0, 0, 0, 0, RateWord{RequestRate{2.6}, kNow}};
-		const LoadAmount takenBack{0, 0, 0, 0, RateWord{std::nullopt, later}};
+		const LoadAmount limited{0, 0, 0, 0, AdvertisedRate{RequestRate{2.6}, kNow}};
+		const LoadAmount takenBack{0, 0, 0, 0, AdvertisedRate{std::nullopt, later}};
 		board_.takeReport("n2", 1, LoadTable{{life("t1"), takenBack}}, later);
 		board_.takeSum("far", LoadTable{{life("t1"), limited}}, later);
 		board_.addUp(LoadTable{{life("t1"), {100, 1}}}, later);
-		const RateWord word = board_.totals()->loads.at(life("t1")).rate;
+		const AdvertisedRate word = board_.totals()->loads.at(life("t1")).rate;
 		CPPUNIT_ASSERT(!word.limit);
 		CPPUNIT_ASSERT_EQUAL(later.micros, word.heardAt.micros);
 	}
 
 	void rateLimitsAreToldByTheirAge()
 	{
-		const LoadTable table{{life("t1"), {100, 1, 0, 0, RateWord{RequestRate{2.6}, kNow}}},
-		                      {life("t2"), {100, 1, 0, 0, RateWord{std::nullopt, kNow}}},
+		const LoadTable table{{life("t1"), {100, 1, 0, 0, AdvertisedRate{RequestRate{2.6}, kNow}}},
+		                      {life("t2"), {100, 1, 0, 0, AdvertisedRate{std::nullopt, kNow}}},
 		                      {life("t3"), {100, 1}}};
 		wire::HallSum sum;
 		putLoadRows(table, kNow + Duration::fromMillis(250), *sum.mutable_loads());
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -57,7 +57,7 @@
 		RequestsBlocked,   //!< Requests that this node found to end targets.
 		RateLimits,        //!< Times that a target named another rate limit than before, or none any more.
 		UnreadableNotices, //!< Answers of targets that say something of themselves that cannot be read.
-		RestsAsked,        //!< Refusals in which a target asked this node to send nothing for a while.
+		BackoffsAsked,     //!< Refusals in which a target asked this node to send nothing for a while.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -51,7 +51,7 @@
     "requests_blocked",
     "rate_limits",
     "unreadable_notices",
-    "rests_asked",
+    "backoffs_asked",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -4,7 +4,7 @@
 #define SEDGECART_PORTS_WIREFORMAT_H_HEADER_GUARD
 
 #include <aio/serverconnection.h>
-#include <base/rateword.h>
+#include <base/advertisedrate.h>
 #include <base/runner.h>
 #include <base/units.h>
 #include <ports/pathstop.h>
@@ -54,8 +54,8 @@
 	};
 };
 
-/// Whether a refusal asks this node to send the target nothing for a while.
-struct RestNotice
+/// Whether a refusal asks this node to back off: to send the target nothing for a while.
+struct BackoffNotice
 {
 	enum Enum
 	{
@@ -77,9 +77,9 @@
 	std::string atFault;   //!< "ip:port" of the stop that refused; empty if it names none.
 	RateNotice::Enum rateNotice = RateNotice::None;
 	RequestRate rateLimit; //!< Of the target that answers, if it is named.
-	RestNotice::Enum restNotice = RestNotice::None;
-	Duration rest;          //!< That the target asks for.
-	bool isLeaving = false; //!< The target that answers is about to end.
+	BackoffNotice::Enum backoffNotice = BackoffNotice::None;
+	Duration backoff;        //!< That the target asks for.
+	bool isDraining = false; //!< The target that answers is about to end.
 };
 
 /// Reads and writes what callers and targets speak. Translates only; safe from any thread.
--- a/packages/relay/src/rateledger.cpp
+++ b/packages/relay/src/rateledger.cpp
@@ -16,7 +16,7 @@
 
 Time RateLedger::opensAt(const FleetTarget& _target, const std::shared_ptr<const NodeRoster>& _roster, Time _now)
 {
-	const RateWord word = _target.load->rate();
+	const AdvertisedRate word = _target.load->rate();
 	if (!word.limit || !_roster)
 	{
 		return _now;
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -121,7 +121,7 @@
 /// @returns when a target takes a request of this node by its own word.
 Time RequestPath::opensAt(const FleetTarget& _target, const Place& _place, Time _now) const
 {
-	if (context_.mechanisms.on(Mechanism::LeavingWord) && _target.load->leaving.load(std::memory_order_relaxed))
+	if (context_.mechanisms.on(Mechanism::DrainNotice) && _target.load->draining.load(std::memory_order_relaxed))
 	{
 		return RateGate::kNever;
 	}
@@ -130,9 +130,9 @@
 	{
 		opensAt = context_.rates.opensAt(_target, _place.roster, _now);
 	}
-	if (context_.mechanisms.on(Mechanism::TargetRests))
+	if (context_.mechanisms.on(Mechanism::TargetBackoff))
 	{
-		opensAt = std::max(opensAt, Time{_target.load->restUntil.load(std::memory_order_relaxed)});
+		opensAt = std::max(opensAt, Time{_target.load->backoffUntil.load(std::memory_order_relaxed)});
 	}
 	return opensAt;
 }
--- a/packages/relay/src/targetnotices.cpp
+++ b/packages/relay/src/targetnotices.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-std::string textOf(const RateWord& _word)
+std::string textOf(const AdvertisedRate& _word)
 {
 	return _word.limit ? std::to_string(_word.limit->perSecond) : "none";
 }
@@ -31,8 +31,8 @@
 	if (!_answer.notHeld)
 	{
 		takeRate(_target, _answer);
-		takeRest(_target, _answer);
-		takeLeaving(_target, _answer);
+		takeBackoff(_target, _answer);
+		takeDrainNotice(_target, _answer);
 	}
 }
 
@@ -43,13 +43,13 @@
 		context_.metrics.add(Counter::UnreadableNotices); // what it said before counts on
 		return;
 	}
-	RateWord word;
+	AdvertisedRate word;
 	word.heardAt = context_.clock.now();
 	if (RateNotice::Named == _answer.rateNotice)
 	{
 		word.limit = _answer.rateLimit;
 	}
-	const RateWord before = _target.load->rate();
+	const AdvertisedRate before = _target.load->rate();
 	if (!word.limit && !before.isHeard())
 	{
 		return; // the usual case
@@ -67,35 +67,35 @@
 	}
 }
 
-void TargetNotices::takeRest(const FleetTarget& _target, const TargetAnswer& _answer) const
+void TargetNotices::takeBackoff(const FleetTarget& _target, const TargetAnswer& _answer) const
 {
-	if (RestNotice::Unreadable == _answer.restNotice)
+	if (BackoffNotice::Unreadable == _answer.backoffNotice)
 	{
 		context_.metrics.add(Counter::UnreadableNotices);
 		return;
 	}
-	if (RestNotice::Asked != _answer.restNotice)
+	if (BackoffNotice::Asked != _answer.backoffNotice)
 	{
 		return;
 	}
-	_target.load->noteRest(context_.clock.now() + _answer.rest);
-	context_.metrics.add(Counter::RestsAsked);
-	logEvent(LogPart::Targets, LogLevel::Info, "Target asks for rest.",
+	_target.load->noteBackoff(context_.clock.now() + _answer.backoff);
+	context_.metrics.add(Counter::BackoffsAsked);
+	logEvent(LogPart::Targets, LogLevel::Info, "Target asks for a backoff.",
 	         {{"target", _target.record.instance.text},
 	          {"service", _target.record.service},
 	          {"hall", _target.record.hall},
-	          {"rest_ms", std::to_string(_answer.rest.millis())}});
+	          {"backoff_ms", std::to_string(_answer.backoff.millis())}});
 }
 
 /// Counts for the whole life of the target: an answer without it may have been written before.
-void TargetNotices::takeLeaving(const FleetTarget& _target, const TargetAnswer& _answer) const
+void TargetNotices::takeDrainNotice(const FleetTarget& _target, const TargetAnswer& _answer) const
 {
-	if (!_answer.isLeaving || _target.load->leaving.exchange(true, std::memory_order_relaxed))
+	if (!_answer.isDraining || _target.load->draining.exchange(true, std::memory_order_relaxed))
 	{
 		return;
 	}
 	logEvent(
-	    LogPart::Targets, LogLevel::Info, "Target says that it leaves.",
+	    LogPart::Targets, LogLevel::Info, "Target says that it drains.",
 	    {{"target", _target.record.instance.text}, {"service", _target.record.service}, {"hall", _target.record.hall}});
 }
 
--- a/packages/relay/src/targetnotices_p.h
+++ b/packages/relay/src/targetnotices_p.h
@@ -23,8 +23,8 @@
 
 private:
 	void takeRate(const FleetTarget& _target, const TargetAnswer& _answer) const;
-	void takeRest(const FleetTarget& _target, const TargetAnswer& _answer) const;
-	void takeLeaving(const FleetTarget& _target, const TargetAnswer& _answer) const;
+	void takeBackoff(const FleetTarget& _target, const TargetAnswer& _answer) const;
+	void takeDrainNotice(const FleetTarget& _target, const TargetAnswer& _answer) const;
 
 	const RelayContext& context_;
 };
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -248,7 +248,7 @@
 		Scene scene;
 		FleetTarget target;
 		target.load = std::make_shared<TargetLoad>();
-		target.load->toldRate.set(RateWord{RequestRate{2}, Time{1}});
+		target.load->toldRate.set(AdvertisedRate{RequestRate{2}, Time{1}});
 		TargetNotices(scene.context).take(target, TargetAnswer{});
 		CPPUNIT_ASSERT(target.load->ownRate.get().isHeard());
 		CPPUNIT_ASSERT(!target.load->rate().limit);
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -37,8 +37,8 @@
 		ResumePace,      //!< A node that has just started sends few streams at once that callers resume.
 		UnheardLoads,    //!< What other nodes did not tell yet is guessed from what this one did.
 		CrashLedger,     //!< A request under which targets end is not sent any more.
-		LeavingWord,     //!< A target that says in an answer that it leaves gets no more requests.
-		TargetRests,     //!< A target that turned a request away gets none until the rest that it asked for is over.
+		DrainNotice,     //!< A target that says in an answer that it drains gets no more requests.
+		TargetBackoff,   //!< A target that refused a request gets none until the backoff that it asked for is over.
 		RateLimits,      //!< All nodes together send a target no more than the rate that it names.
 
 		Count
--- a/tests/entry/restproof.cpp
+++ b/tests/entry/backoffproof.cpp
@@ -142,9 +142,9 @@
 
 } // namespace
 
-class RestProof : public CppUnit::TestFixture
+class BackoffProof : public CppUnit::TestFixture
 {
-	CPPUNIT_TEST_SUITE(RestProof);
+	CPPUNIT_TEST_SUITE(BackoffProof);
 	CPPUNIT_TEST(aFirstTargetIsLeftAlone);
 	CPPUNIT_TEST(aPlainTargetIsLeftAlone);
 	CPPUNIT_TEST(switchedOffItIsNotLeftAlone);
@@ -176,7 +176,7 @@
 	{
 		EntryHarness harness;
 		std::string unknown;
-		CPPUNIT_ASSERT(harness.settings().mechanisms.setOff("target-rests", unknown));
+		CPPUNIT_ASSERT(harness.settings().mechanisms.setOff("target-backoff", unknown));
 		RestingTarget resting;
 		UsualTarget other;
 		harness.addPlain(resting.script());
@@ -229,6 +229,6 @@
 	}
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(RestProof);
+CPPUNIT_TEST_SUITE_REGISTRATION(BackoffProof);
 
 } // namespace sedgecart
--- a/tests/entry/leavingwordproof.cpp
+++ b/tests/entry/drainnoticeproof.cpp
@@ -125,9 +125,9 @@
 
 } // namespace
 
-class LeavingWordProof : public CppUnit::TestFixture
+class DrainNoticeProof : public CppUnit::TestFixture
 {
-	CPPUNIT_TEST_SUITE(LeavingWordProof);
+	CPPUNIT_TEST_SUITE(DrainNoticeProof);
 	CPPUNIT_TEST(aFirstTargetThatLeavesGetsNoMore);
 	CPPUNIT_TEST(aPlainTargetThatLeavesGetsNoMore);
 	CPPUNIT_TEST(switchedOffOnlyTheRegistryCounts);
@@ -146,19 +146,19 @@
 	{
 		const Scene scene(Scene::Kind::Plain);
 		scene.play("/plain/");
-		CPPUNIT_ASSERT(std::string::npos != scene.harness.dump().find("\"leaves\":true"));
+		CPPUNIT_ASSERT(std::string::npos != scene.harness.dump().find("\"draining\":true"));
 		CPPUNIT_ASSERT(0 < scene.leaving.requests());
 		CPPUNIT_ASSERT(scene.leaving.requests() <= kMostOnTheWay);
 	}
 
 	void switchedOffOnlyTheRegistryCounts()
 	{
-		const Scene scene(Scene::Kind::Plain, "leaving-word");
+		const Scene scene(Scene::Kind::Plain, "drain-notice");
 		scene.play("/plain/");
 		CPPUNIT_ASSERT(kMostOnTheWay < scene.leaving.requests());
 	}
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(LeavingWordProof);
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainNoticeProof);
 
 } // namespace sedgecart
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -186,7 +186,7 @@
 	for (const auto& row : _loads)
 	{
 		require(std::isfinite(row.second.pace) && 0 <= row.second.pace, "a pace is a number");
-		const RateWord& rate = row.second.rate;
+		const AdvertisedRate& rate = row.second.rate;
 		require(!rate.limit || (std::isfinite(rate.limit->perSecond) && 0 <= rate.limit->perSecond),
 		        "a limit is a rate");
 	}
