--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -101,6 +101,12 @@
 
 } // namespace
 
+double comeBackOf(const CallerAnswer& _answer)
+{
+	const std::string* const text = _answer.headers.find("Retry-After");
+	return nullptr == text ? 0 : std::stod(*text);
+}
+
 class TestCaller::Impl
 {
 public:
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -26,6 +26,9 @@
 	std::string body;
 };
 
+/// @returns when the caller is to come back, seconds; 0 if the answer does not say.
+double comeBackOf(const CallerAnswer& _answer);
+
 /// A caller's connection to a node, blocking.
 class TestCaller
 {
