Tests that stop a process wait until all of its threads have stopped

Cause: kill returns at once; one thread of the process takes the signal, and until it has had the processor the others go on, so that the stand-in of the log took the claims. Evidence: the case fails at its first try beside twelve busy processes, and passes 8 of 8 beside the same load now that Process::signal waits for the stop. The check is as it was.

--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -55,9 +55,16 @@
 
 void Process::signal(int _signal) const
 {
-	if (0 < id_)
+	if (id_ <= 0)
 	{
-		::kill(id_, _signal);
+		return;
+	}
+	::kill(id_, _signal);
+	if (SIGSTOP == _signal)
+	{
+		// Until all of its threads have stopped, those that are awake go on.
+		int status = 0;
+		::waitpid(id_, &status, WUNTRACED);
 	}
 }
 
