A slow caller receives all of its answer

What callers saw: a caller that received slowly got 4 of 12 MB and an orderly end; where the length was not told, that looks like a whole answer. ServedConnectionTest::aSlowCallerGetsAllOfTheLastAnswer failed once so.

Cause: bytes that the kernel had taken were taken for bytes that the caller has, three times. - Every 4 s the connection looked whether the bytes kept by the process had shrunk. The kernel takes them in steps of a third of its buffer (more than a megabyte here), so a caller that received less than a step in 4 s counted as gone, and the connection was closed while it received. - Linger and idle time began when the process kept nothing, while the kernel still held megabytes: what the caller sent then met a closed connection, and the reset took the rest of the answer. - TCP_USER_TIMEOUT (4 s), which was ruled out at first since a plain program with it delivered everything through large buffers: through a window smaller than the first queued segment the kernel counts it although the peer receives and acknowledges all the time, and ends the connection with ETIMEDOUT. Plain program, 8 KB receive buffer, 1 KB each 0.1 s: reset after 4.2 s with the option, all without it.

Evidence, 12,582,912 bytes, 64 KB then a pause of 100 / 200 / 300 / 400 / 800 ms, five callers at once: before all / 3,919,872 / 3,919,872 / 3,967,488 / (not waited for), each with an orderly end; now all / all / all / all / all, the slowest after 212 s, beside builds and lint.

Fix: progress is what the peer has acknowledged (SIOCOUTQ and what the process keeps), in every phase, in place of TCP_USER_TIMEOUT; linger and idle time begin when all of it is acknowledged; who is given up gets a reset. Pauses are counted by looks, so that a suspended node gives up nobody. Tried first with a bound of 4 s without progress: of the five callers the one at 800 ms was reset after 43 s, since a receiver's kernel acknowledges in steps that grow with its buffer (measured: 131 KB in 4.8 s at 82 KB/s; 1.3 MB in 15.4 s after 8 MB received fast). So a peer that has received much may pause for longer: what it received at 64 KB/s, from 4 to 20 s. A caller that receives nothing is given up as before (aCallerThatTakesNothingIsGivenUp, unchanged). Ways not taken: the socket's own bound alone (is the second cause); a smaller send buffer (makes steps small, but leaves the option's fault and the closing times).

--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -21,6 +21,9 @@
 namespace
 {
 
+/// Between two looks at how much of a request the peer has acknowledged.
+constexpr Duration kLook = Duration::fromMillis(1000);
+
 constexpr Duration kKeptForever = Duration::fromMillis(24L * 3600 * 1000);
 
 /// @returns the endpoint of "ip:port"; port 0 if the text is not one.
@@ -170,6 +173,35 @@
 			return;
 		}
 		flush();
+		lookLater();
+	}
+
+	void lookLater()
+	{
+		const auto self = shared_from_this();
+		timer_.expires_after(std::chrono::microseconds(kLook.micros));
+		timer_.async_wait(
+		    [self](const boost::system::error_code& _error)
+		    {
+			    const bool isDue = !(BootClock::now() < self->timer_.expiry());
+			    if (!_error && isDue && nullptr != self->handler_)
+			    {
+				    self->lookAtDelivery();
+			    }
+		    });
+	}
+
+	void lookAtDelivery()
+	{
+		const Delivery::Enum delivery = delivery_.look(pump_.sent(), kLook);
+		if (Delivery::Stalled == delivery)
+		{
+			fail(ExchangeBreak::Cut);
+		}
+		else if (Delivery::Moving == delivery)
+		{
+			lookLater();
+		}
 	}
 
 	void flush()
@@ -319,6 +351,7 @@
 		keep_ = keep_ && !_surplus;
 		ExchangeHandlerI* const handler = handler_;
 		handler_ = nullptr;
+		timer_.cancel();
 		handler->onWhole();
 	}
 
@@ -363,6 +396,7 @@
 
 	SocketPump pump_;
 	Timer timer_;
+	DeliveryWatch delivery_;
 	Tcp::endpoint endpoint_;
 	std::unique_ptr<MessageReader> reader_;
 	ExchangeHandlerI* handler_ = nullptr;
--- /dev/null
+++ b/packages/aio/src/deliverywatch.cpp
@@ -0,0 +1,42 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "deliverywatch_p.h"
+
+#include <base/config.h>
+
+#include <algorithm>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+constexpr Duration kLeastStall = Duration::fromMillis(SEDGECART_CONFIG_UNACKNOWLEDGED_MS);
+constexpr Duration kMostStall = Duration::fromMillis(SEDGECART_CONFIG_MOST_STALL_MS);
+constexpr uint64_t kMillisPerSecond = 1000;
+
+/// @returns how long a peer that has acknowledged so much may acknowledge nothing.
+Duration stallBound(uint64_t _acknowledged)
+{
+	const uint64_t millis = _acknowledged * kMillisPerSecond / SEDGECART_CONFIG_SLOW_PEER_BYTES;
+	return std::clamp(Duration::fromMillis(static_cast<int64_t>(millis)), kLeastStall, kMostStall);
+}
+
+} // namespace
+
+Delivery::Enum DeliveryWatch::look(const SentBytes& _sent, Duration _pause)
+{
+	const uint64_t acknowledged = _sent.written - _sent.unacknowledged;
+	const bool progress = acknowledged_ < acknowledged;
+	acknowledged_ = acknowledged;
+	if (0 == _sent.unacknowledged)
+	{
+		stalled_ = Duration{};
+		return Delivery::Done;
+	}
+	stalled_ = progress ? Duration{} : stalled_ + _pause;
+	return stalled_ < stallBound(acknowledged) ? Delivery::Moving : Delivery::Stalled;
+}
+
+} // namespace sedgecart
--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -23,6 +23,10 @@
 /// answer, and a connection on which reading is paused is rare.
 constexpr Duration kPausedLook = Duration::fromMillis(100);
 
+/// Between two looks at how much the caller has acknowledged, while its answer is being made and after.
+constexpr Duration kAnsweringLook = Duration::fromMillis(1000);
+constexpr Duration kRestLook = Duration::fromMillis(250);
+
 } // namespace
 
 ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
@@ -82,18 +86,19 @@
 	if (!hasRoom())
 	{
 		paused_ = true; // what the caller sends on while it waits is not read without end
-		watchPaused();
+		watchAnswer();
 		return;
 	}
 	waitReadable();
 }
 
-/// Without reading, the end of the caller's side is not met: the answer would be made for nobody.
-void ServedConnection::watchPaused()
+/// Without reading, the end of the caller's side is not met, and that of one that is gone without a word never is: the
+/// answer would be made for nobody.
+void ServedConnection::watchAnswer()
 {
-	if (paused_ && Phase::Answering == phase_)
+	if (Phase::Answering == phase_)
 	{
-		setTimer(kPausedLook);
+		lookAfter(paused_ ? kPausedLook : kAnsweringLook);
 	}
 }
 
@@ -153,13 +158,12 @@
 
 void ServedConnection::onRequestDone()
 {
-	timer_.cancel();
 	phase_ = Phase::Answering;
 	ServerRequest request;
 	request.head = std::move(reader_->head());
 	request.body = std::move(reader_->body());
 	reader_.reset();
-	watchPaused();
+	watchAnswer();
 	last_ = !request.head.keepAlive;
 	handler_.onRequest(shared_from_this(), std::move(request));
 }
@@ -269,6 +273,12 @@
 	rest();
 }
 
+void ServedConnection::lookAfter(Duration _pause)
+{
+	lookPause_ = _pause;
+	setTimer(_pause);
+}
+
 void ServedConnection::setTimer(Duration _bound)
 {
 	timer_.expires_after(std::chrono::microseconds(_bound.micros));
@@ -290,9 +300,9 @@
 	{
 		return; // it was set anew while this call waited for its turn
 	}
-	if (Phase::Answering == phase_ && paused_)
+	if (Phase::Answering == phase_)
 	{
-		pump_.peerEnded() ? onEnd() : watchPaused();
+		lookWhileAnswering();
 	}
 	else if (Phase::Reading == phase_)
 	{
@@ -300,8 +310,62 @@
 	}
 	else if (isResting())
 	{
-		const bool takesMore = 0 < pump_.kept() && pump_.kept() < keptBefore_;
-		takesMore ? rest() : closeNow();
+		lookAtRest();
+	}
+}
+
+void ServedConnection::lookWhileAnswering()
+{
+	if (paused_ && pump_.peerEnded())
+	{
+		onEnd();
+		return;
+	}
+	if (Delivery::Stalled == lookAtDelivery())
+	{
+		giveUp();
+		return;
+	}
+	watchAnswer();
+}
+
+void ServedConnection::lookAtRest()
+{
+	const Delivery::Enum delivery = lookAtDelivery();
+	if (Delivery::Stalled == delivery)
+	{
+		giveUp();
+		return;
+	}
+	if (Delivery::Moving == delivery)
+	{
+		lookAfter(kRestLook);
+		return;
+	}
+	if (delivered_)
+	{
+		closeNow();
+		return;
+	}
+	delivered_ = true;
+	lookAfter(restBound());
+}
+
+Delivery::Enum ServedConnection::lookAtDelivery()
+{
+	return delivery_.look(pump_.sent(), lookPause_);
+}
+
+/// Resets the connection: to a caller that does not know the length of its answer, an orderly end would look like a
+/// whole one.
+void ServedConnection::giveUp()
+{
+	const bool waited = Phase::Answering == phase_;
+	const auto self = shared_from_this();
+	abort();
+	if (waited)
+	{
+		handler_.onCallerGone(*this);
 	}
 }
 
@@ -372,21 +436,22 @@
 	rest();
 }
 
-/// Nothing more is to be written. The time for what follows begins when the caller has taken all of the answer: a slow
-/// one would lose its end. One that takes nothing more is given up in the end.
+/// Nothing more is to be written. The time for what follows begins when the caller has acknowledged all of the answer:
+/// what the system still holds would be lost if the caller sent something to a closed connection.
 void ServedConnection::rest()
 {
-	if (0 < pump_.kept())
-	{
-		keptBefore_ = pump_.kept();
-		setTimer(Duration::fromMillis(SEDGECART_CONFIG_UNACKNOWLEDGED_MS));
-		return;
-	}
-	if (Phase::Lingering == phase_)
+	if (Phase::Lingering == phase_ && 0 == pump_.kept())
 	{
 		pump_.shutdownSend();
 	}
-	setTimer(Phase::Lingering == phase_ ? Duration::fromMillis(SEDGECART_CONFIG_LINGER_MS) : handler_.idleBound());
+	delivered_ = false;
+	lookAfter(kRestLook);
+}
+
+/// @returns how long a caller that has its answer may rest.
+Duration ServedConnection::restBound() const
+{
+	return Phase::Lingering == phase_ ? Duration::fromMillis(SEDGECART_CONFIG_LINGER_MS) : handler_.idleBound();
 }
 
 void ServedConnection::closeNow()
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_AIO_SERVEDCONNECTION_P_H_HEADER_GUARD
 #define SEDGECART_AIO_SERVEDCONNECTION_P_H_HEADER_GUARD
 
+#include "deliverywatch_p.h"
 #include "socketpump_p.h"
 
 #include <aio/serverconnection.h>
@@ -68,8 +69,14 @@
 	void flush();
 	void linger();
 	void rest();
+	void lookAfter(Duration _pause);
+	void lookWhileAnswering();
+	void lookAtRest();
+	Delivery::Enum lookAtDelivery();
+	void giveUp();
+	Duration restBound() const;
 	void readOn();
-	void watchPaused();
+	void watchAnswer();
 	bool hasRoom() const;
 	bool isResting() const;
 	void closeNow();
@@ -81,15 +88,17 @@
 	std::shared_ptr<std::atomic<uint32_t>> untaken_;
 	std::function<void(ServedConnection*)> onClosed_;
 	std::unique_ptr<MessageReader> reader_;
-	std::string waiting_;        //!< Bytes that came and were not used yet.
-	std::size_t keptBefore_ = 0; //!< Bytes that the caller had not taken when its time to take them last began.
-	bool paused_ = false;        //!< Reading waits until some of what came is used.
+	DeliveryWatch delivery_;
+	Duration lookPause_;  //!< Before the next look at the delivery.
+	std::string waiting_; //!< Bytes that came and were not used yet.
+	bool paused_ = false; //!< Reading waits until some of what came is used.
 	Phase::Enum phase_ = Phase::Idle;
 	bool chunked_ = false;
 	bool noBody_ = false;
 	bool last_ = false; //!< The connection ends behind this answer.
 	bool flushing_ = false;
-	bool counted_ = false; //!< In `untaken_`.
+	bool counted_ = false;   //!< In `untaken_`.
+	bool delivered_ = false; //!< At rest: the caller has acknowledged all.
 };
 
 } // namespace sedgecart
--- a/packages/aio/src/socketpump.cpp
+++ b/packages/aio/src/socketpump.cpp
@@ -9,9 +9,11 @@
 
 #include <array>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace sedgecart
@@ -45,8 +47,12 @@
 	boost::system::error_code ignored; // a socket without these options still works
 	socket_.non_blocking(true, ignored);
 	socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-	const unsigned bound = SEDGECART_CONFIG_UNACKNOWLEDGED_MS;
-	setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+	int queued = 0;
+	if (!systemHolds(queued))
+	{
+		const unsigned bound = SEDGECART_CONFIG_UNACKNOWLEDGED_MS;
+		setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+	}
 }
 
 bool SocketPump::readSome(std::string_view& _bytes, SocketEnd::Enum& _end)
@@ -81,11 +87,17 @@
 
 bool SocketPump::write(std::string_view _bytes)
 {
+	written_ += _bytes.size();
 	if (!kept_.empty())
 	{
 		kept_.append(_bytes);
 		return true;
 	}
+	return put(_bytes);
+}
+
+bool SocketPump::put(std::string_view _bytes)
+{
 	boost::system::error_code error;
 	std::size_t done = 0;
 	while (done < _bytes.size() && !error)
@@ -104,11 +116,24 @@
 {
 	std::string rest;
 	rest.swap(kept_);
-	return write(rest);
+	return put(rest);
+}
+
+SentBytes SocketPump::sent()
+{
+	int queued = 0;
+	const bool known = systemHolds(queued);
+	return SentBytes{written_, kept() + (known ? static_cast<uint64_t>(queued) : 0)};
+}
+
+bool SocketPump::systemHolds(int& _bytes)
+{
+	return 0 == ioctl(socket_.native_handle(), SIOCOUTQ, &_bytes);
 }
 
 void SocketPump::shutdownSend()
 {
+	++written_;                        // the system counts the end as a byte to be acknowledged
 	boost::system::error_code ignored; // the peer may have closed first
 	socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
--- a/packages/aio/src/socketpump_p.h
+++ b/packages/aio/src/socketpump_p.h
@@ -3,6 +3,8 @@
 #ifndef SEDGECART_AIO_SOCKETPUMP_P_H_HEADER_GUARD
 #define SEDGECART_AIO_SOCKETPUMP_P_H_HEADER_GUARD
 
+#include "deliverywatch_p.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
@@ -31,7 +33,9 @@
 public:
 	explicit SocketPump(boost::asio::ip::tcp::socket _socket);
 
-	/// Makes the socket ready for use: non-blocking, no delay, bounded time for unacknowledged bytes.
+	/// Makes the socket ready for use: non-blocking, no delay. Where the system does not tell what it holds, it is to
+	/// end a connection whose bytes stay unacknowledged. Else whoever looks at `sent` does: the system would also end
+	/// one whose peer receives slowly through a small window.
 	void prepare();
 
 	/// Waits until there is something to read, then calls. `_onReadable` must call `readSome` and wait again.
@@ -71,6 +75,10 @@
 		return kept_.size();
 	}
 
+	/// @returns what was written, and how much of it the peer has not acknowledged, whether the socket took it or not.
+	/// @remarks Where the system does not tell what it holds, that counts as acknowledged.
+	SentBytes sent();
+
 	/// Says that nothing more will be sent.
 	void shutdownSend();
 
@@ -85,8 +93,15 @@
 	}
 
 private:
+	/// @returns false if the system does not tell.
+	bool systemHolds(int& _bytes);
+
+	/// Hands the socket what it takes and keeps the rest. @returns false if the connection broke.
+	bool put(std::string_view _bytes);
+
 	boost::asio::ip::tcp::socket socket_;
 	std::string kept_;
+	uint64_t written_ = 0;
 };
 
 } // namespace sedgecart
--- /dev/null
+++ b/packages/aio/tests/plainhandler.h
@@ -0,0 +1,39 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_AIO_TESTS_PLAINHANDLER_H_HEADER_GUARD
+#define SEDGECART_AIO_TESTS_PLAINHANDLER_H_HEADER_GUARD
+
+#include <aio/serverconnection.h>
+
+namespace sedgecart
+{
+
+/// Bounds of a test's server. What it answers is left to the test.
+class PlainHandler : public ServerHandlerI
+{
+public:
+	uint16_t onBadRequest(ReadState::Enum) override
+	{
+		return 400;
+	}
+	ReaderLimits limits() const override
+	{
+		return ReaderLimits{};
+	}
+	Duration readBound() const override
+	{
+		return Duration::fromMillis(10000);
+	}
+	Duration idleBound() const override
+	{
+		return Duration::fromMillis(400);
+	}
+	bool closing() const override
+	{
+		return false;
+	}
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_AIO_TESTS_PLAINHANDLER_H_HEADER_GUARD
--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -3,20 +3,20 @@
 // A caller may be slow, or send its next request while it waits. Neither is a reason to end an answer that could still
 // be delivered.
 
+#include "plainhandler.h"
+
 #include <aio/server.h>
 #include <aio/serverconnection.h>
 #include <base/config.h>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <harness/plaincaller.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <future>
@@ -58,7 +58,7 @@
 constexpr int kSmallReceive = 8 * 1024;
 
 /// A server on a thread of its own. It answers requests when the test says, or at once with a large body.
-class HeldServer : public ServerHandlerI
+class HeldServer : public PlainHandler
 {
 public:
 	HeldServer()
@@ -145,26 +145,6 @@
 		};
 		waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), isIt), waiting_.end());
 	}
-	uint16_t onBadRequest(ReadState::Enum) override
-	{
-		return 400;
-	}
-	ReaderLimits limits() const override
-	{
-		return ReaderLimits{};
-	}
-	Duration readBound() const override
-	{
-		return Duration::fromMillis(10000);
-	}
-	Duration idleBound() const override
-	{
-		return Duration::fromMillis(400);
-	}
-	bool closing() const override
-	{
-		return false;
-	}
 
 private:
 	static void answer(ServerConnection& _connection, const std::string& _body)
@@ -185,62 +165,6 @@
 	std::thread thread_;
 };
 
-/// A caller's blocking connection.
-class PlainCaller
-{
-public:
-	explicit PlainCaller(const Tcp::endpoint& _server) : socket_(loop_)
-	{
-		socket_.connect(_server);
-	}
-
-	/// @param _receiveBytes size of the socket's receive buffer.
-	PlainCaller(const Tcp::endpoint& _server, int _receiveBytes) : socket_(loop_, Tcp::v4())
-	{
-		socket_.set_option(boost::asio::socket_base::receive_buffer_size(_receiveBytes));
-		socket_.connect(_server);
-	}
-
-	void send(const std::string& _text)
-	{
-		boost::asio::write(socket_, boost::asio::buffer(_text));
-	}
-
-	/// @returns what came up to a text, or up to the end.
-	std::string receive(const std::string& _until = std::string())
-	{
-		std::string all;
-		boost::system::error_code error;
-		std::array<char, 65536> space{};
-		while (!error && (_until.empty() || std::string::npos == all.find(_until)))
-		{
-			all.append(space.data(), socket_.read_some(boost::asio::buffer(space), error));
-		}
-		return all;
-	}
-
-	void close()
-	{
-		socket_.close();
-	}
-
-	/// Ends what another thread sends, too.
-	void shutdown()
-	{
-		boost::system::error_code ignored; // the server may have closed first
-		socket_.shutdown(Tcp::socket::shutdown_both, ignored);
-	}
-
-private:
-	boost::asio::io_context loop_;
-	Tcp::socket socket_;
-};
-
-std::string get(const std::string& _target, const std::string& _lines = std::string())
-{
-	return "GET " + _target + " HTTP/1.1\r\nHost: h.example\r\n" + _lines + "\r\n";
-}
-
 /// A request with a body beyond what is kept of a next one.
 std::string largePost()
 {
--- /dev/null
+++ b/packages/aio/tests/slowcallertest.cpp
@@ -0,0 +1,229 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "../src/servedconnection_p.h"
+#include "plainhandler.h"
+
+#include <base/config.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <harness/plaincaller.h>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Tcp = boost::asio::ip::tcp;
+using Millis = std::chrono::milliseconds;
+
+/// Buffers of the two sockets, bytes. The sending one takes more once a third of it is free, which is more than a slow
+/// caller takes while a connection waits for progress.
+constexpr int kSendBuffer = 256 * 1024;
+constexpr int kReceiveBuffer = 8 * 1024;
+
+/// More than the sockets hold, and less than the sending one does, bytes.
+constexpr std::size_t kLargeBody = 1024UL * 1024;
+constexpr std::size_t kSystemBody = 100UL * 1024;
+
+/// A slow caller takes so much at a time, bytes.
+constexpr std::size_t kSlowPart = 1024;
+constexpr Millis kSlowPause{100};
+
+/// So long that a connection without progress would have been given up.
+constexpr Millis kSlowTime{SEDGECART_CONFIG_UNACKNOWLEDGED_MS + 2000};
+
+constexpr std::size_t kPieces = 16; //!< Of a chunked answer.
+
+/// A server on a thread of its own, whose sockets have a send buffer of a given size. "/chunked" is answered piece by
+/// piece, "/system" with what its socket holds, all else with a large body.
+class TightServer : public PlainHandler
+{
+public:
+	TightServer() : guard_(loop_.get_executor()), acceptor_(loop_)
+	{
+		acceptor_.open(Tcp::v4());
+		acceptor_.set_option(boost::asio::socket_base::send_buffer_size(kSendBuffer)); // accepted sockets have it too
+		acceptor_.bind(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+		acceptor_.listen();
+		accept();
+		thread_ = std::thread(
+		    [this]
+		    {
+			    loop_.run();
+		    });
+	}
+
+	~TightServer() override
+	{
+		loop_.stop();
+		thread_.join();
+	}
+
+	Tcp::endpoint endpoint() const
+	{
+		return acceptor_.local_endpoint();
+	}
+
+	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override
+	{
+		AnswerStart start;
+		if ("/chunked" == _request.head.target)
+		{
+			start.framing = BodyFraming::Chunked;
+			_connection->start(start, std::string_view());
+			for (std::size_t piece = 0; piece < kPieces; ++piece)
+			{
+				_connection->send(std::string(kLargeBody / kPieces, 'x'));
+			}
+			_connection->finish();
+			return;
+		}
+		start.length = "/system" == _request.head.target ? kSystemBody : kLargeBody;
+		_connection->start(start, std::string(start.length, 'x'));
+		_connection->finish();
+	}
+
+	void onCallerGone(const ServerConnection&) override
+	{
+	}
+
+private:
+	void accept()
+	{
+		acceptor_.async_accept(
+		    [this](const boost::system::error_code& _error, Tcp::socket _socket)
+		    {
+			    if (_error)
+			    {
+				    return;
+			    }
+			    const auto ignored = [](ServedConnection*) {};
+			    std::make_shared<ServedConnection>(std::move(_socket), *this, untaken_, ignored)->begin();
+			    accept();
+		    });
+	}
+
+	boost::asio::io_context loop_;
+	boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
+	Tcp::acceptor acceptor_;
+	std::shared_ptr<std::atomic<uint32_t>> untaken_ = std::make_shared<std::atomic<uint32_t>>(0);
+	std::thread thread_;
+};
+
+/// What a caller received, and how that ended.
+struct Received
+{
+	std::string answer;
+	boost::system::error_code end;
+
+	/// @returns bytes of the body, without what frames it.
+	std::size_t body() const
+	{
+		const std::size_t begin = answer.find("\r\n\r\n");
+		return static_cast<std::size_t>(std::count(answer.begin() + static_cast<int64_t>(begin), answer.end(), 'x'));
+	}
+};
+
+/// Receives slowly for a while, then as fast as it can.
+Received receiveSlowly(const Tcp::endpoint& _server, const std::string& _request)
+{
+	PlainCaller caller(_server, kReceiveBuffer);
+	caller.send(_request);
+	Received received;
+	const auto slowUntil = std::chrono::steady_clock::now() + kSlowTime;
+	while (!caller.end() && std::chrono::steady_clock::now() < slowUntil)
+	{
+		received.answer += caller.receiveSome(kSlowPart);
+		std::this_thread::sleep_for(kSlowPause);
+	}
+	received.answer += caller.receive();
+	received.end = caller.end();
+	return received;
+}
+
+/// Pauses, sends more, and receives all.
+Received sendMoreAndReceive(const Tcp::endpoint& _server, const std::string& _request, Millis _pause)
+{
+	PlainCaller caller(_server, kReceiveBuffer);
+	caller.send(_request);
+	std::this_thread::sleep_for(_pause);
+	caller.send(get("/system", "Connection: close\r\n"));
+	Received received;
+	received.answer = caller.receive();
+	received.end = caller.end();
+	return received;
+}
+
+} // namespace
+
+/// Bytes that the system has taken from the process are not yet received by the caller.
+class SlowCallerTest : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(SlowCallerTest);
+	CPPUNIT_TEST(aCallerThatReceivesSlowlyGetsAll);
+	CPPUNIT_TEST(aCallerThatSendsMoreGetsAllOfTheLastAnswer);
+	CPPUNIT_TEST(aCallerThatSendsMoreGetsAllOnAKeptConnection);
+	CPPUNIT_TEST(aCallerThatReceivesNothingSeesAReset);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// The system takes more from the process in large steps only: a slow caller received 4 of 12 MB, and an orderly
+	/// end.
+	void aCallerThatReceivesSlowlyGetsAll()
+	{
+		TightServer server;
+		std::vector<std::future<Received>> callers;
+		for (const std::string& request :
+		     {get("/", "Connection: close\r\n"), get("/"), get("/chunked", "Connection: close\r\n"), get("/chunked")})
+		{
+			callers.push_back(std::async(std::launch::async, receiveSlowly, server.endpoint(), request));
+		}
+		for (std::future<Received>& caller : callers)
+		{
+			CPPUNIT_ASSERT_EQUAL(kLargeBody, caller.get().body());
+		}
+	}
+
+	/// The system still holds the answer when the time to close has passed: what then comes from the caller resets a
+	/// closed connection.
+	void aCallerThatSendsMoreGetsAllOfTheLastAnswer()
+	{
+		TightServer server;
+		const Received received = sendMoreAndReceive(server.endpoint(), get("/system", "Connection: close\r\n"),
+		                                             Millis(SEDGECART_CONFIG_LINGER_MS + 500));
+		CPPUNIT_ASSERT_EQUAL(kSystemBody, received.body());
+	}
+
+	/// The same with a connection that is kept: it is not idle before the caller has the answer.
+	void aCallerThatSendsMoreGetsAllOnAKeptConnection()
+	{
+		TightServer server;
+		const Received received =
+		    sendMoreAndReceive(server.endpoint(), get("/system"), Millis(server.idleBound().millis() + 500));
+		CPPUNIT_ASSERT_EQUAL(2 * kSystemBody, received.body());
+	}
+
+	/// An orderly end looks like a whole answer to a caller that does not know the length.
+	void aCallerThatReceivesNothingSeesAReset()
+	{
+		TightServer server;
+		PlainCaller caller(server.endpoint(), kReceiveBuffer);
+		caller.send(get("/chunked", "Connection: close\r\n"));
+		std::this_thread::sleep_for(Millis(SEDGECART_CONFIG_UNACKNOWLEDGED_MS + 1500));
+		CPPUNIT_ASSERT(caller.receive().size() < kLargeBody);
+		CPPUNIT_ASSERT_EQUAL(std::string("Connection reset by peer"), caller.end().message());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SlowCallerTest);
+
+} // namespace sedgecart
--- a/packages/base/include/base/config.h
+++ b/packages/base/include/base/config.h
@@ -203,6 +203,16 @@
 #define SEDGECART_CONFIG_UNACKNOWLEDGED_MS 4000
 #endif
 
+/// The same for a peer that has received much on its connection: its system acknowledges in large steps.
+#ifndef SEDGECART_CONFIG_MOST_STALL_MS
+#define SEDGECART_CONFIG_MOST_STALL_MS 20000
+#endif
+
+/// A peer that receives more is not given up for being slow, bytes a second.
+#ifndef SEDGECART_CONFIG_SLOW_PEER_BYTES
+#define SEDGECART_CONFIG_SLOW_PEER_BYTES (64 * 1024)
+#endif
+
 /// Largest header of a target's answer, bytes.
 #ifndef SEDGECART_CONFIG_ANSWER_HEADER_BYTES
 #define SEDGECART_CONFIG_ANSWER_HEADER_BYTES (32 * 1024)
