A node that stops waits for answers that its system still holds

A node that stops waits for answers that callers still receive, and counted a connection as received once the process kept nothing. The kernel may still hold megabytes then: they are lost when the VM is taken away, or when the caller sends something to the closed connection.

Fix: what counts is what callers have not acknowledged. It is asked on the requests' loop at each look of the stop, in place of a counter that each connection kept up. A busy loop that does not answer counts as answering; the stop's own bound holds as before. The log line "Node ends." says `delivering`, which was `untaken`.

ServedConnectionTest.anAnswerThatTheSystemHoldsIsBeingDelivered: with the count of before, 0 for an answer of 100 KB of which the caller had 8 KB; now 1, and 0 once the caller has received it.

--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -33,9 +33,9 @@
 	/// @returns the port it listens on.
 	uint16_t port() const;
 
-	/// @returns connections whose caller has not taken all of an answer yet: ended now, they would be reset. Any
+	/// @returns connections whose caller has not acknowledged all of an answer yet: it may be lost with the VM. Loop
 	/// thread.
-	uint32_t untaken() const;
+	uint32_t delivering() const;
 
 private:
 	class Impl;
--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -30,12 +30,10 @@
 } // namespace
 
 ServedConnection::ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
-                                   std::shared_ptr<std::atomic<uint32_t>> _untaken,
                                    std::function<void(ServedConnection*)> _onClosed)
     : pump_(std::move(_socket)),
       timer_(pump_.socket().get_executor()),
       handler_(_handler),
-      untaken_(std::move(_untaken)),
       onClosed_(std::move(_onClosed))
 {
 }
@@ -267,6 +265,11 @@
 	return pump_.kept();
 }
 
+bool ServedConnection::isDelivering()
+{
+	return Phase::Closed != phase_ && 0 < pump_.sent().unacknowledged;
+}
+
 void ServedConnection::becomeIdle()
 {
 	phase_ = Phase::Idle;
@@ -392,7 +395,6 @@
 		onEnd();
 		return;
 	}
-	countUntaken();
 	flush();
 }
 
@@ -417,7 +419,6 @@
 			    self->onEnd();
 			    return;
 		    }
-		    self->countUntaken();
 		    self->flush();
 		    if (self->isResting() && 0 == self->pump_.kept())
 		    {
@@ -462,21 +463,9 @@
 	}
 	const auto self = shared_from_this();
 	phase_ = Phase::Closed;
-	countUntaken();
 	timer_.cancel();
 	pump_.close();
 	onClosed_(this);
 }
 
-void ServedConnection::countUntaken()
-{
-	const bool counts = Phase::Closed != phase_ && 0 < pump_.kept();
-	if (counts == counted_)
-	{
-		return;
-	}
-	counted_ = counts;
-	counts ? untaken_->fetch_add(1, std::memory_order_release) : untaken_->fetch_sub(1, std::memory_order_release);
-}
-
 } // namespace sedgecart
--- a/packages/aio/src/servedconnection_p.h
+++ b/packages/aio/src/servedconnection_p.h
@@ -9,7 +9,6 @@
 #include <aio/serverconnection.h>
 #include <aio/timer.h>
 
-#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -20,10 +19,9 @@
 class ServedConnection : public ServerConnection, public std::enable_shared_from_this<ServedConnection>
 {
 public:
-	/// @param _untaken count of connections whose caller has not taken all of an answer: is kept up by this one.
 	/// @param _onClosed called once, when it is over.
 	ServedConnection(boost::asio::ip::tcp::socket _socket, ServerHandlerI& _handler,
-	                 std::shared_ptr<std::atomic<uint32_t>> _untaken, std::function<void(ServedConnection*)> _onClosed);
+	                 std::function<void(ServedConnection*)> _onClosed);
 
 	/// Begins to read the first request.
 	void begin();
@@ -38,6 +36,9 @@
 	void abort() override;
 	std::size_t backlog() const override;
 
+	/// @returns true while the caller has not acknowledged all that was written.
+	bool isDelivering();
+
 private:
 	/// What the connection does.
 	struct Phase
@@ -80,12 +81,10 @@
 	bool hasRoom() const;
 	bool isResting() const;
 	void closeNow();
-	void countUntaken();
 
 	SocketPump pump_;
 	Timer timer_;
 	ServerHandlerI& handler_;
-	std::shared_ptr<std::atomic<uint32_t>> untaken_;
 	std::function<void(ServedConnection*)> onClosed_;
 	std::unique_ptr<MessageReader> reader_;
 	DeliveryWatch delivery_;
@@ -97,7 +96,6 @@
 	bool noBody_ = false;
 	bool last_ = false; //!< The connection ends behind this answer.
 	bool flushing_ = false;
-	bool counted_ = false;   //!< In `untaken_`.
 	bool delivered_ = false; //!< At rest: the caller has acknowledged all.
 };
 
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include <atomic>
+#include <algorithm>
 #include <charconv>
 #include <unordered_map>
 
@@ -92,16 +92,20 @@
 		return acceptor_.local_endpoint().port();
 	}
 
-	uint32_t untaken() const
+	uint32_t delivering() const
 	{
-		return untaken_->load(std::memory_order_acquire);
+		return static_cast<uint32_t>(std::count_if(connections_.begin(), connections_.end(),
+		                                           [](const auto& _row)
+		                                           {
+			                                           return _row.second->isDelivering();
+		                                           }));
 	}
 
 private:
 	void add(Tcp::socket _socket)
 	{
 		const std::weak_ptr<Impl> weak = weak_from_this();
-		const auto connection = std::make_shared<ServedConnection>(std::move(_socket), handler_, untaken_,
+		const auto connection = std::make_shared<ServedConnection>(std::move(_socket), handler_,
 		                                                           [weak](ServedConnection* _closed)
 		                                                           {
 			                                                           if (const auto self = weak.lock())
@@ -116,8 +120,6 @@
 	asio::io_context& loop_;
 	Tcp::acceptor acceptor_;
 	ServerHandlerI& handler_;
-	/// Shared, since a handler may hold a connection longer than there is a server.
-	const std::shared_ptr<std::atomic<uint32_t>> untaken_ = std::make_shared<std::atomic<uint32_t>>(0);
 	std::unordered_map<ServedConnection*, std::shared_ptr<ServedConnection>> connections_;
 };
 
@@ -137,9 +139,9 @@
 	return impl_->port();
 }
 
-uint32_t Server::untaken() const
+uint32_t Server::delivering() const
 {
-	return impl_->untaken();
+	return impl_->delivering();
 }
 
 } // namespace sedgecart
--- a/packages/aio/tests/servedconnectiontest.cpp
+++ b/packages/aio/tests/servedconnectiontest.cpp
@@ -111,6 +111,18 @@
 		done.get_future().wait();
 	}
 
+	/// @returns how many callers have not received all of an answer.
+	uint32_t delivering()
+	{
+		std::promise<uint32_t> told;
+		boost::asio::post(loop_,
+		                  [this, &told]
+		                  {
+			                  told.set_value(server_->delivering());
+		                  });
+		return told.get_future().get();
+	}
+
 	uint32_t gone() const
 	{
 		return gone_.load();
@@ -196,6 +208,7 @@
 	CPPUNIT_TEST(smallNextRequestsAreNotKeptWithoutEnd);
 	CPPUNIT_TEST(aCallerThatLeavesBehindALargeNextRequestIsSeen);
 	CPPUNIT_TEST(aServerThatEndsTakesNoWrittenAnswerWithIt);
+	CPPUNIT_TEST(anAnswerThatTheSystemHoldsIsBeingDelivered);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -340,6 +353,26 @@
 		CPPUNIT_ASSERT_EQUAL(kSystemBody, answer.size() - body);
 	}
 
+	/// A node that stops waits for its answers. It took one for received that was still in the VM's memory.
+	void anAnswerThatTheSystemHoldsIsBeingDelivered()
+	{
+		HeldServer server;
+		PlainCaller caller(server.endpoint(), kSmallReceive);
+		caller.send(get("/system", "Connection: close\r\n"));
+		CPPUNIT_ASSERT(comesTrue(
+		    [&server]
+		    {
+			    return 1 == server.requests();
+		    }));
+		CPPUNIT_ASSERT_EQUAL(1U, server.delivering());
+		caller.receive();
+		CPPUNIT_ASSERT(comesTrue( // the end is to be acknowledged, too
+		    [&server]
+		    {
+			    return 0 == server.delivering();
+		    }));
+	}
+
 private:
 	/// @returns true once a sender gets no more out: nothing is taken any more.
 	static bool isFull(const std::atomic<std::size_t>& _sent)
--- a/packages/aio/tests/slowcallertest.cpp
+++ b/packages/aio/tests/slowcallertest.cpp
@@ -107,7 +107,7 @@
 				    return;
 			    }
 			    const auto ignored = [](ServedConnection*) {};
-			    std::make_shared<ServedConnection>(std::move(_socket), *this, untaken_, ignored)->begin();
+			    std::make_shared<ServedConnection>(std::move(_socket), *this, ignored)->begin();
 			    accept();
 		    });
 	}
@@ -115,7 +115,6 @@
 	boost::asio::io_context loop_;
 	boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
 	Tcp::acceptor acceptor_;
-	std::shared_ptr<std::atomic<uint32_t>> untaken_ = std::make_shared<std::atomic<uint32_t>>(0);
 	std::thread thread_;
 };
 
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -188,8 +188,10 @@
 		{
 			tellCutOff();
 		}
+		const std::optional<uint32_t> delivering = answersUnderWay();
 		logEvent(LogPart::Node, LogLevel::Info, "Node ends.",
-		         {{"cut_off", std::to_string(cutOff)}, {"untaken", std::to_string(callerServer_.untaken())}});
+		         {{"cut_off", std::to_string(cutOff)},
+		          {"delivering", delivering ? std::to_string(*delivering) : "unknown"}});
 	}
 
 	std::string dump() const
@@ -272,11 +274,27 @@
 		front_.stop(_window);
 	}
 
-	/// @returns true while there are requests under way, or answers that are made and that callers still take: a node
-	/// that ended then would reset them. In this order: an answer counts as untaken before its request is over.
-	bool isAnswering() const
+	/// @returns true while there are requests under way, or answers that callers still receive. A VM that is taken away
+	/// then takes with it what its system has not sent yet. In this order: an answer is written before its request is
+	/// over.
+	bool isAnswering()
 	{
-		return 0 < front_.active() || 0 < callerServer_.untaken();
+		return 0 < front_.active() || 0 != answersUnderWay().value_or(1);
+	}
+
+	/// @returns connections whose caller has not acknowledged all of an answer; none if the requests' loop is too busy
+	/// to tell.
+	std::optional<uint32_t> answersUnderWay()
+	{
+		const auto told = std::make_shared<std::promise<uint32_t>>();
+		asio::post(requestLoop_,
+		           [this, told]
+		           {
+			           told->set_value(callerServer_.delivering());
+		           });
+		std::future<uint32_t> answer = told->get_future();
+		const bool isTold = std::future_status::ready == answer.wait_for(std::chrono::microseconds(kTellBound.micros));
+		return isTold ? std::optional<uint32_t>(answer.get()) : std::nullopt;
 	}
 
 	void onReady()
