A hub hands on only the newest record of each key

Found by playing that class in virtual time (ManyChangesTest): with desired states of 8 KB the hub's link was full of states that others had replaced, since a node that is behind got every record from its offset on. It needs the newest of each key only, which is all that a load of the whole topic gives, too.

HallLogTest.whoIsBehindGetsTheNewestOfEachKey failed before (3 records for 2).

--- a/packages/hall/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -4,6 +4,10 @@
 
 #include "recordpack_p.h"
 
+#include <algorithm>
+#include <string_view>
+#include <unordered_set>
+
 namespace sedgecart
 {
 
@@ -29,6 +33,34 @@
 	return sizeof(KeyedRecord) + _record.key.size() + _record.value.size();
 }
 
+std::size_t sizeOf(const std::vector<KeyedRecord>& _records)
+{
+	std::size_t bytes = 0;
+	for (const KeyedRecord& record : _records)
+	{
+		bytes += sizeOf(record);
+	}
+	return bytes;
+}
+
+/// Who is behind needs no record that another one has replaced: the hub's link would carry each desired state of a
+/// quick succession to each node of its hall.
+/// @returns the records from an offset on, in order, without those.
+std::vector<KeyedRecord> newestOfEachKey(const std::deque<KeyedRecord>& _records, Offset _from)
+{
+	std::vector<KeyedRecord> newest;
+	std::unordered_set<std::string_view> keys;
+	for (auto record = _records.rbegin(); record != _records.rend() && !(record->offset < _from); ++record)
+	{
+		if (keys.insert(record->key).second)
+		{
+			newest.push_back(*record);
+		}
+	}
+	std::reverse(newest.begin(), newest.end());
+	return newest;
+}
+
 std::shared_ptr<const std::string> packOf(const std::vector<KeyedRecord>& _records)
 {
 	return std::make_shared<const std::string>(packRecords(_records));
@@ -108,16 +140,11 @@
 	found.wholeAtHand = row.whole && !found.known;
 	found.end = row.end < _from ? _from : row.end; // who is ahead has all that is at hand
 	found.provenAt = row.provenAt;
-	std::size_t bytes = 0;
-	for (const KeyedRecord& record : row.records)
+	if (found.known)
 	{
-		if (found.known && !(record.offset < _from))
-		{
-			found.records.push_back(record);
-			bytes += sizeOf(record);
-		}
+		found.records = newestOfEachKey(row.records, _from);
 	}
-	if (kPackFrom < bytes)
+	if (kPackFrom < sizeOf(found.records))
 	{
 		Pack& pack = row.newsPack;
 		if (!pack.bytes || !(pack.from == _from) || !(pack.end == found.end))
--- a/packages/hall/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -127,6 +127,7 @@
 	CPPUNIT_TEST(aLateAnswerToALongReadSaysNothingOfTheStore);
 	CPPUNIT_TEST(theLateFailureOfALongReadSaysNothingOfTheStore);
 	CPPUNIT_TEST(whatWasReadIsAtHandForOthers);
+	CPPUNIT_TEST(whoIsBehindGetsTheNewestOfEachKey);
 	CPPUNIT_TEST(cacheDoesNotJoinWhatIsNotContiguous);
 	CPPUNIT_TEST(largeRecordsAreNotHandedOn);
 	CPPUNIT_TEST(recordsThatShrinkAreHandedOnPacked);
@@ -338,6 +339,20 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(7), cache_.find(KeyedTopic::Operator, Offset{7}).end.value);
 	}
 
+	/// A hub's link was full of desired states that others had replaced.
+	void whoIsBehindGetsTheNewestOfEachKey()
+	{
+		read(3);
+		store_.answerLast(
+		    page(StoreState::Done, 6, {record(3), KeyedRecord{"other", "value", false, Offset{4}}, record(5)}));
+		const TopicCache::Found found = cache_.find(KeyedTopic::Operator, Offset{3});
+		CPPUNIT_ASSERT(found.known);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), found.records.size());
+		CPPUNIT_ASSERT_EQUAL(uint64_t(4), found.records[0].offset.value);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(5), found.records[1].offset.value);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(6), found.end.value);
+	}
+
 	void cacheDoesNotJoinWhatIsNotContiguous()
 	{
 		cache_.take(KeyedTopic::Runners, Offset{3}, page(StoreState::Done, 4, {record(3)}), clock_.now());
--- a/packages/hall/tests/playedhall.cpp
+++ b/packages/hall/tests/playedhall.cpp
@@ -194,6 +194,11 @@
 
 	void onRead(KeyedTopic::Enum _topic, const KeyedPage& _page, Time _sentAt)
 	{
+		if (StoreState::Gone == _page.state)
+		{
+			load(_topic);
+			return;
+		}
 		Topic& topic = topics_[_topic];
 		const bool wasFailing = topic.failing;
 		topic.failing = StoreState::Done != _page.state;
@@ -215,6 +220,21 @@
 		readAfter(_topic, _page.handedOn ? Duration{} : kPlans[_topic].pause);
 	}
 
+	/// The newest record is loaded instead of what this node is too far behind for.
+	void load(KeyedTopic::Enum _topic)
+	{
+		const Time sentAt = hall_.loop_.now();
+		const uint64_t number = ++topics_[_topic].reading;
+		log_.newest(_topic, std::string(),
+		            [this, _topic, sentAt, number](KeyedPage&& _page)
+		            {
+			            if (number == topics_[_topic].reading)
+			            {
+				            onRead(_topic, _page, sentAt);
+			            }
+		            });
+	}
+
 	void renewLongReads()
 	{
 		for (const KeyedTopic::Enum topic : {KeyedTopic::Nodes, KeyedTopic::Layout, KeyedTopic::Blocked})
--- a/packages/hall/tests/playedstore.cpp
+++ b/packages/hall/tests/playedstore.cpp
@@ -30,36 +30,57 @@
 	silent_ = _silent;
 }
 
-Offset PlayedStore::put(KeyedTopic::Enum _topic)
+Offset PlayedStore::put(KeyedTopic::Enum _topic, const std::string& _value)
 {
 	std::vector<KeyedRecord>& records = topics_[_topic];
-	records.push_back(KeyedRecord{"key", "value", false, Offset{records.size()}});
+	records.push_back(KeyedRecord{"key", _value, false, Offset{records.size()}});
 	return Offset{records.size()};
 }
 
-void PlayedStore::read(const std::string& _node, KeyedTopic::Enum _topic, Offset _from, Duration _wait,
-                       const KeyedLogI::PageCall& _call)
+bool PlayedStore::fails(const std::string& _node, Duration _wait, const KeyedLogI::PageCall& _call)
 {
 	++calls_[loop_.millis() / kMillisPerSecond];
-	if (refuses_ || 0 < turnedAway_.count(_node))
+	const bool refuses = refuses_ || 0 < turnedAway_.count(_node);
+	if (!refuses && !silent_)
+	{
+		return false;
+	}
+	loop_.after(refuses ? kRoundTrip : _wait + kAnswerBound,
+	            [refuses, _call]
+	            {
+		            _call(failedPage(refuses ? StoreState::Refused : StoreState::Unknown));
+	            });
+	return true;
+}
+
+void PlayedStore::newest(const std::string& _node, KeyedTopic::Enum _topic, const KeyedLogI::PageCall& _call)
+{
+	if (fails(_node, Duration{}, _call))
 	{
-		loop_.after(kRoundTrip,
-		            [_call]
-		            {
-			            _call(failedPage(StoreState::Refused));
-		            });
 		return;
 	}
-	const Time until = loop_.now() + _wait;
-	if (silent_)
+	KeyedPage page;
+	page.state = StoreState::Done;
+	page.end = Offset{topics_[_topic].size()};
+	if (!topics_[_topic].empty())
+	{
+		page.records.push_back(topics_[_topic].back());
+	}
+	loop_.after(kRoundTrip,
+	            [page, _call]
+	            {
+		            _call(KeyedPage(page));
+	            });
+}
+
+void PlayedStore::read(const std::string& _node, KeyedTopic::Enum _topic, Offset _from, Duration _wait,
+                       const KeyedLogI::PageCall& _call)
+{
+	if (fails(_node, _wait, _call))
 	{
-		loop_.after(_wait + kAnswerBound,
-		            [_call]
-		            {
-			            _call(failedPage(StoreState::Unknown));
-		            });
 		return;
 	}
+	const Time until = loop_.now() + _wait;
 	loop_.after(kRoundTrip,
 	            [this, _topic, _from, until, outage = outages_, _call]
 	            {
--- a/packages/hall/tests/playedstore.h
+++ b/packages/hall/tests/playedstore.h
@@ -45,7 +45,16 @@
 	}
 
 	/// @returns the end of the topic behind the new record.
-	Offset put(KeyedTopic::Enum _topic);
+	Offset put(KeyedTopic::Enum _topic)
+	{
+		return put(_topic, "value");
+	}
+
+	/// @returns the end of the topic behind the new record, which has this value.
+	Offset put(KeyedTopic::Enum _topic, const std::string& _value);
+
+	/// Answers with the newest record of the one key.
+	void newest(const std::string& _node, KeyedTopic::Enum _topic, const KeyedLogI::PageCall& _call);
 
 	void read(const std::string& _node, KeyedTopic::Enum _topic, Offset _from, Duration _wait,
 	          const KeyedLogI::PageCall& _call);
@@ -57,6 +66,8 @@
 	uint64_t calls(int64_t _fromSecond, int64_t _toSecond) const;
 
 private:
+	/// Counts a call. @returns true if it is answered with a failure.
+	bool fails(const std::string& _node, Duration _wait, const KeyedLogI::PageCall& _call);
 	void look(KeyedTopic::Enum _topic, Offset _from, Time _until, uint64_t _outage, const KeyedLogI::PageCall& _call);
 
 	PlayedLoop& loop_;
@@ -80,8 +91,9 @@
 	{
 	}
 
-	void newest(KeyedTopic::Enum, const std::string&, PageCall) override
+	void newest(KeyedTopic::Enum _topic, const std::string&, PageCall _call) override
 	{
+		store_.newest(node_, _topic, _call);
 	}
 
 	void read(KeyedTopic::Enum _topic, Offset _from, Duration _wait, PageCall _call) override
