--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -165,6 +165,7 @@
 	void send()
 	{
 		handler_->onSent();
+		delivery_.begin(pump_.sent());
 		const bool sound = pump_.write(request_);
 		request_.clear();
 		if (!sound)
--- a/packages/aio/src/deliverywatch.cpp
+++ b/packages/aio/src/deliverywatch.cpp
@@ -25,6 +25,16 @@
 
 } // namespace
 
+void DeliveryWatch::begin(const SentBytes& _sent)
+{
+	if (0 == _sent.unacknowledged)
+	{
+		begunAt_ = _sent.written;
+		acknowledged_ = _sent.written;
+		stalled_ = Duration{};
+	}
+}
+
 Delivery::Enum DeliveryWatch::look(const SentBytes& _sent, Duration _pause)
 {
 	const uint64_t acknowledged = _sent.written - _sent.unacknowledged;
@@ -36,7 +46,7 @@
 		return Delivery::Done;
 	}
 	stalled_ = progress ? Duration{} : stalled_ + _pause;
-	return stalled_ < stallBound(acknowledged) ? Delivery::Moving : Delivery::Stalled;
+	return stalled_ < stallBound(acknowledged - begunAt_) ? Delivery::Moving : Delivery::Stalled;
 }
 
 } // namespace sedgecart
--- a/packages/aio/src/deliverywatch_p.h
+++ b/packages/aio/src/deliverywatch_p.h
@@ -37,10 +37,15 @@
 class DeliveryWatch
 {
 public:
+	/// More is about to be written. What was received before all was acknowledged counts no more: a peer that has
+	/// vanished behind many small messages is to be noticed soon.
+	void begin(const SentBytes& _sent);
+
 	/// @param _pause that was asked for before this look.
 	Delivery::Enum look(const SentBytes& _sent, Duration _pause);
 
 private:
+	uint64_t begunAt_ = 0; //!< Bytes that were written when all of them had been acknowledged.
 	uint64_t acknowledged_ = 0;
 	Duration stalled_; //!< Without progress.
 };
--- a/packages/aio/src/servedconnection.cpp
+++ b/packages/aio/src/servedconnection.cpp
@@ -157,6 +157,7 @@
 void ServedConnection::onRequestDone()
 {
 	phase_ = Phase::Answering;
+	delivery_.begin(pump_.sent());
 	ServerRequest request;
 	request.head = std::move(reader_->head());
 	request.body = std::move(reader_->body());
--- a/packages/aio/tests/deliverywatchtest.cpp
+++ b/packages/aio/tests/deliverywatchtest.cpp
@@ -24,6 +24,7 @@
 	CPPUNIT_TEST(aPeerThatReceivesNothingIsStalled);
 	CPPUNIT_TEST(aSlowPeerWithALargeBufferIsNotStalled);
 	CPPUNIT_TEST(aPeerThatReceivedMuchAndStopsIsStalled);
+	CPPUNIT_TEST(aPeerThatVanishesBehindManySmallMessagesIsStalledSoon);
 	CPPUNIT_TEST(bytesThatAreAddedAreNoProgress);
 	CPPUNIT_TEST(aSuspendedProcessStallsNobody);
 	CPPUNIT_TEST(whatIsAllAcknowledgedIsDone);
@@ -62,6 +63,15 @@
 		CPPUNIT_ASSERT(stalledAfter(watch, kBody / 2) <= SEDGECART_CONFIG_MOST_STALL_MS + 2 * kLook.millis());
 	}
 
+	/// A kept connection to a target falls silent: requests on it would hang for as long as after a large one.
+	void aPeerThatVanishesBehindManySmallMessagesIsStalledSoon()
+	{
+		DeliveryWatch watch;
+		watch.look(SentBytes{kBody / 2, 0}, kLook);
+		watch.begin(SentBytes{kBody / 2, 0});
+		CPPUNIT_ASSERT(stalledAfter(watch, kBody / 2) <= SEDGECART_CONFIG_UNACKNOWLEDGED_MS + 2 * kLook.millis());
+	}
+
 	/// An answer goes on while its caller receives nothing.
 	void bytesThatAreAddedAreNoProgress()
 	{
