Rare topics are known within 3 s after several outages in a row

Cause: a node that alternates between a hub and the store waited 0.75 s anew at each switch before it read rarely updated topics itself. Change: a break of less than 0.5 s does not restart the wait.

--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -152,7 +152,8 @@
 	std::array<Loading, KeyedTopic::Count> loading_;
 	std::array<uint64_t, KeyedTopic::Count> lastRead_{}; //!< Number of the last store read of each topic.
 	Time failedAt_;                                      //!< When the last read failed.
-	Time storeModeSince_;                                //!< When reads were last switched to the store.
+	Time storeModeSince_;                                //!< Since when reads go to the store, short breaks included.
+	Time storeModeUntil_;                                //!< When reads were last switched away from the store.
 	Time lastAnsweredSentAt_;                            //!< When the latest answered read was sent.
 	bool tryInFlight_ = false;                           //!< A trial read of the store is in flight.
 	std::array<std::optional<PendingRead>, KeyedTopic::Count> pendingReads_; //!< Reads that wait for the hub.
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -49,6 +49,9 @@
 /// has recovered.
 constexpr Duration kStoreModeSettled = Duration::fromMillis(750);
 
+/// A node whose reads are sent to the store again within this time has found no hub that reads it.
+constexpr Duration kStoreModeBreak = Duration::fromMillis(500);
+
 /// Maximum number of bytes of a record's value that are retained, by topic; 0: no bound, since only the operator writes
 /// there. A longer value is truncated to one byte more than the bound, so that its reader detects that it is too large.
 /// Values of other writers may have any size, and every node would retain and forward them.
@@ -266,13 +269,17 @@
 
 void HallLog::setReadMode(ReadMode::Enum _mode)
 {
+	const Time now = clock_.now();
 	if (ReadMode::Store == readMode_ && ReadMode::Store != _mode)
 	{
+		storeModeUntil_ = now;
 		recallLongReads();
 	}
-	if (ReadMode::Store != readMode_ && ReadMode::Store == _mode)
+	// A node that alternates between a hub and the store must not wait for rarely updated topics anew each time.
+	const bool isRepeated = now < storeModeUntil_ + kStoreModeBreak;
+	if (ReadMode::Store != readMode_ && ReadMode::Store == _mode && !isRepeated)
 	{
-		storeModeSince_ = clock_.now();
+		storeModeSince_ = now;
 	}
 	readMode_ = _mode;
 	if (ReadMode::Try == readMode_)
--- a/packages/hall/tests/storeoutagetest.cpp
+++ b/packages/hall/tests/storeoutagetest.cpp
@@ -229,6 +229,7 @@
 	CPPUNIT_TEST(nodesRecoverFromAnyOutage);
 	CPPUNIT_TEST(aShortSilenceDelaysNoTopic);
 	CPPUNIT_TEST(outagesInSeriesEnd);
+	CPPUNIT_TEST(outagesInSeriesStartNoRushOfCalls);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -338,6 +339,28 @@
 		CPPUNIT_ASSERT(holds);
 	}
 
+	/// Plays in which nodes that alternated between a hub and the store read every topic after the last outage.
+	void outagesInSeriesStartNoRushOfCalls()
+	{
+		struct Play
+		{
+			std::size_t nodes;
+			uint64_t seed;
+			std::vector<SeriesOutage> outages;
+		};
+		const Play plays[] = {
+		    {11, 214, {{Outage::Silent, 408, 2193}, {Outage::Refuses, 2657, 936}}},
+		    {6, 122, {{Outage::Refuses, 851, 100}, {Outage::Silent, 50, 900}}},
+		    {9, 30, {{Outage::Refuses, 1690, 2061}, {Outage::Refuses, 1098, 100}, {Outage::Refuses, 2119, 394}}},
+		    {35, 508, {{Outage::Refuses, 4101, 4100}, {Outage::Silent, 4149, 4051}, {Outage::Refuses, 0, 201}}},
+		};
+		for (const Play& play : plays)
+		{
+			const SeriesResult result = simulateSeries(play.nodes, play.outages, play.seed);
+			CPPUNIT_ASSERT_LESSEQUAL(kMaxCallsAfter, result.maxCallsAfter);
+		}
+	}
+
 private:
 	static void checkFewCalls(Outage::Enum _outage)
 	{
