A view for each read of the nodes' topic, not for each record of it

Change: both happen once all records of a read have been applied, and only if a node joined, left, or changed its hall or its share of a core. Test: recordsOfManyNodesPublishOneView (failed before: a view a record).

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -163,12 +163,15 @@
 	void onRecord(const KeyedRecord& _record) override
 	{
 		control_.fleet_.onNodeRecord(_record);
-		control_.exchange_.onNodesChanged();
 	}
 
 	void onCurrent(Time) override
 	{
 		outages_.onCurrent();
+		if (control_.fleet_.onNodesCurrent())
+		{
+			control_.exchange_.onNodesChanged();
+		}
 		control_.startFollowing();
 	}
 
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -70,6 +70,10 @@
 
 	void onNodeRecord(const KeyedRecord& _record);
 
+	/// All nodes' records have been applied: publishes the view if a node joined or left.
+	/// @returns true if the nodes changed since the last call.
+	bool onNodesCurrent();
+
 	/// How long a service that was removed from the desired state stays in the view: as long as a request without a
 	/// deadline of its own may run, since an admitted stream that loses its target has to continue at another target.
 	static constexpr Duration kServiceRetention = Duration::fromMillis(60000);
@@ -184,6 +188,7 @@
 	bool runnersKnown_ = false;
 	bool lapseGraceEnabled_ = true;
 	bool changed_ = false;
+	bool nodesChanged_ = false; //!< A node joined or left since the last `onNodesCurrent`.
 };
 
 } // namespace sedgecart
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -350,10 +350,9 @@
 
 void FleetController::onNodeRecord(const KeyedRecord& _record)
 {
-	const std::size_t before = nodes_.size();
 	if (_record.removed)
 	{
-		nodes_.erase(_record.key);
+		nodesChanged_ = 0 < nodes_.erase(_record.key) || nodesChanged_;
 		cell_.skippedRecords.onRemoved(RecordKind::Node, _record.key);
 	}
 	else
@@ -367,17 +366,29 @@
 			return;
 		}
 		cell_.skippedRecords.onValid(RecordKind::Node, _record.key);
+		const auto known = nodes_.find(_record.key);
+		const bool isChange =
+		    nodes_.end() == known || known->second.hall != node.hall || known->second.cpuShare != node.cpuShare;
+		nodesChanged_ = isChange || nodesChanged_;
 		nodes_[_record.key] = node;
 	}
-	if (before == nodes_.size())
+}
+
+/// A fleet that starts reads one record of each node: a view for each would take work that grows with the product of
+/// nodes and targets.
+bool FleetController::onNodesCurrent()
+{
+	if (!nodesChanged_)
 	{
-		return;
+		return false;
 	}
+	nodesChanged_ = false;
 	updateRoster();
 	if (routes_)
 	{
 		publish();
 	}
+	return true;
 }
 
 void FleetController::updateRoster()
--- a/packages/fleet/tests/fleetcontrollertest.cpp
+++ b/packages/fleet/tests/fleetcontrollertest.cpp
@@ -87,6 +87,7 @@
 	CPPUNIT_TEST(aReappearingTargetKeepsItsLoad);
 	CPPUNIT_TEST(aDeadTargetLosesItsAddressAtOnce);
 	CPPUNIT_TEST(invalidNodeRecordsAreIgnored);
+	CPPUNIT_TEST(recordsOfManyNodesPublishOneView);
 	CPPUNIT_TEST(anInvalidRecordTakesTheTargetOutOfUse);
 	CPPUNIT_TEST(anInvalidRecordIsNotALapsedOne);
 	CPPUNIT_TEST(anUnknownServiceMayBecomeKnown);
@@ -183,6 +184,27 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), fleet_.nodes().at("n1").address);
 	}
 
+	/// Each record of a node published a view of all targets: at a start of 1,000 nodes with 3,000 targets each node
+	/// copied three million records.
+	void recordsOfManyNodesPublishOneView()
+	{
+		const uint32_t before = publishedNodes();
+		for (const char* const name : {"n1", "n2", "n3"})
+		{
+			placeNode(name, "10.0.0.1:80", "h1", 0.5);
+			CPPUNIT_ASSERT_EQUAL(before, publishedNodes());
+		}
+		CPPUNIT_ASSERT(fleet_.onNodesCurrent());
+		CPPUNIT_ASSERT_EQUAL(3U, publishedNodes());
+		placeNode("n1", "10.0.0.1:80", "h1", 0.5); // announced again
+		CPPUNIT_ASSERT(!fleet_.onNodesCurrent());
+		placeNode("n1", "10.0.0.1:80", "h1", 0.25);
+		CPPUNIT_ASSERT(fleet_.onNodesCurrent());
+		fleet_.onNodeRecord(KeyedRecord{"n1", "", true, Offset{0}});
+		CPPUNIT_ASSERT(fleet_.onNodesCurrent());
+		CPPUNIT_ASSERT_EQUAL(2U, publishedNodes());
+	}
+
 	/// The other targets stay in use, and the next valid record brings the target back with its load.
 	void anInvalidRecordTakesTheTargetOutOfUse()
 	{
@@ -353,6 +375,13 @@
 		fleet_.onRunnerRecord(KeyedRecord{_instance, _text, '\0' == *_text, Offset{_offset}});
 	}
 
+	/// @returns the number of nodes in the published view.
+	uint32_t publishedNodes() const
+	{
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		return view->nodes;
+	}
+
 	/// @returns the load of a target in the published view.
 	std::shared_ptr<TargetLoad> publishedLoad(const std::string& _instance) const
 	{
