Nodes that are no hub do not touch all targets ten times a second

Cause: a node that does not poll set the polled slowdown of each target back at each step, 30,000 writes a second at 3,000 targets on every node of a fleet. Change: once, when it stops being the hub; an answer that comes later is ignored.

--- a/packages/loads/include/loads/slowdownpoll.h
+++ b/packages/loads/include/loads/slowdownpoll.h
@@ -38,6 +38,7 @@
 private:
 	void tick();
 	void pollDueTargets();
+	void clearPolled();
 	bool isRelevant(const std::string& _instance) const;
 	void pollTarget(const RunnerRecord& _target);
 
@@ -48,6 +49,7 @@
 	const ClockI& clock_;
 	PollPlan plan_;
 	std::function<bool()> isHub_;
+	bool polls_ = false; //!< This node was the hub at the last step.
 };
 
 } // namespace sedgecart
--- a/packages/loads/src/slowdownpoll.cpp
+++ b/packages/loads/src/slowdownpoll.cpp
@@ -64,11 +64,13 @@
 
 void SlowdownPoll::pollDueTargets()
 {
-	if (!isHub_())
+	const bool wasHub = polls_;
+	polls_ = isHub_();
+	if (!polls_)
 	{
-		for (const auto& row : fleet_.loads())
+		if (wasHub)
 		{
-			row.second->polledSlowdown.store(1, std::memory_order_relaxed); // the hub reports it from now on
+			clearPolled();
 		}
 		return;
 	}
@@ -86,6 +88,15 @@
 	}
 }
 
+/// Drops the slowdowns that this node polled: another hub reports them from now on.
+void SlowdownPoll::clearPolled()
+{
+	for (const auto& row : fleet_.loads())
+	{
+		row.second->polledSlowdown.store(kNoSlowdown, std::memory_order_relaxed);
+	}
+}
+
 /// @returns true if some node has work at a target, or if the target is known to be slow: nodes avoid it until another
 /// slowdown is reported.
 bool SlowdownPoll::isRelevant(const std::string& _instance) const
@@ -112,11 +123,11 @@
 	}
 	const std::shared_ptr<TargetLoad> load = row->second;
 	orders_.poll(_target.address, kPollTimeout,
-	             [polled = _target.incarnation(), load](const ProbeAnswer& _answer)
+	             [this, polled = _target.incarnation(), load](const ProbeAnswer& _answer)
 	             {
-		             if (!_answer.answered)
+		             if (!_answer.answered || !polls_)
 		             {
-			             return; // the request path detects dead targets
+			             return; // the request path detects dead targets; another hub polls now
 		             }
 		             if (detectRestart(polled, _answer, *load))
 		             {
