A hub forwards what targets change, not that they renew their records

Cause: a target writes its record again every beat, and the hub handed each record to each node: targets x nodes, 1,000 records or 250 kB a second to each node at 3,000 targets, each parsed there. Change: the cache of the node that reads the store omits records that change no field which nodes use (RenewalFilter); while several targets claim an address all of their records are passed on, since nodes count these claims. An answer of a hub is complete up to its end.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -244,6 +244,7 @@
                            RunnerOrdersI& _orders, const DocumentParserI& _documents, const ClockI& _clock,
                            FleetCell& _cell, std::function<void()> _onReady)
     : settings_(_settings),
+      cache_(_documents),
       log_(_log, _clock, cache_, _settings.name),
       fleet_(_documents, _cell, _clock, _settings.hall),
       crashes_(log_, _clock, _cell, _settings.name),
--- a/packages/fleet/src/follower.cpp
+++ b/packages/fleet/src/follower.cpp
@@ -180,6 +180,10 @@
 		applyRecord(record);
 		next_ = Offset{record.offset.value + 1};
 	}
+	if (_page.forwarded)
+	{
+		next_ = std::max(next_, _page.end); // the hub's answer is complete, but omits records that change nothing
+	}
 	const bool behind = next_ < _page.end;
 	if (!behind)
 	{
--- a/packages/fleet/tests/followertest.cpp
+++ b/packages/fleet/tests/followertest.cpp
@@ -109,6 +109,7 @@
 	CPPUNIT_TEST(aLoadContinuesWhereItFailed);
 	CPPUNIT_TEST(aHangingReadCanBeRestarted);
 	CPPUNIT_TEST(aLongGapBetweenConfirmedReadsIsAnOutage);
+	CPPUNIT_TEST(forwardedAnswersMayOmitTheLastRecords);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -182,6 +183,18 @@
 		CPPUNIT_ASSERT_EQUAL(2U, handler_.currents);
 	}
 
+	/// A hub omits records that change nothing. Its answer is complete up to its end all the same.
+	void forwardedAnswersMayOmitTheLastRecords()
+	{
+		KeyedPage forwarded = page(StoreState::Done, 9, {record("a", "2", 5)});
+		forwarded.forwarded = true;
+		log_.newestPages = {page(StoreState::Done, 5, {record("a", "1", 3)})};
+		log_.readPages = {forwarded};
+		run();
+		CPPUNIT_ASSERT_EQUAL(2U, handler_.currents);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(9), log_.froms.back());
+	}
+
 private:
 	void run()
 	{
--- a/packages/hall/include/hall/topiccache.h
+++ b/packages/hall/include/hall/topiccache.h
@@ -4,6 +4,7 @@
 #define SEDGECART_HALL_TOPICCACHE_H_HEADER_GUARD
 
 #include <base/units.h>
+#include <hall/renewalfilter.h>
 #include <ports/keyedlog.h>
 
 #include <array>
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace sedgecart
@@ -34,6 +36,12 @@
 		Time provenAt;                             //!< When the read was sent that found no record from the end on.
 	};
 
+	/// Caches every record.
+	TopicCache() = default;
+
+	/// Caches the records of targets only if they change something.
+	explicit TopicCache(const DocumentParserI& _documents);
+
 	/// Adds the result of a read of a topic.
 	/// @param _from the offset that was requested.
 	/// @param _provenAt when the read was sent, less the age of the result.
@@ -67,7 +75,7 @@
 	{
 		bool loaded = false;
 		std::deque<KeyedRecord> records;
-		Offset begin; //!< Every record from here to the end is cached.
+		Offset begin; //!< Every record from here to the end is cached, except for renewals.
 		Offset end;
 		Time provenAt;
 		std::size_t bytes = 0;
@@ -77,12 +85,16 @@
 		mutable Pack updatePack;
 	};
 
-	static void append(Row& _row, const KeyedRecord& _record);
+	void reset(KeyedTopic::Enum _topic, Offset _begin);
+	void append(KeyedTopic::Enum _topic, const KeyedRecord& _record, bool _forwarded);
+	bool isRenewal(const Row& _row, const KeyedRecord& _record);
+	void clearRenewals(KeyedTopic::Enum _topic);
 	static void updateNewest(Row& _row, const KeyedRecord& _record);
 	static void trim(Row& _row);
 
 	mutable std::mutex mutex_;
 	std::array<Row, KeyedTopic::Count> rows_;
+	std::optional<RenewalFilter> renewals_; //!< For the targets' topic; empty: all of its records are cached.
 };
 
 } // namespace sedgecart
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -397,6 +397,7 @@
 	slot.reset();
 	// The hub answered after this read began, so that its confirmation is no older than this.
 	const Time provenAt = Time{read.startedAt.micros - _update.page.proofAge.micros};
+	_update.page.forwarded = true;
 	if (read.snapshot)
 	{
 		cache_.setSnapshot(_update.topic, _update.page.records, _update.page.end, provenAt);
@@ -405,7 +406,6 @@
 	{
 		cache_.addPage(_update.topic, read.from, _update.page, provenAt);
 	}
-	_update.page.forwarded = true;
 	read.call(std::move(_update.page));
 	return true;
 }
--- a/packages/hall/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -68,24 +68,30 @@
 
 } // namespace
 
+TopicCache::TopicCache(const DocumentParserI& _documents) : renewals_(std::in_place, _documents)
+{
+}
+
 void TopicCache::addPage(KeyedTopic::Enum _topic, Offset _from, const KeyedPage& _page, Time _provenAt)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
 	Row& row = rows_[_topic];
 	if (!row.loaded || row.end < _from)
 	{
-		row = Row{};
-		row.loaded = true;
-		row.begin = _from;
-		row.end = _from;
+		reset(_topic, _from);
 	}
 	for (const KeyedRecord& record : _page.records)
 	{
 		if (!(record.offset < row.end))
 		{
-			append(row, record);
+			append(_topic, record, _page.forwarded);
 		}
 	}
+	if (_page.forwarded)
+	{
+		clearRenewals(_topic); // changes passed that the filter has not seen
+		row.end = std::max(row.end, _page.end); // the hub omits renewals, also the last ones
+	}
 	const bool reachesEnd = !(row.end < _page.end);
 	if (reachesEnd && row.provenAt < _provenAt)
 	{
@@ -102,14 +108,12 @@
 	const bool overlaps = row.loaded && !(_end < row.begin) && !(row.end < _end);
 	if (!overlaps)
 	{
-		row = Row{};
-		row.loaded = true;
-		row.begin = _end;
-		row.end = _end;
+		reset(_topic, _end);
 	}
 	row.provenAt = std::max(row.provenAt, _provenAt);
 	row.hasSnapshot = true;
 	row.newest.clear();
+	clearRenewals(_topic);
 	for (const KeyedRecord& record : _records)
 	{
 		updateNewest(row, record);
@@ -127,7 +131,8 @@
 void TopicCache::clear(KeyedTopic::Enum _topic)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	rows_[_topic] = Row{};
+	reset(_topic, Offset{});
+	rows_[_topic].loaded = false;
 }
 
 TopicCache::Lookup TopicCache::find(KeyedTopic::Enum _topic, Offset _from) const
@@ -187,14 +192,50 @@
 	return found;
 }
 
-void TopicCache::append(Row& _row, const KeyedRecord& _record)
+/// Drops everything that is cached of a topic; it is complete from an offset on.
+void TopicCache::reset(KeyedTopic::Enum _topic, Offset _begin)
+{
+	Row& row = rows_[_topic];
+	row = Row{};
+	row.loaded = true;
+	row.begin = _begin;
+	row.end = _begin;
+	clearRenewals(_topic);
+}
+
+void TopicCache::append(KeyedTopic::Enum _topic, const KeyedRecord& _record, bool _forwarded)
+{
+	Row& row = rows_[_topic];
+	row.end = Offset{_record.offset.value + 1};
+	const bool isFiltered = KeyedTopic::Runners == _topic && renewals_ && row.hasSnapshot && !_forwarded;
+	if (isFiltered && isRenewal(row, _record))
+	{
+		return;
+	}
+	row.records.push_back(_record);
+	row.bytes += sizeOf(_record);
+	if (row.hasSnapshot)
+	{
+		updateNewest(row, _record);
+	}
+}
+
+/// Only a node that reads the store itself parses the records for this, and each one when its target renews it.
+bool TopicCache::isRenewal(const Row& _row, const KeyedRecord& _record)
+{
+	const auto newest = _row.newest.find(_record.key);
+	if (!renewals_->knows(_record.key) && _row.newest.end() != newest)
+	{
+		renewals_->isRenewal(newest->second);
+	}
+	return renewals_->isRenewal(_record);
+}
+
+void TopicCache::clearRenewals(KeyedTopic::Enum _topic)
 {
-	_row.records.push_back(_record);
-	_row.bytes += sizeOf(_record);
-	_row.end = Offset{_record.offset.value + 1};
-	if (_row.hasSnapshot)
+	if (KeyedTopic::Runners == _topic && renewals_)
 	{
-		updateNewest(_row, _record);
+		renewals_->clear();
 	}
 }
 
