A hub sends nodes the loads that changed

Cause: each answer of a hub held the loads of all targets, about 25 bytes a row, to each node seven times a second: targets x nodes, 500 kB a second to each node at 3,000 targets, encoded by the hub for each node, decoded and applied to all targets by each. Change: totals have versions; a node names the one it has and receives the rows that changed since, at most 40 a version, those that changed most and that its hall uses first (LoadChanges). Suspicions are never delayed. Rows are selected once a version and applied one by one. Nodes of an earlier version get complete totals, and answers whose end is their last record. Tests: LoadChangesTest, FleetScaleTest.

--- a/packages/hall/include/hall/reportresponder.h
+++ b/packages/hall/include/hall/reportresponder.h
@@ -36,7 +36,7 @@
 
 private:
 	void answerLoads(const wire::HallReport& _report, wire::HallAnswer& _answer);
-	void answerQuery(const wire::TopicQuestion& _query, wire::HallAnswer& _answer);
+	void answerQuery(const wire::TopicQuestion& _query, bool _omitsRenewals, wire::HallAnswer& _answer);
 
 	std::string self_;
 	const ClockI& clock_;
--- a/packages/hall/include/hall/topiccache.h
+++ b/packages/hall/include/hall/topiccache.h
@@ -32,7 +32,8 @@
 		bool snapshotAvailable = false; //!< Some were evicted, but the newest of each key are cached.
 		std::vector<KeyedRecord> records;
 		std::shared_ptr<const std::string> packed; //!< Replaces large records; otherwise null.
-		Offset end;                                //!< One past the last cached record.
+		Offset end;                                //!< One past the last record that was read.
+		Offset recordsEnd; //!< One past the last record in `records` or `packed`; later ones changed nothing.
 		Time provenAt;                             //!< When the read was sent that found no record from the end on.
 	};
 
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -121,6 +121,8 @@
 	wire::PeerMessage message;
 	wire::HallReport& report = *message.mutable_hall_report();
 	hub_.fillReport(report);
+	report.set_takes_changes(true);
+	report.set_totals_version(reports_.versionOf(hub_.hub().name));
 	putLoadRows(_own, clock_.now(), *report.mutable_loads());
 	putCrashUpdate(crashes_.reportUpdate(), *report.mutable_crash_news());
 	link_->send(_address, message);
@@ -132,9 +134,7 @@
 LoadTable HallExchange::updateTotals(const LoadTable& _own)
 {
 	LoadTable hall = aggregator_.updateTotals(_own, clock_.now());
-	LoadTable others = aggregator_.totals()->loads;
-	subtractLoads(others, _own);
-	reports_.setOthers(others, _own);
+	reports_.setTotals(aggregator_.totals()->loads, _own);
 	return hall;
 }
 
@@ -267,7 +267,11 @@
 	}
 	if (hub_.applyAnswer(_answer) && _answer.is_hub() && !hub_.isHub())
 	{
-		reports_.applyTotals(loadTableOf(_answer.totals(), clock_.now()), _answer.counted());
+		LoadUpdate update;
+		update.version = _answer.totals_version();
+		update.base = _answer.totals_base();
+		update.rows = std::make_shared<const LoadTable>(loadTableOf(_answer.totals(), clock_.now()));
+		reports_.applyTotals(_answer.node(), update, _answer.counted());
 		crashes_.applyAnswer(crashUpdateOf(_answer.crash_news()));
 	}
 }
--- a/packages/hall/src/reportresponder.cpp
+++ b/packages/hall/src/reportresponder.cpp
@@ -49,7 +49,7 @@
 	answerLoads(_report, _answer);
 	for (const wire::TopicQuestion& query : _report.questions())
 	{
-		answerQuery(query, _answer);
+		answerQuery(query, _report.takes_changes(), _answer);
 	}
 }
 
@@ -60,13 +60,25 @@
 	{
 		return;
 	}
-	putLoadRows(totals->loads, clock_.now(), *_answer.mutable_totals());
+	if (_report.takes_changes())
+	{
+		const LoadUpdate update = aggregator_.updateSince(_report.totals_version());
+		_answer.set_totals_version(update.version);
+		_answer.set_totals_base(update.base);
+		putLoadRows(*update.rows, clock_.now(), *_answer.mutable_totals());
+	}
+	else
+	{
+		putLoadRows(totals->loads, clock_.now(), *_answer.mutable_totals()); // a node of an earlier version
+	}
 	const auto counted = totals->countedReports.find(_report.node());
 	_answer.set_counted(totals->countedReports.end() == counted ? 0 : counted->second);
 }
 
-/// A query that is not answered is repeated with the next report, until its sender reads the store itself.
-void ReportResponder::answerQuery(const wire::TopicQuestion& _query, wire::HallAnswer& _answer)
+/// A query that is not answered is repeated with the next report, until its sender reads the store itself. A node of an
+/// earlier version would take an answer that omits the last records for an incomplete one.
+/// @param _omitsRenewals the sender expects answers that omit records which change nothing.
+void ReportResponder::answerQuery(const wire::TopicQuestion& _query, bool _omitsRenewals, wire::HallAnswer& _answer)
 {
 	if (!isKnownTopic(_query.topic()))
 	{
@@ -89,7 +101,7 @@
 	update->set_topic(_query.topic());
 	update->set_from(_query.from());
 	update->set_whole(_query.whole());
-	putTopicUpdate(found, now, *update);
+	putTopicUpdate(found, _omitsRenewals ? found.end : found.recordsEnd, now, *update);
 }
 
 } // namespace sedgecart
--- a/packages/hall/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -149,6 +149,7 @@
 	{
 		found.records = newestOfEachKey(row.records, _from);
 	}
+	found.recordsEnd = found.records.empty() ? _from : Offset{found.records.back().offset.value + 1};
 	if (kPackThresholdBytes < sizeOf(found.records))
 	{
 		Pack& pack = row.updatePack;
@@ -187,6 +188,7 @@
 	}
 	found.packed = pack.bytes;
 	found.end = pack.end;
+	found.recordsEnd = pack.end;
 	found.provenAt = pack.provenAt;
 	found.known = !pack.bytes->empty() && pack.bytes->size() <= kMaxSentBytes;
 	return found;
--- a/packages/hall/src/topicupdate.cpp
+++ b/packages/hall/src/topicupdate.cpp
@@ -17,11 +17,11 @@
 	return _number < KeyedTopic::Count;
 }
 
-void putTopicUpdate(const TopicCache::Lookup& _found, Time _now, wire::TopicNews& _message)
+void putTopicUpdate(const TopicCache::Lookup& _found, Offset _end, Time _now, wire::TopicNews& _message)
 {
 	_message.set_known(_found.known);
 	_message.set_whole_at_hand(_found.snapshotAvailable);
-	_message.set_end(_found.end.value);
+	_message.set_end(_end.value);
 	_message.set_age_us(static_cast<uint64_t>(std::max<int64_t>(0, (_now - _found.provenAt).micros)));
 	if (_found.packed)
 	{
--- a/packages/hall/src/topicupdate_p.h
+++ b/packages/hall/src/topicupdate_p.h
@@ -21,7 +21,8 @@
 bool isKnownTopic(uint32_t _number);
 
 /// Writes a lookup of the cache into an answer.
-void putTopicUpdate(const TopicCache::Lookup& _found, Time _now, wire::TopicNews& _message);
+/// @param _end one past the last record that the receiver is to consider as read.
+void putTopicUpdate(const TopicCache::Lookup& _found, Offset _end, Time _now, wire::TopicNews& _message);
 
 /// @returns the update that an answer carries. Records that cannot be unpacked are logged, and count as unknown to the
 /// hub.
--- a/packages/loads/include/loads/loadaggregator.h
+++ b/packages/loads/include/loads/loadaggregator.h
@@ -12,9 +12,9 @@
 #ifndef SEDGECART_LOADS_LOADAGGREGATOR_H_HEADER_GUARD
 #define SEDGECART_LOADS_LOADAGGREGATOR_H_HEADER_GUARD
 
-#include <base/advertisedrate.h>
-#include <base/targetincarnation.h>
 #include <base/units.h>
+#include <loads/loadchanges.h>
+#include <loads/loadtable.h>
 
 #include <cstdint>
 #include <map>
@@ -26,29 +26,6 @@
 namespace sedgecart
 {
 
-/// Work in progress at one target.
-struct LoadAmount
-{
-	uint64_t tokenLayers = 0;
-	uint32_t requests = 0;
-	uint32_t suspicion = 0; //!< Suspicion that the target is dead, summed over all nodes.
-	double slowdown = 0;    //!< How many times slower than usual the target runs; 0: unknown, or as usual.
-	AdvertisedRate rate;    //!< The rate limit that the target advertised last.
-};
-
-/// Loads by incarnation of the target; incarnations without load are omitted. Loads of two incarnations of a target are
-/// not summed.
-using LoadTable = std::map<TargetIncarnation, LoadAmount>;
-
-/// Adds one table to another.
-void addLoads(LoadTable& _sum, const LoadTable& _more);
-
-/// Subtracts one table from another; no value falls below zero.
-void subtractLoads(LoadTable& _sum, const LoadTable& _less);
-
-/// @returns the load of an incarnation of a target, including loads that were reported without a start time.
-LoadAmount loadAt(const LoadTable& _table, const TargetIncarnation& _life);
-
 /// Work in progress of all nodes, as known to the hub of a hall.
 struct LoadTotals
 {
@@ -74,6 +51,10 @@
 	/// @returns the totals computed last; null before the first.
 	std::shared_ptr<const LoadTotals> totals() const;
 
+	/// @param _version that a node of this hall has; 0: none.
+	/// @returns the totals as that node needs them.
+	LoadUpdate updateSince(uint64_t _version) const;
+
 	/// @returns the nodes that sent the loads of their hall recently.
 	std::vector<std::string> hubs(Time _now) const;
 
@@ -94,6 +75,7 @@
 	SenderTable reports_; //!< By node.
 	SenderTable sums_;    //!< By hub.
 	std::shared_ptr<const LoadTotals> totals_;
+	LoadChanges changes_; //!< Of `totals_`.
 };
 
 } // namespace sedgecart
--- a/packages/loads/src/loadaggregator.cpp
+++ b/packages/loads/src/loadaggregator.cpp
@@ -3,7 +3,6 @@
 #include <loads/loadaggregator.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace sedgecart
 {
@@ -21,61 +20,8 @@
 /// Maximum number of nodes of a hall, and of hubs, whose loads are stored: several times as many as there are.
 constexpr std::size_t kMaxSenders = 2000;
 
-/// Adds with saturation. A sum that wraps around would turn a large load into a small one.
-template <typename Number> void addUpTo(Number& _sum, Number _more)
-{
-	const Number left = std::numeric_limits<Number>::max() - _sum;
-	_sum += std::min(left, _more);
-}
-
-void add(LoadAmount& _sum, const LoadAmount& _more)
-{
-	addUpTo(_sum.tokenLayers, _more.tokenLayers);
-	addUpTo(_sum.requests, _more.requests);
-	addUpTo(_sum.suspicion, _more.suspicion);
-	_sum.slowdown = std::max(_sum.slowdown, _more.slowdown);
-	_sum.rate = _sum.rate.receivedAt < _more.rate.receivedAt ? _more.rate : _sum.rate;
-}
-
 } // namespace
 
-void addLoads(LoadTable& _sum, const LoadTable& _more)
-{
-	for (const auto& row : _more)
-	{
-		add(_sum[row.first], row.second);
-	}
-}
-
-LoadAmount loadAt(const LoadTable& _table, const TargetIncarnation& _life)
-{
-	LoadAmount amount;
-	auto row = _table.lower_bound(TargetIncarnation{_life.instance, StartTime{INT64_MIN}});
-	for (; _table.end() != row && row->first.instance == _life.instance; ++row)
-	{
-		if (IncarnationOrder::Same == compareIncarnations(_life, row->first, ReportTiming::Unknown))
-		{
-			add(amount, row->second);
-		}
-	}
-	return amount;
-}
-
-void subtractLoads(LoadTable& _sum, const LoadTable& _less)
-{
-	for (const auto& row : _less)
-	{
-		const auto amount = _sum.find(row.first);
-		if (_sum.end() == amount)
-		{
-			continue;
-		}
-		amount->second.tokenLayers -= std::min(amount->second.tokenLayers, row.second.tokenLayers);
-		amount->second.requests -= std::min(amount->second.requests, row.second.requests);
-		amount->second.suspicion -= std::min(amount->second.suspicion, row.second.suspicion);
-	}
-}
-
 void LoadAggregator::onReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
@@ -105,10 +51,17 @@
 	{
 		addLoads(totals->loads, row.second.loads);
 	}
+	changes_.publish(totals->loads, hall, _now);
 	totals_ = std::move(totals);
 	return hall;
 }
 
+LoadUpdate LoadAggregator::updateSince(uint64_t _version) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	return changes_.since(_version);
+}
+
 std::shared_ptr<const LoadTotals> LoadAggregator::totals() const
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
--- a/packages/loads/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -5,6 +5,7 @@
 #include <fleet/fleetcontroller.h>
 
 #include <algorithm>
+#include <array>
 
 namespace sedgecart
 {
@@ -54,8 +55,7 @@
 		const LoadAmount amount{row.second->tokenLayers.load(std::memory_order_relaxed),
 		                        row.second->requests.load(std::memory_order_relaxed), row.second->ownSuspicion(now),
 		                        kMinSlowdown < slowdown ? slowdown : 0, rateToReport(*row.second, now)};
-		if (0 < amount.tokenLayers || 0 < amount.requests || 0 < amount.suspicion || 0 < amount.slowdown ||
-		    amount.rate.isKnown())
+		if (!isEmpty(amount))
 		{
 			loads[incarnationOf(row.first)] = amount;
 		}
@@ -77,38 +77,102 @@
 	}
 }
 
-void LoadReports::applyTotals(LoadTable&& _totals, uint64_t _counted)
+/// @returns the loads of the report that totals include; empty if it is no longer known.
+LoadTable LoadReports::countedLoads(uint64_t _number) const
 {
-	LoadTable others = std::move(_totals);
-	const auto isCounted = [_counted](const Sent& _sent)
+	const auto isCounted = [_number](const Sent& _sent)
 	{
-		return _sent.number == _counted;
+		return _sent.number == _number;
 	};
 	const auto sent = std::find_if(sent_.begin(), sent_.end(), isCounted);
-	const LoadTable counted = sent_.end() == sent ? LoadTable{} : sent->loads;
-	subtractLoads(others, counted);
-	setOthers(others, counted);
+	return sent_.end() == sent ? LoadTable{} : sent->loads;
 }
 
-void LoadReports::setOthers(const LoadTable& _others, const LoadTable& _counted)
+void LoadReports::applyTotals(const std::string& _hub, const LoadUpdate& _update, uint64_t _counted)
 {
-	for (const auto& row : fleet_.loads())
+	const uint64_t known = versionOf(_hub);
+	const bool isApplicable = 0 == _update.base || (_update.base <= known && known <= _update.version);
+	if (!isApplicable)
+	{
+		return; // overtaken by a later answer
+	}
+	const LoadTable countedBefore = std::move(counted_);
+	counted_ = countedLoads(_counted);
+	hub_ = _hub;
+	version_ = _update.version;
+	const bool appliesAll = 0 == _update.base || fleetAppliedAt_.micros != fleet_.fleetChangedAt().micros;
+	if (0 == _update.base)
+	{
+		totals_ = *_update.rows;
+	}
+	else
+	{
+		applyChanges(*_update.rows, totals_);
+	}
+	if (appliesAll)
 	{
-		const TargetIncarnation incarnation = incarnationOf(row.first);
-		const LoadAmount amount = loadAt(_others, incarnation);
-		const LoadAmount counted = loadAt(_counted, incarnation);
-		row.second->reportedTokenLayers.store(counted.tokenLayers, std::memory_order_relaxed);
-		row.second->reportedRequests.store(counted.requests, std::memory_order_relaxed);
-		row.second->remoteTokenLayers.store(amount.tokenLayers, std::memory_order_relaxed);
-		row.second->remoteRequests.store(amount.requests, std::memory_order_relaxed);
-		row.second->remoteSuspicion.store(amount.suspicion, std::memory_order_relaxed);
-		row.second->reportedSlowdown.store(std::max(1.0, amount.slowdown), std::memory_order_relaxed);
-		if (row.second->reportedRate.get().receivedAt < amount.rate.receivedAt)
+		applyAll();
+		return;
+	}
+	const std::array<const LoadTable*, 3> changes{_update.rows.get(), &countedBefore, &counted_};
+	for (const LoadTable* const changed : changes)
+	{
+		for (const auto& row : *changed)
 		{
-			row.second->reportedRate.set(amount.rate);
+			applyRow(row.first.instance.text);
 		}
 	}
-	const LoadAmount link = loadAt(_others, linkRow());
+	applyLink();
+}
+
+void LoadReports::setTotals(const LoadTable& _totals, const LoadTable& _own)
+{
+	totals_ = _totals;
+	counted_ = _own;
+	hub_.clear();
+	version_ = 0;
+	applyAll();
+}
+
+void LoadReports::applyAll()
+{
+	fleetAppliedAt_ = fleet_.fleetChangedAt();
+	for (const auto& row : fleet_.loads())
+	{
+		applyRow(row.first);
+	}
+	applyLink();
+}
+
+/// Sets the work in progress of the other nodes at a target.
+void LoadReports::applyRow(const std::string& _instance)
+{
+	const auto row = fleet_.loads().find(_instance);
+	if (fleet_.loads().end() == row)
+	{
+		return;
+	}
+	TargetLoad& load = *row->second;
+	const TargetIncarnation incarnation = incarnationOf(_instance);
+	const LoadAmount counted = loadAt(counted_, incarnation);
+	LoadAmount others = loadAt(totals_, incarnation);
+	subtractLoad(others, counted);
+	load.reportedTokenLayers.store(counted.tokenLayers, std::memory_order_relaxed);
+	load.reportedRequests.store(counted.requests, std::memory_order_relaxed);
+	load.remoteTokenLayers.store(others.tokenLayers, std::memory_order_relaxed);
+	load.remoteRequests.store(others.requests, std::memory_order_relaxed);
+	load.remoteSuspicion.store(others.suspicion, std::memory_order_relaxed);
+	load.reportedSlowdown.store(std::max(1.0, others.slowdown), std::memory_order_relaxed);
+	if (load.reportedRate.get().receivedAt < others.rate.receivedAt)
+	{
+		load.reportedRate.set(others.rate);
+	}
+}
+
+void LoadReports::applyLink()
+{
+	LoadAmount link = loadAt(totals_, linkRow());
+	subtractLoad(link, loadAt(counted_, linkRow()));
 	fleet_.link().setOthers(Duration{static_cast<int64_t>(link.tokenLayers)});
 }
 
