A layout change fits into one record of the store

Cause: a change holds each order that is active, some 48 bytes a target, and the store takes records of 256 KB: above some 5,000 targets with orders in effect each append would have been refused for good (reckoned; 2,844 targets take 135 kB, with as many holds 225 kB). Change: holds take at most three quarters of 240 KB and follow with the next change, earlier orders the rest, refusals first; a warning tells what is omitted. Test: LayoutRecordTest.

--- a/packages/layout/include/layout/layoutrecord.h
+++ b/packages/layout/include/layout/layoutrecord.h
@@ -8,6 +8,7 @@
 #include <core/trackedorder.h>
 
 #include <cstdint>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,20 @@
 	uint32_t skipped = 0; //!< Holds and orders skipped because they name no target or contain invalid values.
 };
 
+/// What a change leaves out so that it fits into one record of the store.
+struct OmittedOrders
+{
+	std::size_t holds = 0;
+	std::size_t reportedOrders = 0;
+};
+
+/// Maximum size of a layout change in bytes: the store takes records of 256 KB.
+constexpr std::size_t kMaxLayoutBytes = 240UL * 1024;
+
+/// Removes what does not fit into one record: holds take at most three quarters of it, earlier orders the rest. The
+/// plan contains the omitted holds again once this change is in effect.
+OmittedOrders fitLayoutRecord(LayoutRecord& _record);
+
 /// @returns the record in the serialized form of the layout topic.
 std::string writeLayoutRecord(const LayoutRecord& _record);
 
--- a/packages/layout/src/layoutcontroller.cpp
+++ b/packages/layout/src/layoutcontroller.cpp
@@ -343,6 +343,15 @@
 		change.holds.push_back(LayoutHoldRecord{target.instance, target.startTime, order.layers});
 	}
 	dispatcher_.addKnownOrders(change);
+	const OmittedOrders omitted = fitLayoutRecord(change);
+	if (0 < omitted.holds || 0 < omitted.reportedOrders)
+	{
+		logEvent(LogPart::Layout, LogLevel::Warning, "Layout change exceeds a record of the store, a part is omitted.",
+		         {{"holds", std::to_string(change.holds.size())},
+		          {"omitted_holds", std::to_string(omitted.holds)},
+		          {"earlier_orders", std::to_string(change.reportedOrders.size())},
+		          {"omitted_earlier_orders", std::to_string(omitted.reportedOrders)}});
+	}
 	appending_ = true;
 	appendedAt_ = clock_.now();
 	log_.append(KeyedTopic::Layout, kKey, writeLayoutRecord(change), end_,
--- a/packages/layout/src/layoutrecord.cpp
+++ b/packages/layout/src/layoutrecord.cpp
@@ -90,6 +90,39 @@
 	return hold.SerializeAsString();
 }
 
+/// Bytes of a hold or a reported order beside its fields: the field's number and the length.
+constexpr std::size_t kFramingBytes = 4;
+
+/// Part of a record that holds may take.
+constexpr std::size_t kMaxHoldBytes = kMaxLayoutBytes / 4 * 3;
+
+std::size_t sizeOf(const LayoutHoldRecord& _record)
+{
+	wire::LayoutHold hold;
+	fill(_record, hold);
+	return hold.ByteSizeLong() + kFramingBytes;
+}
+
+std::size_t sizeOf(const ReportedOrder& _reported)
+{
+	return textOf(_reported).size() + kFramingBytes;
+}
+
+/// Removes the last rows that do not fit.
+/// @param _left bytes that are left for the rows; reduced by what they take.
+/// @returns the number of rows that were removed.
+template <typename Row> std::size_t fitRows(std::vector<Row>& _rows, std::size_t& _left)
+{
+	std::size_t count = 0;
+	for (; count < _rows.size() && sizeOf(_rows[count]) <= _left; ++count)
+	{
+		_left -= sizeOf(_rows[count]);
+	}
+	const std::size_t removed = _rows.size() - count;
+	_rows.erase(_rows.begin() + static_cast<std::ptrdiff_t>(count), _rows.end());
+	return removed;
+}
+
 void readReportedOrders(const wire::LayoutChange& _change, LayoutRecord& _record)
 {
 	for (const std::string& text : _change.told())
@@ -108,6 +141,24 @@
 
 } // namespace
 
+OmittedOrders fitLayoutRecord(LayoutRecord& _record)
+{
+	std::size_t left = kMaxLayoutBytes - std::min(kMaxLayoutBytes, _record.author.size() + kFramingBytes);
+	const std::size_t reserved = left - std::min(left, kMaxHoldBytes);
+	left -= reserved;
+	OmittedOrders omitted;
+	omitted.holds = fitRows(_record.holds, left);
+	left += reserved;
+	// Refusals are known to nobody else; active orders also show in the targets' records before long.
+	std::stable_partition(_record.reportedOrders.begin(), _record.reportedOrders.end(),
+	                      [](const ReportedOrder& _reported)
+	                      {
+		                      return OrderPhase::Refused == _reported.phase;
+	                      });
+	omitted.reportedOrders = fitRows(_record.reportedOrders, left);
+	return omitted;
+}
+
 std::string writeLayoutRecord(const LayoutRecord& _record)
 {
 	wire::LayoutChange change;
