--- a/packages/hall/include/hall/topiccache.h
+++ b/packages/hall/include/hall/topiccache.h
@@ -34,7 +34,7 @@
 		std::shared_ptr<const std::string> packed; //!< Replaces large records; otherwise null.
 		Offset end;                                //!< One past the last record that was read.
 		Offset recordsEnd; //!< One past the last record in `records` or `packed`; later ones changed nothing.
-		Time provenAt;                             //!< When the read was sent that found no record from the end on.
+		Time provenAt;     //!< When the read was sent that found no record from the end on.
 	};
 
 	/// Caches every record.
--- a/packages/hall/src/topiccache.cpp
+++ b/packages/hall/src/topiccache.cpp
@@ -89,7 +89,7 @@
 	}
 	if (_page.forwarded)
 	{
-		clearRenewals(_topic); // changes passed that the filter has not seen
+		clearRenewals(_topic);                  // changes passed that the filter has not seen
 		row.end = std::max(row.end, _page.end); // the hub omits renewals, also the last ones
 	}
 	const bool reachesEnd = !(row.end < _page.end);
--- a/packages/hall/tests/fleetscaletest.cpp
+++ b/packages/hall/tests/fleetscaletest.cpp
@@ -171,7 +171,8 @@
 
 	KeyedRecord nextRecord(std::size_t _target)
 	{
-		const std::string address = "10.0." + std::to_string(_target / 256) + '.' + std::to_string(_target % 256) + ":80";
+		const std::string address =
+		    "10.0." + std::to_string(_target / 256) + '.' + std::to_string(_target % 256) + ":80";
 		const std::string value = address + " 0 10 " + std::to_string(nextOffset_);
 		return KeyedRecord{nameOf(_target), value, false, Offset{nextOffset_++}};
 	}
@@ -220,8 +221,9 @@
 		KeyedPage page;
 		page.state = StoreState::Done;
 		const Offset from{nextOffset_};
-		const auto count = static_cast<std::size_t>(static_cast<double>(targets_) * static_cast<double>(kReadPause.micros) /
-		                                            static_cast<double>(kRenewal.micros));
+		const auto count =
+		    static_cast<std::size_t>(static_cast<double>(targets_) * static_cast<double>(kReadPause.micros) /
+		                             static_cast<double>(kRenewal.micros));
 		for (std::size_t renewal = 0; renewal < count; ++renewal)
 		{
 			page.records.push_back(nextRecord(renewing_++ % targets_));
--- a/packages/layout/include/layout/layoutcontroller.h
+++ b/packages/layout/include/layout/layoutcontroller.h
@@ -3,12 +3,12 @@
 /// \file
 /// Package `layout`: which target holds which layers of the model.
 ///
-/// The nodes whose turn comes first evaluate the fleet five times a second, the others less often (`LayoutController`). If `core/layoutplan` returns a change, one
-/// node at a time, chosen by `core/appendschedule`, appends it to the layout topic. The fence of the record's orders
-/// follows from its offset, so that a later layout always takes precedence at a target. `OrderDispatcher` sends the
-/// orders of this node's records, resends unanswered ones, and completes orders that other nodes left unfinished;
-/// `core/ordertracker` tracks the state of each. `LayerLossReporter` reports layers without a holder. There is no
-/// leader: if two nodes append at the same time, one append is refused.
+/// The nodes whose turn comes first evaluate the fleet five times a second, the others less often (`LayoutController`).
+/// If `core/layoutplan` returns a change, one node at a time, chosen by `core/appendschedule`, appends it to the layout
+/// topic. The fence of the record's orders follows from its offset, so that a later layout always takes precedence at a
+/// target. `OrderDispatcher` sends the orders of this node's records, resends unanswered ones, and completes orders
+/// that other nodes left unfinished; `core/ordertracker` tracks the state of each. `LayerLossReporter` reports layers
+/// without a holder. There is no leader: if two nodes append at the same time, one append is refused.
 
 #ifndef SEDGECART_LAYOUT_LAYOUTCONTROLLER_H_HEADER_GUARD
 #define SEDGECART_LAYOUT_LAYOUTCONTROLLER_H_HEADER_GUARD
--- a/packages/layout/include/layout/layoutrecord.h
+++ b/packages/layout/include/layout/layoutrecord.h
@@ -7,8 +7,8 @@
 #include <base/runner.h>
 #include <core/trackedorder.h>
 
-#include <cstdint>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
--- a/packages/loads/include/loads/loadchanges.h
+++ b/packages/loads/include/loads/loadchanges.h
@@ -19,8 +19,8 @@
 /// Loads as a node of the hall needs them, given the version that it has.
 struct LoadUpdate
 {
-	uint64_t version = 0; //!< Of the loads after the update.
-	uint64_t base = 0;    //!< Version that the rows change; 0: the rows are complete.
+	uint64_t version = 0;                  //!< Of the loads after the update.
+	uint64_t base = 0;                     //!< Version that the rows change; 0: the rows are complete.
 	std::shared_ptr<const LoadTable> rows; //!< In an update of a base, a row without load removes its target.
 };
 
--- a/packages/loads/tests/loadchangestest.cpp
+++ b/packages/loads/tests/loadchangestest.cpp
@@ -28,14 +28,14 @@
 
 bool isSame(const LoadTable& _a, const LoadTable& _b)
 {
-	return _a.size() == _b.size() && std::equal(_a.begin(), _a.end(), _b.begin(),
-	                                            [](const LoadTable::value_type& _one, const LoadTable::value_type& _other)
-	                                            {
-		                                            return _one.first == _other.first &&
-		                                                   _one.second.requests == _other.second.requests &&
-		                                                   _one.second.suspicion == _other.second.suspicion &&
-		                                                   _one.second.tokenLayers == _other.second.tokenLayers;
-	                                            });
+	return _a.size() == _b.size() &&
+	       std::equal(_a.begin(), _a.end(), _b.begin(),
+	                  [](const LoadTable::value_type& _one, const LoadTable::value_type& _other)
+	                  {
+		                  return _one.first == _other.first && _one.second.requests == _other.second.requests &&
+		                         _one.second.suspicion == _other.second.suspicion &&
+		                         _one.second.tokenLayers == _other.second.tokenLayers;
+	                  });
 }
 
 /// A node that applies the updates of a hub.
