A starting node counts by its own share of a core before its record is read

Change: the selector is given the node's own share. Test: startingNodeKnowsItsOwnShare (failed before).

--- a/packages/core/include/core/hubselector.h
+++ b/packages/core/include/core/hubselector.h
@@ -44,7 +44,8 @@
 {
 public:
 	/// @param _self name of this node, which is always a candidate.
-	explicit HubSelector(const std::string& _self);
+	/// @param _cpuShare of this node, by which it counts until its own record is known.
+	explicit HubSelector(const std::string& _self, double _cpuShare = 0);
 
 	/// Whether the nodes of a hall take turns in probing a store that is unavailable. Enabled by default.
 	void shareProbes(bool _enabled)
@@ -115,6 +116,7 @@
 	std::size_t ownIndex() const;
 
 	std::string self_;
+	double cpuShare_;
 	std::vector<HubCandidate> order_; //!< The first nodes of the hall, and this one.
 	std::size_t hallSize_ = 1;
 	std::size_t probePlace_ = 0; //!< Position of this node in the hall's order of probing.
--- a/packages/core/src/hubselector.cpp
+++ b/packages/core/src/hubselector.cpp
@@ -49,7 +49,7 @@
 	          });
 }
 
-HubSelector::HubSelector(const std::string& _self) : self_(_self)
+HubSelector::HubSelector(const std::string& _self, double _cpuShare) : self_(_self), cpuShare_(_cpuShare)
 {
 	setCandidates({});
 }
@@ -62,7 +62,7 @@
 	};
 	if (std::none_of(_candidates.begin(), _candidates.end(), isSelf))
 	{
-		_candidates.push_back(HubCandidate{self_, 0});
+		_candidates.push_back(HubCandidate{self_, cpuShare_});
 	}
 	sortHubCandidates(_candidates);
 	hallSize_ = _candidates.size();
--- a/packages/core/tests/hubselectortest.cpp
+++ b/packages/core/tests/hubselectortest.cpp
@@ -24,6 +24,7 @@
 {
 	CPPUNIT_TEST_SUITE(HubSelectorTest);
 	CPPUNIT_TEST(singleNodeReadsTheStoreItself);
+	CPPUNIT_TEST(startingNodeKnowsItsOwnShare);
 	CPPUNIT_TEST(nodeWithTheLargestCpuShareIsPreferred);
 	CPPUNIT_TEST(unresponsiveNodeIsAvoided);
 	CPPUNIT_TEST(nodeThatCannotReadTheStoreIsAvoided);
@@ -47,6 +48,18 @@
 		CPPUNIT_ASSERT(selector.choose(kStart).readsStore);
 	}
 
+	/// A starting node whose own record is not known yet took any other one for stronger. The strongest nodes of a
+	/// hall that started chose each other in turn, and none of them read the store.
+	void startingNodeKnowsItsOwnShare()
+	{
+		HubSelector selector("a", 1);
+		selector.setCandidates({{"b", 1}, {"c", 0.12}});
+		CPPUNIT_ASSERT_EQUAL(std::string("a"), selector.choose(kStart).name);
+		HubSelector weak("d", 0.12);
+		weak.setCandidates({{"b", 1}, {"c", 0.12}});
+		CPPUNIT_ASSERT_EQUAL(std::string("b"), weak.choose(kStart).name);
+	}
+
 	void nodeWithTheLargestCpuShareIsPreferred()
 	{
 		HubSelector selector("b");
--- a/packages/hall/include/hall/hubfollower.h
+++ b/packages/hall/include/hall/hubfollower.h
@@ -27,7 +27,8 @@
 {
 public:
 	/// @param _self name of this node.
-	HubFollower(const std::string& _self, const ClockI& _clock, HallLog& _log);
+	/// @param _cpuShare of this node.
+	HubFollower(const std::string& _self, double _cpuShare, const ClockI& _clock, HallLog& _log);
 
 	/// Enables or disables sharing among the nodes of a hall the trial reads of a store that is down. Enabled by
 	/// default.
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -40,7 +40,7 @@
       skippedRecords_(_fleet.skippedRecords()),
       crashes_(_crashes),
       nodes_(_fleet),
-      hub_(_settings.name, _clock, _log),
+      hub_(_settings.name, _settings.cpuShare, _clock, _log),
       reports_(_fleet, _clock),
       responder_(_settings, _clock, hub_, aggregator_, _cache)
 {
--- a/packages/hall/src/hubfollower.cpp
+++ b/packages/hall/src/hubfollower.cpp
@@ -23,11 +23,11 @@
 
 } // namespace
 
-HubFollower::HubFollower(const std::string& _self, const ClockI& _clock, HallLog& _log)
+HubFollower::HubFollower(const std::string& _self, double _cpuShare, const ClockI& _clock, HallLog& _log)
     : self_(_self),
       clock_(_clock),
       log_(_log),
-      choice_(_self)
+      choice_(_self, _cpuShare)
 {
 	_log.setReadListener(*this);
 }
--- a/packages/hall/tests/fleetscaletest.cpp
+++ b/packages/hall/tests/fleetscaletest.cpp
@@ -88,7 +88,7 @@
 	      targets_(_fleetNodes * kTargetsPerNode),
 	      cache_(documents_),
 	      log_(store_, clock_, cache_, "hub"),
-	      follower_("hub", clock_, log_),
+	      follower_("hub", 1, clock_, log_),
 	      settings_(hubSettings()),
 	      responder_(settings_, clock_, follower_, aggregator_, cache_)
 	{
--- a/packages/hall/tests/simulatedhall.cpp
+++ b/packages/hall/tests/simulatedhall.cpp
@@ -54,7 +54,7 @@
 	    : hall_(_hall),
 	      storeClient_(_hall.store_, _name),
 	      log_(storeClient_, _hall.loop_, cache_, _name),
-	      follower_(_name, _hall.loop_, log_),
+	      follower_(_name, kCpuShare, _hall.loop_, log_),
 	      settings_(settingsOf(_name)),
 	      responder_(settings_, _hall.loop_, follower_, aggregator_, cache_),
 	      random_(static_cast<std::minstd_rand::result_type>(_seed))
