Loads of the nodes' topic do not affect the choice of a hub

Cause: the same start: nodes load that topic from the store, some of these loads get no answer in 0.7 s, and a node whose load failed and then was answered read the store directly for 0.45 s, in which it loaded all targets, too: a megabyte a node. Change: the outcome of these loads is not news of the store. Test: loadsOfNodesDoNotAffectTheChoiceOfAHub (failed before).

--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -188,6 +188,8 @@
 	            });
 }
 
+/// The outcome of loading the nodes' topic does not affect the choice of a hub: every node of a fleet that starts loads
+/// it, and when some of these loads fail and are repeated, their nodes must not load the other topics themselves, too.
 void HallLog::loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCallback _call)
 {
 	const Time sentAt = clock_.now();
@@ -201,7 +203,10 @@
 		                  {
 			                  cacheLoadedPage(_topic, first, _page, sentAt);
 		                  }
-		                  onStoreResult(_topic, number, sentAt, _page.state);
+		                  if (KeyedTopic::Nodes != _topic)
+		                  {
+			                  onStoreResult(_topic, number, sentAt, _page.state);
+		                  }
 		                  call(std::move(_page));
 	                  });
 }
--- a/packages/hall/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -138,6 +138,7 @@
 	CPPUNIT_TEST(inconsistentUpdateIsRejected);
 	CPPUNIT_TEST(wholeTopicIsLoadedFromHub);
 	CPPUNIT_TEST(hubLoadsFromStore);
+	CPPUNIT_TEST(loadsOfNodesDoNotAffectTheChoiceOfAHub);
 	CPPUNIT_TEST(overdueLoadGoesToStore);
 	CPPUNIT_TEST(answersToEarlierReportsDoNotCount);
 	CPPUNIT_TEST(snapshotIncludesLaterRecords);
@@ -324,6 +325,20 @@
 		CPPUNIT_ASSERT((std::vector<bool>{true}) == listener_.answers);
 	}
 
+	/// Every node loads the nodes' topic from the store when it starts. A thousand nodes that start together overload
+	/// it; those whose load failed at first then loaded the targets from the store, too.
+	void loadsOfNodesDoNotAffectTheChoiceOfAHub()
+	{
+		log_.readNewest(KeyedTopic::Nodes, "", [](KeyedPage&&) {});
+		store_.loads.back().call(page(StoreState::Unknown, 0));
+		log_.readNewest(KeyedTopic::Nodes, "", [](KeyedPage&&) {});
+		store_.loads.back().call(page(StoreState::Done, 0));
+		CPPUNIT_ASSERT(listener_.answers.empty());
+		log_.readNewest(KeyedTopic::Layout, "", [](KeyedPage&&) {});
+		store_.loads.back().call(page(StoreState::Done, 0));
+		CPPUNIT_ASSERT((std::vector<bool>{true}) == listener_.answers);
+	}
+
 	void recordsReadAreCached()
 	{
 		read(3);
