Nodes log some targets and orders of a large change, and count the rest

Change: 20 lines a read of the targets' topic, 20 regular phase changes of others' orders at once, then one line with the numbers; warnings and this node's own orders as before.

--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -19,6 +19,7 @@
 #include <fleet/fleetview.h>
 #include <fleet/follower.h>
 #include <fleet/nodeaddress.h>
+#include <fleet/targetlog.h>
 #include <ports/documentparser.h>
 
 #include <algorithm>
@@ -182,6 +183,7 @@
 	std::map<std::string, NodeAddress> nodes_;            //!< By name.
 	std::shared_ptr<const NodeRoster> roster_; //!< `nodes_` for the request path; null before the first node.
 	AddressClaims addresses_;
+	TargetLog log_;
 	std::set<std::string> lapsed_; //!< Instances whose records lapsed during an outage and may be renewed.
 	Time fleetChangedAt_;
 	bool storeWasUnavailable_ = false; //!< A read failed since the topic was last read to its end.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -2,6 +2,8 @@
 
 #include <fleet/fleetcontroller.h>
 
+#include "targetfields_p.h"
+
 #include <fleet/targetrecordcheck.h>
 #include <logging/logging.h>
 
@@ -18,19 +20,6 @@
 /// seconds later and bring the target's record back.
 constexpr Duration kRemovedRetention = Duration::fromMillis(10000);
 
-std::string spanText(LayerSpan _span)
-{
-	return std::to_string(_span.begin) + "-" + std::to_string(_span.end);
-}
-
-std::vector<LogField> describe(const RunnerRecord& _record)
-{
-	return {{"target", _record.instance.text},    {"service", _record.service},
-	        {"address", _record.address},         {"hall", _record.hall},
-	        {"card", _record.accelerator},        {"draining", _record.draining ? "true" : "false"},
-	        {"layers", spanText(_record.layers)}, {"born", std::to_string(_record.startTime.unixMillis)}};
-}
-
 /// @returns true if two records of one incarnation of a target differ in a field that this node uses.
 bool needsUpdate(const RunnerRecord& _a, const RunnerRecord& _b)
 {
@@ -209,7 +198,7 @@
 		{
 			return;
 		}
-		logEvent(LogPart::Targets, LogLevel::Info, "Target changed.", describe(record));
+		log_.onChanged(record);
 	}
 	runners_[instance] = record;
 	changed_ = true;
@@ -225,7 +214,8 @@
 	{
 		return;
 	}
-	logEvent(LogPart::Targets, LogLevel::Info, "Target is gone and its address is released.", describe(known->second));
+	logEvent(LogPart::Targets, LogLevel::Info, "Target is gone and its address is released.",
+	         targetFields(known->second));
 	skipRecord(holder, RecordFault::AbsurdValue);
 }
 
@@ -241,7 +231,7 @@
 void FleetController::addTarget(const RunnerRecord& _read)
 {
 	const std::string& instance = _read.instance.text;
-	logEvent(LogPart::Targets, LogLevel::Info, "Target is added.", describe(_read));
+	log_.onAdded(_read);
 	const auto removed = removedTargets_.find(instance);
 	const bool isSameIncarnation =
 	    removedTargets_.end() != removed &&
@@ -269,8 +259,8 @@
 	         {{"target", instance},
 	          {"born", std::to_string(_read.startTime.unixMillis)},
 	          {"born_before", std::to_string(runners_[instance].startTime.unixMillis)},
-	          {"layers", spanText(_read.layers)},
-	          {"layers_before", spanText(runners_[instance].layers)}});
+	          {"layers", layersText(_read.layers)},
+	          {"layers_before", layersText(runners_[instance].layers)}});
 	loads_[instance]->ended.store(true, std::memory_order_relaxed);
 	loads_[instance] = std::make_shared<TargetLoad>();
 	fleetChangedAt_ = clock_.now();
@@ -301,7 +291,7 @@
 	addresses_.release(InstanceId{_instance});
 	if (removeTarget(_instance))
 	{
-		logEvent(LogPart::Targets, LogLevel::Info, "Target left the registry.", {{"target", _instance}});
+		log_.onRemoved(InstanceId{_instance});
 	}
 	loads_.erase(_instance);
 }
@@ -324,6 +314,7 @@
 	const bool returned = storeWasUnavailable_;
 	storeWasUnavailable_ = false;
 	runnersKnown_ = true;
+	log_.finish();
 	if (changed_ && routes_)
 	{
 		publish();
--- a/packages/layout/src/orderdispatcher.cpp
+++ b/packages/layout/src/orderdispatcher.cpp
@@ -20,6 +20,9 @@
 
 constexpr double kMicrosPerSecond = 1e6;
 
+/// Maximum number of regular phase changes that are logged at once, of orders that other nodes send.
+constexpr uint32_t kMaxRegularLines = 20;
+
 /// Maximum load time in seconds, one hour; larger configured values are capped so that sums of times cannot overflow.
 constexpr double kMaxLoadSeconds = 3600;
 
@@ -268,13 +271,22 @@
 	reportEvents();
 }
 
-/// Logs and counts each phase change of an order, whichever node sends it, with the time since it was issued.
+/// Counts each phase change of an order, whichever node sends it, and logs it with the time since it was issued. Of the
+/// regular changes of orders that other nodes send only some are logged: a first layout has thousands.
 void OrderDispatcher::reportEvents()
 {
+	uint32_t lines = 0;
+	uint32_t omitted = 0;
 	for (const TrackedOrder& event : tracker_.takeEvents())
 	{
+		count(event);
 		const bool isBad = OrderPhase::Refused == event.phase || OrderPhase::Unanswered == event.phase ||
 		                   OrderPhase::GivenUp == event.phase;
+		if (!isBad && !event.sentHere && kMaxRegularLines < ++lines)
+		{
+			++omitted;
+			continue;
+		}
 		logEvent(LogPart::Layout, isBad ? LogLevel::Warning : LogLevel::Info, "Order of the layout goes on.",
 		         {{"phase", nameOf(event.phase)},
 		          {"reason", OrderPhase::Refused == event.phase ? nameOf(event.reason) : ""},
@@ -286,7 +298,11 @@
 		          {"ms", std::to_string(event.age.millis())},
 		          {"load_ms", std::to_string(event.loadTime.millis())},
 		          {"sent_here", event.sentHere ? "true" : "false"}});
-		count(event);
+	}
+	if (0 < omitted)
+	{
+		logEvent(LogPart::Layout, LogLevel::Info, "More orders of the layout go on.",
+		         {{"orders", std::to_string(omitted)}});
 	}
 }
 
