Idle nodes of large halls report rarely; nodes wake up for control only when they must

Cause: each node of a hall reported each 150 ms whether or not anything had changed, 1,333 reports a second at the hub of 200 nodes, and woke up ten times a second for polls that only the hub makes and five times for a layout that others check. Change: ReportSchedule: a node whose loads did not change, which loads nothing and has no urgent news reports each 150 ms x nodes of the hall / 60, at most each 600 ms; halls of up to 60 nodes as before. A report counts for three such intervals, at least 0.7 s. Nodes that are no hub look each 1.4 s whether they are; a node whose turn in the layout is far sleeps for up to a second, until the layout changes.

--- a/packages/hall/include/hall/hallexchange.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -4,17 +4,18 @@
 /// Package `hall`: the protocol between the nodes of one data hall, and between the hubs of several halls.
 ///
 /// One node of a hall, its hub (`core/hubselector`), reads the store. The other nodes report their loads to it and
-/// request updates from it seven times a second (`HallExchange`). `HallLog` sits between a follower and the store: a
-/// read waits for the hub's next answer, and is sent to the store when no hub answers in time. `TopicCache` retains the
-/// records read, so that a starting node loads whole topics from its hub, compressed and rate-limited. Hubs exchange
-/// the load sums of their halls. Every answer carries the age of the store read that confirms it, so that a delay in
-/// transit makes no state look newer than it is.
+/// request updates from it several times a second (`HallExchange`, `core/reportschedule`). `HallLog` sits between a
+/// follower and the store: a read waits for the hub's next answer, and is sent to the store when no hub answers in
+/// time. `TopicCache` retains the records read, so that a starting node loads whole topics from its hub, compressed and
+/// rate-limited. Hubs exchange the load sums of their halls. Every answer carries the age of the store read that
+/// confirms it, so that a delay in transit makes no state look newer than it is.
 
 #ifndef SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
 #define SEDGECART_HALL_HALLEXCHANGE_H_HEADER_GUARD
 
 #include <aio/timer.h>
 #include <base/clock.h>
+#include <core/reportschedule.h>
 #include <hall/hallnodes.h>
 #include <hall/hubfollower.h>
 #include <hall/reportresponder.h>
@@ -103,10 +104,13 @@
 	CrashCoordinator& crashes_;
 	HallNodes nodes_;
 	HubFollower hub_;
+	ReportSchedule schedule_;
 	LoadReports reports_;
 	LoadAggregator aggregator_;
 	ReportResponder responder_;
 	std::vector<std::string> connected_; //!< Addresses.
+	std::string reportedTo_;             //!< Address that the last report was sent to.
+	bool isUrgent_ = false;              //!< The next step carries a report.
 	Time lastTickAt_;
 	std::unique_ptr<PeerLink> link_;
 };
--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -96,6 +96,9 @@
 
 	void setReadMode(ReadMode::Enum _mode);
 
+	/// @returns true if a load of a whole topic waits for the hub.
+	bool hasPendingLoad() const;
+
 	/// @param _report number of the report that carries the queries; numbers increase.
 	/// @returns the reads that wait for the hub.
 	std::vector<TopicQuery> pendingQueries(uint64_t _report);
--- a/packages/hall/include/hall/hubfollower.h
+++ b/packages/hall/include/hall/hubfollower.h
@@ -62,6 +62,12 @@
 	/// @returns the nodes to notify that this one reads the store, while it does so in their place.
 	std::vector<std::string> nodesToNotify() const;
 
+	/// @returns true if this node waits for the hub to load a topic.
+	bool isLoading() const
+	{
+		return log_.hasPendingLoad();
+	}
+
 	/// @returns the hub that was chosen last.
 	const Hub& hub() const
 	{
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -20,10 +20,6 @@
 namespace
 {
 
-/// Interval between two reports. A stream takes about two seconds, so that loads change by a tenth until a total has
-/// arrived; updates of the store are delayed by as much.
-constexpr Duration kReportPause = Duration::fromMillis(150);
-
 /// Interval after which an advanced report is sent: changes that arrive together are reported together.
 constexpr Duration kEarlyReportPause = Duration::fromMillis(15);
 
@@ -57,7 +53,10 @@
 
 void HallExchange::onNodesChanged()
 {
-	hub_.setCandidates(nodes_.candidates(hall_));
+	std::vector<HubCandidate> candidates = nodes_.candidates(hall_);
+	schedule_.setHallSize(candidates.size());
+	aggregator_.setReportInterval(schedule_.pause());
+	hub_.setCandidates(std::move(candidates));
 }
 
 void HallExchange::tick()
@@ -73,17 +72,23 @@
 	{
 		send(peers.hubs, makeSumMessage(updateTotals(own)));
 	}
-	if (!peers.hub.empty())
+	const bool isUrgent =
+	    isUrgent_ || isHub || hub_.isLoading() || reportedTo_ != peers.hub || reports_.hasChanged(own);
+	if (!peers.hub.empty() && schedule_.isDue(isUrgent, lastTickAt_))
 	{
+		schedule_.onReport(lastTickAt_);
 		sendReport(peers.hub,
 		           isHub ? LoadTable{} : own); // a hub that reads through another one computes the sum itself
 	}
+	reportedTo_ = peers.hub;
+	isUrgent_ = false;
 	notifyNodes(peers.notified);
-	scheduleTick(kReportPause);
+	scheduleTick(ReportSchedule::kStep);
 }
 
 void HallExchange::reportSoon()
 {
+	isUrgent_ = true;
 	const Duration since = clock_.now() - lastTickAt_;
 	scheduleTick(std::max(Duration{}, Duration{kEarlyReportPause.micros - since.micros}));
 }
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -352,6 +352,15 @@
 	}
 }
 
+bool HallLog::hasPendingLoad() const
+{
+	return std::any_of(pendingReads_.begin(), pendingReads_.end(),
+	                   [](const std::optional<PendingRead>& _read)
+	                   {
+		                   return _read && _read->snapshot;
+	                   });
+}
+
 std::vector<HallLog::TopicQuery> HallLog::pendingQueries(uint64_t _report)
 {
 	std::vector<TopicQuery> queries;
--- a/packages/layout/include/layout/layoutcontroller.h
+++ b/packages/layout/include/layout/layoutcontroller.h
@@ -81,6 +81,7 @@
 	};
 
 	void tick();
+	void scheduleTick(Duration _pause);
 	void evaluate(std::size_t _place);
 	using TargetCheck = std::function<bool(const RunnerRecord&)>;
 
--- a/packages/layout/src/layoutcontroller.cpp
+++ b/packages/layout/src/layoutcontroller.cpp
@@ -26,6 +26,9 @@
 /// Interval between two evaluations of the layout. Repairing a lost range takes some seconds, most of it for loading.
 constexpr Duration kEvaluationInterval = Duration::fromMillis(200);
 
+/// Maximum interval between two checks whether an evaluation is due.
+constexpr Duration kMaxIdleInterval = Duration::fromMillis(1000);
+
 /// Maximum age of the proof that the desired state is current. A node with an older proof has an outdated view of the
 /// fleet and usually cannot reach the store, so it leaves repairs to other nodes. While the store answers, the proof is
 /// at most two waits of a second and a hub's answer old.
@@ -80,6 +83,7 @@
 {
 	const Time now = clock_.now();
 	const bool fresh = now < fleet_.provenAt() + kMaxProofAge;
+	Duration pause = kEvaluationInterval;
 	if (isTopicRead_ && fresh && !appending_ && fleet_.ready())
 	{
 		const std::size_t place = turnIndex();
@@ -90,8 +94,14 @@
 			evaluatedAt_ = now;
 			evaluate(place);
 		}
+		pause = std::max(kEvaluationInterval, std::min(kMaxIdleInterval, appendSchedule_.checkInterval(place)));
 	}
-	timer_.expires_after(std::chrono::microseconds(kEvaluationInterval.micros));
+	scheduleTick(pause);
+}
+
+void LayoutController::scheduleTick(Duration _pause)
+{
+	timer_.expires_after(std::chrono::microseconds(_pause.micros));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
 	    {
@@ -104,8 +114,13 @@
 
 void LayoutController::onCurrent(Offset _end)
 {
+	const bool isChanged = !isTopicRead_ || !(end_ == _end);
 	isTopicRead_ = true;
 	end_ = _end;
+	if (isChanged)
+	{
+		scheduleTick(kEvaluationInterval); // the order of the nodes has changed
+	}
 }
 
 void LayoutController::onRecord(const KeyedRecord& _record)
--- a/packages/loads/include/loads/loadaggregator.h
+++ b/packages/loads/include/loads/loadaggregator.h
@@ -37,6 +37,11 @@
 class LoadAggregator
 {
 public:
+	LoadAggregator();
+
+	/// @param _interval longest time between two reports of a node of this hall.
+	void setReportInterval(Duration _interval);
+
 	/// Stores the loads reported by a node of this hall.
 	/// @param _number number of the node's report.
 	void onReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now);
@@ -72,8 +77,9 @@
 	static void dropExpired(SenderTable& _table, Duration _lifetime, Time _now);
 
 	mutable std::mutex mutex_;
-	SenderTable reports_; //!< By node.
-	SenderTable sums_;    //!< By hub.
+	Duration reportLifetime_; //!< How long a node's report counts.
+	SenderTable reports_;     //!< By node.
+	SenderTable sums_;        //!< By hub.
 	std::shared_ptr<const LoadTotals> totals_;
 	LoadChanges changes_; //!< Of `totals_`.
 };
--- a/packages/loads/include/loads/loadreports.h
+++ b/packages/loads/include/loads/loadreports.h
@@ -42,6 +42,9 @@
 	/// @param _own work in progress of this node that they include.
 	void setTotals(const LoadTable& _totals, const LoadTable& _own);
 
+	/// @returns true if the loads differ from those of the last report.
+	bool hasChanged(const LoadTable& _own) const;
+
 	/// @returns the version of the totals that this node has from a hub; 0: none.
 	uint64_t versionOf(const std::string& _hub) const
 	{
--- a/packages/loads/src/loadaggregator.cpp
+++ b/packages/loads/src/loadaggregator.cpp
@@ -10,9 +10,12 @@
 namespace
 {
 
-/// How long a node's report counts: some reports may be lost, and a node that has switched to another hub must not be
-/// counted twice for long.
-constexpr Duration kReportLifetime = Duration::fromMillis(700);
+/// How long a node's report counts at least: some reports may be lost, and a node that has switched to another hub must
+/// not be counted twice for long.
+constexpr Duration kMinReportLifetime = Duration::fromMillis(700);
+
+/// Intervals between reports that a report counts at least: one that is lost or late does not remove a node's loads.
+constexpr int64_t kReportIntervals = 3;
 
 /// How long the sum of a hub counts after it was received.
 constexpr Duration kSumLifetime = Duration::fromMillis(1500);
@@ -22,10 +25,20 @@
 
 } // namespace
 
+LoadAggregator::LoadAggregator() : reportLifetime_(kMinReportLifetime)
+{
+}
+
+void LoadAggregator::setReportInterval(Duration _interval)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	reportLifetime_ = std::max(kMinReportLifetime, Duration{kReportIntervals * _interval.micros});
+}
+
 void LoadAggregator::onReport(const std::string& _node, uint64_t _number, LoadTable&& _loads, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	storeEntry(reports_, _node, SenderLoads{std::move(_loads), _number, _now}, kReportLifetime);
+	storeEntry(reports_, _node, SenderLoads{std::move(_loads), _number, _now}, reportLifetime_);
 }
 
 void LoadAggregator::onSum(const std::string& _hub, LoadTable&& _loads, Time _now)
@@ -37,7 +50,7 @@
 LoadTable LoadAggregator::updateTotals(const LoadTable& _own, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	dropExpired(reports_, kReportLifetime, _now);
+	dropExpired(reports_, reportLifetime_, _now);
 	dropExpired(sums_, kSumLifetime, _now);
 	auto totals = std::make_shared<LoadTotals>();
 	LoadTable hall = _own;
--- a/packages/loads/src/loadreports.cpp
+++ b/packages/loads/src/loadreports.cpp
@@ -77,6 +77,17 @@
 	}
 }
 
+bool LoadReports::hasChanged(const LoadTable& _own) const
+{
+	const auto isSame = [](const LoadTable::value_type& _a, const LoadTable::value_type& _b)
+	{
+		return _a.first == _b.first && _a.second.tokenLayers == _b.second.tokenLayers &&
+		       _a.second.requests == _b.second.requests && _a.second.suspicion == _b.second.suspicion;
+	};
+	return sent_.empty() ||
+	       !std::equal(_own.begin(), _own.end(), sent_.back().loads.begin(), sent_.back().loads.end(), isSame);
+}
+
 /// @returns the loads of the report that totals include; empty if it is no longer known.
 LoadTable LoadReports::countedLoads(uint64_t _number) const
 {
--- a/packages/loads/src/slowdownpoll.cpp
+++ b/packages/loads/src/slowdownpoll.cpp
@@ -51,7 +51,9 @@
 void SlowdownPoll::tick()
 {
 	pollDueTargets();
-	timer_.expires_after(std::chrono::microseconds(kRound.micros / static_cast<int64_t>(kSteps)));
+	// A node that is not the hub only checks whether it has become the hub.
+	const Duration pause = polls_ ? Duration{kRound.micros / static_cast<int64_t>(kSteps)} : kRound;
+	timer_.expires_after(std::chrono::microseconds(pause.micros));
 	timer_.async_wait(
 	    [this](const boost::system::error_code& _error)
 	    {
