The link's thread and followers wake up only for what there is to do

Change: the link's thread is woken up by a message, also to stop and when its peers change; the next read after a forwarded answer is queued at once.

--- a/packages/fleet/src/follower.cpp
+++ b/packages/fleet/src/follower.cpp
@@ -190,8 +190,12 @@
 		provenAt_ = provenAt;
 		handler_.onCurrent(provenAt);
 	}
-	// The node that forwards the answer limits the rate of reads itself.
-	schedule(behind || _page.forwarded ? Duration{} : config_.pause, &Follower::read);
+	if (_page.forwarded)
+	{
+		read(); // waits for the next answer of the node that forwards, which limits the rate
+		return;
+	}
+	schedule(behind ? Duration{} : config_.pause, &Follower::read);
 }
 
 void Follower::fail(StoreState::Enum _state)
--- a/packages/peer/src/peerlink.cpp
+++ b/packages/peer/src/peerlink.cpp
@@ -27,7 +27,12 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds kPollInterval{50};
+/// Longest wait of the link's thread, which is woken up for whatever there is to do.
+constexpr std::chrono::milliseconds kPollInterval{1000};
+
+/// Addressee of an empty message that only wakes up the link's thread; no endpoint has this name.
+constexpr const char* kNobody = "nobody";
+
 constexpr int kSendQueueMessages = 256; // per peer; further messages to a peer that does not read are dropped
 constexpr std::size_t kZ85Size = 41;
 
@@ -76,6 +81,10 @@
 	~Impl()
 	{
 		stopping_ = true;
+		{
+			const std::lock_guard<std::mutex> lock(mutex_);
+			wakeUp();
+		}
 		thread_.join();
 	}
 
@@ -87,6 +96,7 @@
 		const std::lock_guard<std::mutex> lock(mutex_);
 		wanted_ = _endpoints;
 		peersChanged_ = true;
+		wakeUp();
 	}
 
 	/// Queues a message for the link's thread.
@@ -95,11 +105,23 @@
 	{
 		const std::string bytes = _message.SerializeAsString();
 		const std::lock_guard<std::mutex> lock(mutex_);
-		const std::array<zmq::const_buffer, 2> frames{zmq::buffer(_endpoint), zmq::buffer(bytes)};
-		zmq::send_multipart(outboxIn_, frames, zmq::send_flags::dontwait);
+		queue(_endpoint, bytes);
 	}
 
 private:
+	/// Adds a message to the outbox. Requires the mutex.
+	void queue(const std::string& _endpoint, const std::string& _bytes)
+	{
+		const std::array<zmq::const_buffer, 2> frames{zmq::buffer(_endpoint), zmq::buffer(_bytes)};
+		zmq::send_multipart(outboxIn_, frames, zmq::send_flags::dontwait);
+	}
+
+	/// Makes the link's thread check its state. Requires the mutex.
+	void wakeUp()
+	{
+		queue(kNobody, std::string());
+	}
+
 	void run()
 	{
 		while (!stopping_)
