--- a/packages/layout/tests/layoutrecordtest.cpp
+++ b/packages/layout/tests/layoutrecordtest.cpp
@@ -76,8 +76,8 @@
 		const OmittedOrders omitted = fitLayoutRecord(record);
 		CPPUNIT_ASSERT_EQUAL(kLargeFleet, record.holds.size() + omitted.holds);
 		CPPUNIT_ASSERT_EQUAL(kLargeFleet, record.reportedOrders.size() + omitted.reportedOrders);
-		CPPUNIT_ASSERT(0 < record.holds.size());
-		CPPUNIT_ASSERT(0 < record.reportedOrders.size());
+		CPPUNIT_ASSERT(!record.holds.empty());
+		CPPUNIT_ASSERT(!record.reportedOrders.empty());
 		const std::string text = writeLayoutRecord(record);
 		CPPUNIT_ASSERT(text.size() <= kMaxLayoutBytes);
 		LayoutRecord read;
