Nodes of a large fleet load one page of the registry; the rest comes from a node named there

Fleets whose registry fits into one page start as before. Tests: laterPagesOfTheRegistryComeFromAnotherNode, overdueRegistryIsLoadedFromTheStore, aSourceLoadsTheRegistryFromTheStore, aForwardedTopicMayBeOlderThanTheFirstPage.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -284,6 +284,7 @@
 	slowdownPoll_.setPollIdleRarely(settings_.mechanisms.isEnabled(Mechanism::IdlePolls));
 	crashes_.setNeverBlocked(_settings.neverBlocked);
 	log_.setLoadThroughHub(settings_.mechanisms.isEnabled(Mechanism::HallLoads));
+	log_.setRegistrySource(exchange_);
 }
 
 EntryControl::~EntryControl() = default;
--- a/packages/fleet/src/follower.cpp
+++ b/packages/fleet/src/follower.cpp
@@ -88,6 +88,10 @@
 		loadEnd_ = _page.end;
 		loadSentAt_ = Time{_sentAt.micros - _page.proofAge.micros};
 	}
+	if (_page.forwarded)
+	{
+		loadEnd_ = std::min(loadEnd_, _page.end); // of the whole topic, but it may be older than the first page
+	}
 	for (const KeyedRecord& record : _page.records)
 	{
 		loadedKeys_.insert(record.key);
--- a/packages/fleet/tests/followertest.cpp
+++ b/packages/fleet/tests/followertest.cpp
@@ -110,6 +110,7 @@
 	CPPUNIT_TEST(aHangingReadCanBeRestarted);
 	CPPUNIT_TEST(aLongGapBetweenConfirmedReadsIsAnOutage);
 	CPPUNIT_TEST(forwardedAnswersMayOmitTheLastRecords);
+	CPPUNIT_TEST(aForwardedTopicMayBeOlderThanTheFirstPage);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,17 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(9), log_.froms.back());
 	}
 
+	/// The first page was read from the store, the rest from a node that had loaded the topic before.
+	void aForwardedTopicMayBeOlderThanTheFirstPage()
+	{
+		KeyedPage forwarded = page(StoreState::Done, 4, {record("a", "1", 0), record("b", "1", 3)});
+		forwarded.forwarded = true;
+		log_.newestPages = {page(StoreState::Done, 7, {record("a", "2", 5)}, true), forwarded};
+		run();
+		CPPUNIT_ASSERT((std::vector<std::string>{"a=2", "b=1"}) == handler_.seen);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(4), log_.froms.at(0));
+	}
+
 private:
 	void run()
 	{
--- a/packages/hall/include/hall/hallexchange.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -48,7 +48,7 @@
 /// store and the traffic grows linearly with the number of nodes instead of quadratically. Hubs send each other the
 /// sums of their halls. This class sends and receives the messages; HubFollower, LoadReports and ReportResponder
 /// interpret them. Control thread only, except for the calls of the link.
-class HallExchange : public PeerHandlerI
+class HallExchange : public PeerHandlerI, public RegistrySourceI
 {
 public:
 	/// @remarks Throws std::exception when the address for other nodes cannot be bound.
@@ -69,6 +69,7 @@
 		return hub_.isHub();
 	}
 
+	bool requestRegistry() override;
 	void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) override;
 	void onForeignMessage(std::size_t _bytes) override;
 
@@ -88,6 +89,8 @@
 	LoadTable updateTotals(const LoadTable& _own);
 	wire::PeerMessage makeSumMessage(const LoadTable& _hall) const;
 	void sendReport(const std::string& _address, const LoadTable& _own);
+	void sendRegistryRequest();
+	void onRegistryAnswer(const wire::HallAnswer& _answer);
 	void notifyNodes(const std::vector<std::string>& _addresses);
 	void send(const std::vector<std::string>& _addresses, const wire::PeerMessage& _message);
 	std::vector<std::string> addressesOf(const std::vector<std::string>& _nodes) const;
@@ -102,6 +105,7 @@
 	const ClockI& clock_;
 	SkippedRecords& skippedRecords_;
 	CrashCoordinator& crashes_;
+	HallLog& log_;
 	HallNodes nodes_;
 	HubFollower hub_;
 	ReportSchedule schedule_;
@@ -111,6 +115,8 @@
 	std::vector<std::string> connected_; //!< Addresses.
 	std::string reportedTo_;             //!< Address that the last report was sent to.
 	bool isUrgent_ = false;              //!< The next step carries a report.
+	bool isStarted_ = false;
+	std::size_t registryRequests_ = 0; //!< Sent since the node started.
 	Time lastTickAt_;
 	std::unique_ptr<PeerLink> link_;
 };
--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -27,6 +27,17 @@
 	virtual void onStoreRead(bool _answered) = 0;
 };
 
+/// Requests the registry of nodes from a node that has loaded it.
+class RegistrySourceI
+{
+public:
+	virtual ~RegistrySourceI() = default;
+
+	/// The first page of the registry has been read, and more follow.
+	/// @returns false if this node is to load the others from the store itself.
+	virtual bool requestRegistry() = 0;
+};
+
 /// Reads the store through the hub of the hall: one node of a hall reads the store and forwards the records. Reads wait
 /// for the hub's next answer; without a hub that reads, they are sent to the store. Loads of a whole topic are handled
 /// the same way: if all nodes of a fleet that start together loaded from the store, it would be busy for seconds, and
@@ -82,6 +93,19 @@
 
 	void setReadListener(StoreReadListenerI& _listener);
 
+	/// Sets where all but the first page of the nodes' topic are requested; the store if it is not set.
+	void setRegistrySource(RegistrySourceI& _source)
+	{
+		registrySource_ = &_source;
+	}
+
+	/// @returns true while the registry is requested from another node. Sends the load to the store if that node has
+	/// not answered in time.
+	bool awaitsRegistry();
+
+	/// Completes the load of the registry.
+	void onRegistry(TopicUpdate&& _update);
+
 	/// Sets where records whose key cannot be read are counted.
 	void setSkippedRecords(SkippedRecords& _skipped)
 	{
@@ -123,6 +147,14 @@
 		uint64_t firstReport = 0; //!< Number of the first report that carried it; 0: none yet.
 	};
 
+	/// A load of the registry that waits for another node.
+	struct RegistryLoad
+	{
+		std::string afterKey; //!< Last key of the first page.
+		PageCallback call;
+		Time startedAt;
+	};
+
 	/// A topic that is being loaded from the store.
 	struct Loading
 	{
@@ -149,6 +181,8 @@
 	TopicCache& cache_;
 	StoreReadListenerI* readListener_ = nullptr;
 	SkippedRecords* skippedRecords_ = nullptr;
+	RegistrySourceI* registrySource_ = nullptr;
+	std::optional<RegistryLoad> registryLoad_;
 	ReadMode::Enum readMode_ = ReadMode::Store;
 	Duration hubTimeout_; //!< How long a read waits for a hub that answers other queries.
 	bool loadsThroughHub_ = true;
--- a/packages/hall/include/hall/hallnodes.h
+++ b/packages/hall/include/hall/hallnodes.h
@@ -32,6 +32,10 @@
 	/// likely its hub.
 	std::vector<std::string> hubsOfOtherHalls(const std::string& _hall, const std::vector<std::string>& _senders) const;
 
+	/// @returns the nodes that load the whole registry from the store when a large fleet starts and pass it on to the
+	/// others: the strongest of those that are known.
+	std::vector<std::string> registrySources() const;
+
 private:
 	std::vector<std::string> likelyHubs(const std::string& _hall) const;
 
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -2,6 +2,10 @@
 
 #include <hall/hallexchange.h>
 
+#include "registryrequest_p.h"
+#include "topicupdate_p.h"
+
+#include <base/digest.h>
 #include <crash/crashcoordinator.h>
 #include <fleet/fleetcontroller.h>
 #include <fleet/skippedrecords.h>
@@ -35,6 +39,7 @@
       clock_(_clock),
       skippedRecords_(_fleet.skippedRecords()),
       crashes_(_crashes),
+      log_(_log),
       nodes_(_fleet),
       hub_(_settings.name, _settings.cpuShare, _clock, _log),
       reports_(_fleet, _clock),
@@ -48,6 +53,7 @@
 
 void HallExchange::start()
 {
+	isStarted_ = true;
 	tick();
 }
 
@@ -59,9 +65,56 @@
 	hub_.setCandidates(std::move(candidates));
 }
 
+/// Nodes of a large fleet that start together would load its whole registry from the store: bytes that grow with the
+/// square of the nodes.
+bool HallExchange::requestRegistry()
+{
+	const std::vector<std::string> sources = nodes_.registrySources();
+	const bool isSource = sources.end() != std::find(sources.begin(), sources.end(), name_);
+	if (isStarted_ || isSource || sources.empty())
+	{
+		return false;
+	}
+	scheduleTick(Duration{}); // the load begins to wait only after this call
+	return true;
+}
+
+/// Asks the sources in turn, beginning with one that depends on this node's name.
+void HallExchange::sendRegistryRequest()
+{
+	const std::vector<std::string> sources = nodes_.registrySources();
+	if (sources.empty())
+	{
+		return;
+	}
+	const std::string source = sources[(hash64(name_) + registryRequests_++) % sources.size()];
+	wire::PeerMessage message;
+	wire::HallReport& report = *message.mutable_hall_report();
+	report.set_node(name_);
+	report.set_number(kRegistryRequest);
+	report.set_takes_changes(true);
+	wire::TopicQuestion& query = *report.add_questions();
+	query.set_topic(KeyedTopic::Nodes);
+	query.set_whole(true);
+	const std::string address = nodes_.addressOf(source);
+	Peers peers;
+	peers.hub = address;
+	connect(peers);
+	link_->send(address, message);
+}
+
 void HallExchange::tick()
 {
 	lastTickAt_ = clock_.now();
+	if (!isStarted_)
+	{
+		if (log_.awaitsRegistry())
+		{
+			sendRegistryRequest();
+			scheduleTick(ReportSchedule::kStep);
+		}
+		return;
+	}
 	const Hub& hub = hub_.update();
 	const bool isHub = hub_.isHub();
 	const Peers peers = peersOf(hub);
@@ -263,8 +316,25 @@
 	                  });
 }
 
+/// Handles the answer to a request for the registry; a node that has not loaded it answers without updates.
+void HallExchange::onRegistryAnswer(const wire::HallAnswer& _answer)
+{
+	for (const wire::TopicNews& update : _answer.news())
+	{
+		if (isKnownTopic(update.topic()))
+		{
+			log_.onRegistry(topicUpdateOf(update));
+		}
+	}
+}
+
 void HallExchange::onAnswer(const wire::HallAnswer& _answer)
 {
+	if (kRegistryRequest == _answer.number())
+	{
+		onRegistryAnswer(_answer);
+		return;
+	}
 	if (0 == _answer.number())
 	{
 		hub_.onReader(_answer.node()); // a notice, not an answer to a report
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -115,6 +115,12 @@
 {
 	// The topic of nodes is loaded first, and from the store, since no hub is known before it has been read.
 	const bool isFirstPage = _afterKey.empty();
+	if (KeyedTopic::Nodes == _topic && !isFirstPage && loadsThroughHub_ && nullptr != registrySource_ &&
+	    registrySource_->requestRegistry())
+	{
+		registryLoad_ = RegistryLoad{_afterKey, std::move(_call), clock_.now()};
+		return;
+	}
 	if (!isFirstPage || !loadsThroughHub_ || KeyedTopic::Nodes == _topic)
 	{
 		loadStore(_topic, _afterKey, std::move(_call));
@@ -125,6 +131,33 @@
 	dispatch(_topic, std::move(load));
 }
 
+bool HallLog::awaitsRegistry()
+{
+	if (registryLoad_ && registryLoad_->startedAt + hubTimeout_ < clock_.now())
+	{
+		const RegistryLoad load = std::move(*registryLoad_);
+		registryLoad_.reset();
+		loadStore(KeyedTopic::Nodes, load.afterKey, load.call);
+	}
+	return registryLoad_.has_value();
+}
+
+void HallLog::onRegistry(TopicUpdate&& _update)
+{
+	const bool isUsable = KeyedTopic::Nodes == _update.topic && _update.snapshot && _update.known &&
+	                      isConsistent(_update) && 0 <= _update.page.proofAge.micros;
+	if (!registryLoad_ || !isUsable)
+	{
+		return;
+	}
+	const RegistryLoad load = std::move(*registryLoad_);
+	registryLoad_.reset();
+	_update.page.forwarded = true;
+	const Time provenAt{load.startedAt.micros - _update.page.proofAge.micros};
+	cache_.setSnapshot(_update.topic, _update.page.records, _update.page.end, provenAt);
+	load.call(std::move(_update.page));
+}
+
 void HallLog::append(KeyedTopic::Enum _topic, const std::string& _key, const std::string& _value,
                      std::optional<Offset> _onlyAt, AppendCallback _call)
 {
--- a/packages/hall/src/hallnodes.cpp
+++ b/packages/hall/src/hallnodes.cpp
@@ -16,6 +16,9 @@
 /// Number of nodes of another hall that receive this hall's sums while the hub of that hall is unknown.
 constexpr std::size_t kLikelyHubs = 2;
 
+/// Number of nodes that pass the registry on: with a thousand nodes, each sends a hundred copies of some 30 kB.
+constexpr std::size_t kRegistrySources = 10;
+
 } // namespace
 
 std::vector<HubCandidate> HallNodes::candidates(const std::string& _hall) const
@@ -63,6 +66,22 @@
 	return hubs;
 }
 
+std::vector<std::string> HallNodes::registrySources() const
+{
+	std::vector<HubCandidate> nodes;
+	for (const auto& row : fleet_.nodes())
+	{
+		nodes.push_back(HubCandidate{row.first, row.second.cpuShare});
+	}
+	sortHubCandidates(nodes);
+	std::vector<std::string> names;
+	for (std::size_t index = 0; index < std::min(kRegistrySources, nodes.size()); ++index)
+	{
+		names.push_back(nodes[index].name);
+	}
+	return names;
+}
+
 std::vector<std::string> HallNodes::likelyHubs(const std::string& _hall) const
 {
 	std::vector<HubCandidate> nodes = candidates(_hall);
--- a/packages/hall/src/reportresponder.cpp
+++ b/packages/hall/src/reportresponder.cpp
@@ -2,6 +2,7 @@
 
 #include <hall/reportresponder.h>
 
+#include "registryrequest_p.h"
 #include "topicupdate_p.h"
 
 #include <hall/hubfollower.h>
@@ -41,12 +42,16 @@
 
 void ReportResponder::answer(const wire::HallReport& _report, wire::HallAnswer& _answer)
 {
-	aggregator_.onReport(_report.node(), _report.number(), loadTableOf(_report.loads(), clock_.now()), clock_.now());
 	_answer.set_node(self_);
 	_answer.set_number(_report.number());
 	_answer.set_is_hub(hub_.isHub());
 	_answer.set_reads(hub_.reads());
-	answerLoads(_report, _answer);
+	if (kRegistryRequest != _report.number())
+	{
+		aggregator_.onReport(_report.node(), _report.number(), loadTableOf(_report.loads(), clock_.now()),
+		                     clock_.now());
+		answerLoads(_report, _answer);
+	}
 	for (const wire::TopicQuestion& query : _report.questions())
 	{
 		answerQuery(query, _report.takes_changes(), _answer);
--- a/packages/hall/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -84,6 +84,19 @@
 	std::vector<bool> answers;
 };
 
+class RecordingSource : public RegistrySourceI
+{
+public:
+	bool requestRegistry() override
+	{
+		++requests;
+		return isOther;
+	}
+
+	uint32_t requests = 0;
+	bool isOther = true; //!< Another node is the source.
+};
+
 /// Number of the report that carries the waiting reads.
 constexpr uint64_t kReport = 7;
 
@@ -139,6 +152,9 @@
 	CPPUNIT_TEST(wholeTopicIsLoadedFromHub);
 	CPPUNIT_TEST(hubLoadsFromStore);
 	CPPUNIT_TEST(loadsOfNodesDoNotAffectTheChoiceOfAHub);
+	CPPUNIT_TEST(laterPagesOfTheRegistryComeFromAnotherNode);
+	CPPUNIT_TEST(overdueRegistryIsLoadedFromTheStore);
+	CPPUNIT_TEST(aSourceLoadsTheRegistryFromTheStore);
 	CPPUNIT_TEST(overdueLoadGoesToStore);
 	CPPUNIT_TEST(answersToEarlierReportsDoNotCount);
 	CPPUNIT_TEST(snapshotIncludesLaterRecords);
@@ -339,6 +355,44 @@
 		CPPUNIT_ASSERT((std::vector<bool>{true}) == listener_.answers);
 	}
 
+	/// A thousand nodes that started together read a hundred megabytes of the registry from the store.
+	void laterPagesOfTheRegistryComeFromAnotherNode()
+	{
+		log_.setRegistrySource(source_);
+		loadRegistry("n200");
+		CPPUNIT_ASSERT(store_.loads.empty());
+		CPPUNIT_ASSERT(log_.awaitsRegistry());
+		log_.onRegistry(registry(false));
+		CPPUNIT_ASSERT(pages_.empty());
+		log_.onRegistry(registry(true));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+		CPPUNIT_ASSERT(pages_.front().forwarded);
+		CPPUNIT_ASSERT(!log_.awaitsRegistry());
+		CPPUNIT_ASSERT(cache_.findSnapshot(KeyedTopic::Nodes).known);
+		log_.onRegistry(registry(true)); // answered twice
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+	}
+
+	void overdueRegistryIsLoadedFromTheStore()
+	{
+		log_.setRegistrySource(source_);
+		loadRegistry("n200");
+		clock_.advance(1700);
+		CPPUNIT_ASSERT(!log_.awaitsRegistry());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.loads.size());
+	}
+
+	void aSourceLoadsTheRegistryFromTheStore()
+	{
+		source_.isOther = false;
+		log_.setRegistrySource(source_);
+		loadRegistry("n200");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.loads.size());
+		loadRegistry("");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), store_.loads.size());
+		CPPUNIT_ASSERT_EQUAL(1U, source_.requests); // not for the first page
+	}
+
 	void recordsReadAreCached()
 	{
 		read(3);
@@ -543,6 +597,26 @@
 		                });
 	}
 
+	/// Loads a page of the nodes' topic.
+	void loadRegistry(const char* _afterKey)
+	{
+		log_.readNewest(KeyedTopic::Nodes, _afterKey,
+		                [this](KeyedPage&& _page)
+		                {
+			                pages_.push_back(std::move(_page));
+		                });
+	}
+
+	/// @param _known false: the node that answers has not loaded it.
+	static HallLog::TopicUpdate registry(bool _known)
+	{
+		HallLog::TopicUpdate update = hubUpdate(0, 0, page(StoreState::Done, 9, {record(3)}));
+		update.topic = KeyedTopic::Nodes;
+		update.snapshot = true;
+		update.known = _known;
+		return update;
+	}
+
 	void read(uint64_t _from)
 	{
 		log_.read(KeyedTopic::Operator, Offset{_from}, Duration::fromMillis(1000),
@@ -555,6 +629,7 @@
 	ManualClock clock_;
 	DeferredStore store_;
 	RecordingListener listener_;
+	RecordingSource source_;
 	TopicCache cache_;
 	HallLog log_{store_, clock_, cache_, "n1"};
 	std::vector<KeyedPage> pages_;
