--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -87,7 +87,7 @@
 	{
 		return;
 	}
-	const std::string source = sources[(hash64(name_) + registryRequests_++) % sources.size()];
+	const std::string& source = sources[(hash64(name_) + registryRequests_++) % sources.size()];
 	wire::PeerMessage message;
 	wire::HallReport& report = *message.mutable_hall_report();
 	report.set_node(name_);
