Scaffolding for admission of prioritized services: specification, wire fields, mechanisms, counters, accounts

A service is prioritized if its streams have several urgencies; FleetService::account is null for all others, so that nothing changes there.

--- /dev/null
+++ b/packages/admission/include/admission/serviceaccount.h
@@ -0,0 +1,25 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ADMISSION_SERVICEACCOUNT_H_HEADER_GUARD
+#define SEDGECART_ADMISSION_SERVICEACCOUNT_H_HEADER_GUARD
+
+#include <admission/leaseaccount.h>
+#include <admission/releasetimeline.h>
+#include <admission/returnplanner.h>
+#include <admission/waitingtokens.h>
+
+namespace sedgecart
+{
+
+/// State of a node that concerns the admission to one prioritized service.
+struct ServiceAccount
+{
+	LeaseAccount lease;
+	ReleaseTimeline releases;
+	ReturnPlanner returns;
+	WaitingTokens waiting;
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ADMISSION_SERVICEACCOUNT_H_HEADER_GUARD
--- /dev/null
+++ b/packages/admission/include/admission/servicecapacity.h
@@ -0,0 +1,25 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#ifndef SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
+#define SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
+
+#include <admission/servicedemand.h>
+#include <base/units.h>
+
+#include <cstdint>
+
+namespace sedgecart
+{
+
+/// What a hub lends to a node of its hall, and what the node may promise to refused callers.
+struct ServiceCapacity
+{
+	uint64_t leaseLimit = 0;              //!< Value of `ServiceDemand::leaseUsed` up to which the node may admit.
+	Duration leaseTerm;                   //!< Counted from when the report was sent that this answers; 0: no lease.
+	uint32_t maxUrgency = kUrgencies - 1; //!< Least urgent requests that may use headroom.
+	StepTokens forecast{};                //!< Expected free capacity for this node, cumulative.
+};
+
+} // namespace sedgecart
+
+#endif // SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
--- a/packages/core/include/core/routetable.h
+++ b/packages/core/include/core/routetable.h
@@ -6,6 +6,7 @@
 #include <base/desiredstate.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,10 @@
 	/// @returns the service with this name, null if there is none.
 	const ServiceSpec* findService(const std::string& _name) const;
 
+	/// @returns true if the streams of a service have several urgencies, by their routes: under overload
+	/// they are admitted by urgency.
+	bool isPrioritized(const std::string& _service) const;
+
 	const DesiredState& state() const
 	{
 		return *state_;
@@ -40,6 +45,7 @@
 	std::unordered_map<std::string, std::vector<const HostRoute*>> byHost_; //!< Longest prefix first.
 	std::unordered_map<std::string, const KeyHolder*> byKey_;
 	std::unordered_map<std::string, const ServiceSpec*> services_;
+	std::set<std::string> prioritized_; //!< Services whose streams have several urgencies.
 };
 
 /// Selects one of a route's services by weight.
--- a/packages/core/src/routetable.cpp
+++ b/packages/core/src/routetable.cpp
@@ -3,6 +3,7 @@
 #include <core/routetable.h>
 
 #include <algorithm>
+#include <map>
 
 namespace sedgecart
 {
@@ -25,6 +26,31 @@
 	return key;
 }
 
+/// @returns the services whose streams have several urgencies.
+std::set<std::string> prioritizedServices(const DesiredState& _state)
+{
+	std::map<std::string, std::set<uint32_t>> urgencies;
+	for (const HostRoute& route : _state.routes)
+	{
+		for (const WeightedService& service : route.services)
+		{
+			if (RequestKind::Stream == route.kind)
+			{
+				urgencies[service.service].insert(route.urgency);
+			}
+		}
+	}
+	std::set<std::string> services;
+	for (const auto& row : urgencies)
+	{
+		if (1 < row.second.size())
+		{
+			services.insert(row.first);
+		}
+	}
+	return services;
+}
+
 bool beginsWith(std::string_view _text, std::string_view _prefix)
 {
 	return _prefix == _text.substr(0, _prefix.size());
@@ -57,6 +83,7 @@
 	{
 		services_.emplace(service.name, &service);
 	}
+	prioritized_ = prioritizedServices(*state_);
 }
 
 const HostRoute* RouteTable::findRoute(std::string_view _host, std::string_view _path) const
@@ -89,6 +116,11 @@
 	return services_.end() == row ? nullptr : row->second;
 }
 
+bool RouteTable::isPrioritized(const std::string& _service) const
+{
+	return 0 < prioritized_.count(_service);
+}
+
 const WeightedService* pickService(const HostRoute& _route, uint64_t _draw)
 {
 	double total = 0;
--- a/packages/core/tests/routetabletest.cpp
+++ b/packages/core/tests/routetabletest.cpp
@@ -47,9 +47,28 @@
 	CPPUNIT_TEST(longestPrefixOfTheHostMatches);
 	CPPUNIT_TEST(customerIsFoundByKey);
 	CPPUNIT_TEST(serviceIsSelectedByWeight);
+	CPPUNIT_TEST(severalUrgenciesOfStreamsPrioritizeTheirService);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
+	/// Services whose streams are all equally urgent, or that have several urgencies only among calls, must be served
+	/// as without priorities.
+	void severalUrgenciesOfStreamsPrioritizeTheirService()
+	{
+		auto desired = std::make_shared<DesiredState>(*state());
+		for (HostRoute& stream : desired->routes)
+		{
+			stream.kind = RequestKind::Stream;
+		}
+		CPPUNIT_ASSERT(!RouteTable(desired).isPrioritized("a"));
+		desired->routes.front().urgency = 0;
+		CPPUNIT_ASSERT(RouteTable(desired).isPrioritized("a"));
+		CPPUNIT_ASSERT(RouteTable(desired).isPrioritized("b"));
+		CPPUNIT_ASSERT(!RouteTable(desired).isPrioritized("c"));
+		desired->routes.front().kind = RequestKind::Idempotent;
+		CPPUNIT_ASSERT(!RouteTable(desired).isPrioritized("a"));
+	}
+
 	void longestPrefixOfTheHostMatches()
 	{
 		const RouteTable table(state());
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -97,6 +97,12 @@
 		return loads_;
 	}
 
+	/// @returns the accounts of the prioritized services, by service.
+	const std::map<std::string, std::shared_ptr<ServiceAccount>>& accounts() const
+	{
+		return accounts_;
+	}
+
 	/// @returns the entry nodes by name; includes this node once its own record was read.
 	const std::map<std::string, NodeAddress>& nodes() const
 	{
@@ -168,6 +174,7 @@
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec,
 	                                                 const std::shared_ptr<const RouteTable>& _routes);
 	FleetTarget buildTarget(const ServiceSpec& _spec, const RunnerRecord& _record);
+	std::shared_ptr<ServiceAccount> accountOf(const std::string& _service, const RouteTable& _routes);
 	uint32_t hallIndex(const std::string& _hall);
 
 	const DocumentParserI& documents_;
@@ -178,9 +185,10 @@
 	std::map<std::string, RunnerRecord> runners_;
 	std::map<std::string, Offset> lastOffsets_; //!< Offset of the record that was applied last, by instance.
 	std::map<std::string, std::shared_ptr<TargetLoad>> loads_;
-	std::map<std::string, RemovedTarget> removedTargets_; //!< By instance, for `kRemovedRetention`.
-	std::map<std::string, uint32_t> halls_;               //!< Index of each hall; 0 is this node's.
-	std::map<std::string, NodeAddress> nodes_;            //!< By name.
+	std::map<std::string, std::shared_ptr<ServiceAccount>> accounts_; //!< By service.
+	std::map<std::string, RemovedTarget> removedTargets_;             //!< By instance, for `kRemovedRetention`.
+	std::map<std::string, uint32_t> halls_;                           //!< Index of each hall; 0 is this node's.
+	std::map<std::string, NodeAddress> nodes_;                        //!< By name.
 	std::shared_ptr<const NodeRoster> roster_; //!< `nodes_` for the request path; null before the first node.
 	AddressClaims addresses_;
 	TargetLog log_;
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_FLEET_FLEETVIEW_H_HEADER_GUARD
 #define SEDGECART_FLEET_FLEETVIEW_H_HEADER_GUARD
 
+#include <admission/serviceaccount.h>
 #include <base/rcucell.h>
 #include <base/runner.h>
 #include <base/units.h>
@@ -144,6 +145,7 @@
 	const ServiceSpec* spec = nullptr;
 	uint32_t halls = 1;
 	std::vector<FleetTarget> targets;
+	std::shared_ptr<ServiceAccount> account; //!< Null unless the service is prioritized.
 };
 
 /// The view of the fleet that the request path reads. Immutable.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -426,9 +426,23 @@
 		}
 	}
 	service->halls = static_cast<uint32_t>(halls_.size());
+	service->account = accountOf(_spec.name, *_routes);
 	return service;
 }
 
+/// @returns null unless the service is prioritized.
+std::shared_ptr<ServiceAccount> FleetController::accountOf(const std::string& _service, const RouteTable& _routes)
+{
+	if (!_routes.isPrioritized(_service))
+	{
+		accounts_.erase(_service);
+		return nullptr;
+	}
+	std::shared_ptr<ServiceAccount>& account = accounts_[_service];
+	account = account ? account : std::make_shared<ServiceAccount>();
+	return account;
+}
+
 /// Adds the services that were removed from the desired state within `kServiceRetention`. No current route leads there.
 void FleetController::addRetiredServices(FleetView& _view)
 {
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -33,31 +33,39 @@
 		Claims,
 		CallersGone,
 		TurnedAway,
-		Placements,        //!< Layer ranges given to other targets by this node.
-		Moves,             //!< Streams taken from a slow chain to a faster one.
-		Sends,             //!< Requests sent to a target or path, those that were sent again as well.
-		Answers,           //!< Answers of targets that were passed on whole.
-		BrokenStreams,     //!< Streams that could not be finished.
-		PathChanges,       //!< Requests that went on over another path.
-		DeadTargets,       //!< Targets taken as dead when a path was silent.
-		SurplusAnswers,    //!< Answers that belonged to another request.
-		LayerLosses,       //!< Losses of layers of a data hall that ended.
-		OrdersSent,        //!< Orders to hold layers that this node sent, those sent again as well.
-		OrdersKnown,       //!< Orders to hold layers that this node knows of, whoever sends them.
-		OrdersBegun,       //!< Of them: the target has begun, by its answer to this node or by a record.
-		OrdersHeld,        //!< The target says that it holds the layers.
-		OrdersRefused,     //!< The target refused.
-		OrdersUnanswered,  //!< No answer came.
-		OrdersShown,       //!< The registry shows the layers.
-		OrdersGivenUp,     //!< Not counted on any more, though nothing shows what became of them.
-		StreamWaits,       //!< Waits of streams that had begun and found no place.
-		StreamPlaces,      //!< Such waits that ended at a target that went on with the stream.
-		ResumesHeld,       //!< Resumed streams that waited until others had been read.
-		TargetCrashes,     //!< Targets that ended while this node ran requests there.
-		RequestsBlocked,   //!< Requests that this node found to end targets.
-		RateLimits,        //!< Times that a target named another rate limit than before, or none any more.
-		UnreadableNotices, //!< Answers of targets that say something of themselves that cannot be read.
-		BackoffsAsked,     //!< Refusals in which a target asked this node to send nothing for a while.
+		Placements,           //!< Layer ranges given to other targets by this node.
+		Moves,                //!< Streams taken from a slow chain to a faster one.
+		Sends,                //!< Requests sent to a target or path, those that were sent again as well.
+		Answers,              //!< Answers of targets that were passed on whole.
+		BrokenStreams,        //!< Streams that could not be finished.
+		PathChanges,          //!< Requests that went on over another path.
+		DeadTargets,          //!< Targets taken as dead when a path was silent.
+		SurplusAnswers,       //!< Answers that belonged to another request.
+		LayerLosses,          //!< Losses of layers of a data hall that ended.
+		OrdersSent,           //!< Orders to hold layers that this node sent, those sent again as well.
+		OrdersKnown,          //!< Orders to hold layers that this node knows of, whoever sends them.
+		OrdersBegun,          //!< Of them: the target has begun, by its answer to this node or by a record.
+		OrdersHeld,           //!< The target says that it holds the layers.
+		OrdersRefused,        //!< The target refused.
+		OrdersUnanswered,     //!< No answer came.
+		OrdersShown,          //!< The registry shows the layers.
+		OrdersGivenUp,        //!< Not counted on any more, though nothing shows what became of them.
+		StreamWaits,          //!< Waits of streams that had begun and found no place.
+		StreamPlaces,         //!< Such waits that ended at a target that went on with the stream.
+		ResumesHeld,          //!< Resumed streams that waited until others had been read.
+		TargetCrashes,        //!< Targets that ended while this node ran requests there.
+		RequestsBlocked,      //!< Requests that this node found to end targets.
+		RateLimits,           //!< Times that a target named another rate limit than before, or none any more.
+		UnreadableNotices,    //!< Answers of targets that say something of themselves that cannot be read.
+		BackoffsAsked,        //!< Refusals in which a target asked this node to send nothing for a while.
+		AdmissionWaits,       //!< Requests that waited for capacity before they were first sent.
+		AdmissionAdmitted,    //!< Such requests that were sent.
+		AdmissionDisplaced,   //!< Such requests that were refused in favour of a more urgent one.
+		AdmissionExpired,     //!< Such requests that were refused because they could no longer be in time.
+		LeaseRefusals,        //!< Requests that the lease of this node did not cover when they arrived.
+		LeaseFloorAdmissions, //!< Requests that were admitted by the floor because there was no valid lease.
+		LeaseExpiries,        //!< Leases of this node that ran out without being renewed.
+		ReturnsPromised,      //!< Refused callers that were told to return when capacity is expected.
 
 		Count
 	};
@@ -76,6 +84,7 @@
 		Pause,      //!< Between two events of a stream, when longer than its route's objective.
 		OrderShown, //!< From an order to hold layers until the registry shows them.
 		LayerLoss,  //!< How long layers of a data hall had no holder.
+		RetryAfter, //!< Retry-After of refusals of prioritised services.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -52,11 +52,19 @@
     "rate_limits",
     "unreadable_notices",
     "backoffs_asked",
+    "admission_waits",
+    "admission_admitted",
+    "admission_displaced",
+    "admission_expired",
+    "lease_refusals",
+    "lease_floor_admissions",
+    "lease_expiries",
+    "returns_promised",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
-constexpr const char* kTimingNames[] = {"first_token", "token_gap", "request",     "claim",
-                                        "recovery",    "pause",     "order_shown", "layer_loss"};
+constexpr const char* kTimingNames[] = {"first_token", "token_gap",   "request",    "claim",      "recovery",
+                                        "pause",       "order_shown", "layer_loss", "retry_after"};
 static_assert(Timing::Count == sizeof(kTimingNames) / sizeof(kTimingNames[0]), "each timing needs its name");
 
 constexpr unsigned kBins = 60;
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -90,8 +90,8 @@
 	void admit(QueuedRequest&& _queued);
 	bool queueUntilReady(QueuedRequest& _queued, const CallerRequest& _caller);
 	bool queueResumed(QueuedRequest& _queued, const CallerRequest& _caller);
-	RelayPlan makePlan(const RouteMatch& _match, ServerRequest&& _request, CallerRequest&& _caller,
-	                   Time _arrivedAt) const;
+	RelayPlan makePlan(const RouteTable& _routes, const RouteMatch& _match, ServerRequest&& _request,
+	                   CallerRequest&& _caller, Time _arrivedAt) const;
 	void refuse(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id);
 	void refuseBlocked(ServerConnection& _connection, const RelayPlan& _plan, Duration _left);
 	void remove(const ServerConnection* _connection);
--- a/packages/relay/src/relayplan_p.h
+++ b/packages/relay/src/relayplan_p.h
@@ -25,7 +25,9 @@
 	std::string service;
 	RequestTraits facts;
 	uint32_t urgency = 5;
-	Duration pauseObjective; //!< Longest pause within a stream that meets its objective; 0: none given.
+	bool isPrioritized = false; //!< Its service admits by urgency under overload.
+	Duration objective;         //!< Time to the first event of an answer that is on time; 0: none given.
+	Duration pauseObjective;    //!< Longest pause within a stream that meets its objective; 0: none given.
 	Time arrivedAt;
 	Time deadline;
 };
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -215,8 +215,8 @@
 	return false;
 }
 
-RelayPlan RequestIngress::makePlan(const RouteMatch& _match, ServerRequest&& _request, CallerRequest&& _caller,
-                                   Time _arrivedAt) const
+RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, ServerRequest&& _request,
+                                   CallerRequest&& _caller, Time _arrivedAt) const
 {
 	const HostRoute& route = *_match.route;
 	RelayPlan plan;
@@ -229,6 +229,8 @@
 		plan.urgency = _match.holder->urgency;
 	}
 	plan.pauseObjective = route.pauseObjective;
+	plan.objective = route.objective;
+	plan.isPrioritized = RequestKind::Stream == route.kind && _routes.isPrioritized(plan.service);
 	plan.facts.kind = route.kind;
 	plan.facts.resumable = route.resumable;
 	plan.facts.maxRuns = route.maxRuns;
@@ -327,7 +329,7 @@
 	{
 		return;
 	}
-	RelayPlan plan = makePlan(match, std::move(_queued.request), std::move(caller), _queued.arrivedAt);
+	RelayPlan plan = makePlan(*routes, match, std::move(_queued.request), std::move(caller), _queued.arrivedAt);
 	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan.identity);
 	if (blocked)
 	{
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -14,32 +14,35 @@
 {
 	enum Enum
 	{
-		SecondCopies,    //!< Free memory holds second copies of layers.
-		OwnEvidence,     //!< The layout ignores targets that nodes found dead before their records lapse.
-		PathWatch,       //!< The targets of a path without progress are probed to find the dead one.
-		PacePolls,       //!< Targets are polled for their slowdown.
-		HeadSlots,       //!< The cost of a path includes the slots of its head.
-		MoveSpread,      //!< Requests that move choose randomly among equivalent heads.
-		MeanAnswer,      //!< An answer reserves memory for half of its length, its mean over time.
-		BusyLast,        //!< The least loaded holders of second copies take over a lost range.
-		LapseGrace,      //!< Records that lapse during an outage of the store are kept for a while.
-		TightHalls,      //!< A hall with little memory keeps a chain of its own if that serves more requests.
-		LinkBound,       //!< New requests cross between halls only while the link has capacity.
-		StartWaits,      //!< Requests wait while a node is about to be ready.
-		HallLoads,       //!< A starting node loads the store's topics from another node of its hall.
-		SharedTries,     //!< During an outage of the store only a few nodes of a hall retry it.
-		IdlePolls,       //!< Idle targets are polled less often for their slowdown.
-		RefusalEvidence, //!< Layers that a target refused as not held are not requested from it for a while.
-		MakeBeforeBreak, //!< Layout orders keep the memory of running requests and a holder of each layer.
-		StopPace,        //!< During a stop requests are admitted by the recent durations of answers.
-		OrderLives,      //!< An order to hold layers is tracked by its known state, not for a fixed time.
-		StreamWaits,     //!< A started stream waits for capacity at a target while its caller stays.
-		ResumePace,      //!< A node that has just started limits how many resumed streams it sends at once.
-		UnheardLoads,    //!< The load that other nodes have not reported yet is estimated from this node's.
-		CrashLedger,     //!< A request that targets crash under is not sent any more.
-		DrainNotice,     //!< A target that announces in an answer that it drains gets no more requests.
-		TargetBackoff,   //!< A target that refused a request gets none until its requested backoff is over.
-		RateLimits,      //!< All nodes together keep to the rate limit that a target advertises.
+		SecondCopies,     //!< Free memory holds second copies of layers.
+		OwnEvidence,      //!< The layout ignores targets that nodes found dead before their records lapse.
+		PathWatch,        //!< The targets of a path without progress are probed to find the dead one.
+		PacePolls,        //!< Targets are polled for their slowdown.
+		HeadSlots,        //!< The cost of a path includes the slots of its head.
+		MoveSpread,       //!< Requests that move choose randomly among equivalent heads.
+		MeanAnswer,       //!< An answer reserves memory for half of its length, its mean over time.
+		BusyLast,         //!< The least loaded holders of second copies take over a lost range.
+		LapseGrace,       //!< Records that lapse during an outage of the store are kept for a while.
+		TightHalls,       //!< A hall with little memory keeps a chain of its own if that serves more requests.
+		LinkBound,        //!< New requests cross between halls only while the link has capacity.
+		StartWaits,       //!< Requests wait while a node is about to be ready.
+		HallLoads,        //!< A starting node loads the store's topics from another node of its hall.
+		SharedTries,      //!< During an outage of the store only a few nodes of a hall retry it.
+		IdlePolls,        //!< Idle targets are polled less often for their slowdown.
+		RefusalEvidence,  //!< Layers that a target refused as not held are not requested from it for a while.
+		MakeBeforeBreak,  //!< Layout orders keep the memory of running requests and a holder of each layer.
+		StopPace,         //!< During a stop requests are admitted by the recent durations of answers.
+		OrderLives,       //!< An order to hold layers is tracked by its known state, not for a fixed time.
+		StreamWaits,      //!< A started stream waits for capacity at a target while its caller stays.
+		ResumePace,       //!< A node that has just started limits how many resumed streams it sends at once.
+		UnheardLoads,     //!< The load that other nodes have not reported yet is estimated from this node's.
+		CrashLedger,      //!< A request that targets crash under is not sent any more.
+		DrainNotice,      //!< A target that announces in an answer that it drains gets no more requests.
+		TargetBackoff,    //!< A target that refused a request gets none until its requested backoff is over.
+		RateLimits,       //!< All nodes together keep to the rate limit that a target advertises.
+		UrgencyAdmission, //!< Requests of prioritised services wait for capacity, the most urgent first.
+		CapacityLeases,   //!< The hub lends the capacity of its hall to the nodes of prioritised services.
+		CapacityForecast, //!< Refused callers of prioritised services return when capacity is expected.
 
 		Count
 	};
