--- a/packages/admission/include/admission/serviceaccount.h
+++ b/packages/admission/include/admission/serviceaccount.h
@@ -6,6 +6,7 @@
 #include <admission/leaseaccount.h>
 #include <admission/releasetimeline.h>
 #include <admission/returnplanner.h>
+#include <admission/streampace.h>
 #include <admission/waitingtokens.h>
 
 namespace sedgecart
@@ -16,8 +17,9 @@
 {
 	LeaseAccount lease;
 	ReleaseTimeline releases;
-	ReturnPlanner returns;
 	WaitingTokens waiting;
+	ReturnPlanner returns{releases, waiting};
+	StreamPace pace; //!< Request thread only.
 };
 
 } // namespace sedgecart
--- a/packages/admission/include/admission/slottokens.h
+++ b/packages/admission/include/admission/slottokens.h
@@ -23,6 +23,9 @@
 /// @returns the slot that contains a time.
 int64_t slotOf(Time _time);
 
+/// @returns when a slot ends.
+Time endOf(int64_t _slot);
+
 /// Tokens that are added in each of consecutive steps; negative where a cumulative value falls.
 struct StepRow
 {
@@ -32,8 +35,11 @@
 	static StepRow fromSteps(const StepTokens& _tokens, Time _from);
 	static StepRow fromCumulative(const StepTokens& _tokens, Time _from);
 
-	/// @returns the sum of a range of slots, the last one included. The tokens of a step are spread evenly over its
-	/// slots, what does not divide in its last one.
+	/// @returns the tokens of a slot. Those of a step are spread evenly over its slots, the remainder is in the last
+	/// one.
+	int64_t at(int64_t _slot) const;
+
+	/// @returns the sum of a range of slots, the last one included.
 	int64_t sum(int64_t _first, int64_t _last) const;
 };
 
--- a/packages/admission/src/slottokens.cpp
+++ b/packages/admission/src/slottokens.cpp
@@ -38,6 +38,11 @@
 	return _time.micros % kSlot.micros < 0 ? slot - 1 : slot;
 }
 
+Time endOf(int64_t _slot)
+{
+	return Time{(_slot + 1) * kSlot.micros};
+}
+
 StepRow StepRow::fromSteps(const StepTokens& _tokens, Time _from)
 {
 	StepRow row;
@@ -60,24 +65,29 @@
 	return row;
 }
 
+int64_t StepRow::at(int64_t _slot) const
+{
+	const int64_t slot = _slot - firstSlot;
+	const bool isCovered = 0 <= slot && slot < kForecastSlots;
+	return isCovered ? slotPart(tokens[static_cast<std::size_t>(slot / kSlotsPerStep)], slot % kSlotsPerStep) : 0;
+}
+
 int64_t StepRow::sum(int64_t _first, int64_t _last) const
 {
-	const int64_t begin = std::max<int64_t>(_first - firstSlot, 0);
-	const int64_t end = std::min<int64_t>(_last - firstSlot, kForecastSlots - 1);
+	const int64_t last = std::min(_last, firstSlot + kForecastSlots - 1);
 	int64_t sum = 0;
-	for (int64_t slot = begin; slot <= end; ++slot)
+	for (int64_t slot = std::max(_first, firstSlot); slot <= last; ++slot)
 	{
-		sum += slotPart(tokens[static_cast<std::size_t>(slot / kSlotsPerStep)], slot % kSlotsPerStep);
+		sum += at(slot);
 	}
 	return sum;
 }
 
 void SlotTokens::add(const StepRow& _row, int64_t _sign)
 {
-	for (int64_t slot = 0; slot < kForecastSlots; ++slot)
+	for (int64_t slot = _row.firstSlot; slot < _row.firstSlot + kForecastSlots; ++slot)
 	{
-		const int64_t step = _row.tokens[static_cast<std::size_t>(slot / kSlotsPerStep)];
-		tokens_[indexOf(_row.firstSlot + slot)] += _sign * slotPart(step, slot % kSlotsPerStep);
+		tokens_[indexOf(slot)] += _sign * _row.at(slot);
 	}
 }
 
