--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -3,6 +3,7 @@
 #include "answerforwarder_p.h"
 
 #include "relayplan_p.h"
+#include "retryafter_p.h"
 
 #include <base/clock.h>
 #include <loads/pathwatch.h>
@@ -18,9 +19,6 @@
 namespace
 {
 
-/// Default Retry-After of a refusal: about the duration of a request at a target, so that capacity may be free again.
-constexpr Duration kRetryAfter = Duration::fromMillis(250);
-
 /// Maximum unsent backlog of a caller, bytes; a caller that exceeds it is reset.
 constexpr std::size_t kMaxBacklog = 4UL * 1024 * 1024;
 
@@ -77,12 +75,18 @@
 	caller_->finish();
 }
 
-void AnswerForwarder::refuse(const ErrorResponse& _answer, std::optional<Duration> _retryAfter)
+void AnswerForwarder::refuse(const ErrorResponse& _answer, const Refusal& _refusal)
 {
+	const Duration retryAfter = chooseRetryAfter(context_, plan_, _answer, _refusal);
+	std::vector<LogField> more;
+	if (usesForecast(context_, plan_))
+	{
+		more.push_back({"retry_after_ms", std::to_string(retryAfter.millis())});
+	}
+	log_.outcome("Request is refused.", LogLevel::Info, _answer.name, _refusal.atFault, more);
 	ResponseStart start;
 	start.status = _answer.status;
-	start.headers =
-	    context_.wire.routerHeaders(plan_.caller.id, _answer.retry ? _retryAfter.value_or(kRetryAfter) : Duration{});
+	start.headers = context_.wire.routerHeaders(plan_.caller.id, retryAfter);
 	caller_->start(start, std::string_view());
 	caller_->finish();
 }
--- a/packages/relay/src/answerforwarder_p.h
+++ b/packages/relay/src/answerforwarder_p.h
@@ -9,6 +9,7 @@
 #include <base/errorkind.h>
 #include <base/units.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,14 @@
 struct RelayContext;
 struct RelayPlan;
 
+/// What is known of a refused request.
+struct Refusal
+{
+	std::optional<Duration> retryAfter; //!< Time after which a retry may succeed, if known.
+	uint64_t tokens = 0;                //!< That it would occupy at each layer.
+	std::string atFault;                //!< "ip:port" of the target that an answer names as being at fault.
+};
+
 /// Forwards an answer to the caller of one request, and records its timing. Loop thread only.
 class AnswerForwarder
 {
@@ -43,9 +52,8 @@
 	/// Forwards a complete answer.
 	void forwardWhole(const MessageHead& _head, const std::string& _body);
 
-	/// Answers with an error of the router itself.
-	/// @param _retryAfter time after which a retry may succeed, if known.
-	void refuse(const ErrorResponse& _answer, std::optional<Duration> _retryAfter);
+	/// Answers with an error of the router itself, and logs it.
+	void refuse(const ErrorResponse& _answer, const Refusal& _refusal);
 
 	/// Resets the connection of a caller that does not read its answer.
 	void resetCaller();
--- a/packages/relay/src/relaylog.cpp
+++ b/packages/relay/src/relaylog.cpp
@@ -52,23 +52,23 @@
 }
 
 void RelayLog::outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause,
-                       const std::string& _atFault) const
+                       const std::string& _atFault, const std::vector<LogField>& _more) const
 {
 	const Time now = clock_.now();
-	logEvent(LogPart::Requests, _level, _sentence,
-	         {{"cause", _cause},
-	          {"not_sent_again", nameOf(machine_.noRetryReason())},
-	          {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
-	          {"sends", std::to_string(machine_.sends())},
-	          {"events", std::to_string(machine_.events())},
-	          {"service", plan_.service},
-	          {"target", headName()},
-	          {"at_fault", _atFault},
-	          {"identity", plan_.identity.text()},
-	          {"waited_ms", std::to_string(wait_.totalDuration().millis())},
-	          {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
-	          {"left_ms", std::to_string((plan_.deadline - now).millis())}},
-	         plan_.caller.id);
+	std::vector<LogField> fields{{"cause", _cause},
+	                             {"not_sent_again", nameOf(machine_.noRetryReason())},
+	                             {"ran", machine_.mayHaveRun() ? "maybe" : "no"},
+	                             {"sends", std::to_string(machine_.sends())},
+	                             {"events", std::to_string(machine_.events())},
+	                             {"service", plan_.service},
+	                             {"target", headName()},
+	                             {"at_fault", _atFault},
+	                             {"identity", plan_.identity.text()},
+	                             {"waited_ms", std::to_string(wait_.totalDuration().millis())},
+	                             {"held_ms", std::to_string((now - plan_.arrivedAt).millis())},
+	                             {"left_ms", std::to_string((plan_.deadline - now).millis())}};
+	fields.insert(fields.end(), _more.begin(), _more.end());
+	logEvent(LogPart::Requests, _level, _sentence, fields, plan_.caller.id);
 }
 
 void RelayLog::cutOff(Time _signal) const
--- a/packages/relay/src/relaylog_p.h
+++ b/packages/relay/src/relaylog_p.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sedgecart
 {
@@ -42,8 +43,9 @@
 
 	/// Logs the outcome of a send or of the request.
 	/// @param _atFault "ip:port" of the target that the answer names as being at fault; empty if none.
-	void outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause,
-	             const std::string& _atFault) const;
+	/// @param _more further fields.
+	void outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause, const std::string& _atFault,
+	             const std::vector<LogField>& _more = {}) const;
 
 	/// Logs that shutdown ends the request.
 	/// @param _signal time of the stop signal.
--- a/packages/relay/src/relaysend_p.h
+++ b/packages/relay/src/relaysend_p.h
@@ -33,6 +33,20 @@
 	/// Closes the connection; no handler is called afterwards.
 	void close();
 
+	/// @returns true if the head of its answer reports a success.
+	bool hasSucceeded() const
+	{
+		constexpr uint16_t kOk = 200;
+		constexpr uint16_t kMultipleChoices = 300;
+		return kOk <= head.status && head.status < kMultipleChoices;
+	}
+
+	/// @returns true if its answer is a success that may be forwarded.
+	bool isGood() const
+	{
+		return forwardable && hasSucceeded();
+	}
+
 	/// @returns the connection, to be reused for another request.
 	std::unique_ptr<ClientConnection> takeConnection();
 
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -40,7 +40,10 @@
 
 } // namespace
 
-RequestPath::RequestPath(const RelayContext& _context, const RelayPlan& _plan) : context_(_context), plan_(_plan)
+RequestPath::RequestPath(const RelayContext& _context, const RelayPlan& _plan)
+    : context_(_context),
+      plan_(_plan),
+      streamRelease_(context_, plan_)
 {
 }
 
@@ -162,6 +165,7 @@
 void RequestPath::recordSend()
 {
 	context_.rates.onSent(head(), context_.clock.now());
+	streamRelease_.onSent(*chosenPath_.service, reservedTokens());
 }
 
 /// Finds a path beside the current one. The request's own load on the current path is left out, since it is about to
@@ -272,6 +276,7 @@
 void RequestPath::release()
 {
 	reservation_.reset();
+	streamRelease_.release();
 }
 
 const FleetTarget& RequestPath::head() const
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -4,6 +4,7 @@
 #define SEDGECART_RELAY_REQUESTPATH_P_H_HEADER_GUARD
 
 #include "loadreservation_p.h"
+#include "streamrelease_p.h"
 #include "targetchooser_p.h"
 
 #include <core/relaymachine.h>
@@ -73,6 +74,19 @@
 	/// Releases the request's load at its targets; the chosen path can still be queried.
 	void release();
 
+	/// Reports events of the answer, which show when the stream may end.
+	/// @param _events of the answer so far, over all attempts of the caller.
+	void onEvents(uint64_t _events)
+	{
+		streamRelease_.onEvents(_events);
+	}
+
+	/// Reports that the answer is complete.
+	void onComplete()
+	{
+		streamRelease_.onComplete();
+	}
+
 	/// @returns true once a path has been chosen.
 	bool chosen() const
 	{
@@ -169,7 +183,8 @@
 	const RelayContext& context_;
 	const RelayPlan& plan_;
 	ChosenPath chosenPath_;
-	std::unique_ptr<LoadReservation> reservation_;    //!< Null while the request counts at no target.
+	std::unique_ptr<LoadReservation> reservation_; //!< Null while the request counts at no target.
+	StreamRelease streamRelease_;
 	std::unique_ptr<PreviousPath> previous_;          //!< Null if there is no previous path.
 	std::set<TargetIncarnation> excluded_;            //!< Targets that failed or refused this request.
 	std::map<TargetIncarnation, Time> excludedUntil_; //!< Those that only refused it, and when their exclusion expires.
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -33,11 +33,6 @@
 
 constexpr uint16_t kFirstServerError = 500;
 
-bool isSuccess(uint16_t _status)
-{
-	return 200 <= _status && _status < 300;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(const RelayContext& _context, RelayPlan&& _plan, std::shared_ptr<ServerConnection> _caller,
@@ -260,6 +255,7 @@
 void RequestRelay::forwardEnd()
 {
 	context_.crashes.onAnswered(plan_.identity);
+	path_.onComplete();
 	context_.answerDurations.recordEnd(mark_, machine_.events(), plan_.caller.maxTokens, forwarder_.lastReceivedAt());
 	forwarder_.forwardEnd(send_->head.status);
 }
@@ -278,9 +274,9 @@
 	{
 		recordDuration(); // a lower bound of its duration
 	}
-	logOutcome("Request is refused.", LogLevel::Info, answer.name);
 	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan_.identity);
-	forwarder_.refuse(answer, blocked ? blocked : path_.untilOpen());
+	const std::string atFault = send_ ? send_->answer.atFault : std::string();
+	forwarder_.refuse(answer, Refusal{blocked ? blocked : path_.untilOpen(), path_.reservedTokens(), atFault});
 }
 
 void RequestRelay::abortResponse()
@@ -346,9 +342,8 @@
 	notices_.apply(_send.target, answer);
 	_send.answer = std::move(answer);
 	_send.head = std::move(_head);
-	_send.forwardable = !isSuccess(_send.head.status) || (_send.answer.isSigned && !_send.answer.id.empty());
-	const bool good = _send.forwardable && isSuccess(_send.head.status);
-	const bool accepted = isCurrent(_send) || (good && machine_.onSuspectedSendProgress());
+	_send.forwardable = !_send.hasSucceeded() || (_send.answer.isSigned && !_send.answer.id.empty());
+	const bool accepted = isCurrent(_send) || (_send.isGood() && machine_.onSuspectedSendProgress());
 	if (_send.forwardable && accepted)
 	{
 		machine_.onHead(ResponseHead{_send.head.status, _send.answer.notExecuted});
@@ -369,8 +364,7 @@
 
 void RequestRelay::onBody(RelaySend& _send, std::string_view _bytes)
 {
-	const bool good = _send.forwardable && isSuccess(_send.head.status);
-	if (!isCurrent(_send) && (!good || !machine_.onSuspectedSendProgress()))
+	if (!isCurrent(_send) && (!_send.isGood() || !machine_.onSuspectedSendProgress()))
 	{
 		return; // body of an error answer to the suspected send
 	}
@@ -383,6 +377,7 @@
 			resumeSlot_->onEvent();
 		}
 		context_.answerDurations.recordEvents(mark_, machine_.events(), forwarder_.lastReceivedAt());
+		path_.onEvents(machine_.lastEvent());
 		finishIfDone();
 		return;
 	}
@@ -417,8 +412,7 @@
 
 void RequestRelay::onWhole(RelaySend& _send)
 {
-	const bool good = _send.forwardable && isSuccess(_send.head.status);
-	if (!isCurrent(_send) && (!good || !machine_.onSuspectedSendProgress()))
+	if (!isCurrent(_send) && (!_send.isGood() || !machine_.onSuspectedSendProgress()))
 	{
 		machine_.onSuspectedSendEnded(_send.answer.notExecuted);
 		return;
