sedgecart capacity, and the hub's capacity line in explain

Leases and waits of a hall could only be read line by line. `sedgecart capacity [--csv]` shows by second and hall the capacity, free, leased and waiting tokens, and the requests that waited, were admitted, displaced or refused, by urgency and cause.

--- a/packages/ctl/completion/sedgecart.bash
+++ b/packages/ctl/completion/sedgecart.bash
@@ -10,12 +10,13 @@
     release | take | move | holds) choices="route" ;;
     who) choices="holds" ;;
     halls | links | customers | routes | targets | nodes | requests | changes) choices="where" ;;
-    apply | explain | losses) mapfile -t COMPREPLY < <(compgen -f -- "$word"); return ;;
+    apply | capacity | explain | losses) mapfile -t COMPREPLY < <(compgen -f -- "$word"); return ;;
     sedgecart | --json | --dry-run | --follow)
-      choices="show who add remove drain resume release take move undo apply dump load explain losses keygen" ;;
+      choices="show who add remove drain resume release take move undo apply dump load explain losses capacity"
+      choices+=" keygen" ;;
   esac
   [[ $word == -* ]] && choices="--help --version --node --operator-key --author --wait-ms --dry-run --follow --json
-    --customers --rate --seconds --tokens --prompt-bytes --deadline-ms --seed"
+    --customers --rate --seconds --tokens --prompt-bytes --deadline-ms --seed --window-s --first-ms --csv"
   mapfile -t COMPREPLY < <(compgen -W "$choices" -- "$word")
 }
 complete -F _sedgecart sedgecart
--- a/packages/ctl/include/ctl/requeststory.h
+++ b/packages/ctl/include/ctl/requeststory.h
@@ -5,12 +5,16 @@
 
 #include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace sedgecart
 {
 
+/// Line in which the hub of a hall logs the capacity, the leases and the waiting tokens of a service.
+constexpr const char* kLeasesMessage = "Leases of the hall.";
+
 /// One field of a log line.
 struct LogField
 {
@@ -37,8 +41,9 @@
 bool readLogRecord(const std::string& _line, LogRecord& _record);
 
 /// Everything that logs say about one request, in order: its own lines, and what its nodes said meanwhile of the
-/// targets on its paths. Times of different VMs may be off against each other by seconds; lines of one node keep their
-/// order.
+/// targets on its paths. Where it waited for capacity or was refused, also the last line of its hall's hub before,
+/// which tells how much was free. Times of different VMs may be off against each other by seconds; lines of one node
+/// keep their order.
 class RequestStory
 {
 public:
@@ -54,9 +59,15 @@
 	std::string text() const;
 
 private:
+	void take(LogRecord&& _record);
+	void addTargets(std::vector<LogRecord>& _story) const;
+	void addLeases(std::vector<LogRecord>& _story) const;
+
 	std::string request_;
-	std::vector<LogRecord> own_;    //!< Of the request.
-	std::vector<LogRecord> around_; //!< That name a target.
+	std::vector<LogRecord> own_;               //!< Of the request.
+	std::vector<LogRecord> around_;            //!< That name a target.
+	std::vector<LogRecord> leases_;            //!< Of hubs.
+	std::map<std::string, std::string> halls_; //!< By node.
 };
 
 } // namespace sedgecart
--- a/packages/ctl/main/sedgecart.cpp
+++ b/packages/ctl/main/sedgecart.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include <ctl/capacityledger.h>
 #include <ctl/loadplan.h>
 #include <ctl/loadreport.h>
 #include <ctl/loadrunner.h>
@@ -37,6 +38,8 @@
                                       standard input
   sedgecart losses [FILE...]        tells from such logs where requests were lost or late, and why; see --window-s,
                                       --first-ms, --csv
+  sedgecart capacity [FILE...]      tells from such logs, by second and hall, how much capacity was free, leased and
+                                      waited for, and which requests waited or were refused; see --csv
   sedgecart keygen                  makes a key pair for the nodes' own traffic
 
 )";
@@ -63,7 +66,7 @@
 	    "deadline-ms", po::value<uint32_t>()->default_value(30000), "load: deadline of each request, 1 to 3600000.")(
 	    "window-s", po::value<double>()->default_value(2), "losses: length of a window, 0.1 to 86400.")(
 	    "first-ms", po::value<uint32_t>()->default_value(500), "losses: a later first event is late, 1 to 3600000.")(
-	    "csv", po::bool_switch(), "losses: print rows for a spreadsheet or a plot.")(
+	    "csv", po::bool_switch(), "losses, capacity: print rows for a spreadsheet or a plot.")(
 	    "seed", po::value<uint64_t>()->default_value(1),
 	    "load: the same seed sends the same requests.")("words", po::value<std::vector<std::string>>(), "");
 	return description;
@@ -153,6 +156,18 @@
 	return ExitCode::Done;
 }
 
+/// @param _words "capacity", names of log files.
+int capacity(const po::variables_map& _values, const std::vector<std::string>& _words)
+{
+	CapacityLedger ledger;
+	if (!readLogs(_words, 1, ledger))
+	{
+		return ExitCode::BadUsage;
+	}
+	std::cout << (_values["csv"].as<bool>() ? ledger.csv() : ledger.table());
+	return ExitCode::Done;
+}
+
 /// @param _words "explain", the request's id, names of log files.
 int explain(const std::vector<std::string>& _words)
 {
@@ -284,6 +299,10 @@
 	{
 		return losses(values, words);
 	}
+	if ("capacity" == words.front())
+	{
+		return capacity(values, words);
+	}
 	if ("explain" == words.front())
 	{
 		return explain(words);
--- a/packages/ctl/src/requeststory.cpp
+++ b/packages/ctl/src/requeststory.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <istream>
+#include <iterator>
 #include <set>
 
 namespace sedgecart
@@ -26,6 +27,16 @@
 
 constexpr int64_t kMicrosPerSecond = 1000000;
 
+constexpr const char* kNodeStarts = "Node starts.";
+
+/// Lines of a request that depended on how much capacity was free.
+constexpr const char* kCapacityMessages[] = {
+    "Request waits for capacity.",
+    "Stream waits for a target with free capacity.",
+    "Request is displaced by a more urgent one.",
+    "Request is refused.",
+};
+
 /// @returns microseconds since 1970 of "2026-12-02T18:00:00.123456Z", -1 if it is no such text.
 int64_t microsOf(std::string _time)
 {
@@ -68,6 +79,19 @@
 	return line + '\n';
 }
 
+bool dependsOnCapacity(const LogRecord& _record)
+{
+	return std::end(kCapacityMessages) !=
+	       std::find(std::begin(kCapacityMessages), std::end(kCapacityMessages), _record.message);
+}
+
+/// @returns false if the two lines name different services.
+bool concernsService(const LogRecord& _leases, const LogRecord& _record)
+{
+	const std::string service = valueOf(_record, "service");
+	return service.empty() || service == valueOf(_leases, "service");
+}
+
 } // namespace
 
 std::string valueOf(const LogRecord& _record, const std::string& _name)
@@ -127,26 +151,53 @@
 	while (std::getline(_log, line))
 	{
 		const bool mayMatter =
-		    std::string::npos != line.find(request_) || std::string::npos != line.find("\"target\":");
+		    std::string::npos != line.find(request_) || std::string::npos != line.find("\"target\":") ||
+		    std::string::npos != line.find(kLeasesMessage) || std::string::npos != line.find(kNodeStarts);
 		LogRecord record;
-		if (!mayMatter || !readLogRecord(line, record))
-		{
-			continue;
-		}
-		if (request_ == record.request)
-		{
-			own_.push_back(record);
-		}
-		else if (record.request.empty() && !valueOf(record, "target").empty())
+		if (mayMatter && readLogRecord(line, record))
 		{
-			around_.push_back(record);
+			take(std::move(record));
 		}
 	}
 }
 
+void RequestStory::take(LogRecord&& _record)
+{
+	if (kNodeStarts == _record.message)
+	{
+		halls_[_record.node] = valueOf(_record, "hall");
+	}
+	if (request_ == _record.request)
+	{
+		own_.push_back(std::move(_record));
+	}
+	else if (kLeasesMessage == _record.message)
+	{
+		leases_.push_back(std::move(_record));
+	}
+	else if (_record.request.empty() && !valueOf(_record, "target").empty())
+	{
+		around_.push_back(std::move(_record));
+	}
+}
+
 std::vector<LogRecord> RequestStory::records() const
 {
-	std::vector<LogRecord> story = own_;
+	std::vector<LogRecord> story;
+	addLeases(story); // before the request's own lines, so that they stay before them where the times are equal
+	story.insert(story.end(), own_.begin(), own_.end());
+	addTargets(story);
+	std::stable_sort(story.begin(), story.end(),
+	                 [](const LogRecord& _a, const LogRecord& _b)
+	                 {
+		                 return _a.micros < _b.micros;
+	                 });
+	return story;
+}
+
+/// Adds what the request's nodes said of the targets on its paths.
+void RequestStory::addTargets(std::vector<LogRecord>& _story) const
+{
 	std::set<std::string> nodes;
 	std::set<std::string> targets;
 	int64_t first = INT64_MAX;
@@ -164,15 +215,34 @@
 		const bool inTime = first - kAroundMicros <= record.micros && record.micros <= last + kAroundMicros;
 		if (inTime && 0 < nodes.count(record.node) && 0 < targets.count(valueOf(record, "target")))
 		{
-			story.push_back(record);
+			_story.push_back(record);
+		}
+	}
+}
+
+/// Adds, for each of the request's lines that depended on free capacity, the last line of the hall's hub before it.
+void RequestStory::addLeases(std::vector<LogRecord>& _story) const
+{
+	std::set<const LogRecord*> added;
+	for (const LogRecord& record : own_)
+	{
+		const auto hall = halls_.find(record.node);
+		if (halls_.end() == hall || !dependsOnCapacity(record))
+		{
+			continue;
+		}
+		const LogRecord* nearest = nullptr;
+		for (const LogRecord& leases : leases_)
+		{
+			const bool concerns = hall->second == valueOf(leases, "hall") && concernsService(leases, record);
+			const bool isNearer = nullptr == nearest || nearest->micros < leases.micros;
+			nearest = concerns && leases.micros <= record.micros && isNearer ? &leases : nearest;
+		}
+		if (nullptr != nearest && added.insert(nearest).second)
+		{
+			_story.push_back(*nearest);
 		}
 	}
-	std::stable_sort(story.begin(), story.end(),
-	                 [](const LogRecord& _a, const LogRecord& _b)
-	                 {
-		                 return _a.micros < _b.micros;
-	                 });
-	return story;
 }
 
 std::string RequestStory::text() const
--- a/packages/ctl/tests/requeststorytest.cpp
+++ b/packages/ctl/tests/requeststorytest.cpp
@@ -20,6 +20,13 @@
 	       R"(",)" + _fields + "}\n";
 }
 
+std::string leases(const std::string& _second, const std::string& _hall, const std::string& _service,
+                   const std::string& _free)
+{
+	return line(_second, "hub", "Leases of the hall.", "",
+	            R"("service":")" + _service + R"(","hall":")" + _hall + R"(","free":")" + _free + '"');
+}
+
 } // namespace
 
 class RequestStoryTest : public CppUnit::TestFixture
@@ -27,6 +34,7 @@
 	CPPUNIT_TEST_SUITE(RequestStoryTest);
 	CPPUNIT_TEST(linesOfARequestInOrder);
 	CPPUNIT_TEST(targetsOfItsPathBelongToIt);
+	CPPUNIT_TEST(waitsAndRefusalsFollowTheHubsLine);
 	CPPUNIT_TEST(whatIsNoRecordIsPassedOver);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -61,6 +69,34 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("n1"), records[1].node);
 	}
 
+	/// Guards against a line of another hall or service or one after the decision, and against lines of the same
+	/// microsecond that change places.
+	void waitsAndRefusalsFollowTheHubsLine()
+	{
+		const std::string decided = R"("service":"llm","urgency":"2")";
+		std::istringstream log(
+		    line("00.000000", "n1", "Node starts.", "", R"("hall":"h1")") + leases("01.0", "h1", "llm", "500") +
+		    leases("02.0", "h1", "llm", "40") + leases("02.1", "h2", "llm", "1") + leases("02.1", "h1", "other", "2") +
+		    line("02.5", "n1", "Request waits for capacity.", "id1", decided) + leases("03.0", "h1", "llm", "30") +
+		    line("03.5", "n1", "Request is admitted after a wait.", "id1", decided) +
+		    line("03.5", "n1", "Request is sent.", "id1", decided) +
+		    line("03.6", "n1", "Request waits for capacity.", "id1", decided) +
+		    line("03.6", "n1", "Request is displaced by a more urgent one.", "id1", decided) +
+		    line("03.6", "n1", "Request is refused.", "id1", decided) + leases("04.0", "h1", "llm", "20"));
+		RequestStory story("id1");
+		story.read(log);
+		std::string told;
+		for (const LogRecord& record : story.records())
+		{
+			told += record.message + valueOf(record, "free") + '\n';
+		}
+		CPPUNIT_ASSERT_EQUAL(std::string("Leases of the hall.40\nRequest waits for capacity.\nLeases of the hall.30\n"
+		                                 "Request is admitted after a wait.\nRequest is sent.\n"
+		                                 "Request waits for capacity.\nRequest is displaced by a more urgent one.\n"
+		                                 "Request is refused.\n"),
+		                     told);
+	}
+
 	void whatIsNoRecordIsPassedOver()
 	{
 		std::istringstream log("id1 says nothing\n{\"request\":\"id1\"}\n{broken id1\n  4.2 n1 " +
