Counters by urgency of answers, late answers and refusals

The share of late and refused requests of each urgency was not visible in the metrics. Counted for prioritized services only; rows of value 0 are not printed, so that the text of other deployments does not change.

--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -71,6 +71,22 @@
 	};
 };
 
+/// Things that are counted for each urgency, only for prioritized services.
+struct UrgencyCounter
+{
+	enum Enum
+	{
+		Answers,
+		Late,    //!< Answers that missed an objective of their route: their first event, or a pause.
+		Refused, //!< By the router.
+
+		Count
+	};
+};
+
+/// Urgencies that are counted apart; those less urgent than the last one are counted as it.
+constexpr uint32_t kCountedUrgencies = 10;
+
 /// Times that are kept as histograms.
 struct Timing
 {
@@ -108,13 +124,18 @@
 	{
 		errors_[_kind].fetch_add(1, std::memory_order_relaxed);
 	}
+	void addUrgency(UrgencyCounter::Enum _counter, uint32_t _urgency)
+	{
+		const uint32_t row = _urgency < kCountedUrgencies ? _urgency : kCountedUrgencies - 1;
+		urgencies_[_counter][row].fetch_add(1, std::memory_order_relaxed);
+	}
 	void addPassedOver(RecordKind::Enum _kind, RecordFault::Enum _fault)
 	{
 		passedOver_[_kind][_fault].fetch_add(1, std::memory_order_relaxed);
 	}
 	void observe(Timing::Enum _timing, Duration _took);
 
-	/// @returns all of it in the text format that Prometheus reads.
+	/// @returns all of it in the text format that Prometheus reads, without the counters by urgency that are 0.
 	std::string text() const;
 
 	uint64_t value(Counter::Enum _counter) const
@@ -125,15 +146,19 @@
 private:
 	class Histograms;
 	void writePassedOver(std::ostream& _out) const;
+	void writeUrgencies(std::ostream& _out) const;
 
 	std::array<std::atomic<uint64_t>, Counter::Count> counters_{};
 	std::array<std::atomic<uint64_t>, ErrorKind::Count> errors_{};
 	std::array<std::array<std::atomic<uint64_t>, RecordFault::Count>, RecordKind::Count> passedOver_{};
+	std::array<std::array<std::atomic<uint64_t>, kCountedUrgencies>, UrgencyCounter::Count> urgencies_{};
 	std::unique_ptr<Histograms> histograms_;
 };
 
 /// @returns the name of a counter as /metrics shows it.
 const char* nameOf(Counter::Enum _counter);
+/// @returns the name of a counter by urgency as /metrics shows it.
+const char* nameOf(UrgencyCounter::Enum _counter);
 /// @returns the name of a timing as /metrics shows it.
 const char* nameOf(Timing::Enum _timing);
 
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -63,6 +63,9 @@
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
+constexpr const char* kUrgencyNames[] = {"urgency_answers", "urgency_late", "urgency_refused"};
+static_assert(UrgencyCounter::Count == sizeof(kUrgencyNames) / sizeof(kUrgencyNames[0]), "each counter needs its name");
+
 constexpr const char* kTimingNames[] = {"first_token", "token_gap",   "request",    "claim",      "recovery",
                                         "pause",       "order_shown", "layer_loss", "retry_after"};
 static_assert(Timing::Count == sizeof(kTimingNames) / sizeof(kTimingNames[0]), "each timing needs its name");
@@ -116,6 +119,7 @@
 		out << "sedgecart_errors_total{kind=\"" << answer.name << "\"} " << errors_[index].load() << '\n';
 	}
 	writePassedOver(out);
+	writeUrgencies(out);
 	for (int index = 0; index < Timing::Count; ++index)
 	{
 		const SecondsHistogram& histogram = histograms_->list[index];
@@ -145,11 +149,32 @@
 	}
 }
 
+void Metrics::writeUrgencies(std::ostream& _out) const
+{
+	for (int counter = 0; counter < UrgencyCounter::Count; ++counter)
+	{
+		for (uint32_t urgency = 0; urgency < kCountedUrgencies; ++urgency)
+		{
+			const uint64_t value = urgencies_[counter][urgency].load();
+			if (0 < value)
+			{
+				_out << "sedgecart_" << kUrgencyNames[counter] << "_total{urgency=\"" << urgency << "\"} " << value
+				     << '\n';
+			}
+		}
+	}
+}
+
 const char* nameOf(Counter::Enum _counter)
 {
 	return kCounterNames[_counter];
 }
 
+const char* nameOf(UrgencyCounter::Enum _counter)
+{
+	return kUrgencyNames[_counter];
+}
+
 const char* nameOf(Timing::Enum _timing)
 {
 	return kTimingNames[_timing];
--- a/packages/node/tests/referencetest.cpp
+++ b/packages/node/tests/referencetest.cpp
@@ -56,6 +56,11 @@
 		{
 			expect(std::string("`sedgecart_") + nameOf(static_cast<Counter::Enum>(counter)) + "_total`");
 		}
+		for (int counter = 0; counter < UrgencyCounter::Count; ++counter)
+		{
+			expect(std::string("`sedgecart_") + nameOf(static_cast<UrgencyCounter::Enum>(counter)) +
+			       "_total{urgency=...}`");
+		}
 		for (int timing = 0; timing < Timing::Count; ++timing)
 		{
 			expect(std::string("`sedgecart_") + nameOf(static_cast<Timing::Enum>(timing)) + "_seconds`");
--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -3,6 +3,7 @@
 #include "answerforwarder_p.h"
 
 #include "relayplan_p.h"
+#include "urgencycount_p.h"
 
 #include <base/clock.h>
 #include <loads/pathwatch.h>
@@ -60,6 +61,7 @@
 {
 	context_.metrics.add(Counter::Answers);
 	log_.forwarded(_status, times_);
+	countAnswer(context_.metrics, plan_, times_);
 	caller_->finish();
 }
 
@@ -68,6 +70,7 @@
 	context_.metrics.add(Counter::Answers);
 	times_.firstAt = context_.clock.now();
 	log_.forwarded(_head.status, times_);
+	countAnswer(context_.metrics, plan_, times_);
 	ResponseStart start;
 	start.status = _head.status;
 	start.headers = context_.wire.callerHeaders(_head.headers);
@@ -79,6 +82,7 @@
 
 void AnswerForwarder::refuse(const ErrorResponse& _answer, std::optional<Duration> _retryAfter)
 {
+	countRefusal(context_.metrics, plan_);
 	ResponseStart start;
 	start.status = _answer.status;
 	start.headers =
