--- a/packages/ctl/include/ctl/capacityledger.h
+++ b/packages/ctl/include/ctl/capacityledger.h
@@ -51,6 +51,7 @@
 	/// What the hub said of one service.
 	struct Leases
 	{
+		std::string hall;      //!< Empty if the line names none: that of the node.
 		int64_t micros = 0;    //!< Time of the line.
 		uint64_t capacity = 0; //!< Tokens, as the next three.
 		uint64_t free = 0;
@@ -77,10 +78,12 @@
 
 	void take(const LogRecord& _record);
 	void takeLeases(const LogRecord& _record);
+	std::string hallOf(const std::string& _node) const;
+	std::map<Place, std::map<std::string, Leases>> leasesOfHalls() const;
 	std::map<Place, Row> rows() const;
 
 	std::map<std::string, std::string> halls_;              //!< By node.
-	std::map<Place, std::map<std::string, Leases>> leases_; //!< By hall, then service: the last line of a second.
+	std::map<Place, std::map<std::string, Leases>> leases_; //!< By node, then service: the last line of a second.
 	std::map<Place, Counts> counts_;                        //!< By node.
 };
 
--- a/packages/ctl/include/ctl/requeststory.h
+++ b/packages/ctl/include/ctl/requeststory.h
@@ -61,6 +61,7 @@
 private:
 	void take(LogRecord&& _record);
 	void addTargets(std::vector<LogRecord>& _story) const;
+	std::string hallOf(const LogRecord& _leases) const;
 	void addLeases(std::vector<LogRecord>& _story) const;
 
 	std::string request_;
--- a/packages/ctl/src/capacityledger.cpp
+++ b/packages/ctl/src/capacityledger.cpp
@@ -129,13 +129,10 @@
 
 void CapacityLedger::takeLeases(const LogRecord& _record)
 {
-	const Place place(_record.micros / kMicrosPerSecond, valueOf(_record, "hall"));
+	const Place place(_record.micros / kMicrosPerSecond, _record.node);
 	Leases& leases = leases_[place][valueOf(_record, "service")];
-	if (_record.micros < leases.micros)
-	{
-		return; // the hub changed within the second, and the log of the later one was read first
-	}
 	leases = Leases{};
+	leases.hall = valueOf(_record, "hall");
 	leases.micros = _record.micros;
 	leases.capacity = numberOf(_record, "capacity");
 	leases.free = numberOf(_record, "free");
@@ -151,10 +148,34 @@
 	}
 }
 
+/// @returns the node itself if its log does not tell its hall.
+std::string CapacityLedger::hallOf(const std::string& _node) const
+{
+	const auto hall = halls_.find(_node);
+	return halls_.end() == hall ? _node : hall->second;
+}
+
+/// @returns the last line of each second by hall and service. Several nodes wrote one where the hub changed.
+std::map<CapacityLedger::Place, std::map<std::string, CapacityLedger::Leases>> CapacityLedger::leasesOfHalls() const
+{
+	std::map<Place, std::map<std::string, Leases>> halls;
+	for (const auto& node : leases_)
+	{
+		for (const auto& service : node.second)
+		{
+			const Leases& leases = service.second;
+			const std::string hall = leases.hall.empty() ? hallOf(node.first.second) : leases.hall;
+			Leases& last = halls[Place(node.first.first, hall)][service.first];
+			last = last.micros < leases.micros ? leases : last;
+		}
+	}
+	return halls;
+}
+
 std::map<CapacityLedger::Place, CapacityLedger::Row> CapacityLedger::rows() const
 {
 	std::map<Place, Row> rows;
-	for (const auto& hall : leases_)
+	for (const auto& hall : leasesOfHalls())
 	{
 		Row& row = rows[hall.first];
 		row.hasLeases = true;
@@ -169,9 +190,7 @@
 	}
 	for (const auto& node : counts_)
 	{
-		const auto known = halls_.find(node.first.second);
-		const std::string hall = halls_.end() == known ? node.first.second : known->second;
-		Counts& sum = rows[Place(node.first.first, hall)].counts;
+		Counts& sum = rows[Place(node.first.first, hallOf(node.first.second))].counts;
 		for (std::size_t event = 0; event < AdmissionEvent::Count; ++event)
 		{
 			addTo(sum.events[event], node.second.events[event]);
--- a/packages/ctl/src/requeststory.cpp
+++ b/packages/ctl/src/requeststory.cpp
@@ -220,6 +220,14 @@
 	}
 }
 
+/// @returns the hall of a hub's line, by the line or by the node that wrote it; empty if neither is known.
+std::string RequestStory::hallOf(const LogRecord& _leases) const
+{
+	const std::string named = valueOf(_leases, "hall");
+	const auto known = halls_.find(_leases.node);
+	return named.empty() && halls_.end() != known ? known->second : named;
+}
+
 /// Adds, for each of the request's lines that depended on free capacity, the last line of the hall's hub before it.
 void RequestStory::addLeases(std::vector<LogRecord>& _story) const
 {
@@ -234,7 +242,7 @@
 		const LogRecord* nearest = nullptr;
 		for (const LogRecord& leases : leases_)
 		{
-			const bool concerns = hall->second == valueOf(leases, "hall") && concernsService(leases, record);
+			const bool concerns = hall->second == hallOf(leases) && concernsService(leases, record);
 			const bool isNearer = nullptr == nearest || nearest->micros < leases.micros;
 			nearest = concerns && leases.micros <= record.micros && isNearer ? &leases : nearest;
 		}
--- a/packages/ctl/tests/capacityledgertest.cpp
+++ b/packages/ctl/tests/capacityledgertest.cpp
@@ -25,10 +25,10 @@
 	return line("00.000000", _node, "Node starts.", R"("hall":")" + _hall + '"');
 }
 
-std::string leases(const std::string& _second, const std::string& _service, const std::string& _figures)
+std::string leases(const std::string& _second, const std::string& _hub, const std::string& _service,
+                   const std::string& _figures)
 {
-	return line(_second, "n1", "Leases of the hall.",
-	            R"("service":")" + _service + R"(","hall":"hall-a","nodes":"20",)" + _figures);
+	return line(_second, _hub, "Leases of the hall.", R"("service":")" + _service + R"(","nodes":"20",)" + _figures);
 }
 
 const std::string kRefused = "Request is refused.";
@@ -51,11 +51,11 @@
 	void eachSecondOfAHallHasItsLine()
 	{
 		read(starts("n1", "hall-a") + starts("n2", "hall-a") + starts("n3", "hall-b") +
-		     leases("05.1", "llm", R"("capacity":"120000","free":"18400","lent":"15200","waiting_2":"2600")") +
+		     leases("05.1", "n1", "llm", R"("capacity":"120000","free":"18400","lent":"15200","waiting_2":"2600")") +
 		     line("05.2", "n1", "Request waits for capacity.", kPatient) +
 		     line("05.3", "n2", "Request waits for capacity.", kPatient) +
 		     line("05.4", "n2", "Request is admitted after a wait.", kPatient) +
-		     leases("06.1", "llm",
+		     leases("06.1", "n1", "llm",
 		            R"("capacity":"80000","free":"900","lent":"900","waiting_0":"1400","waiting_1":"0")") +
 		     line("06.2", "n1", "Request waits for capacity.", kUrgent) +
 		     line("06.3", "n1", "Request is displaced by a more urgent one.", kPatient) +
@@ -74,9 +74,10 @@
 	/// A hub that takes over logs the same hall within the same second: its capacity must not be added.
 	void theLastLineOfASecondCounts()
 	{
-		read(leases("05.9", "llm", R"("capacity":"100","free":"60","lent":"50")") +
-		     leases("05.1", "llm", R"("capacity":"100","free":"20","lent":"10","waiting_0":"9")") +
-		     leases("05.5", "other", R"("capacity":"1000","free":"5","lent":"5","waiting_0":"3")"));
+		read(starts("n1", "hall-a") + starts("n2", "hall-a") +
+		     leases("05.9", "n2", "llm", R"("capacity":"100","free":"60","lent":"50")") +
+		     leases("05.1", "n1", "llm", R"("capacity":"100","free":"20","lent":"10","waiting_0":"9")") +
+		     leases("05.5", "n1", "other", R"("capacity":"1000","free":"5","lent":"5","waiting_0":"3")"));
 		CPPUNIT_ASSERT_EQUAL(std::string("     0 s  hall-a  capacity 1100  free 65  lent 55  waiting 0:3\n"),
 		                     ledger_.table());
 	}
@@ -86,7 +87,7 @@
 	{
 		read("no record\n" + line("05.5", "n2", kRefused, R"("cause":"no_targets")") +
 		     line("06.5", "n3", kRefused, kOverloaded));
-		read(starts("n3", "hall-b") + leases("05.6", "llm", R"("free":"many")"));
+		read(starts("n3", "hall-b") + leases("05.6", "n1", "llm", R"("free":"many","hall":"hall-a")"));
 		CPPUNIT_ASSERT_EQUAL(std::string("second,hall,figure,urgency,cause,value\n"
 		                                 "0,hall-a,capacity,,,0\n0,hall-a,free,,,0\n"
 		                                 "0,hall-a,lent,,,0\n0,hall-a,nodes,,,20\n"
