--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -82,13 +82,13 @@
 
 void AnswerForwarder::refuse(const ErrorResponse& _answer, std::optional<Duration> _retryAfter)
 {
-	countRefusal(context_.metrics, plan_);
 	ResponseStart start;
 	start.status = _answer.status;
 	start.headers =
 	    context_.wire.routerHeaders(plan_.caller.id, _answer.retry ? _retryAfter.value_or(kRetryAfter) : Duration{});
 	caller_->start(start, std::string_view());
 	caller_->finish();
+	countRefusal(context_.metrics, plan_);
 }
 
 void AnswerForwarder::breakOff()
