--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "relayplan_p.h"
 #include "retryafter_p.h"
+#include "urgencycount_p.h"
 
 #include <base/clock.h>
 #include <loads/pathwatch.h>
@@ -58,6 +59,7 @@
 {
 	context_.metrics.add(Counter::Answers);
 	log_.forwarded(_status, times_);
+	countAnswer(context_.metrics, plan_, times_);
 	caller_->finish();
 }
 
@@ -66,6 +68,7 @@
 	context_.metrics.add(Counter::Answers);
 	times_.firstAt = context_.clock.now();
 	log_.forwarded(_head.status, times_);
+	countAnswer(context_.metrics, plan_, times_);
 	ResponseStart start;
 	start.status = _head.status;
 	start.headers = context_.wire.callerHeaders(_head.headers);
@@ -82,6 +85,7 @@
 	if (usesForecast(context_, plan_))
 	{
 		more.push_back({"retry_after_ms", std::to_string(retryAfter.millis())});
+		more.push_back({"urgency", std::to_string(plan_.urgency)});
 	}
 	log_.outcome("Request is refused.", LogLevel::Info, _answer.name, _refusal.atFault, more);
 	ResponseStart start;
@@ -89,6 +93,7 @@
 	start.headers = context_.wire.routerHeaders(plan_.caller.id, retryAfter);
 	caller_->start(start, std::string_view());
 	caller_->finish();
+	countRefusal(context_.metrics, plan_);
 }
 
 void AnswerForwarder::breakOff()
