Wait queue of prioritized services, and the admission controller that admits from it

Cause: a new request that finds no capacity is refused at once, and the urgency does not influence any decision. Services that are not prioritized, and nodes without urgency-admission, work as before.

--- a/packages/core/include/core/fairqueue.h
+++ b/packages/core/include/core/fairqueue.h
@@ -47,6 +47,10 @@
 	/// @returns false if it is not queued.
 	bool remove(uint64_t _id);
 
+	/// Removes the last queued request of a customer as if it had never been queued: its cost is not charged.
+	/// @returns false if that is another request.
+	bool withdraw(const std::string& _customer, uint64_t _id);
+
 	/// Charges a customer for work that started without being queued.
 	void charge(const std::string& _customer, uint32_t _weight, uint32_t _cost);
 
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -23,6 +23,7 @@
 	bool resumable = false;
 	uint32_t maxRuns = 1;                //!< Maximum number of targets that may run it.
 	std::optional<uint64_t> resumeAfter; //!< The caller resumes a stream after the event with this id.
+	bool mayQueue = false;               //!< It may wait for capacity before its response has started.
 };
 
 /// Result of an attempt to send a request.
@@ -132,8 +133,9 @@
 	/// Aborts a response that was partly forwarded.
 	virtual void abortResponse() = 0;
 
-	/// Queues a request whose response has started until a target has capacity. It occupies no target meanwhile.
-	/// @returns false if its caller is not expected to stay long enough; otherwise `onCapacityAvailable` follows.
+	/// Queues a request until a target has capacity. It occupies no target meanwhile.
+	/// @returns false if its caller is not expected to stay long enough; otherwise `onCapacityAvailable` or
+	/// `onWaitEnded` follows.
 	virtual bool waitForCapacity() = 0;
 };
 
@@ -181,6 +183,9 @@
 	/// Reports that a target may have capacity for a waiting request.
 	void onCapacityAvailable();
 
+	/// Reports that the wait for capacity has ended without any.
+	void onWaitEnded();
+
 	/// Reports that the caller disconnected.
 	void onCallerDisconnected();
 
@@ -193,7 +198,13 @@
 		return done_;
 	}
 
-	/// @returns true while the response has started and the request waits for capacity.
+	/// @returns true once the head of the response was forwarded.
+	bool hasBegun() const
+	{
+		return headForwarded_;
+	}
+
+	/// @returns true while the request waits for capacity.
 	bool waiting() const
 	{
 		return waiting_;
@@ -258,7 +269,7 @@
 	void recordSend();
 	bool mayWait() const;
 	bool waitForCapacity();
-	void send(bool _isRetry);
+	void send();
 	void resend(ErrorKind::Enum _fallback);
 	void waitOrFail(ErrorKind::Enum _fallback);
 	void resumeSuspectedSend();
--- a/packages/core/src/fairqueue.cpp
+++ b/packages/core/src/fairqueue.cpp
@@ -96,6 +96,19 @@
 	return false;
 }
 
+bool FairQueue::withdraw(const std::string& _customer, uint64_t _id)
+{
+	const auto flow = flows_.find(_customer);
+	if (flows_.end() == flow || flow->second.entries.empty() || _id != flow->second.entries.back().request.id)
+	{
+		return false;
+	}
+	flow->second.finishTag = flow->second.entries.back().startTag;
+	flow->second.entries.pop_back();
+	--size_;
+	return true;
+}
+
 void FairQueue::charge(const std::string& _customer, uint32_t _weight, uint32_t _cost)
 {
 	Flow& flow = flows_[_customer];
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -61,7 +61,7 @@
 
 void RelayMachine::start()
 {
-	send(false);
+	send();
 }
 
 std::optional<uint64_t> RelayMachine::resumePoint() const
@@ -90,11 +90,13 @@
 	return sends_ < max ? max - sends_ : 0;
 }
 
-/// A request whose response has not started is refused immediately: its caller can retry, and nothing is lost.
+/// A request whose response has not started is refused immediately unless its traits allow it to wait: its caller can
+/// retry, and nothing is lost.
 bool RelayMachine::mayWait() const
 {
-	const bool maySend = repeatable() && runs_ < traits_.maxRuns && 0 < sendsLeft();
-	return headForwarded_ && !suspectedSend_ && maySend;
+	const bool mayRunAgain = repeatable() && runs_ < traits_.maxRuns;
+	const bool mayRun = headForwarded_ ? mayRunAgain : traits_.mayQueue && (0 == runs_ || mayRunAgain);
+	return mayRun && !suspectedSend_ && 0 < sendsLeft();
 }
 
 bool RelayMachine::waitForCapacity()
@@ -118,7 +120,7 @@
 		waitOrFail(_fallback);
 		return;
 	}
-	send(true);
+	send();
 }
 
 void RelayMachine::onCapacityAvailable()
@@ -128,10 +130,20 @@
 		return;
 	}
 	waiting_ = false;
-	resend(ErrorKind::TargetLost);
+	resend(0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused);
 }
 
-void RelayMachine::send(bool _isRetry)
+void RelayMachine::onWaitEnded()
+{
+	if (done_ || !waiting_)
+	{
+		return;
+	}
+	waiting_ = false;
+	fail(0 < runs_ ? ErrorKind::TargetLost : ErrorKind::Overloaded);
+}
+
+void RelayMachine::send()
 {
 	const SendOutcome::Enum outcome = actions_.send(resumePoint());
 	if (SendOutcome::Started == outcome)
@@ -146,12 +158,8 @@
 		return;
 	}
 	noRetryReason_ = SendOutcome::NoCapacity == outcome ? NoRetryReason::NoCapacity : NoRetryReason::NoTargets;
-	if (_isRetry && 0 < runs_)
-	{
-		waitOrFail(ErrorKind::TargetLost);
-		return;
-	}
-	fail(SendOutcome::NoCapacity == outcome ? ErrorKind::Overloaded : ErrorKind::NoTargets);
+	const ErrorKind::Enum notRun = SendOutcome::NoCapacity == outcome ? ErrorKind::Overloaded : ErrorKind::NoTargets;
+	waitOrFail(0 < runs_ ? ErrorKind::TargetLost : notRun);
 }
 
 void RelayMachine::onSent()
@@ -228,7 +236,7 @@
 	if (mayRetry && spendRetryBudget())
 	{
 		++runs_;
-		send(true);
+		send();
 		return;
 	}
 	if (suspectedSend_ && kFirstServerError <= head_.status)
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -21,6 +21,7 @@
 #include <ports/keyedlog.h>
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
+#include <relay/admissioncontroller.h>
 #include <relay/requestingress.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
@@ -92,10 +93,11 @@
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      crashes_(requestLoop_, clock_, *pathOrders_, cell_, *this),
+	      admission_(requestLoop_, clock_, cell_),
 	      readiness_(*wire_, metrics_),
 	      ingress_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
 	                            watch_, *pathOrders_, startSettings_.mechanisms, responseTimes_, crashes_,
-	                            resumeAdmission_, rates_},
+	                            resumeAdmission_, rates_, admission_},
 	               _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -275,6 +277,11 @@
 		const std::lock_guard<std::mutex> lock(readyMutex_);
 		readiness_.setReady(false);
 		ingress_.stop(_window);
+		asio::post(requestLoop_,
+		           [this]
+		           {
+			           admission_.stop();
+		           });
 	}
 
 	/// @returns true while requests are active, or callers have not acknowledged all of a response: the bytes that the
@@ -351,7 +358,8 @@
 	TargetRateLimiter rates_;
 	std::unique_ptr<RunnerOrdersI> pathOrders_; //!< Used by the request loop.
 	PathWatch watch_;
-	CrashDetector crashes_; //!< Used by the request loop.
+	CrashDetector crashes_;         //!< Used by the request loop.
+	AdmissionController admission_; //!< Used by the request loop.
 	ReadinessHandler readiness_;
 	RequestIngress ingress_;
 	EntryControl control_;
--- a/packages/relay/include/relay/relaycontext.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -11,6 +11,7 @@
 namespace sedgecart
 {
 
+class AdmissionController;
 class ResponseTimeEstimator;
 class ClockI;
 class CrashDetector;
@@ -46,6 +47,7 @@
 	CrashDetector& crashes;
 	ResumeAdmission& resumes;
 	TargetRateLimiter& rates;
+	AdmissionController& admission;
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/capacitywait.cpp
+++ b/packages/relay/src/capacitywait.cpp
@@ -92,7 +92,6 @@
 	return isWaiting_ ? endedDuration_ + (context_.clock.now() - startedAt_) : endedDuration_;
 }
 
-/// @returns the remaining time of the wait; zero or less if it is over.
 Duration CapacityWait::timeLeft(Time _lastEventAt) const
 {
 	if (!context_.mechanisms.isEnabled(Mechanism::StreamWaits))
@@ -111,13 +110,18 @@
 	return Duration{_pause.micros - jitter + context_.random.below(span)};
 }
 
-void CapacityWait::startTimer(Duration _pause, Callback _onElapsed)
+void CapacityWait::beginQueued()
 {
 	if (!isWaiting_)
 	{
 		isWaiting_ = true;
 		startedAt_ = context_.clock.now();
 	}
+}
+
+void CapacityWait::startTimer(Duration _pause, Callback _onElapsed)
+{
+	beginQueued();
 	timer_.expires_after(std::chrono::microseconds(_pause.micros));
 	timer_.async_wait(
 	    [onElapsed = std::move(_onElapsed)](const boost::system::error_code& _error)
--- a/packages/relay/src/capacitywait_p.h
+++ b/packages/relay/src/capacitywait_p.h
@@ -15,7 +15,8 @@
 
 struct RelayPlan;
 
-/// Schedules the retries of one stream that has begun and waits for a target with free capacity. Loop thread only.
+/// Bounds the wait of one stream for a target with free capacity, and schedules its retries unless a queue does. Loop
+/// thread only.
 class CapacityWait
 {
 public:
@@ -36,6 +37,14 @@
 	/// @returns false in the same cases as `pause`.
 	bool pauseAfterRefusal(Time _lastEventAt, uint32_t _sendsLeft, Callback _onElapsed);
 
+	/// Starts a wait in a queue, which schedules the retries.
+	void beginQueued();
+
+	/// @param _lastEventAt when the caller last received an event; zero if never.
+	/// @returns the remaining time of a wait; zero or less if the caller is about to disconnect, the request's time is
+	/// over or waits are disabled.
+	Duration timeLeft(Time _lastEventAt) const;
+
 	/// Ends the wait, since a target continues the stream.
 	void onResumed();
 
@@ -58,7 +67,6 @@
 	Duration totalDuration() const;
 
 private:
-	Duration timeLeft(Time _lastEventAt) const;
 	Duration jittered(Duration _pause) const;
 	void startTimer(Duration _pause, Callback _onElapsed);
 
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -223,11 +223,8 @@
 	const WeightedService* const service = pickService(route, context_.random.next());
 	plan.service = nullptr == service ? std::string() : service->service;
 	plan.customer = nullptr == _match.holder ? std::string() : _match.holder->name;
-	plan.urgency = route.urgency;
-	if (nullptr != _match.holder && _match.holder->hasUrgency)
-	{
-		plan.urgency = _match.holder->urgency;
-	}
+	const bool hasUrgency = nullptr != _match.holder && _match.holder->hasUrgency;
+	plan.urgency = hasUrgency ? _match.holder->urgency : route.urgency;
 	plan.pauseObjective = route.pauseObjective;
 	plan.objective = route.objective;
 	plan.isPrioritized = RequestKind::Stream == route.kind && _routes.isPrioritized(plan.service);
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -107,6 +107,12 @@
 	/// `readmitExpired` is called after `_until`.
 	void excludeUntil(const FleetTarget& _target, Time _until);
 
+	/// @returns true if targets failed or refused this request and are excluded for it.
+	bool hasExclusions() const
+	{
+		return !excluded_.empty();
+	}
+
 	/// Allows a target to be chosen again.
 	void readmit(const FleetTarget& _target);
 
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -45,10 +45,11 @@
     : context_(_context),
       plan_(std::move(_plan)),
       onDone_(std::move(_onDone)),
-      machine_(plan_.facts, *this),
+      machine_(AdmissionWait::traitsOf(context_, plan_), *this),
       timer_(_context.loop),
       path_(context_, plan_),
       capacityWait_(context_, plan_),
+      admission_(context_, plan_, path_, capacityWait_),
       log_(context_.clock, plan_, machine_, path_, capacityWait_),
       forwarder_(context_, plan_, log_, std::move(_caller)),
       failureHandler_(context_, path_, log_),
@@ -115,7 +116,7 @@
 	{
 		return SendOutcome::Blocked;
 	}
-	const SendOutcome::Enum outcome = path_.choose(0 < machine_.events());
+	const SendOutcome::Enum outcome = admission_.choosePath(0 < machine_.events());
 	if (SendOutcome::Started == outcome)
 	{
 		retire(std::move(send_));
@@ -289,38 +290,6 @@
 	forwarder_.breakOff();
 }
 
-bool RequestRelay::waitForCapacity()
-{
-	path_.release();
-	const bool isFirst = !capacityWait_.isWaiting();
-	const std::weak_ptr<RequestRelay> weak = weak_from_this();
-	const auto onElapsed = [weak]
-	{
-		const std::shared_ptr<RequestRelay> self = weak.lock();
-		if (self)
-		{
-			self->onWaitElapsed();
-		}
-	};
-	const bool waits =
-	    NoRetryReason::TurnedAway == machine_.noRetryReason()
-	        ? capacityWait_.pauseAfterRefusal(forwarder_.lastForwardedAt(), machine_.sendsLeft(), onElapsed)
-	        : capacityWait_.pause(forwarder_.lastForwardedAt(), onElapsed);
-	if (waits && isFirst)
-	{
-		context_.metrics.add(Counter::StreamWaits);
-		logOutcome("Stream waits for a target with free capacity.", LogLevel::Info, nameOf(machine_.noRetryReason()));
-	}
-	return waits;
-}
-
-void RequestRelay::onWaitElapsed()
-{
-	path_.readmitExpired();
-	machine_.onCapacityAvailable();
-	finishIfDone();
-}
-
 void RequestRelay::logOutcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause) const
 {
 	log_.outcome(_sentence, _level, _cause, send_ ? send_->answer.atFault : std::string());
@@ -328,6 +297,7 @@
 
 void RequestRelay::onSent(const RelaySend& _send)
 {
+	admission_.onSent();
 	if (isCurrent(_send))
 	{
 		machine_.onSent();
@@ -357,16 +327,6 @@
 	return HeadVerdict::Accept;
 }
 
-/// Ends the wait for free capacity once a target continues the stream.
-void RequestRelay::endCapacityWait()
-{
-	if (capacityWait_.isWaiting() && machine_.forwarding())
-	{
-		capacityWait_.onResumed();
-		context_.metrics.add(Counter::StreamPlaces);
-	}
-}
-
 void RequestRelay::onBody(RelaySend& _send, std::string_view _bytes)
 {
 	const bool good = _send.forwardable && isSuccess(_send.head.status);
@@ -399,6 +359,7 @@
 void RequestRelay::recordProgress()
 {
 	const Duration pause = forwarder_.recordProgress(machine_.events(), capacityWait_.resumedAt());
+	admission_.onProgress(machine_.events(), send_->lastProgressAt);
 	send_->lastProgressAt = context_.clock.now();
 	if (0 < plan_.pauseObjective.micros && plan_.pauseObjective < pause)
 	{
@@ -570,6 +531,7 @@
 	resumeSlot_.reset();
 	timer_.cancel();
 	capacityWait_.cancel();
+	admission_.end();
 	context_.metrics.observe(Timing::Request, context_.clock.now() - plan_.arrivedAt);
 	const std::function<void()> call = std::move(onDone_);
 	onDone_ = nullptr;
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_RELAY_REQUESTRELAY_P_H_HEADER_GUARD
 #define SEDGECART_RELAY_REQUESTRELAY_P_H_HEADER_GUARD
 
+#include "admissionwait_p.h"
 #include "answerforwarder_p.h"
 #include "capacitywait_p.h"
 #include "pathchange_p.h"
@@ -22,6 +23,7 @@
 #include <loads/pathwatch.h>
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
+#include <relay/admissionwaiter.h>
 #include <relay/relaycontext.h>
 
 #include <functional>
@@ -33,7 +35,10 @@
 {
 
 /// Executes one admitted request: performs with sockets and timers what its RelayMachine decides. Loop thread only.
-class RequestRelay : public RelayActionsI, public WatchedPathI, public std::enable_shared_from_this<RequestRelay>
+class RequestRelay : public RelayActionsI,
+                     public WatchedPathI,
+                     public AdmissionWaiterI,
+                     public std::enable_shared_from_this<RequestRelay>
 {
 public:
 	/// @param _onDone called once, after the final answer or when the caller has gone.
@@ -63,6 +68,10 @@
 	void abortResponse() override;
 	bool waitForCapacity() override;
 
+	ReserveOutcome::Enum reserve() override;
+	void onAdmitted() override;
+	void onWaitEnded(WaitEnd::Enum _reason) override;
+
 	void onSent(const RelaySend& _send);
 	HeadVerdict::Enum onHead(RelaySend& _send, MessageHead& _head);
 	void onBody(RelaySend& _send, std::string_view _bytes);
@@ -93,6 +102,7 @@
 	void endCapacityWait();
 	std::string requestText(std::optional<uint64_t> _resumeAfter) const;
 	void onWaitElapsed();
+	bool pauseUntilRetry();
 	bool staysOnPath(const FleetTarget& _suspect);
 	void abortCaller();
 	void startTimer();
@@ -107,6 +117,7 @@
 	Timer timer_;
 	RequestPath path_;
 	CapacityWait capacityWait_;
+	AdmissionWait admission_;
 	RelayLog log_;
 	AnswerForwarder forwarder_;
 	TargetFailureHandler failureHandler_;
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -12,6 +12,7 @@
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
 #include <metrics/metrics.h>
+#include <relay/admissioncontroller.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
 #include <relay/targetratelimiter.h>
@@ -152,10 +153,11 @@
 	NullCrashSink sink_;
 	CrashDetector crashes_{loop_, clock_, orders_, cell_, sink_};
 	TargetRateLimiter rates_{"n1"};
+	AdmissionController admission_{loop_, clock_, cell_};
 
 public:
-	const RelayContext context{loop_,    clock_, wire_,   cell_,       cell_.link, pool_,    random_,  retries_,
-	                           metrics_, watch_, orders_, mechanisms_, pace_,      crashes_, resumes_, rates_};
+	const RelayContext context{loop_,  clock_,  wire_,       cell_, cell_.link, pool_,    random_, retries_,  metrics_,
+	                           watch_, orders_, mechanisms_, pace_, crashes_,   resumes_, rates_,  admission_};
 };
 
 } // namespace
