--- a/packages/core/tests/fairqueuetest.cpp
+++ b/packages/core/tests/fairqueuetest.cpp
@@ -33,6 +33,7 @@
 	CPPUNIT_TEST(startedWorkGoesFirst);
 	CPPUNIT_TEST(expiredRequestsAreRemoved);
 	CPPUNIT_TEST(workThatWasNotQueuedIsCharged);
+	CPPUNIT_TEST(withdrawnWorkIsNotCharged);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,6 +92,26 @@
 		queue.push(queued(2, "small"));
 		CPPUNIT_ASSERT_EQUAL(uint64_t{2}, queue.front()->id);
 	}
+
+	/// A customer whose requests expire must not fall behind one whose requests are served.
+	void withdrawnWorkIsNotCharged()
+	{
+		FairQueue queue;
+		for (uint64_t id = 1; id < 10; ++id)
+		{
+			queue.push(queued(id, "a"));
+			CPPUNIT_ASSERT(!queue.withdraw("a", id + 1));
+			CPPUNIT_ASSERT(queue.withdraw("a", id));
+		}
+		queue.push(queued(10, "a"));
+		queue.push(queued(11, "b"));
+		queue.pop();
+		queue.push(queued(12, "b"));
+		queue.push(queued(13, "a"));
+		CPPUNIT_ASSERT_EQUAL(uint64_t{11}, queue.front()->id);
+		queue.pop();
+		CPPUNIT_ASSERT_EQUAL(uint64_t{13}, queue.front()->id);
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FairQueueTest);
