--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -221,6 +221,7 @@
 	chosenPath_ = std::move(previous_->path);
 	reservation_ = std::move(previous_->reservation);
 	previous_.reset();
+	streamRelease_.restore();
 }
 
 bool RequestPath::hasAlternative(bool _isReroute) const
--- a/packages/relay/src/streamrelease.cpp
+++ b/packages/relay/src/streamrelease.cpp
@@ -77,6 +77,14 @@
 	}
 }
 
+void StreamRelease::restore()
+{
+	if (end_ && !addedAt_)
+	{
+		add();
+	}
+}
+
 void StreamRelease::onComplete()
 {
 	if (end_ && 0 < events_ && 0 < plan_.caller.hintedTokens)
--- a/packages/relay/src/streamrelease_p.h
+++ b/packages/relay/src/streamrelease_p.h
@@ -41,6 +41,9 @@
 	/// Removes the stream: it runs at no target.
 	void release();
 
+	/// Adds the stream again after `release`: its previous send continues.
+	void restore();
+
 	/// Records the length and the pace of a complete answer, for estimates of other streams.
 	void onComplete();
 
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -1,7 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include "../src/answerforwarder_p.h"
 #include "../src/relayplan_p.h"
 #include "../src/requestpath_p.h"
+#include "../src/retryafter_p.h"
 #include "../src/targetnotices_p.h"
 
 #include <base/seededrandom.h>
@@ -20,6 +22,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <string>
 
 namespace sedgecart
 {
@@ -85,6 +88,7 @@
 };
 
 constexpr uint32_t kPromptTokens = 10;
+constexpr uint32_t kHintedTokens = 10;
 
 /// A service of a model of 8 layers, and a request for it.
 class RequestFixture
@@ -123,6 +127,33 @@
 		cell_.view.publish(std::move(view));
 	}
 
+	/// Makes the service prioritized, and the request one of its streams.
+	ServiceAccount& prioritize()
+	{
+		service_->account = std::make_shared<ServiceAccount>();
+		plan.isPrioritized = true;
+		plan.caller.hintedTokens = kHintedTokens;
+		plan.deadline = clock_.now() + Duration::fromMillis(60'000);
+		return *service_->account;
+	}
+
+	void disable(const std::string& _mechanism)
+	{
+		std::string unknown;
+		CPPUNIT_ASSERT(mechanisms_.disable(_mechanism, unknown));
+	}
+
+	Time now() const
+	{
+		return clock_.now();
+	}
+
+	/// @returns the Retry-After of a refusal, ms.
+	int64_t retryAfter(ErrorKind::Enum _kind)
+	{
+		return chooseRetryAfter(context, plan, responseOf(_kind), Refusal{std::nullopt, kPromptTokens, ""}).millis();
+	}
+
 	/// @returns the capacity of a target with 4 layers, in token layers.
 	double capacity() const
 	{
@@ -168,6 +199,8 @@
 	CPPUNIT_TEST(anAlternativeNeedsAnotherHead);
 	CPPUNIT_TEST(theHeadOfThePreviousPathIsNotChosen);
 	CPPUNIT_TEST(anAnswerWithoutALimitOverridesReportedLimits);
+	CPPUNIT_TEST(aStreamIsInTheTimelineWhileItRuns);
+	CPPUNIT_TEST(refusalsForLackOfCapacityFollowTheForecast);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,6 +288,56 @@
 		CPPUNIT_ASSERT(target.load->ownRate.get().isKnown());
 		CPPUNIT_ASSERT(!target.load->rate().limit);
 	}
+
+	/// Guards against streams that stay in the timeline after their end, and are promised to refused callers forever.
+	void aStreamIsInTheTimelineWhileItRuns()
+	{
+		RequestFixture fixture;
+		fixture.add(0, LayerSpan{0, 8});
+		fixture.add(0, LayerSpan{0, 8});
+		fixture.publish();
+		const ReleaseTimeline& releases = fixture.prioritize().releases;
+		{
+			RequestPath path(fixture.context, fixture.plan);
+			CPPUNIT_ASSERT(SendOutcome::Started == path.choose(false));
+			CPPUNIT_ASSERT(!releases.isEmpty());
+			path.onEvents(kHintedTokens / 2);
+			CPPUNIT_ASSERT(SendOutcome::Started == path.chooseAlternative(true));
+			path.release(); // the alternative failed
+			CPPUNIT_ASSERT(releases.isEmpty());
+			path.restorePrevious();
+			uint64_t sum = 0;
+			for (const uint64_t tokens : releases.released(fixture.now()))
+			{
+				sum += tokens;
+			}
+			CPPUNIT_ASSERT_EQUAL(path.reservedTokens(), sum);
+		}
+		CPPUNIT_ASSERT(releases.isEmpty());
+		fixture.disable("capacity-forecast");
+		RequestPath path(fixture.context, fixture.plan);
+		CPPUNIT_ASSERT(SendOutcome::Started == path.choose(false));
+		CPPUNIT_ASSERT(releases.isEmpty());
+	}
+
+	void refusalsForLackOfCapacityFollowTheForecast()
+	{
+		RequestFixture fixture;
+		fixture.publish();
+		ReturnPlanner& planner = fixture.prioritize().returns;
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded)); // nothing is known
+		planner.setForecast(StepTokens{}, fixture.now());
+		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::Overloaded));
+		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::TargetRefused));
+		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::NoTargets));
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Stopping));
+		CPPUNIT_ASSERT_EQUAL(int64_t(0), fixture.retryAfter(ErrorKind::BadRequest));
+		fixture.plan.isPrioritized = false;
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded));
+		fixture.plan.isPrioritized = true;
+		fixture.disable("capacity-forecast");
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestPathTest);
