--- a/packages/admission/include/admission/serviceaccount.h
+++ b/packages/admission/include/admission/serviceaccount.h
@@ -6,8 +6,8 @@
 #include <admission/leaseaccount.h>
 #include <admission/releasetimeline.h>
 #include <admission/returnplanner.h>
-#include <admission/streampace.h>
 #include <admission/waitingtokens.h>
+#include <core/streampace.h>
 
 namespace sedgecart
 {
--- a/packages/admission/include/admission/streamend.h
+++ b/packages/core/include/core/streamend.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_STREAMEND_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_STREAMEND_H_HEADER_GUARD
+#ifndef SEDGECART_CORE_STREAMEND_H_HEADER_GUARD
+#define SEDGECART_CORE_STREAMEND_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -53,4 +53,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_STREAMEND_H_HEADER_GUARD
+#endif // SEDGECART_CORE_STREAMEND_H_HEADER_GUARD
--- a/packages/admission/include/admission/streampace.h
+++ b/packages/core/include/core/streampace.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_STREAMPACE_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_STREAMPACE_H_HEADER_GUARD
+#ifndef SEDGECART_CORE_STREAMPACE_H_HEADER_GUARD
+#define SEDGECART_CORE_STREAMPACE_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -44,4 +44,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_STREAMPACE_H_HEADER_GUARD
+#endif // SEDGECART_CORE_STREAMPACE_H_HEADER_GUARD
--- a/packages/admission/src/streamend.cpp
+++ b/packages/core/src/streamend.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/streamend.h>
+#include <core/streamend.h>
 
-#include <admission/streampace.h>
+#include <core/streampace.h>
 
 #include <algorithm>
 
--- a/packages/relay/src/streamrelease_p.h
+++ b/packages/relay/src/streamrelease_p.h
@@ -3,8 +3,8 @@
 #ifndef SEDGECART_RELAY_STREAMRELEASE_P_H_HEADER_GUARD
 #define SEDGECART_RELAY_STREAMRELEASE_P_H_HEADER_GUARD
 
-#include <admission/streamend.h>
 #include <base/units.h>
+#include <core/streamend.h>
 
 #include <cstdint>
 #include <memory>
