--- a/packages/admission/src/returnplanner.cpp
+++ b/packages/admission/src/returnplanner.cpp
@@ -17,10 +17,10 @@
 constexpr Duration kMaxForecastAge = Duration::fromMillis(1500);
 
 /// Callers return at random within a step after the slot that has room for them, so that those of different nodes do
-/// not return together.
+/// not return together, and not before streams have ended whose estimated ends are some 100 ms too early.
 constexpr Duration kJitter = kForecastStep;
 
-/// For callers that find no room within the forecast. They return within 7.5 s, while most have as much time left.
+/// For callers that find no room within the forecast.
 constexpr Duration kBeyondForecast = Duration::fromMillis(5000);
 constexpr Duration kBeyondJitter = Duration::fromMillis(2500);
 
--- a/packages/admission/tests/capacityforecasttest.cpp
+++ b/packages/admission/tests/capacityforecasttest.cpp
@@ -139,6 +139,7 @@
 	CPPUNIT_TEST(withoutHubNodesPromiseTheirOwnReleases);
 	CPPUNIT_TEST(lateReportsAreAged);
 	CPPUNIT_TEST(partsNeverExceedTheCapacity);
+	CPPUNIT_TEST(ownPromisesAndWaitingRequestsAreCovered);
 	CPPUNIT_TEST(overPromisedCapacityIsNotPromisedAgain);
 	CPPUNIT_TEST(theNumberOfNodesIsBounded);
 	CPPUNIT_TEST_SUITE_END();
@@ -204,6 +205,17 @@
 		CPPUNIT_ASSERT(rc::check("parts never exceed the capacity", checkRandomReports));
 	}
 
+	/// Guards against promises that are subtracted twice, by the hub and by the node.
+	void ownPromisesAndWaitingRequestsAreCovered()
+	{
+		CapacityForecast hub;
+		ServiceDemand demand;
+		demand.promised[0] = kTokens;
+		demand.waiting[2] = kTokens;
+		CPPUNIT_ASSERT(hub.onReport("a", demand, at(0)));
+		CPPUNIT_ASSERT_EQUAL(4 * kTokens, hub.forecast("a", 4 * kTokens, at(0))[0]);
+	}
+
 	/// Guards against promises to urgent callers, made beside those to others, that raise the node's own part again.
 	void overPromisedCapacityIsNotPromisedAgain()
 	{
--- a/packages/admission/tests/returnplannertest.cpp
+++ b/packages/admission/tests/returnplannertest.cpp
@@ -7,6 +7,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <numeric>
+
 namespace sedgecart
 {
 
@@ -82,12 +84,21 @@
 		CPPUNIT_ASSERT_EQUAL(int64_t(1000), planner_.expectedIn(100, 0, kNow)->millis());
 	}
 
-	/// Guards against callers that return within the overload and are refused again.
+	/// Guards against callers that return within the overload and are refused again, and against promises that count
+	/// again when their slots are reused after 12.8 s.
 	void callersWithoutRoomReturnAfterTheForecast()
 	{
-		planner_.setForecast(StepTokens{}, kNow);
-		const Duration retryAfter = planner_.planReturn(1, 0, kNow, random_).value();
-		CPPUNIT_ASSERT(5000 <= retryAfter.millis() && retryAfter.millis() < 7500);
+		for (const Time now : {kNow, in(12'800)})
+		{
+			planner_.setForecast(StepTokens{}, now);
+			for (int caller = 0; caller < 200; ++caller)
+			{
+				const int64_t millis = planner_.planReturn(1, 0, now, random_)->millis();
+				CPPUNIT_ASSERT(5000 <= millis && millis < 7500);
+			}
+			const StepTokens promised = planner_.promised(now + Duration::fromMillis(5000));
+			CPPUNIT_ASSERT_EQUAL(uint64_t(200), std::accumulate(promised.begin(), promised.end(), uint64_t(0)));
+		}
 	}
 
 	/// Guards against a forecast that is used after the hub is lost.
