--- a/packages/admission/tests/capacityforecasttest.cpp
+++ b/packages/admission/tests/capacityforecasttest.cpp
@@ -188,14 +188,17 @@
 		CapacityForecast hub;
 		ServiceDemand demand;
 		demand.released[1] = kTokens; // 500 to 1,000 ms
+		demand.waiting[0] = kTokens;
 		CPPUNIT_ASSERT(hub.onReport("a", demand, at(0)));
 		CPPUNIT_ASSERT_EQUAL(kTokens, hub.forecast("a", 0, at(0))[1]);
 		CPPUNIT_ASSERT_EQUAL(kTokens, hub.forecast("a", 0, at(500))[0]);
-		CPPUNIT_ASSERT_EQUAL(uint64_t(0), hub.forecast("a", 0, at(1000))[9]);
+		CPPUNIT_ASSERT_EQUAL(kTokens, hub.forecast("a", kTokens, at(1000))[9]);
 		CPPUNIT_ASSERT(!hub.onReport("a", demand, Time{-1}));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), hub.nodes(at(1500)));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), hub.nodes(at(1700)));
 		CPPUNIT_ASSERT_EQUAL(uint64_t(0), hub.forecast("a", kTokens, at(1700))[9]);
+		CPPUNIT_ASSERT(hub.onReport("b", ServiceDemand{}, at(1700)));
+		CPPUNIT_ASSERT_EQUAL(kTokens, hub.forecast("b", kTokens, at(1700))[9]);
 	}
 
 	/// Guards against nodes that together are given more than is expected to be free, at any order of reports, while
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -161,7 +161,7 @@
 	return closed;
 }
 
-/// Counts the send against the rate limit of the path's head.
+/// Counts the send against the rate limit of the path's head, and adds the stream to the expected releases.
 void RequestPath::recordSend()
 {
 	context_.rates.onSent(head(), context_.clock.now());
