--- a/packages/admission/tests/returnplannertest.cpp
+++ b/packages/admission/tests/returnplannertest.cpp
@@ -108,6 +108,7 @@
 		releases_.add(100, in(2000));
 		planner_.setForecast(StepTokens{100, 100, 100, 100, 100, 100, 100, 100, 100, 100}, kNow);
 		CPPUNIT_ASSERT(planner_.expectedIn(100, 0, in(1500))->millis() == 0);
+		CPPUNIT_ASSERT(0 < planner_.expectedIn(100, 0, in(1501))->millis());
 		CPPUNIT_ASSERT(!planner_.expectedIn(101, 0, in(1501)));
 	}
 
--- a/packages/core/tests/streamendtest.cpp
+++ b/packages/core/tests/streamendtest.cpp
@@ -36,6 +36,7 @@
 		StreamEnd stream(pace_, 40, 0, at(0));
 		stream.onEvents(40, at(600));
 		CPPUNIT_ASSERT_EQUAL(int64_t(10 * 14), (stream.endsAt() - at(600)).millis());
+		CPPUNIT_ASSERT(!stream.onEvents(41, at(700)));
 		CPPUNIT_ASSERT(stream.onEvents(42, at(740))); // the estimate has passed
 		CPPUNIT_ASSERT(at(740) < stream.endsAt());
 	}
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -318,8 +318,13 @@
 		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded)); // nothing is known
 		planner.setForecast(StepTokens{}, fixture.context.clock.now());
 		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::Overloaded));
+		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::TargetRefused));
+		CPPUNIT_ASSERT(5000 <= fixture.retryAfter(ErrorKind::NoTargets));
 		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Stopping));
 		CPPUNIT_ASSERT_EQUAL(int64_t(0), fixture.retryAfter(ErrorKind::BadRequest));
+		fixture.plan.isPrioritized = false;
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded));
+		fixture.plan.isPrioritized = true;
 		fixture.disable("capacity-forecast");
 		CPPUNIT_ASSERT_EQUAL(int64_t(250), fixture.retryAfter(ErrorKind::Overloaded));
 	}
