--- a/packages/admission/tests/returnplannertest.cpp
+++ b/packages/admission/tests/returnplannertest.cpp
@@ -7,6 +7,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <numeric>
+
 namespace sedgecart
 {
 
@@ -26,7 +28,6 @@
 {
 	CPPUNIT_TEST_SUITE(ReturnPlannerTest);
 	CPPUNIT_TEST(releasesAreSummedByStep);
-	CPPUNIT_TEST(nothingIsKnownWithoutForecastAndStreams);
 	CPPUNIT_TEST(callersReturnWhenThereIsRoom);
 	CPPUNIT_TEST(moreUrgentCallersReturnEarlier);
 	CPPUNIT_TEST(waitingRequestsGoFirst);
@@ -50,13 +51,6 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(70), releases_.released(in(100))[9]);
 	}
 
-	void nothingIsKnownWithoutForecastAndStreams()
-	{
-		CPPUNIT_ASSERT(!planner_.hasForecast(kNow));
-		CPPUNIT_ASSERT(!planner_.planReturn(1, 0, kNow, random_));
-		CPPUNIT_ASSERT(!planner_.expectedIn(1, 0, kNow));
-	}
-
 	void callersReturnWhenThereIsRoom()
 	{
 		planner_.setForecast(StepTokens{0, 100, 100, 100, 200, 200, 200, 200, 200, 200}, kNow);
@@ -90,17 +84,27 @@
 		CPPUNIT_ASSERT_EQUAL(int64_t(1000), planner_.expectedIn(100, 0, kNow)->millis());
 	}
 
-	/// Guards against callers that return within the overload and are refused again.
+	/// Guards against callers that return within the overload and are refused again, and against promises that count
+	/// again when their slots are reused after 12.8 s.
 	void callersWithoutRoomReturnAfterTheForecast()
 	{
-		planner_.setForecast(StepTokens{}, kNow);
-		const Duration retryAfter = planner_.planReturn(1, 0, kNow, random_).value();
-		CPPUNIT_ASSERT(5000 <= retryAfter.millis() && retryAfter.millis() < 7500);
+		for (const Time now : {kNow, in(12'800)})
+		{
+			planner_.setForecast(StepTokens{}, now);
+			for (int caller = 0; caller < 200; ++caller)
+			{
+				const int64_t millis = planner_.planReturn(1, 0, now, random_)->millis();
+				CPPUNIT_ASSERT(5000 <= millis && millis < 7500);
+			}
+			const StepTokens promised = planner_.promised(now + Duration::fromMillis(5000));
+			CPPUNIT_ASSERT_EQUAL(uint64_t(200), std::accumulate(promised.begin(), promised.end(), uint64_t(0)));
+		}
 	}
 
 	/// Guards against a forecast that is used after the hub is lost.
 	void anOldForecastGivesWayToOwnReleases()
 	{
+		CPPUNIT_ASSERT(!planner_.hasForecast(kNow) && !planner_.planReturn(1, 0, kNow, random_)); // nothing is known
 		releases_.add(100, in(2000));
 		planner_.setForecast(StepTokens{100, 100, 100, 100, 100, 100, 100, 100, 100, 100}, kNow);
 		CPPUNIT_ASSERT(planner_.expectedIn(100, 0, in(1500))->millis() == 0);
--- a/packages/admission/tests/streamendtest.cpp
+++ b/packages/core/tests/streamendtest.cpp
@@ -1,23 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/streamend.h>
-#include <admission/streampace.h>
+#include <core/streamend.h>
+#include <core/streampace.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace sedgecart
 {
 
-namespace
-{
-
-Time at(int64_t _millis)
-{
-	return Time{_millis * 1000};
-}
-
-} // namespace
-
 class StreamEndTest : public CppUnit::TestFixture
 {
 	CPPUNIT_TEST_SUITE(StreamEndTest);
@@ -62,6 +52,11 @@
 	}
 
 private:
+	static Time at(int64_t _millis)
+	{
+		return Time{_millis * 1000};
+	}
+
 	StreamPace pace_;
 };
 
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -163,7 +163,7 @@
 	return closed;
 }
 
-/// Counts the send against the rate limit of the path's head.
+/// Counts the send against the rate limit of the path's head, and adds the stream to the expected releases.
 void RequestPath::recordSend()
 {
 	context_.rates.onSent(head(), context_.clock.now());
@@ -223,6 +223,7 @@
 	chosenPath_ = std::move(previous_->path);
 	reservation_ = std::move(previous_->reservation);
 	previous_.reset();
+	streamRelease_.restore();
 }
 
 bool RequestPath::hasAlternative(bool _isReroute) const
--- a/packages/relay/src/streamrelease_p.h
+++ b/packages/relay/src/streamrelease_p.h
@@ -3,8 +3,8 @@
 #ifndef SEDGECART_RELAY_STREAMRELEASE_P_H_HEADER_GUARD
 #define SEDGECART_RELAY_STREAMRELEASE_P_H_HEADER_GUARD
 
-#include <admission/streamend.h>
 #include <base/units.h>
+#include <core/streamend.h>
 
 #include <cstdint>
 #include <memory>
@@ -41,6 +41,9 @@
 	/// Removes the stream: it runs at no target.
 	void release();
 
+	/// Adds the stream again after `release`: its previous send continues.
+	void restore();
+
 	/// Records the length and the pace of a complete answer, for estimates of other streams.
 	void onComplete();
 
