Wait queue: started streams do not wait for a lease, requests without retry budget are passed over

Cause: a started stream behind a new request that lacks a lease waited for it although it needs none, and a request that was admitted without retry budget returned to the queue in each look, with a log line each time.

--- a/packages/admission/include/admission/waitqueue.h
+++ b/packages/admission/include/admission/waitqueue.h
@@ -57,11 +57,17 @@
 	/// @returns the request to admit next; null if none waits or all were passed over.
 	const PendingRequest* next() const;
 
-	/// Removes the next request, which is admitted.
-	void pop();
+	/// @returns the started stream to admit next, also behind requests that have not begun; null if none waits or all
+	/// were passed over.
+	const PendingRequest* nextBegun() const;
 
-	/// Passes over the next request until `restorePassedOver`, since it cannot use the free capacity.
-	void passOver();
+	/// Removes a request that is admitted.
+	/// @param _id of a queued request that was not passed over.
+	void admit(uint64_t _id);
+
+	/// Leaves a request out until `restorePassedOver`, since it cannot use the free capacity.
+	/// @param _id of a queued request that was not passed over.
+	void passOver(uint64_t _id);
 
 	/// Makes `next` consider all requests again.
 	void restorePassedOver();
@@ -92,7 +98,7 @@
 	}
 
 private:
-	/// Started streams: urgency and `startBy` in microseconds, then id.
+	/// Key of a started stream: urgency and `startBy` in microseconds, then id.
 	using BegunKey = std::pair<std::pair<uint32_t, int64_t>, uint64_t>;
 
 	/// Time in microseconds and id.
@@ -119,6 +125,7 @@
 	const std::size_t maxRequests_;
 	std::unordered_map<uint64_t, Entry> requests_; //!< By id.
 	std::set<BegunKey> begun_;                     //!< Those on time, in the order of admission.
+	std::set<BegunKey> lateBegun_;                 //!< Those that miss their gap objective; also in `classes_`.
 	std::array<std::unique_ptr<UrgencyQueue>, kUrgencies> classes_;
 	std::array<double, kUrgencies>
 	    floorCredit_{};         //!< Tokens that an urgency with waiting requests is short of its floor.
--- a/packages/admission/src/waitqueue.cpp
+++ b/packages/admission/src/waitqueue.cpp
@@ -101,6 +101,10 @@
 		return;
 	}
 	classes_[_entry.request.urgency]->push(_entry.request);
+	if (_entry.request.hasBegun)
+	{
+		lateBegun_.insert(begunKey(_entry.request));
+	}
 }
 
 /// Removes a request from the order of admission only.
@@ -117,6 +121,7 @@
 		return;
 	}
 	classes_[_entry.request.urgency]->remove(_entry.request);
+	lateBegun_.erase(begunKey(_entry.request));
 }
 
 void WaitQueue::removeAll(const Entry& _entry)
@@ -163,20 +168,33 @@
 	return nullptr == queue ? nullptr : queue->front();
 }
 
-void WaitQueue::pop()
+const PendingRequest* WaitQueue::nextBegun() const
+{
+	const std::set<BegunKey>& keys = begun_.empty() ? lateBegun_ : begun_;
+	return keys.empty() ? nullptr : &requests_.at(keys.begin()->second).request;
+}
+
+void WaitQueue::admit(uint64_t _id)
 {
-	const PendingRequest* const request = next();
-	if (nullptr == request)
+	const Entry& entry = requests_.at(_id);
+	const uint32_t urgency = entry.request.urgency;
+	const std::string customer = entry.request.customer;
+	const uint64_t tokens = entry.request.tokens;
+	const bool isCharged = !entry.isOnTime;
+	creditFloors(entry.request);
+	const PendingRequest* const front = classes_[urgency]->front();
+	if (isCharged && nullptr != front && _id == front->id)
 	{
+		lateBegun_.erase(begunKey(entry.request));
+		classes_[urgency]->pop();
+		removeAll(entry);
 		return;
 	}
-	const Entry& entry = requests_.at(request->id);
-	creditFloors(entry.request);
-	if (!entry.isOnTime)
+	removeAll(entry);
+	if (isCharged)
 	{
-		classes_[request->urgency]->pop();
+		charge(customer, urgency, tokens);
 	}
-	removeAll(entry);
 }
 
 /// Credits each waiting urgency with its floor of the admitted tokens, and charges the admitted one.
@@ -191,17 +209,12 @@
 	own = std::max(0.0, own - tokens);
 }
 
-void WaitQueue::passOver()
+void WaitQueue::passOver(uint64_t _id)
 {
-	const PendingRequest* const request = next();
-	if (nullptr == request)
-	{
-		return;
-	}
-	Entry& entry = requests_.at(request->id);
+	Entry& entry = requests_.at(_id);
 	erase(entry);
 	entry.isPassedOver = true;
-	passedOver_.push_back(entry.request.id);
+	passedOver_.push_back(_id);
 }
 
 void WaitQueue::restorePassedOver()
--- a/packages/admission/tests/waitqueuetest.cpp
+++ b/packages/admission/tests/waitqueuetest.cpp
@@ -50,9 +50,10 @@
 std::vector<uint64_t> admitAll(WaitQueue& _queue)
 {
 	std::vector<uint64_t> ids;
-	for (; nullptr != _queue.next(); _queue.pop())
+	while (nullptr != _queue.next())
 	{
 		ids.push_back(_queue.next()->id);
+		_queue.admit(ids.back());
 	}
 	return ids;
 }
@@ -94,7 +95,7 @@
 			for (; 1 <= free_ && nullptr != queue.next(); --free_)
 			{
 				++flows[flowOf_.at(queue.next()->id)].served;
-				queue.pop();
+				queue.admit(queue.next()->id);
 			}
 		}
 	}
@@ -190,6 +191,7 @@
 		CPPUNIT_ASSERT_EQUAL(uint64_t(1), queue.next()->id);
 		CPPUNIT_ASSERT(queue.expire(at(100)).empty());
 		CPPUNIT_ASSERT_EQUAL(uint64_t(2), queue.next()->id);
+		CPPUNIT_ASSERT_EQUAL(uint64_t(1), queue.nextBegun()->id); // if the other one lacks a lease
 		CPPUNIT_ASSERT_EQUAL(uint64_t(2), queue.expire(at(400)).at(0).id);
 		CPPUNIT_ASSERT_EQUAL(uint64_t(1), queue.expire(at(2000)).at(0).id);
 	}
@@ -214,12 +216,12 @@
 		WaitQueue queue;
 		queue.push(request(1, 0, 100), true);
 		queue.push(request(2, 1, 100), true);
-		queue.passOver();
+		queue.passOver(1);
 		CPPUNIT_ASSERT_EQUAL(uint64_t(2), queue.next()->id);
 		CPPUNIT_ASSERT_EQUAL(kTokens, queue.tokens()[0]);
 		queue.restorePassedOver();
 		CPPUNIT_ASSERT_EQUAL(uint64_t(1), queue.next()->id);
-		queue.passOver();
+		queue.passOver(1);
 		CPPUNIT_ASSERT(queue.remove(1));
 		queue.restorePassedOver();
 		CPPUNIT_ASSERT((std::vector<uint64_t>{2}) == admitAll(queue));
@@ -306,8 +308,7 @@
 		{
 			push(++id);
 			queue.expire(at(static_cast<int64_t>(decision / 4)));
-			queue.next();
-			queue.pop();
+			queue.admit(queue.next()->id);
 		}
 		const auto taken = std::chrono::steady_clock::now() - from;
 		CPPUNIT_ASSERT(taken < std::chrono::microseconds(kDecisions * kMaxMicros));
@@ -346,7 +347,7 @@
 			}
 			if (0 == *rc::gen::inRange<int>(0, 3) && nullptr != queue.next())
 			{
-				queue.passOver();
+				queue.passOver(queue.next()->id);
 			}
 			now += *rc::gen::inRange<int>(0, 20);
 			for (const PendingRequest& expired : queue.expire(at(now)))
@@ -357,8 +358,10 @@
 			RC_ASSERT(queue.remove(removed) == (1U == queued.erase(removed)));
 			if (nullptr != queue.next())
 			{
-				queued.erase(queue.next()->id);
-				queue.pop();
+				const PendingRequest* const started = queue.nextBegun();
+				const uint64_t admitted = nullptr != started && 0 == id % 2 ? started->id : queue.next()->id;
+				RC_ASSERT(1U == queued.erase(admitted));
+				queue.admit(admitted);
 			}
 			queue.restorePassedOver();
 			RC_ASSERT(queued.size() == queue.size() && queue.size() <= kMax);
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -180,6 +180,10 @@
 	/// @param _notRun true if its target stated that it did not run the request.
 	void onSuspectedSendEnded(bool _notRun);
 
+	/// Takes the retry from the budget that `onCapacityAvailable` needs. It is taken once.
+	/// @returns false if the request does not wait or the budget allows none; it continues to wait then.
+	bool reserveRetry();
+
 	/// Reports that a target may have capacity for a waiting request.
 	void onCapacityAvailable();
 
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -123,6 +123,14 @@
 	send();
 }
 
+bool RelayMachine::reserveRetry()
+{
+	const NoRetryReason::Enum waitReason = noRetryReason_;
+	const bool isGranted = waiting_ && spendRetryBudget();
+	noRetryReason_ = isGranted ? waitReason : noRetryReason_; // it still waits
+	return isGranted;
+}
+
 void RelayMachine::onCapacityAvailable()
 {
 	if (done_ || !waiting_)
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -693,8 +693,14 @@
 		refuseRequest(machine);
 		CPPUNIT_ASSERT(machine.waiting());
 		CPPUNIT_ASSERT_EQUAL(2U, actions.sends);
+		actions.mayRetry = false;
+		CPPUNIT_ASSERT(!machine.reserveRetry());
+		CPPUNIT_ASSERT(machine.waiting());
+		actions.mayRetry = true;
+		CPPUNIT_ASSERT(machine.reserveRetry());
 		machine.onCapacityAvailable();
 		CPPUNIT_ASSERT_EQUAL(3U, actions.sends);
+		CPPUNIT_ASSERT_EQUAL(2U, actions.retriesPaid); // once for each send after the first
 		stream(machine);
 		machine.onBody(event(0));
 		machine.onComplete();
@@ -881,6 +887,12 @@
 			RC_ASSERT(_machine.done() && sends == _actions.sends);
 			return;
 		}
+		if (4 == _choice)
+		{
+			_machine.reserveRetry();
+			RC_ASSERT(_machine.waiting() && sends == _actions.sends);
+			return;
+		}
 		_machine.onCapacityAvailable();
 	}
 
--- a/packages/relay/include/relay/admissioncontroller.h
+++ b/packages/relay/include/relay/admissioncontroller.h
@@ -82,12 +82,19 @@
 		std::unordered_map<uint64_t, std::weak_ptr<AdmissionWaiterI>> waiters; //!< Of the queued requests.
 	};
 
+	/// State of one look for capacity.
+	struct AdmissionRound
+	{
+		uint32_t excluded = 0;  //!< Requests that were passed over because they exclude the free targets.
+		bool onlyBegun = false; //!< The lease has no tokens left: only started streams can be admitted.
+	};
+
 	ServiceQueue* find(const std::string& _service);
 	const ServiceQueue* find(const std::string& _service) const;
 	bool isExpectedInTime(const ServiceQueue& _queue, const PendingRequest& _request) const;
 	void endWaits(ServiceQueue& _queue, const std::vector<PendingRequest>& _requests, WaitEnd::Enum _reason);
 	void admitWaiting(ServiceQueue& _queue);
-	bool admitNext(ServiceQueue& _queue, uint32_t& _excluded);
+	bool admitNext(ServiceQueue& _queue, AdmissionRound& _round);
 	void publishWaiting(ServiceQueue& _queue);
 	void schedule(Duration _wait);
 	void poll();
--- a/packages/relay/include/relay/admissionwaiter.h
+++ b/packages/relay/include/relay/admissionwaiter.h
@@ -12,7 +12,9 @@
 	enum Enum
 	{
 		Reserved,   //!< Its tokens were granted and a path was found.
-		NoCapacity, //!< The lease has no tokens, or no path has room.
+		NoTokens,   //!< The lease has no tokens for it. Started streams do not need them.
+		NoRetry,    //!< It was sent before, and the retry budget allows no retry. Others may need none.
+		NoCapacity, //!< No path has room.
 		Excluded,   //!< No path avoids the targets that refused this request. Others may find one.
 
 		Count
--- a/packages/relay/src/admissioncontroller.cpp
+++ b/packages/relay/src/admissioncontroller.cpp
@@ -183,9 +183,9 @@
 void AdmissionController::admitWaiting(ServiceQueue& _queue)
 {
 	endWaits(_queue, _queue.queue.expire(clock_.now()), WaitEnd::Expired);
-	uint32_t excluded = 0;
-	// Requests that return to the queue meanwhile, for example without retry budget, wait for the next look.
-	for (std::size_t left = _queue.queue.size(); 0 < left && admitNext(_queue, excluded); --left)
+	AdmissionRound round;
+	// A request that returns to the queue meanwhile waits for the next look.
+	for (std::size_t left = _queue.queue.size(); 0 < left && admitNext(_queue, round); --left)
 	{
 	}
 	_queue.queue.restorePassedOver();
@@ -193,9 +193,9 @@
 }
 
 /// @returns false if no further request can be admitted now.
-bool AdmissionController::admitNext(ServiceQueue& _queue, uint32_t& _excluded)
+bool AdmissionController::admitNext(ServiceQueue& _queue, AdmissionRound& _round)
 {
-	const PendingRequest* const next = _queue.queue.next();
+	const PendingRequest* const next = _round.onlyBegun ? _queue.queue.nextBegun() : _queue.queue.next();
 	if (nullptr == next)
 	{
 		return false;
@@ -211,17 +211,23 @@
 	const ReserveOutcome::Enum outcome = waiter->reserve();
 	if (ReserveOutcome::Reserved == outcome)
 	{
-		_queue.queue.pop();
+		_queue.queue.admit(id);
 		_queue.waiters.erase(id);
 		waiter->onAdmitted();
 		return true;
 	}
-	if (ReserveOutcome::Excluded == outcome)
+	if (ReserveOutcome::NoTokens == outcome)
 	{
-		_queue.queue.passOver();
-		return ++_excluded < kMaxExcluded;
+		_round.onlyBegun = true;
+		return true;
+	}
+	if (ReserveOutcome::NoCapacity == outcome)
+	{
+		return false;
 	}
-	return false;
+	_queue.queue.passOver(id);
+	_round.excluded += ReserveOutcome::Excluded == outcome ? 1 : 0;
+	return _round.excluded < kMaxExcluded;
 }
 
 void AdmissionController::publishWaiting(ServiceQueue& _queue)
--- a/packages/relay/src/admissionwait.cpp
+++ b/packages/relay/src/admissionwait.cpp
@@ -106,7 +106,7 @@
 	path_.readmitExpired();
 	if (!takeTokens() && !_hasBegun)
 	{
-		return ReserveOutcome::NoCapacity;
+		return ReserveOutcome::NoTokens;
 	}
 	hasPath_ = SendOutcome::Started == path_.choose(_hasBegun);
 	if (hasPath_)
--- a/packages/relay/src/requestwait.cpp
+++ b/packages/relay/src/requestwait.cpp
@@ -63,7 +63,7 @@
 
 ReserveOutcome::Enum RequestRelay::reserve()
 {
-	return admission_.reserve(machine_.hasBegun());
+	return machine_.reserveRetry() ? admission_.reserve(machine_.hasBegun()) : ReserveOutcome::NoRetry;
 }
 
 void RequestRelay::onAdmitted()
--- a/packages/relay/tests/admissioncontrollertest.cpp
+++ b/packages/relay/tests/admissioncontrollertest.cpp
@@ -57,6 +57,7 @@
 	CPPUNIT_TEST_SUITE(AdmissionControllerTest);
 	CPPUNIT_TEST(waitingTokensAreKeptUpToDate);
 	CPPUNIT_TEST(requestWithExcludedTargetsDoesNotBlockOthers);
+	CPPUNIT_TEST(startedStreamsDoNotWaitForALease);
 	CPPUNIT_TEST(requestThatReturnsWaitsForTheNextLook);
 	CPPUNIT_TEST(outageEndsTheWaitsInTime);
 	CPPUNIT_TEST(stopRefusesWhatHasNotBegun);
@@ -92,7 +93,20 @@
 		CPPUNIT_ASSERT(controller_.hasWaiting(kService));
 	}
 
-	/// A request that is admitted but lacks retry budget returns to the queue: this must not become a busy loop.
+	/// A started stream needs no lease, so that one that lacks it must not delay it, even if it is late.
+	void startedStreamsDoNotWaitForALease()
+	{
+		push(0, false, 1000);
+		push(2, true, 0);
+		push(1, false, 1000);
+		waiters_[0]->outcome = ReserveOutcome::NoTokens;
+		waiters_[1]->outcome = ReserveOutcome::Reserved;
+		run(50);
+		CPPUNIT_ASSERT_EQUAL(1U, waiters_[1]->admissions);
+		CPPUNIT_ASSERT_EQUAL(0U, waiters_[2]->attempts);
+	}
+
+	/// A request that is admitted but cannot be sent returns to the queue: this must not become a busy loop.
 	void requestThatReturnsWaitsForTheNextLook()
 	{
 		push(1, false, 1000);
