Leases: a repeated report, or one of another run with the same number, gets no second grant

A restarted node whose report had the number of the last report of its earlier run got a limit by the usage of that run.

--- a/packages/admission/include/admission/leaseledger.h
+++ b/packages/admission/include/admission/leaseledger.h
@@ -82,6 +82,7 @@
 		uint64_t number = 0; //!< Of the last report.
 		ServiceDemand demand;
 		Time reportedAt;
+		bool isAnswered = false;  //!< A repeated report gets no second grant, nor one of a run with equal numbers.
 		uint64_t counted = 0;     //!< Usage that is included in the free capacity.
 		uint64_t countedNext = 0; //!< The same with the next step.
 		std::deque<Answer> answers;
--- a/packages/admission/src/leaseledger.cpp
+++ b/packages/admission/src/leaseledger.cpp
@@ -85,6 +85,7 @@
 	row.number = _number;
 	row.demand = _demand;
 	row.reportedAt = _now;
+	row.isAnswered = false;
 	while (!row.answers.empty() && row.answers.front().number <= _demand.leaseAnswer)
 	{
 		row.answers.pop_front();
@@ -164,11 +165,16 @@
 	ServiceCapacity capacity;
 	capacity.leaseTerm = kLeaseTerm;
 	const auto found = rows_.find(_node);
-	if (rows_.end() == found || _number != found->second.number || _now < grantsFrom_)
+	if (rows_.end() == found || _number != found->second.number || found->second.isAnswered)
 	{
 		return capacity;
 	}
 	Row& row = found->second;
+	row.isAnswered = true;
+	if (_now < grantsFrom_)
+	{
+		return capacity;
+	}
 	const uint64_t uncounted = lessOrZero(row.demand.leaseUsed, row.counted);
 	const uint64_t others = outstanding(_now) - held(row, _now);
 	const uint64_t available = lessOrZero(_freeTokens, others + uncounted);
