--- a/packages/hall/tests/fleetscaletest.cpp
+++ b/packages/hall/tests/fleetscaletest.cpp
@@ -2,6 +2,10 @@
 
 #include "plaindocuments.h"
 
+#include "../src/capacityrows_p.h"
+
+#include <fleet/skippedrecords.h>
+#include <hall/capacityhub.h>
 #include <hall/halllog.h>
 #include <hall/hubfollower.h>
 #include <hall/reportresponder.h>
@@ -37,6 +41,9 @@
 /// Maximum bytes per second that a node spends on control.
 constexpr double kMaxNodeRate = 12000;
 
+/// Demands and capacities of a prioritized service may add this part of the other bytes.
+constexpr double kMaxCapacityGrowth = 1.1;
+
 /// A hub's bytes per second grow with the nodes of its hall, and by no more than this factor beside.
 constexpr double kMaxGrowth = 1.1;
 
@@ -83,15 +90,20 @@
 class HallAtRest
 {
 public:
-	explicit HallAtRest(std::size_t _fleetNodes)
-	    : nodes_(_fleetNodes / kHalls),
+	/// @param _hasCapacities nodes report demands of a prioritized service and are lent capacity.
+	explicit HallAtRest(std::size_t _fleetNodes, bool _hasCapacities = false)
+	    : hasCapacities_(_hasCapacities),
+	      nodes_(_fleetNodes / kHalls),
 	      targets_(_fleetNodes * kTargetsPerNode),
 	      cache_(documents_),
 	      log_(store_, clock_, cache_, "hub"),
 	      follower_("hub", 1, clock_, log_),
 	      settings_(hubSettings()),
+	      capacity_(settings_, clock_, skipped_),
 	      responder_(settings_, clock_, follower_, aggregator_, cache_)
 	{
+		responder_.setCapacityHub(capacity_);
+		capacity_.setHub(true, {kService});
 		follower_.setCandidates({HubCandidate{"hub", 1}});
 		follower_.update();
 		std::vector<KeyedRecord> records;
@@ -159,6 +171,8 @@
 		uint64_t version = 0; //!< Of the totals that it has.
 		Offset next;          //!< Of the targets' topic.
 		std::vector<Stream> streams;
+		wire::ServiceCapacity lent;
+		uint64_t answered = 0; //!< Number of the report that `lent` answers.
 	};
 
 	static EntrySettings hubSettings()
@@ -205,7 +219,9 @@
 			{
 				readTargets();
 			}
+			capacity_.beginStep(0, {});
 			aggregator_.updateTotals(LoadTable{}, clock_.at);
+			capacity_.endStep({{kService, HallServiceState{{2000000, 1000000}, 800, 0}}}, kHalls - 1);
 			for (Node& node : nodes_)
 			{
 				renewStreams(node);
@@ -256,14 +272,35 @@
 		query.set_topic(KeyedTopic::Runners);
 		query.set_from(_node.next.value);
 		query.set_whole(_isFirst);
+		if (hasCapacities_)
+		{
+			putDemand(kService, demandOf(_node), *content.add_demands());
+		}
 		wire::PeerMessage reply;
 		wire::HallAnswer& answer = *reply.mutable_hall_answer();
 		responder_.answer(content, answer);
 		_node.version = answer.totals_version();
+		if (0 < answer.capacities_size())
+		{
+			_node.lent = answer.capacities(0);
+			_node.answered = answer.number();
+		}
 		_node.next = 0 < answer.news_size() ? Offset{answer.news(0).end()} : _node.next;
 		return report.ByteSizeLong() + reply.ByteSizeLong();
 	}
 
+	/// With requests of three urgencies, none of which wait.
+	static ServiceDemand demandOf(const Node& _node)
+	{
+		ServiceDemand demand;
+		demand.leaseUsed = 8000000 + 600 * _node.report;
+		demand.leaseLimit = std::max<uint64_t>(demand.leaseUsed, _node.lent.lease_limit());
+		demand.leaseAnswer = _node.answered;
+		demand.recent = {2400, 1600, 800};
+		demand.released = {800, 1600, 800, 2400, 800, 0, 800, 1600, 800, 800};
+		return demand;
+	}
+
 	static LoadTable loadsOf(const Node& _node)
 	{
 		LoadTable loads;
@@ -279,6 +316,9 @@
 		return loads;
 	}
 
+	static constexpr const char* kService = "chat-70b";
+
+	bool hasCapacities_;
 	ManualClock clock_;
 	std::minstd_rand random_{7};
 	std::vector<Node> nodes_;
@@ -290,6 +330,8 @@
 	HubFollower follower_;
 	EntrySettings settings_;
 	LoadAggregator aggregator_;
+	SkippedRecords skipped_;
+	CapacityHub capacity_;
 	ReportResponder responder_;
 	uint64_t nextOffset_ = 0;
 	std::size_t renewing_ = 0;
@@ -305,6 +347,7 @@
 {
 	CPPUNIT_TEST_SUITE(FleetScaleTest);
 	CPPUNIT_TEST(trafficOfANodeDoesNotGrowWithTheFleet);
+	CPPUNIT_TEST(demandsAndCapacitiesAddLittle);
 	CPPUNIT_TEST(aNodeOfAnEarlierVersionIsAnswered);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -321,6 +364,17 @@
 		CPPUNIT_ASSERT_LESSEQUAL(kMaxGrowth * 1000 / 300 * small.start, large.start); // one record of each target
 	}
 
+	/// Messages grow by at most a tenth at 986 nodes, and stay within the bounds of all control traffic.
+	void demandsAndCapacitiesAddLittle()
+	{
+		const Traffic without = HallAtRest(986).measure(10);
+		const Traffic with = HallAtRest(986, true).measure(10);
+		CPPUNIT_ASSERT(without.node < with.node);
+		CPPUNIT_ASSERT_LESSEQUAL(kMaxCapacityGrowth * without.node, with.node);
+		CPPUNIT_ASSERT_LESSEQUAL(kMaxNodeRate, with.node);
+		CPPUNIT_ASSERT_LESSEQUAL(kMaxGrowth * HallAtRest(300, true).measure(10).node, with.node);
+	}
+
 	/// It expects the loads of all targets, and an answer that ends with its last record.
 	void aNodeOfAnEarlierVersionIsAnswered()
 	{
@@ -332,6 +386,7 @@
 		CPPUNIT_ASSERT(answer.news(0).known());
 		CPPUNIT_ASSERT_EQUAL(0, answer.news(0).records_size());
 		CPPUNIT_ASSERT_EQUAL(hall.nextOffset() - 1, answer.news(0).end());
+		CPPUNIT_ASSERT_EQUAL(0, answer.capacities_size()); // its report has no demands
 	}
 };
 
