--- a/packages/admission/src/leaseledger.cpp
+++ b/packages/admission/src/leaseledger.cpp
@@ -21,6 +21,9 @@
 /// from a late report of that run.
 constexpr Duration kRowLifetime = Duration::fromMillis(1200);
 
+/// Most tokens that a node can admit between two reports, far more than a hall holds. Sums over all nodes stay exact.
+constexpr uint64_t kMaxUsedBetween = 1000ULL * 1000 * 1000 * 1000;
+
 /// Part of the free capacity, as its divisor, that is lent only to nodes with waiting requests: a node with a sudden
 /// burst gets it with its next report, before other nodes have returned what they do not need.
 constexpr uint64_t kReserveDivisor = 8;
@@ -76,7 +79,8 @@
 		found->second.countedNext = _demand.leaseUsed;
 	}
 	Row& row = found->second;
-	if (_number <= row.number || _demand.leaseUsed < row.demand.leaseUsed)
+	const uint64_t usedBefore = std::max(row.demand.leaseUsed, row.counted);
+	if (_number <= row.number || _demand.leaseUsed < usedBefore || kMaxUsedBetween < _demand.leaseUsed - usedBefore)
 	{
 		return false;
 	}
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -2,11 +2,14 @@
 
 #include "decoders.h"
 
+#include "../../packages/hall/src/capacityrows_p.h"
 #include "../../packages/hall/src/recordpack_p.h"
 #include "../../packages/hall/src/topicupdate_p.h"
 #include "../../packages/peer/src/peermessage_p.h"
 #include "../../platform/src/recordcodec_p.h"
 
+#include <admission/leaseaccount.h>
+#include <admission/leaseledger.h>
 #include <base/endpointtext.h>
 #include <core/routetable.h>
 #include <crash/crashupdate.h>
@@ -40,6 +43,8 @@
 	}
 }
 
+constexpr uint64_t kUsualTokens = 800;
+
 const DocumentParserI& documents()
 {
 	static const std::unique_ptr<DocumentParserI> made = makePlatformDocuments();
@@ -198,6 +203,52 @@
 	}
 }
 
+/// A hub grants nothing beyond its free capacity, whatever nodes report.
+void runCapacity(const std::string& _bytes)
+{
+	wire::PeerMessage message;
+	if (!readPeerMessage(_bytes, message))
+	{
+		return;
+	}
+	constexpr uint64_t kFree = 100000;
+	const Time now{1000000};
+	LeaseLedger ledger;
+	ledger.setUsualTokens(kUsualTokens);
+	for (const wire::ServiceDemand& row : message.hall_report().demands())
+	{
+		ServiceDemand demand;
+		if (!readDemand(row, demand))
+		{
+			continue;
+		}
+		const std::string node = row.service();
+		ledger.onReport(node, message.hall_report().number(), demand, now);
+		const uint64_t reported = ledger.outstanding(now);
+		const ServiceCapacity capacity = ledger.grant(node, message.hall_report().number(), kFree, now);
+		require(capacity.maxUrgency < kUrgencies, "urgencies are known");
+		const uint64_t after = ledger.outstanding(now);
+		require(after <= std::max(kFree, reported), "no more is lent than is free");
+	}
+	for (const wire::ServiceCapacity& row : message.hall_answer().capacities())
+	{
+		ServiceCapacity capacity;
+		LeaseAccount account;
+		if (readCapacity(row, capacity))
+		{
+			account.apply(capacity, 1, now, now);
+			ServiceDemand demand;
+			account.fillDemand(demand, now);
+			require(demand.leaseUsed <= demand.leaseLimit, "limits are no less than what is used");
+		}
+	}
+	for (const wire::CapacityOffer& row : message.hall_sum().offers())
+	{
+		OfferedCapacity offer;
+		require(!readOffer(row, offer) || offer.tokens <= kMaxCapacityTokens, "offers can be true");
+	}
+}
+
 void runPeer(const std::string& _bytes)
 {
 	wire::PeerMessage message;
@@ -229,8 +280,9 @@
 	// Lines about what is passed over would take more time than the reading.
 	boost::log::core::get()->set_logging_enabled(false);
 	static const std::vector<FuzzDecoder> list = {
-	    {"runner", runRunner}, {"state", runState}, {"logpage", runLogPage}, {"newest", runNewest},   {"pack", runPack},
-	    {"layout", runLayout}, {"node", runNode},   {"peer", runPeer},       {"blocked", runBlocked},
+	    {"runner", runRunner},   {"state", runState},       {"logpage", runLogPage}, {"newest", runNewest},
+	    {"pack", runPack},       {"layout", runLayout},     {"node", runNode},       {"peer", runPeer},
+	    {"blocked", runBlocked}, {"capacity", runCapacity},
 	};
 	return list;
 }
--- a/tests/fuzz/seeds.cpp
+++ b/tests/fuzz/seeds.cpp
@@ -124,6 +124,48 @@
 	return message;
 }
 
+wire::PeerMessage demands()
+{
+	wire::PeerMessage message;
+	message.mutable_hall_report()->set_node("n1");
+	message.mutable_hall_report()->set_number(3);
+	for (const char* const service : {"a", "b", "c"})
+	{
+		wire::ServiceDemand& demand = *message.mutable_hall_report()->add_demands();
+		demand.set_service(service);
+		demand.set_lease_used(9000);
+		demand.set_lease_limit(12000);
+		demand.set_lease_answer(2);
+		demand.add_waiting_tokens(800);
+		demand.add_recent_tokens(1600);
+		demand.add_released_tokens(700);
+		demand.add_promised_tokens(800);
+	}
+	return message;
+}
+
+wire::PeerMessage capacities()
+{
+	wire::PeerMessage message;
+	wire::ServiceCapacity& capacity = *message.mutable_hall_answer()->add_capacities();
+	capacity.set_service("a");
+	capacity.set_lease_limit(12000);
+	capacity.set_lease_term_ms(600);
+	capacity.set_max_urgency(2);
+	capacity.add_forecast_tokens(4000);
+	return message;
+}
+
+wire::PeerMessage offers()
+{
+	wire::PeerMessage message;
+	wire::CapacityOffer& offer = *message.mutable_hall_sum()->add_offers();
+	offer.set_service("a");
+	offer.set_tokens(50000);
+	offer.set_term_ms(300);
+	return message;
+}
+
 } // namespace
 
 int main(int _count, char** _arguments)
@@ -146,5 +188,8 @@
 	write(folder / "peer" / "report", report().SerializeAsString());
 	write(folder / "peer" / "answer", answer(false).SerializeAsString());
 	write(folder / "peer" / "packed", answer(true).SerializeAsString());
+	write(folder / "capacity" / "demands", demands().SerializeAsString());
+	write(folder / "capacity" / "capacities", capacities().SerializeAsString());
+	write(folder / "capacity" / "offers", offers().SerializeAsString());
 	return 0;
 }
