--- a/packages/admission/include/admission/leaseaccount.h
+++ b/packages/admission/include/admission/leaseaccount.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 
 namespace sedgecart
 {
@@ -34,6 +35,22 @@
 	bool isActive = false;        //!< Admission is bounded by leases now.
 };
 
+/// Capacity that a request was admitted with.
+struct LeaseGrant
+{
+	/// What covered the request.
+	enum class Source
+	{
+		None, //!< Leases were not active.
+		Lease,
+		Floor
+	};
+
+	uint64_t tokens = 0;
+	uint32_t urgency = 0;
+	Source source = Source::None;
+};
+
 /// The capacity of a service that the hub lends to this node. Taken from by the request thread, renewed by the control
 /// thread. The load pattern: bursts at all nodes of a hall at once, whose requests together exceed the free memory of
 /// its targets before any node learns of the others' requests. A mutex guards the few fields because they change
@@ -46,12 +63,12 @@
 
 	/// Takes capacity for a request, from the lease or from the floor if there is no valid lease.
 	/// @param _tokens that the request occupies at each layer.
-	/// @returns false if neither covers it; always true if leases are not active.
-	bool tryTake(uint64_t _tokens, uint32_t _urgency, Time _now);
+	/// @returns none if neither covers it; never none if leases are not active.
+	std::optional<LeaseGrant> tryTake(uint64_t _tokens, uint32_t _urgency, Time _now);
 
 	/// Returns capacity of a request that was not sent to any target. What was reported as used since is not returned
 	/// to the lease, since the hub may have lent it to another node.
-	void giveBack(uint64_t _tokens);
+	void giveBack(const LeaseGrant& _grant);
 
 	/// Fills the fields of the lease. Must be called before the loads of the same report are read.
 	/// @param _demand its waiting tokens are already filled.
@@ -78,21 +95,6 @@
 	LeaseEvents takeEvents(Time _now);
 
 private:
-	/// What covered a request.
-	enum class Source
-	{
-		None, //!< Leases were not active.
-		Lease,
-		Floor
-	};
-
-	/// The admission that `giveBack` undoes.
-	struct Taken
-	{
-		uint32_t urgency = 0;
-		Source source = Source::None;
-	};
-
 	void checkExpiry(Time _now);
 	bool takeLease(uint64_t _tokens, uint32_t _urgency);
 	bool takeFloor(uint64_t _tokens, Time _now);
@@ -119,7 +121,6 @@
 	uint64_t floorRate_ = 0; //!< Tokens per second.
 	int64_t floorLeft_ = 0;  //!< Tokens; below 0 after a large request.
 	Time floorAt_;           //!< When `floorLeft_` was refilled last.
-	Taken lastTaken_;
 	Time notifiedAt_{INT64_MIN / 2};
 	bool mayNotify_ = false; //!< The listener was not called since the last answer.
 	LeaseListenerI* listener_ = nullptr;
--- a/packages/admission/src/leaseaccount.cpp
+++ b/packages/admission/src/leaseaccount.cpp
@@ -28,6 +28,9 @@
 /// Shortest time between two early reports.
 constexpr Duration kNotifyPause = Duration::fromMillis(15);
 
+/// The same while capacity is short: half of the interval of reports.
+constexpr Duration kShortNotifyPause = Duration::fromMillis(75);
+
 } // namespace
 
 bool LeaseAccount::isActive(Time) const
@@ -36,7 +39,7 @@
 	return active_;
 }
 
-bool LeaseAccount::tryTake(uint64_t _tokens, uint32_t _urgency, Time _now)
+std::optional<LeaseGrant> LeaseAccount::tryTake(uint64_t _tokens, uint32_t _urgency, Time _now)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
 	const uint32_t urgency = std::min<uint32_t>(_urgency, kUrgencies - 1);
@@ -46,11 +49,11 @@
 	{
 		++events_.refusals;
 		notifyLow(_now);
-		return false;
+		return std::nullopt;
 	}
-	lastTaken_ = Taken{urgency, isFloor ? Source::Floor : (active_ ? Source::Lease : Source::None)};
 	recent_.add(_tokens, urgency, _now);
-	return true;
+	const LeaseGrant::Source covering = active_ ? LeaseGrant::Source::Lease : LeaseGrant::Source::None;
+	return LeaseGrant{_tokens, urgency, isFloor ? LeaseGrant::Source::Floor : covering};
 }
 
 /// A lease ends at its term even if nobody asked in the meantime. The rate of the floor is that of the time before.
@@ -107,12 +110,13 @@
 	return true;
 }
 
-/// Asks for an early report once after each answer, and not while the hub says that capacity is short: it has nothing
-/// to lend then, and reports of all nodes each 15 ms would be ten times as many.
+/// Asks for an early report once after each answer, less often while the hub says that capacity is short: it lends what
+/// becomes free, and reports of all nodes each 15 ms would be ten times as many.
 void LeaseAccount::notifyLow(Time _now)
 {
 	const bool isShort = maxUrgency_ < kUrgencies - 1;
-	if (!hasLease_ || !mayNotify_ || isShort || nullptr == listener_ || _now < notifiedAt_ + kNotifyPause)
+	const Duration pause = isShort ? kShortNotifyPause : kNotifyPause;
+	if (!hasLease_ || !mayNotify_ || nullptr == listener_ || _now < notifiedAt_ + pause)
 	{
 		return;
 	}
@@ -121,22 +125,22 @@
 	listener_->onLeaseLow();
 }
 
-void LeaseAccount::giveBack(uint64_t _tokens)
+void LeaseAccount::giveBack(const LeaseGrant& _grant)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
-	recent_.subtract(_tokens, lastTaken_.urgency);
-	if (Source::Floor == lastTaken_.source)
+	recent_.subtract(_grant.tokens, _grant.urgency);
+	if (LeaseGrant::Source::Floor == _grant.source)
 	{
-		floorLeft_ += static_cast<int64_t>(_tokens);
+		floorLeft_ += static_cast<int64_t>(_grant.tokens);
 		return;
 	}
-	if (Source::None == lastTaken_.source)
+	if (LeaseGrant::Source::None == _grant.source)
 	{
 		return;
 	}
-	used_ -= std::min(_tokens, used_ - reportedUsed_);
+	used_ -= std::min(_grant.tokens, used_ - reportedUsed_);
 	limit_ = hasLease_ ? limit_ : used_;
-	lessUrgentLeft_ += maxUrgency_ < lastTaken_.urgency ? static_cast<int64_t>(_tokens) : 0;
+	lessUrgentLeft_ += maxUrgency_ < _grant.urgency ? static_cast<int64_t>(_grant.tokens) : 0;
 }
 
 void LeaseAccount::fillDemand(ServiceDemand& _demand, Time _now)
--- a/packages/core/include/core/routetable.h
+++ b/packages/core/include/core/routetable.h
@@ -5,6 +5,7 @@
 
 #include <base/desiredstate.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -35,6 +36,14 @@
 	/// they are admitted by urgency.
 	bool isPrioritized(const std::string& _service) const;
 
+	/// @param _holder null if the route needs no key.
+	/// @returns the urgency of a request as the target is told: the customer's if it has one, else the route's.
+	static uint32_t urgencyOf(const HostRoute& _route, const KeyHolder* _holder);
+
+	/// @returns the rank of a stream among those of its prioritized service, 0 first: by `urgencyOf`, and by the
+	/// route's urgency where customers have the same one.
+	uint32_t rankOf(const std::string& _service, const HostRoute& _route, const KeyHolder* _holder) const;
+
 	const DesiredState& state() const
 	{
 		return *state_;
@@ -45,7 +54,8 @@
 	std::unordered_map<std::string, std::vector<const HostRoute*>> byHost_; //!< Longest prefix first.
 	std::unordered_map<std::string, const KeyHolder*> byKey_;
 	std::unordered_map<std::string, const ServiceSpec*> services_;
-	std::set<std::string> prioritized_; //!< Services whose streams have several urgencies.
+	std::map<std::string, std::set<uint32_t>> prioritized_; //!< Urgencies of the streams' routes, by service.
+	std::set<uint32_t> customerUrgencies_;
 };
 
 /// Selects one of a route's services by weight.
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -289,6 +289,11 @@
 	{
 		return;
 	}
+	if (kImmediateRefusals < refusals_ && traits_.mayQueue && !headForwarded_)
+	{
+		fail(otherwise); // the queue has no place for it, so that further sends would only fill targets that are full
+		return;
+	}
 	resend(otherwise);
 }
 
--- a/packages/core/src/routetable.cpp
+++ b/packages/core/src/routetable.cpp
@@ -3,7 +3,7 @@
 #include <core/routetable.h>
 
 #include <algorithm>
-#include <map>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -26,8 +26,8 @@
 	return key;
 }
 
-/// @returns the services whose streams have several urgencies.
-std::set<std::string> prioritizedServices(const DesiredState& _state)
+/// @returns the urgencies of streams by service, of services that have several.
+std::map<std::string, std::set<uint32_t>> prioritizedServices(const DesiredState& _state)
 {
 	std::map<std::string, std::set<uint32_t>> urgencies;
 	for (const HostRoute& route : _state.routes)
@@ -40,15 +40,11 @@
 			}
 		}
 	}
-	std::set<std::string> services;
-	for (const auto& row : urgencies)
+	for (auto row = urgencies.begin(); urgencies.end() != row;)
 	{
-		if (1 < row.second.size())
-		{
-			services.insert(row.first);
-		}
+		row = row->second.size() < 2 ? urgencies.erase(row) : std::next(row);
 	}
-	return services;
+	return urgencies;
 }
 
 bool beginsWith(std::string_view _text, std::string_view _prefix)
@@ -84,6 +80,13 @@
 		services_.emplace(service.name, &service);
 	}
 	prioritized_ = prioritizedServices(*state_);
+	for (const KeyHolder& holder : state_->customers)
+	{
+		if (holder.hasUrgency)
+		{
+			customerUrgencies_.insert(holder.urgency);
+		}
+	}
 }
 
 const HostRoute* RouteTable::findRoute(std::string_view _host, std::string_view _path) const
@@ -121,6 +124,28 @@
 	return 0 < prioritized_.count(_service);
 }
 
+uint32_t RouteTable::urgencyOf(const HostRoute& _route, const KeyHolder* _holder)
+{
+	return nullptr != _holder && _holder->hasUrgency ? _holder->urgency : _route.urgency;
+}
+
+/// A customer's urgency ranks before its route's, so that each urgency of customers has a block of ranks, one for each
+/// urgency of the routes.
+uint32_t RouteTable::rankOf(const std::string& _service, const HostRoute& _route, const KeyHolder* _holder) const
+{
+	const auto row = prioritized_.find(_service);
+	if (prioritized_.end() == row)
+	{
+		return urgencyOf(_route, _holder);
+	}
+	const std::set<uint32_t>& routes = row->second;
+	const auto ofRoute = static_cast<uint32_t>(std::distance(routes.begin(), routes.lower_bound(_route.urgency)));
+	const bool hasUrgency = nullptr != _holder && _holder->hasUrgency;
+	const auto moreUrgent = static_cast<uint32_t>(
+	    std::distance(customerUrgencies_.begin(), customerUrgencies_.lower_bound(hasUrgency ? _holder->urgency : 0)));
+	return (hasUrgency ? moreUrgent : 0) * static_cast<uint32_t>(routes.size()) + ofRoute;
+}
+
 const WeightedService* pickService(const HostRoute& _route, uint64_t _draw)
 {
 	double total = 0;
--- a/packages/core/tests/routetabletest.cpp
+++ b/packages/core/tests/routetabletest.cpp
@@ -48,6 +48,7 @@
 	CPPUNIT_TEST(customerIsFoundByKey);
 	CPPUNIT_TEST(serviceIsSelectedByWeight);
 	CPPUNIT_TEST(severalUrgenciesOfStreamsPrioritizeTheirService);
+	CPPUNIT_TEST(routesRankWithinTheUrgencyOfCustomers);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,29 @@
 		CPPUNIT_ASSERT(!RouteTable(desired).isPrioritized("a"));
 	}
 
+	/// Customers that all have the same urgency must not make all routes equally urgent.
+	void routesRankWithinTheUrgencyOfCustomers()
+	{
+		auto desired = std::make_shared<DesiredState>(*state());
+		for (HostRoute& stream : desired->routes)
+		{
+			stream.kind = RequestKind::Stream;
+		}
+		desired->routes.back().urgency = 2;
+		desired->customers.push_back(KeyHolder{"club", {"k3"}, 4, true});
+		const RouteTable table(desired);
+		const KeyHolder& bank = desired->customers.front();
+		const KeyHolder& club = desired->customers.back();
+		const HostRoute& usual = desired->routes.front();
+		const HostRoute& urgent = desired->routes.back();
+		CPPUNIT_ASSERT_EQUAL(0U, table.rankOf("a", urgent, &bank));
+		CPPUNIT_ASSERT_EQUAL(1U, table.rankOf("a", usual, &bank));
+		CPPUNIT_ASSERT_EQUAL(2U, table.rankOf("a", urgent, &club));
+		CPPUNIT_ASSERT_EQUAL(3U, table.rankOf("a", usual, &club));
+		CPPUNIT_ASSERT_EQUAL(0U, table.rankOf("a", urgent, nullptr));
+		CPPUNIT_ASSERT_EQUAL(1U, RouteTable::urgencyOf(urgent, &bank));
+	}
+
 	void longestPrefixOfTheHostMatches()
 	{
 		const RouteTable table(state());
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -57,10 +57,12 @@
 	std::atomic<int64_t> missingLayersUntil{0}; //!< Steady clock, microseconds.
 	std::atomic<double> polledSlowdown{1};      //!< How many times slower than usual it is, as polled by this node.
 	std::atomic<double> reportedSlowdown{1};    //!< How many times slower than usual it is, as reported by other nodes.
-	std::atomic<bool> draining{false};          //!< The target announced its stop in an answer to this node.
-	std::atomic<int64_t> backoffUntil{INT64_MIN}; //!< Steady clock, microseconds; this node sends it nothing before.
-	AdvertisedRateCell ownRate;                   //!< From the target's answers to this node.
-	AdvertisedRateCell reportedRate;              //!< As reported by other nodes.
+	std::atomic<double> shareDraw{0};           //!< Of `LoadShare`, until `shareDrawnUntil`. Request thread only.
+	std::atomic<int64_t> shareDrawnUntil{INT64_MIN}; //!< Steady clock, microseconds.
+	std::atomic<bool> draining{false};               //!< The target announced its stop in an answer to this node.
+	std::atomic<int64_t> backoffUntil{INT64_MIN};    //!< Steady clock, microseconds; this node sends it nothing before.
+	AdvertisedRateCell ownRate;                      //!< From the target's answers to this node.
+	AdvertisedRateCell reportedRate;                 //!< As reported by other nodes.
 
 	/// @returns the newest rate limit that the target advertised to any node.
 	AdvertisedRate rate() const
--- a/packages/relay/include/relay/admissioncontroller.h
+++ b/packages/relay/include/relay/admissioncontroller.h
@@ -5,6 +5,7 @@
 
 #include <admission/firsteventestimator.h>
 #include <admission/pendingrequest.h>
+#include <admission/recenttokens.h>
 #include <admission/waitqueue.h>
 #include <aio/timer.h>
 #include <base/units.h>
@@ -79,6 +80,7 @@
 		std::shared_ptr<ServiceAccount> account;
 		WaitQueue queue;
 		FirstEventEstimator firstEvents;
+		RecentTokens admitted;
 		std::unordered_map<uint64_t, std::weak_ptr<AdmissionWaiterI>> waiters; //!< Of the queued requests.
 	};
 
--- a/packages/relay/src/admissioncontroller.cpp
+++ b/packages/relay/src/admissioncontroller.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 
 namespace sedgecart
 {
@@ -24,6 +25,15 @@
 /// Requests that are passed over in one look because they exclude the free targets. Each costs one search for a path.
 constexpr uint32_t kMaxExcluded = 4;
 
+bool hasMoreUrgent(const UrgencyTokens& _waiting, uint32_t _urgency)
+{
+	return std::any_of(_waiting.begin(), _waiting.begin() + _urgency,
+	                   [](uint64_t _tokens)
+	                   {
+		                   return 0 < _tokens;
+	                   });
+}
+
 } // namespace
 
 AdmissionController::AdmissionController(boost::asio::io_context& _loop, const ClockI& _clock, const FleetCell& _cell)
@@ -68,12 +78,25 @@
 	return nullptr != queue && 0 < queue->queue.size();
 }
 
-/// @returns false if the forecast knows that capacity comes too late. It already counts the tokens that wait.
+/// Both the forecast and the recent rate of this node must say that capacity comes too late: the forecast covers only
+/// the node's share, and the rate of a node with few requests says little. The first in the queue always waits.
 bool AdmissionController::isExpectedInTime(const ServiceQueue& _queue, const PendingRequest& _request) const
 {
 	const Time now = clock_.now();
-	const std::optional<Duration> expected = _queue.account->returns.expectedIn(_request.tokens, _request.urgency, now);
-	return _request.hasBegun || !expected || now + *expected < _request.startBy;
+	const UrgencyTokens& waiting = _queue.queue.tokens();
+	const uint64_t ahead =
+	    std::accumulate(waiting.begin(), waiting.begin() + std::min<uint32_t>(_request.urgency + 1, kUrgencies),
+	                    static_cast<uint64_t>(0));
+	const uint64_t recent = totalTokens(_queue.admitted.sum(RecentTokens::kWindow, now));
+	if (_request.hasBegun || 0 == ahead || 0 == recent)
+	{
+		return true;
+	}
+	const double windows = static_cast<double>(ahead + _request.tokens) / static_cast<double>(recent);
+	const Duration byRate{static_cast<int64_t>(windows * static_cast<double>(RecentTokens::kWindow.micros))};
+	const std::optional<Duration> byForecast =
+	    _queue.account->returns.expectedIn(_request.tokens, _request.urgency, now);
+	return now + std::min(byRate, byForecast.value_or(byRate)) < _request.startBy;
 }
 
 std::optional<std::size_t> AdmissionController::push(const std::string& _service,
@@ -97,8 +120,8 @@
 	// The first in the queue was not tried if others were waiting before it.
 	const bool isUntried = 1 < queue.queue.size() && _request.id == queue.queue.next()->id;
 	schedule(isUntried ? Duration{} : kPollInterval);
+	publishWaiting(queue); // before the refusals, whose time to return depends on what still waits
 	endWaits(queue, outcome.displaced, WaitEnd::Displaced);
-	publishWaiting(queue);
 	return outcome.ahead;
 }
 
@@ -119,6 +142,7 @@
 	if (nullptr != queue)
 	{
 		queue->queue.charge(_customer, _urgency, _tokens);
+		queue->admitted.add(_tokens, _urgency, clock_.now());
 	}
 }
 
@@ -182,7 +206,9 @@
 
 void AdmissionController::admitWaiting(ServiceQueue& _queue)
 {
-	endWaits(_queue, _queue.queue.expire(clock_.now()), WaitEnd::Expired);
+	const std::vector<PendingRequest> expired = _queue.queue.expire(clock_.now());
+	publishWaiting(_queue);
+	endWaits(_queue, expired, WaitEnd::Expired);
 	AdmissionRound round;
 	// A request that returns to the queue meanwhile waits for the next look.
 	for (std::size_t left = _queue.queue.size(); 0 < left && admitNext(_queue, round); --left)
@@ -211,6 +237,7 @@
 	const ReserveOutcome::Enum outcome = waiter->reserve();
 	if (ReserveOutcome::Reserved == outcome)
 	{
+		_queue.admitted.add(next->tokens, next->urgency, clock_.now());
 		_queue.queue.admit(id);
 		_queue.waiters.erase(id);
 		waiter->onAdmitted();
@@ -218,8 +245,14 @@
 	}
 	if (ReserveOutcome::NoTokens == outcome)
 	{
-		_round.onlyBegun = true;
-		return true;
+		// The floor of a less urgent class must not hold up the more urgent ones.
+		const bool isFloor = hasMoreUrgent(_queue.queue.tokens(), next->urgency);
+		_round.onlyBegun = !isFloor;
+		if (isFloor)
+		{
+			_queue.queue.passOver(id);
+		}
+		return !isFloor || ++_round.excluded < kMaxExcluded;
 	}
 	if (ReserveOutcome::NoCapacity == outcome)
 	{
--- a/packages/relay/src/admissionwait.cpp
+++ b/packages/relay/src/admissionwait.cpp
@@ -60,18 +60,16 @@
 
 bool AdmissionWait::takeTokens()
 {
-	const uint32_t urgency = std::min<uint32_t>(plan_.urgency, kUrgencies - 1);
-	const bool isGranted = account_->lease.tryTake(tokens(), urgency, context_.clock.now());
-	tokensTaken_ = isGranted ? tokens() : 0;
-	return isGranted;
+	grant_ = account_->lease.tryTake(tokens(), std::min<uint32_t>(plan_.urgency, kUrgencies - 1), context_.clock.now());
+	return grant_.has_value();
 }
 
 void AdmissionWait::giveBackTokens()
 {
-	if (0 < tokensTaken_)
+	if (grant_)
 	{
-		account_->lease.giveBack(tokensTaken_);
-		tokensTaken_ = 0;
+		account_->lease.giveBack(*grant_);
+		grant_.reset();
 	}
 }
 
@@ -209,7 +207,7 @@
 
 void AdmissionWait::onSent()
 {
-	tokensTaken_ = 0; // the load of the targets shows them from now on
+	grant_.reset(); // the load of the targets shows them from now on
 }
 
 void AdmissionWait::onProgress(uint64_t _events, Time _lastProgressAt)
--- a/packages/relay/src/admissionwait_p.h
+++ b/packages/relay/src/admissionwait_p.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_RELAY_ADMISSIONWAIT_P_H_HEADER_GUARD
 #define SEDGECART_RELAY_ADMISSIONWAIT_P_H_HEADER_GUARD
 
+#include <admission/leaseaccount.h>
 #include <admission/pendingrequest.h>
 #include <base/units.h>
 #include <core/relaymachine.h>
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace sedgecart
 {
@@ -80,7 +82,7 @@
 	CapacityWait& wait_;
 	std::shared_ptr<ServiceAccount> account_; //!< Null if the request is not controlled.
 	PendingRequest request_;                  //!< As it was queued last.
-	uint64_t tokensTaken_ = 0;                //!< Tokens taken from the lease and not used by a send.
+	std::optional<LeaseGrant> grant_;         //!< Capacity that was taken and not used by a send.
 	bool wasAdmitted_ = false;
 	bool isQueued_ = false;
 	bool hasPath_ = false; //!< A path was reserved and not sent to.
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -6,6 +6,7 @@
 #include "relayplan_p.h"
 #include "requestrelay_p.h"
 
+#include <admission/servicedemand.h>
 #include <base/clock.h>
 #include <base/random.h>
 #include <core/responsetimeestimator.h>
@@ -223,11 +224,14 @@
 	const WeightedService* const service = pickService(route, context_.random.next());
 	plan.service = nullptr == service ? std::string() : service->service;
 	plan.customer = nullptr == _match.holder ? std::string() : _match.holder->name;
-	const bool hasUrgency = nullptr != _match.holder && _match.holder->hasUrgency;
-	plan.urgency = hasUrgency ? _match.holder->urgency : route.urgency;
+	plan.urgency = RouteTable::urgencyOf(route, _match.holder);
 	plan.pauseObjective = route.pauseObjective;
 	plan.objective = route.objective;
 	plan.isPrioritized = RequestKind::Stream == route.kind && _routes.isPrioritized(plan.service);
+	if (plan.isPrioritized)
+	{
+		plan.urgency = std::min<uint32_t>(_routes.rankOf(plan.service, route, _match.holder), kUrgencies - 1);
+	}
 	plan.facts.kind = route.kind;
 	plan.facts.resumable = route.resumable;
 	plan.facts.maxRuns = route.maxRuns;
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -112,6 +112,7 @@
 	ChoiceQuery wanted = query(_path, _excluded, _isReroute);
 	wanted.closed = &closed.targets;
 	const ServiceAccount* const account = _path.service->account.get();
+	wanted.mayWait = plan_.isPrioritized && context_.mechanisms.isEnabled(Mechanism::UrgencyAdmission);
 	wanted.startsInOwnHall = !_isReroute && nullptr != account && account->lease.isActive(wanted.now);
 	const SendOutcome::Enum outcome = _path.service->spec->hasEngine
 	                                      ? choosePath(wanted, context_.random, _path.choice)
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -3,6 +3,8 @@
 #include "targetchooser_p.h"
 
 #include <core/layoutplan.h>
+#include <core/loadshare.h>
+#include <core/reportschedule.h>
 #include <core/unreportedload.h>
 
 #include <algorithm>
@@ -236,6 +238,58 @@
 	return query;
 }
 
+/// @returns the random number that decides whether the node may add a request to a target that it has less than a
+/// request's share of. A new one is drawn as often as loads are reported.
+double shareDraw(TargetLoad& _load, Time _now, RandomI& _random)
+{
+	constexpr uint32_t kDrawSteps = 1U << 20;
+	if (_load.shareDrawnUntil.load(std::memory_order_relaxed) <= _now.micros)
+	{
+		_load.shareDraw.store(static_cast<double>(_random.below(kDrawSteps)) / kDrawSteps, std::memory_order_relaxed);
+		_load.shareDrawnUntil.store((_now + ReportSchedule::kStep).micros, std::memory_order_relaxed);
+	}
+	return _load.shareDraw.load(std::memory_order_relaxed);
+}
+
+/// @returns true if this node's shares of the target's free memory and, at the head, of its free slots allow one more
+/// request.
+bool isWithinShare(const FleetTarget& _target, const ChoiceQuery& _query, RandomI& _random)
+{
+	if (nullptr == _target.accelerator)
+	{
+		return false;
+	}
+	TargetLoad& load = *_target.load;
+	const LoadShare share(kHomeHall == _target.hall ? _query.hallPeers + 1 : _query.nodes);
+	const double draw = shareDraw(load, _query.now, _random);
+	const uint32_t layers = _target.record.layers.size();
+	const double capacity = capacityFor(_query.service.spec->engine, *_target.accelerator, layers) * layers;
+	const auto own = static_cast<double>(load.tokenLayers.load(std::memory_order_relaxed));
+	const auto reported = static_cast<double>(load.reportedTokenLayers.load(std::memory_order_relaxed));
+	const auto others = static_cast<double>(load.remoteTokenLayers.load(std::memory_order_relaxed));
+	const double free = kMaxUtilization * capacity - reported - others;
+	if (!share.admits(free, own - reported, _query.tokens * layers, draw))
+	{
+		return false;
+	}
+	if (0 != _target.record.layers.begin || 0 == _target.record.slots)
+	{
+		return true;
+	}
+	const double ownRequests = load.requests.load(std::memory_order_relaxed);
+	const double reportedRequests = load.reportedRequests.load(std::memory_order_relaxed);
+	const double otherRequests = load.remoteRequests.load(std::memory_order_relaxed);
+	const double freeSlots = _target.record.slots - reportedRequests - otherRequests;
+	return share.admits(freeSlots, ownRequests - reportedRequests, 1, draw);
+}
+
+/// @returns true if the node's load on each target is bounded by its share: for new requests, which can wait.
+bool usesShares(const ChoiceQuery& _query)
+{
+	return _query.mayWait && !_query.isReroute && nullptr != _query.service.account &&
+	       _query.mechanisms.isEnabled(Mechanism::LoadShares);
+}
+
 /// @param _anyHall the path may begin in another hall.
 bool findSpreadPath(const ChoiceQuery& _query, const UnreportedLoad& _unreported, bool _anyHall, RandomI& _random,
                     Choice& _choice)
@@ -245,6 +299,11 @@
 	{
 		candidate.mayBeHead = candidate.mayBeHead && (_anyHall || kHomeHall == candidate.hall);
 	}
+	for (std::size_t index = 0; usesShares(_query) && index < candidates.size(); ++index)
+	{
+		candidates[index].usable =
+		    candidates[index].usable && isWithinShare(_query.service.targets[index], _query, _random);
+	}
 	const bool spread = _query.isReroute && _query.mechanisms.isEnabled(Mechanism::MoveSpread);
 	for (std::size_t index = 0; spread && index < candidates.size(); ++index)
 	{
--- a/packages/relay/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -36,8 +36,9 @@
 	bool isReroute = false;     //!< It leaves a failed path, as many other requests may at this moment.
 	uint32_t hallPeers = 0;     //!< Other entry nodes of this data hall.
 	const std::set<TargetIncarnation>* closed =
-	    nullptr; //!< Targets that announced that they accept no requests of this node
-	             //!< now. They may be later stages of a path. Null: none.
+	    nullptr;          //!< Targets that announced that they accept no requests of this node
+	                      //!< now. They may be later stages of a path. Null: none.
+	bool mayWait = false; //!< It waits for capacity if there is no path now.
 	bool startsInOwnHall =
 	    false; //!< Its capacity is lent by the hub of this hall: the path begins here if there is any such path.
 };
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -43,6 +43,7 @@
 		UrgencyAdmission, //!< Requests of prioritised services wait for capacity, the most urgent first.
 		CapacityLeases,   //!< The hub lends the capacity of its hall to the nodes of prioritised services.
 		CapacityForecast, //!< Refused callers of prioritised services return when capacity is expected.
+		LoadShares,       //!< A node adds at most its share of the free capacity to a target of a prioritized service.
 
 		Count
 	};
--- a/packages/settings/src/mechanisms.cpp
+++ b/packages/settings/src/mechanisms.cpp
@@ -17,7 +17,7 @@
     "mean-answer",    "busy-last",    "lapse-grace",       "tight-halls",      "link-bound",        "start-waits",
     "hall-loads",     "shared-tries", "idle-polls",        "refusal-evidence", "make-before-break", "stop-pace",
     "order-lives",    "stream-waits", "resume-pace",       "unheard-loads",    "crash-ledger",      "drain-notice",
-    "target-backoff", "rate-limits",  "urgency-admission", "capacity-leases",  "capacity-forecast",
+    "target-backoff", "rate-limits",  "urgency-admission", "capacity-leases",  "capacity-forecast", "load-shares",
 };
 
 constexpr const char* kNone = "none";
