--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -8,7 +8,8 @@
 /// `RequestPath` chooses targets (`targetchooser`) and adds the request to their load; `RelaySend` is one exchange with
 /// the head of a path; `AnswerForwarder` forwards events to the caller as they arrive. When a target of the path dies,
 /// `PathChange` replaces the remaining stages, or the request is resent elsewhere and resumes after its last event. A
-/// stream that has begun waits if no target has free capacity (`CapacityWait`).
+/// stream that has begun waits if no target has free capacity (`CapacityWait`). In prioritized services new and begun
+/// streams wait in one queue instead, the most urgent first (`AdmissionController`).
 ///
 /// Each request gets exactly one final answer. "Not run" is answered only if no target has begun the request, and a
 /// request that must not be repeated is sent once.
