--- a/packages/loads/tests/loadaggregatortest.cpp
+++ b/packages/loads/tests/loadaggregatortest.cpp
@@ -25,6 +25,7 @@
 	CPPUNIT_TEST_SUITE(LoadAggregatorTest);
 	CPPUNIT_TEST(loadsOfAllHallsAreSummed);
 	CPPUNIT_TEST(silentNodeIsNotCounted);
+	CPPUNIT_TEST(anOvertakenReportIsIgnored);
 	CPPUNIT_TEST(subtractionStopsAtZero);
 	CPPUNIT_TEST(incarnationsAreNotSummed);
 	CPPUNIT_TEST(sumsSaturate);
@@ -59,6 +60,20 @@
 		CPPUNIT_ASSERT(board_.totals()->loads.empty());
 	}
 
+	/// Its smaller loads would let the hub lend used capacity again. A restarted node counts from one.
+	void anOvertakenReportIsIgnored()
+	{
+		const auto loadsAt = [this](Time _now)
+		{
+			return board_.updateTotals(LoadTable{}, _now).at(incarnation("t1")).tokenLayers;
+		};
+		board_.onReport("n2", 8, LoadTable{{incarnation("t1"), {500, 1}}}, kNow);
+		board_.onReport("n2", 7, LoadTable{{incarnation("t1"), {100, 1}}}, kNow + Duration::fromMillis(50));
+		CPPUNIT_ASSERT_EQUAL(uint64_t(500), loadsAt(kNow + Duration::fromMillis(50)));
+		board_.onReport("n2", 1, LoadTable{{incarnation("t1"), {200, 1}}}, kNow + Duration::fromMillis(400));
+		CPPUNIT_ASSERT_EQUAL(uint64_t(200), loadsAt(kNow + Duration::fromMillis(400)));
+	}
+
 	/// A withdrawn limit must not reappear with an older report.
 	void newestRateLimitCounts()
 	{
--- a/packages/relay/tests/targetchoosertest.cpp
+++ b/packages/relay/tests/targetchoosertest.cpp
@@ -84,6 +84,7 @@
 	CPPUNIT_TEST_SUITE(TargetChooserTest);
 	CPPUNIT_TEST(ownHallFirst);
 	CPPUNIT_TEST(otherHallWhenOwnIsLoaded);
+	CPPUNIT_TEST(leasedRequestsStayInTheirHallWhileItHasAPath);
 	CPPUNIT_TEST(othersLoadCounts);
 	CPPUNIT_TEST(headsWithoutASlotAreAvoided);
 	CPPUNIT_TEST(headsShareByTheirSlots);
@@ -186,6 +187,23 @@
 		CPPUNIT_ASSERT_EQUAL(3U, choice.stages[1].candidate);
 	}
 
+	/// The other hall has lent its capacity to its own nodes.
+	void leasedRequestsStayInTheirHallWhileItHasAPath()
+	{
+		FleetFixture fleet;
+		fleet.load(0).tokenLayers = 480; // MB, of 600 that its layers leave
+		fleet.load(1).tokenLayers = 480;
+		ChoiceQuery query = fleet.query(10);
+		query.startsInOwnHall = true;
+		Choice choice;
+		CPPUNIT_ASSERT(SendOutcome::Started == choosePath(query, random_, choice));
+		CPPUNIT_ASSERT_EQUAL(0U, choice.stages[0].candidate);
+		fleet.load(1).tokenLayers = 600;
+		fleet.load(0).tokenLayers = 600;
+		CPPUNIT_ASSERT(SendOutcome::Started == choosePath(query, random_, choice));
+		CPPUNIT_ASSERT_EQUAL(2U, choice.stages[0].candidate);
+	}
+
 	void othersLoadCounts()
 	{
 		FleetFixture fleet;
