--- a/packages/admission/include/admission/leaseledger.h
+++ b/packages/admission/include/admission/leaseledger.h
@@ -85,13 +85,15 @@
 		bool isAnswered = false;  //!< A repeated report gets no second grant, nor one of a run with equal numbers.
 		uint64_t counted = 0;     //!< Usage that is included in the free capacity.
 		uint64_t countedNext = 0; //!< The same with the next step.
+		uint64_t servedAt = 0;    //!< `served_` when its waiting requests got capacity last.
 		std::deque<Answer> answers;
 	};
 
 	static uint64_t held(const Row& _row, Time _now);
 	static void recordAnswer(Row& _row, uint64_t _limit, Time _now);
 	void count(const ServiceDemand& _demand, int64_t _sign);
-	uint64_t waitingPart(const Row& _row, uint64_t _available);
+	uint64_t waitingPart(Row& _row, uint64_t _available);
+	uint64_t owedBefore(const Row& _row, std::size_t _urgency) const;
 	uint64_t uncounted() const;
 	uint64_t headroomPart(const Row& _row, uint64_t _freeTokens) const;
 	uint32_t maxUrgency(uint64_t _freeTokens) const;
@@ -101,6 +103,7 @@
 	UrgencyTokens recent_{};                   //!< Sum over all nodes.
 	std::array<int64_t, kUrgencies> credit_{}; //!< What an urgency may get ahead of more urgent ones, tokens.
 	uint64_t usualTokens_ = 0;
+	uint64_t served_ = 0; //!< Grants to waiting requests.
 	Time grantsFrom_;
 };
 
--- a/packages/admission/src/leaseledger.cpp
+++ b/packages/admission/src/leaseledger.cpp
@@ -205,7 +205,7 @@
 /// The most urgent first. An urgency yields to the more urgent requests of all nodes, but each that waits gets a tenth
 /// of what is granted, counted as credit until it suffices for a request.
 /// @returns what the waiting requests of a node get.
-uint64_t LeaseLedger::waitingPart(const Row& _row, uint64_t _available)
+uint64_t LeaseLedger::waitingPart(Row& _row, uint64_t _available)
 {
 	uint64_t left = _available;
 	uint64_t moreUrgent = 0; // waiting at other nodes
@@ -218,7 +218,8 @@
 		const uint64_t part = std::min(wanted, std::max(fair, least));
 		const uint64_t yielded = lessOrZero(left, moreUrgent);
 		const uint64_t ahead = 0 < credit_[urgency] ? left : yielded;
-		const uint64_t given = std::min(part, ahead);
+		const uint64_t inTurn = lessOrZero(ahead, owedBefore(_row, urgency));
+		const uint64_t given = std::min(part, std::max(inTurn, std::min(fair, ahead)));
 		moreUrgent += lessOrZero(waiting_[urgency], wanted);
 		if (0 == given || given < std::min(wanted, usualTokens_))
 		{
@@ -234,9 +235,23 @@
 		}
 		credit_[urgency] = std::max<int64_t>(0, credit_[urgency] - static_cast<int64_t>(given));
 	}
+	_row.servedAt = left < _available ? ++served_ : _row.servedAt;
 	return _available - left;
 }
 
+/// Nodes report in about the same order after each step. Without turns the first of them got all that had become free.
+/// @returns what nodes that were served less recently get first.
+uint64_t LeaseLedger::owedBefore(const Row& _row, std::size_t _urgency) const
+{
+	uint64_t owed = 0;
+	for (const auto& row : rows_)
+	{
+		const bool isBefore = row.second.servedAt < _row.servedAt;
+		owed += isBefore ? std::min(row.second.demand.waiting[_urgency], kMinRequests * usualTokens_) : 0;
+	}
+	return owed;
+}
+
 /// @returns what all nodes used since the loads were counted that the free capacity is computed from.
 uint64_t LeaseLedger::uncounted() const
 {
--- a/packages/admission/tests/leasefailuretest.cpp
+++ b/packages/admission/tests/leasefailuretest.cpp
@@ -214,6 +214,7 @@
 	CPPUNIT_TEST_SUITE(LeaseFailureTest);
 	CPPUNIT_TEST(requestsAreHeldBackWhileCapacityIsFree);
 	CPPUNIT_TEST(aBurstWaitsForMoreThanOneReport);
+	CPPUNIT_TEST(nodesThatReportLastStarve);
 	CPPUNIT_TEST(theLeastUrgentStarve);
 	CPPUNIT_TEST(theLeastUrgentTakeTheCapacityOfTheMostUrgent);
 	CPPUNIT_TEST(hubLostWithOutstandingLeases);
@@ -267,6 +268,30 @@
 		}
 	}
 
+	/// In each step the nodes report in the same order, and the first ones find all that has become free.
+	void nodesThatReportLastStarve()
+	{
+		LeaseHall hall(20);
+		hall.capacity = 20 * kUsual;
+		hall.steps(kLearning);
+		std::vector<uint64_t> admitted(hall.nodes.size());
+		for (int step = 0; step < 200; ++step)
+		{
+			for (std::size_t index = 0; index < hall.nodes.size(); ++index)
+			{
+				while (hall.nodes[index].take(kUsual, 0, hall.now))
+				{
+					++admitted[index];
+				}
+				hall.nodes[index].end(static_cast<std::size_t>(step) % 4 == index % 4 ? hall.nodes[index].load() : 0);
+				hall.waiting[index][0] = 5 * kUsual;
+			}
+			hall.step();
+		}
+		const auto ends = std::minmax_element(admitted.begin(), admitted.end());
+		CPPUNIT_ASSERT_LESSEQUAL(2 * *ends.first, *ends.second);
+	}
+
 	void theLeastUrgentStarve()
 	{
 		std::array<uint64_t, 3> admitted = admittedUnderOverload();
