--- a/packages/admission/include/admission/leaseledger.h
+++ b/packages/admission/include/admission/leaseledger.h
@@ -93,6 +93,7 @@
 	static void recordAnswer(Row& _row, uint64_t _limit, Time _now);
 	void count(const ServiceDemand& _demand, int64_t _sign);
 	uint64_t waitingPart(Row& _row, uint64_t _available);
+	void recordGiven(std::size_t _urgency, uint64_t _tokens);
 	uint64_t owedBefore(const Row& _row, std::size_t _urgency) const;
 	uint64_t uncounted() const;
 	uint64_t headroomPart(const Row& _row, uint64_t _freeTokens) const;
--- a/packages/admission/src/leaseledger.cpp
+++ b/packages/admission/src/leaseledger.cpp
@@ -203,42 +203,50 @@
 }
 
 /// The most urgent first. An urgency yields to the more urgent requests of all nodes, but each that waits gets a tenth
-/// of what is granted, counted as credit until it suffices for a request.
+/// of what is granted, counted as credit until it suffices for a request. A node keeps what it holds for its waiting
+/// requests, and collects more in its turn until its largest request fits.
 /// @returns what the waiting requests of a node get.
 uint64_t LeaseLedger::waitingPart(Row& _row, uint64_t _available)
 {
 	uint64_t left = _available;
+	// It may be collected for a large request.
+	const uint64_t kept = lessOrZero(_row.demand.leaseLimit, _row.demand.leaseUsed);
 	uint64_t moreUrgent = 0; // waiting at other nodes
 	for (std::size_t urgency = 0; urgency < kUrgencies; ++urgency)
 	{
 		const uint64_t wanted = _row.demand.waiting[urgency];
-		const uint64_t least = std::min(wanted, kMinRequests * usualTokens_);
+		const uint64_t least = std::min(wanted, kept + kMinRequests * usualTokens_);
 		const uint64_t fair =
 		    partOf(left, static_cast<double>(wanted), static_cast<double>(std::max<uint64_t>(1, waiting_[urgency])));
 		const uint64_t part = std::min(wanted, std::max(fair, least));
 		const uint64_t yielded = lessOrZero(left, moreUrgent);
 		const uint64_t ahead = 0 < credit_[urgency] ? left : yielded;
 		const uint64_t inTurn = lessOrZero(ahead, owedBefore(_row, urgency));
-		const uint64_t given = std::min(part, std::max(inTurn, std::min(fair, ahead)));
+		const uint64_t given = std::min(part, std::max(inTurn, std::min(std::max(fair, kept), ahead)));
 		moreUrgent += lessOrZero(waiting_[urgency], wanted);
 		if (0 == given || given < std::min(wanted, usualTokens_))
 		{
 			continue;
 		}
 		left -= given;
-		for (std::size_t behind = urgency + 1; behind < kUrgencies; ++behind)
-		{
-			const int64_t most = static_cast<int64_t>(kMinRequests * usualTokens_);
-			const bool waits = 0 < waiting_[behind];
-			credit_[behind] =
-			    waits ? std::min(most, credit_[behind] + static_cast<int64_t>(given) / kUrgencyDivisor) : 0;
-		}
-		credit_[urgency] = std::max<int64_t>(0, credit_[urgency] - static_cast<int64_t>(given));
+		recordGiven(urgency, given);
 	}
-	_row.servedAt = left < _available ? ++served_ : _row.servedAt;
+	_row.servedAt = kept < _available - left ? ++served_ : _row.servedAt;
 	return _available - left;
 }
 
+/// Counts a tenth as credit of each less urgent class that waits.
+void LeaseLedger::recordGiven(std::size_t _urgency, uint64_t _tokens)
+{
+	const auto most = static_cast<int64_t>(kMinRequests * usualTokens_);
+	const auto tokens = static_cast<int64_t>(_tokens);
+	for (std::size_t behind = _urgency + 1; behind < kUrgencies; ++behind)
+	{
+		credit_[behind] = 0 < waiting_[behind] ? std::min(most, credit_[behind] + tokens / kUrgencyDivisor) : 0;
+	}
+	credit_[_urgency] = std::max<int64_t>(0, credit_[_urgency] - tokens);
+}
+
 /// Nodes report in about the same order after each step. Without turns the first of them got all that had become free.
 /// @returns what nodes that were served less recently get first.
 uint64_t LeaseLedger::owedBefore(const Row& _row, std::size_t _urgency) const
--- a/packages/admission/tests/leasefailuretest.cpp
+++ b/packages/admission/tests/leasefailuretest.cpp
@@ -215,6 +215,7 @@
 	CPPUNIT_TEST(requestsAreHeldBackWhileCapacityIsFree);
 	CPPUNIT_TEST(aBurstWaitsForMoreThanOneReport);
 	CPPUNIT_TEST(nodesThatReportLastStarve);
+	CPPUNIT_TEST(aLargeRequestStarves);
 	CPPUNIT_TEST(theLeastUrgentStarve);
 	CPPUNIT_TEST(theLeastUrgentTakeTheCapacityOfTheMostUrgent);
 	CPPUNIT_TEST(hubLostWithOutstandingLeases);
@@ -292,6 +293,30 @@
 		CPPUNIT_ASSERT_LESSEQUAL(2 * *ends.first, *ends.second);
 	}
 
+	/// It needs several parts, which its node must be able to collect.
+	void aLargeRequestStarves()
+	{
+		LeaseHall hall(20);
+		hall.capacity = 20 * kUsual;
+		hall.steps(kLearning);
+		bool isAdmitted = false;
+		for (int step = 0; step < 100 && !isAdmitted; ++step)
+		{
+			for (std::size_t index = 1; index < hall.nodes.size(); ++index)
+			{
+				while (hall.nodes[index].take(kUsual, 0, hall.now))
+				{
+				}
+				hall.nodes[index].end(static_cast<std::size_t>(step) % 4 == index % 4 ? hall.nodes[index].load() : 0);
+				hall.waiting[index][0] = 5 * kUsual;
+			}
+			hall.waiting[0][0] = 6 * kUsual;
+			hall.step();
+			isAdmitted = hall.nodes[0].take(6 * kUsual, 0, hall.now);
+		}
+		CPPUNIT_ASSERT(isAdmitted);
+	}
+
 	void theLeastUrgentStarve()
 	{
 		std::array<uint64_t, 3> admitted = admittedUnderOverload();
