--- a/packages/admission/tests/leasefailuretest.cpp
+++ b/packages/admission/tests/leasefailuretest.cpp
@@ -224,6 +224,7 @@
 	CPPUNIT_TEST(allNodesRestarted);
 	CPPUNIT_TEST(targetLostUnderLeases);
 	CPPUNIT_TEST(requestGivenBackAfterItWasReported);
+	CPPUNIT_TEST(answerLateOrOvertaken);
 	CPPUNIT_TEST(offersUsedTwice);
 	CPPUNIT_TEST(aFullRangeOfLayersLimitsTheHall);
 	CPPUNIT_TEST(messagesLostLateRepeatedAndReordered);
@@ -440,6 +441,21 @@
 		CPPUNIT_ASSERT_EQUAL(before.leaseUsed + kUsual, after.leaseUsed);
 	}
 
+	/// The term counts from the report, since the hub's may have begun right after it.
+	void answerLateOrOvertaken()
+	{
+		LeaseAccount account;
+		const Time sentAt{1000000};
+		const Time later = sentAt + Duration::fromMillis(400);
+		account.apply(ServiceCapacity{1000, kLeaseTerm}, 2, sentAt, later);
+		account.apply(ServiceCapacity{5000, kLeaseTerm}, 1, sentAt, later);
+		CPPUNIT_ASSERT(!account.tryTake(1000, 0, later));
+		CPPUNIT_ASSERT(account.takeEvents(Time{(sentAt + kLeaseTerm).micros - 1}).hasLease);
+		CPPUNIT_ASSERT(!account.takeEvents(sentAt + kLeaseTerm).hasLease);
+		account.apply(ServiceCapacity{5000, kLeaseTerm}, 3, sentAt, sentAt + kLeaseTerm);
+		CPPUNIT_ASSERT(!account.takeEvents(sentAt + kLeaseTerm).hasLease);
+	}
+
 	void offersUsedTwice()
 	{
 		CapacityOffers maker;
