--- a/packages/admission/tests/leaseplay.h
+++ b/packages/admission/tests/leaseplay.h
@@ -6,6 +6,7 @@
 #include <admission/leaseaccount.h>
 #include <admission/leaseledger.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,6 +15,11 @@
 namespace sedgecart
 {
 
+constexpr uint64_t kCapacity = 100000;
+constexpr uint64_t kUsual = 800;
+constexpr Duration kReportPause = Duration::fromMillis(150);
+constexpr std::size_t kLearning = 6; //!< Steps until a new hub grants and all nodes have a lease.
+
 /// A report or an answer in transit.
 struct LeaseMessage
 {
@@ -158,6 +164,85 @@
 	uint64_t free_ = 0;
 };
 
+/// A hall whose nodes report each 150 ms, without lost messages.
+class LeaseHall
+{
+public:
+	explicit LeaseHall(std::size_t _nodes)
+	{
+		for (std::size_t index = 0; index < _nodes; ++index)
+		{
+			nodes.emplace_back("node-" + std::to_string(index));
+			nodes.back().account().setUsualTokens(kUsual);
+		}
+		waiting.resize(_nodes);
+		setHub();
+	}
+
+	void setHub()
+	{
+		hub = std::make_unique<PlayedHub>(hubs++, now);
+		hub->ledger().setUsualTokens(kUsual);
+		for (PlayedNode& node : nodes)
+		{
+			node.follow(hubs - 1);
+		}
+	}
+
+	/// A step of the hub, and a report of each node with its answer.
+	void step()
+	{
+		now = now + kReportPause;
+		hub->step(capacity, now);
+		for (std::size_t index = 0; index < nodes.size(); ++index)
+		{
+			exchange(index);
+		}
+	}
+
+	void exchange(std::size_t _node)
+	{
+		const LeaseMessage report = nodes[_node].report(waiting[_node], now);
+		nodes[_node].apply(hub->answer(report, now), now);
+	}
+
+	void steps(std::size_t _count)
+	{
+		for (std::size_t index = 0; index < _count; ++index)
+		{
+			step();
+		}
+	}
+
+	/// All nodes take until nothing is left.
+	void takeAll()
+	{
+		for (PlayedNode& node : nodes)
+		{
+			while (node.take(kUsual / 8, 0, now))
+			{
+			}
+		}
+	}
+
+	uint64_t load() const
+	{
+		uint64_t sum = 0;
+		for (const PlayedNode& node : nodes)
+		{
+			sum += node.load();
+		}
+		return sum;
+	}
+
+	Time now{1000000};
+	uint64_t capacity = kCapacity;
+	std::size_t hubs = 0;
+	std::unique_ptr<PlayedHub> hub;
+	std::vector<PlayedNode> nodes;
+	std::vector<UrgencyTokens> waiting;
+};
+
 } // namespace sedgecart
 
 #endif // SEDGECART_ADMISSION_TESTS_LEASEPLAY_H_HEADER_GUARD
