--- a/packages/admission/include/admission/serviceaccount.h
+++ b/packages/admission/include/admission/serviceaccount.h
@@ -7,6 +7,7 @@
 #include <admission/releasetimeline.h>
 #include <admission/returnplanner.h>
 #include <admission/waitingtokens.h>
+#include <core/streampace.h>
 
 namespace sedgecart
 {
@@ -16,8 +17,9 @@
 {
 	LeaseAccount lease;
 	ReleaseTimeline releases;
-	ReturnPlanner returns;
 	WaitingTokens waiting;
+	ReturnPlanner returns{releases, waiting};
+	StreamPace pace; //!< Request thread only.
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -40,7 +40,10 @@
 
 } // namespace
 
-RequestPath::RequestPath(const RelayContext& _context, const RelayPlan& _plan) : context_(_context), plan_(_plan)
+RequestPath::RequestPath(const RelayContext& _context, const RelayPlan& _plan)
+    : context_(_context),
+      plan_(_plan),
+      streamRelease_(context_, plan_)
 {
 }
 
@@ -160,10 +163,11 @@
 	return closed;
 }
 
-/// Counts the send against the rate limit of the path's head.
+/// Counts the send against the rate limit of the path's head, and adds the stream to the expected releases.
 void RequestPath::recordSend()
 {
 	context_.rates.onSent(head(), context_.clock.now());
+	streamRelease_.onSent(*chosenPath_.service, reservedTokens());
 }
 
 /// Finds a path beside the current one. The request's own load on the current path is left out, since it is about to
@@ -219,6 +223,7 @@
 	chosenPath_ = std::move(previous_->path);
 	reservation_ = std::move(previous_->reservation);
 	previous_.reset();
+	streamRelease_.restore();
 }
 
 bool RequestPath::hasAlternative(bool _isReroute) const
@@ -274,6 +279,7 @@
 void RequestPath::release()
 {
 	reservation_.reset();
+	streamRelease_.release();
 }
 
 const FleetTarget& RequestPath::head() const
