Offers to other halls cover what their nodes do not need until the next step; fewer refusals at once

A hall that had lost targets had 20,000 tokens waiting while two others had 130,000 and 60,000 free: what a hub kept for its own nodes covered a whole second of admissions.

--- a/packages/admission/include/admission/waitqueue.h
+++ b/packages/admission/include/admission/waitqueue.h
@@ -57,6 +57,9 @@
 	/// @returns the request to admit next; null if none waits or all were passed over.
 	const PendingRequest* next() const;
 
+	/// @returns true if `next` is the turn of an urgency's floor, while more urgent requests wait.
+	bool isNextByFloor() const;
+
 	/// @returns the started stream to admit next, also behind requests that have not begun; null if none waits or all
 	/// were passed over.
 	const PendingRequest* nextBegun() const;
--- a/packages/admission/src/waitqueue.cpp
+++ b/packages/admission/src/waitqueue.cpp
@@ -158,6 +158,17 @@
 	return mostUrgent;
 }
 
+bool WaitQueue::isNextByFloor() const
+{
+	const UrgencyQueue* const queue = begun_.empty() ? nextClass() : nullptr;
+	const auto mostUrgent = std::find_if(classes_.begin(), classes_.end(),
+	                                     [](const std::unique_ptr<UrgencyQueue>& _class)
+	                                     {
+		                                     return nullptr != _class->front();
+	                                     });
+	return nullptr != queue && queue != mostUrgent->get();
+}
+
 const PendingRequest* WaitQueue::next() const
 {
 	if (!begun_.empty())
--- a/packages/hall/src/capacityhub.cpp
+++ b/packages/hall/src/capacityhub.cpp
@@ -24,6 +24,10 @@
 /// The rest is lent to the nodes as headroom.
 constexpr uint64_t kOfferDivisor = 2;
 
+/// Steps of the hub in a second, rounded down. What the nodes admit until the next step is needed here: counting a
+/// whole second of it left a third of the capacity of two halls unused while requests waited in the third.
+constexpr uint64_t kStepsPerSecond = 6;
+
 constexpr std::array<const char*, kUrgencies> kWaitingNames = {"waiting_0", "waiting_1", "waiting_2", "waiting_3",
                                                                "waiting_4", "waiting_5", "waiting_6", "waiting_7",
                                                                "waiting_8", "waiting_9"};
@@ -189,7 +193,8 @@
 		return;
 	}
 	const Time now = clock_.now();
-	const uint64_t needed = totalTokens(_service.ledger.waiting()) + totalTokens(_service.ledger.recent());
+	const uint64_t untilNextStep = totalTokens(_service.ledger.recent()) / kStepsPerSecond;
+	const uint64_t needed = totalTokens(_service.ledger.waiting()) + untilNextStep;
 	_service.kept = 0 < _otherHubs ? lessOrZero(_service.state.capacity.free, needed) / kOfferDivisor : 0;
 	const uint64_t unlent = lessOrZero(_service.state.capacity.free, _service.ledger.outstanding(now));
 	_service.offered = _service.offers.offer(std::min(_service.kept, unlent), _otherHubs, now);
--- a/packages/relay/src/admissioncontroller.cpp
+++ b/packages/relay/src/admissioncontroller.cpp
@@ -22,18 +22,13 @@
 /// objective, 250 ms between events.
 constexpr Duration kPollInterval = Duration::fromMillis(20);
 
+/// A request is refused at once only if capacity is expected this many times too late: of those expected in twice their
+/// slack, many are admitted in time, since requests of other nodes end as well.
+constexpr int64_t kExpectationMargin = 2;
+
 /// Requests that are passed over in one look because they exclude the free targets. Each costs one search for a path.
 constexpr uint32_t kMaxExcluded = 4;
 
-bool hasMoreUrgent(const UrgencyTokens& _waiting, uint32_t _urgency)
-{
-	return std::any_of(_waiting.begin(), _waiting.begin() + _urgency,
-	                   [](uint64_t _tokens)
-	                   {
-		                   return 0 < _tokens;
-	                   });
-}
-
 } // namespace
 
 AdmissionController::AdmissionController(boost::asio::io_context& _loop, const ClockI& _clock, const FleetCell& _cell)
@@ -96,7 +91,8 @@
 	const Duration byRate{static_cast<int64_t>(windows * static_cast<double>(RecentTokens::kWindow.micros))};
 	const std::optional<Duration> byForecast =
 	    _queue.account->returns.expectedIn(_request.tokens, _request.urgency, now);
-	return now + std::min(byRate, byForecast.value_or(byRate)) < _request.startBy;
+	const Duration expected = std::min(byRate, byForecast.value_or(byRate));
+	return now + Duration{expected.micros / kExpectationMargin} < _request.startBy;
 }
 
 std::optional<std::size_t> AdmissionController::push(const std::string& _service,
@@ -246,7 +242,7 @@
 	if (ReserveOutcome::NoTokens == outcome)
 	{
 		// The floor of a less urgent class must not hold up the more urgent ones.
-		const bool isFloor = hasMoreUrgent(_queue.queue.tokens(), next->urgency);
+		const bool isFloor = !_round.onlyBegun && _queue.queue.isNextByFloor();
 		_round.onlyBegun = !isFloor;
 		if (isFloor)
 		{
