Hall: a trial read that fails waits for the hub again

A failed trial read was returned to its reader, which paused for 0.2 to 0.6 s. A hub that tried the store while it read through another node had no read of the operator's topic for that node to answer, and its hall waited for the pause each time. With one of seven nodes served, the served node was found 1.5 s after the first refused one, and its records passed the hub only 0.9 s later.

--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -145,6 +145,7 @@
 		Time startedAt;
 		bool snapshot = false;
 		uint64_t firstReport = 0; //!< Number of the first report that carried it; 0: none yet.
+		bool isTrial = false;     //!< Sent to the store to check whether it answers.
 	};
 
 	/// A load of the registry that waits for another node.
@@ -170,6 +171,8 @@
 	void cacheLoadedPage(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt);
 	void truncateValues(KeyedTopic::Enum _topic, KeyedPage& _page);
 	void onStoreResult(KeyedTopic::Enum _topic, uint64_t _number, Time _sentAt, StoreState::Enum _state);
+	bool keepsWaiting(KeyedTopic::Enum _topic, uint64_t _number, const PendingRead& _read,
+	                  StoreState::Enum _state) const;
 	bool readsFromStore(KeyedTopic::Enum _topic) const;
 	void recallLongReads();
 	void releaseToStore(KeyedTopic::Enum _topic);
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -199,7 +199,8 @@
 	const uint64_t number = ++lastRead_[_topic];
 	const auto read = std::make_shared<PendingRead>(std::move(_read));
 	storeReads_[_topic] = read;
-	store_.read(_topic, read->from, read->wait,
+	// Whether the store answers a trial read must be known at once.
+	store_.read(_topic, read->from, read->isTrial ? Duration{} : read->wait,
 	            [this, _topic, sentAt, number, read](KeyedPage&& _page)
 	            {
 		            truncateValues(_topic, _page);
@@ -212,6 +213,11 @@
 			            cache_.clear(_topic);
 		            }
 		            onStoreResult(_topic, number, sentAt, _page.state);
+		            if (keepsWaiting(_topic, number, *read, _page.state))
+		            {
+			            pendingReads_[_topic] = PendingRead{read->from, read->wait, std::move(read->call), clock_.now()};
+			            read->call = nullptr;
+		            }
 		            if (read->call) // otherwise it was recalled
 		            {
 			            const PageCallback call = std::move(read->call);
@@ -221,6 +227,16 @@
 	            });
 }
 
+/// A trial read that fails waits for the hub again. Its reader would otherwise pause before it reads again, and a hub
+/// that tries the store while it reads through another node would have no read for that node to answer.
+bool HallLog::keepsWaiting(KeyedTopic::Enum _topic, uint64_t _number, const PendingRead& _read,
+                           StoreState::Enum _state) const
+{
+	const bool answered = StoreState::Done == _state || StoreState::Gone == _state;
+	return _read.isTrial && !answered && _read.call && _number == lastRead_[_topic] && !pendingReads_[_topic] &&
+	       ReadMode::Store != readMode_;
+}
+
 /// The outcome of loading the nodes' topic does not affect the choice of a hub: every node of a fleet that starts loads
 /// it, and when some of these loads fail and are repeated, their nodes must not load the other topics themselves, too.
 void HallLog::loadStore(KeyedTopic::Enum _topic, const std::string& _afterKey, PageCallback _call)
@@ -379,7 +395,7 @@
 		if (pendingReads_[topic])
 		{
 			tryInFlight_ = true;
-			pendingReads_[topic]->wait = Duration{}; // whether the store answers must be known at once
+			pendingReads_[topic]->isTrial = true;
 			releaseToStore(static_cast<KeyedTopic::Enum>(topic));
 		}
 	}
