Hall: find the node that the store serves sooner, and read less after an outage

In a silent outage it hung for 0.7 s, and the hub had no read of the operator's topic that the reader which announced itself could answer; its followers went on trying the store. The read now waits for the hub meanwhile. - A hub that reads through another node dated its confirmation from when its read began to wait, seconds ago, so that followers rejected its updates as outdated. It is dated from the report that was answered. - A node that found the store sent each long read twice, since its reader renews them. A read sent after the newest answered one is not repeated. - A reader's notice, and the hub's first report to it, waited for the next step, up to 150 ms each; they are sent 15 ms after the change. - Nodes of a hall of at most 16 probe a store that has just stopped answering each 100 ms in place of 250; the first two then probe each 900 ms.

--- a/packages/core/include/core/hubselector.h
+++ b/packages/core/include/core/hubselector.h
@@ -113,6 +113,10 @@
 	bool isStoreUnavailable(Time _now) const;
 	void avoid(const std::string& _node, Time _now);
 	void markUnavailableIf(bool _isOut, Time _now);
+	void startSearch(Time _now);
+	Time nextProbe(Time _now) const;
+	bool isSearchable() const;
+	static Duration stepsOf(Duration _step, std::size_t _count);
 	std::size_t ownIndex() const;
 
 	std::string self_;
@@ -127,6 +131,7 @@
 	bool sharesProbes_ = true;
 	Time unavailableUntil_;   //!< The store counts as unavailable until then.
 	Time probeAt_;            //!< When this node next probes the store while it is unavailable.
+	Time searchUntil_;        //!< Until then the nodes of the hall probe at short intervals.
 	Time readsDirectlyUntil_; //!< Until then this node reads the store itself, also for nodes that cannot.
 	std::string reader_;
 	Time readerValidUntil_; //!< Until then the reader's announcement is valid.
--- a/packages/core/src/hubselector.cpp
+++ b/packages/core/src/hubselector.cpp
@@ -27,6 +27,20 @@
 /// Nodes of a hall that probe often: one more than the hub, in case the store refuses the hub.
 constexpr std::size_t kFrequentProbers = 2;
 
+/// Interval at which the nodes of a hall of at most `kMaxSearchers` probe the store in turn when it has just stopped
+/// answering the hub: the store may serve a single node, which must be found within the two seconds in which a change
+/// must be known. A larger hall cannot be searched in this time by the calls that a hall may make.
+constexpr Duration kSearchStep = Duration::fromMillis(100);
+constexpr std::size_t kMaxSearchers = 16;
+
+/// Time before the first of these probes: if the store serves the next candidate, the others learn it before.
+constexpr Duration kSearchDelay = Duration::fromMillis(250);
+
+/// Interval at which the first nodes of a hall of more than `kMaxFrequentHall` probe the store during a search, so that
+/// the hall makes no more calls than after it.
+constexpr Duration kSearchProbeInterval = Duration::fromMillis(900);
+constexpr std::size_t kMaxFrequentHall = 6;
+
 /// Nodes that are queried before a node reads the store itself. Each costs one report interval, or three if it does not
 /// answer, and a change must be known within two seconds.
 constexpr std::size_t kMaxQueried = 3;
@@ -137,12 +151,51 @@
 	}
 	if (!isStoreUnavailable(_now))
 	{
-		const bool probesOften = ownIndex() < kFrequentProbers;
-		probeAt_ = probesOften ? _now : _now + Duration{kProbeStep.micros * static_cast<int64_t>(probePlace_)};
+		startSearch(_now);
 	}
 	unavailableUntil_ = _now + kReportValidity;
 }
 
+/// Sets when this node probes the store for the first time.
+void HubSelector::startSearch(Time _now)
+{
+	if (ownIndex() < kFrequentProbers)
+	{
+		probeAt_ = _now;
+	}
+	else
+	{
+		probeAt_ = isSearchable() ? _now + kSearchDelay + stepsOf(kSearchStep, probePlace_)
+		                          : _now + stepsOf(kProbeStep, probePlace_);
+	}
+	searchUntil_ = isSearchable() ? _now + kSearchDelay + stepsOf(kSearchStep, hallSize_) : Time{};
+}
+
+/// After a search, the nodes that probed at short intervals in it probe at the usual ones.
+Time HubSelector::nextProbe(Time _now) const
+{
+	const bool searches = _now < searchUntil_;
+	if (ownIndex() < kFrequentProbers)
+	{
+		const bool isSlowed = searches && kMaxFrequentHall < hallSize_;
+		const Duration interval = isSlowed ? kSearchProbeInterval : kProbeInterval;
+		return _now + (_now < readerValidUntil_ ? kRareProbeInterval : interval);
+	}
+	const Time inTurn = searches ? searchUntil_ + kSearchProbeInterval + stepsOf(kProbeStep, probePlace_)
+	                             : _now + stepsOf(kProbeStep, hallSize_);
+	return std::max(_now + kRareProbeInterval, inTurn);
+}
+
+bool HubSelector::isSearchable() const
+{
+	return hallSize_ <= kMaxSearchers;
+}
+
+Duration HubSelector::stepsOf(Duration _step, std::size_t _count)
+{
+	return Duration{_step.micros * static_cast<int64_t>(_count)};
+}
+
 void HubSelector::onAnswer(const std::string& _node, bool _reads, Time _now)
 {
 	if (!_reads)
@@ -232,8 +285,11 @@
 	const bool probesOften = ownIndex() < kFrequentProbers;
 	const Duration span = probesOften && !(_now < readerValidUntil_) ? kProbeInterval : kRareProbeInterval;
 	withoutStore_[self_] = Avoidance{_now + span, span};
-	const Duration round{kProbeStep.micros * static_cast<int64_t>(hallSize_)};
-	probeAt_ = _now + (probesOften ? span : std::max(span, round));
+	if (!wasOut)
+	{
+		startSearch(_now);
+	}
+	probeAt_ = nextProbe(_now);
 	unavailableUntil_ = wasOut ? _now + kReportValidity : unavailableUntil_;
 }
 
--- a/packages/hall/include/hall/hallexchange.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -48,7 +48,7 @@
 /// store and the traffic grows linearly with the number of nodes instead of quadratically. Hubs send each other the
 /// sums of their halls. This class sends and receives the messages; HubFollower, LoadReports and ReportResponder
 /// interpret them. Control thread only, except for the calls of the link.
-class HallExchange : public PeerHandlerI, public RegistrySourceI
+class HallExchange : public PeerHandlerI, public RegistrySourceI, public HubListenerI
 {
 public:
 	/// @remarks Throws std::exception when the address for other nodes cannot be bound.
@@ -69,6 +69,7 @@
 		return hub_.isHub();
 	}
 
+	void onHubChanged() override;
 	bool requestRegistry() override;
 	void onPeerMessage(const wire::PeerMessage& _message, wire::PeerMessage& _reply) override;
 	void onForeignMessage(std::size_t _bytes) override;
--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -142,10 +142,9 @@
 		Offset from;
 		Duration wait;
 		PageCallback call;
-		Time startedAt;
+		Time startedAt; //!< When it began to wait for the hub, or was sent to the store.
 		bool snapshot = false;
 		uint64_t firstReport = 0; //!< Number of the first report that carried it; 0: none yet.
-		bool isTrial = false;     //!< Sent to the store to check whether it answers.
 	};
 
 	/// A load of the registry that waits for another node.
@@ -171,8 +170,10 @@
 	void cacheLoadedPage(KeyedTopic::Enum _topic, bool _first, const KeyedPage& _page, Time _sentAt);
 	void truncateValues(KeyedTopic::Enum _topic, KeyedPage& _page);
 	void onStoreResult(KeyedTopic::Enum _topic, uint64_t _number, Time _sentAt, StoreState::Enum _state);
-	bool keepsWaiting(KeyedTopic::Enum _topic, uint64_t _number, const PendingRead& _read,
-	                  StoreState::Enum _state) const;
+	bool isExpectedToEnd(const PendingRead& _read) const;
+	void tryStore(KeyedTopic::Enum _topic);
+	PageCallback takePendingRead(KeyedTopic::Enum _topic, Offset _from, Time _since);
+	void updateCache(KeyedTopic::Enum _topic, Offset _from, const KeyedPage& _page, Time _sentAt);
 	bool readsFromStore(KeyedTopic::Enum _topic) const;
 	void recallLongReads();
 	void releaseToStore(KeyedTopic::Enum _topic);
@@ -195,6 +196,8 @@
 	Time storeModeSince_;                                //!< Since when reads go to the store, short breaks included.
 	Time storeModeUntil_;                                //!< When reads were last switched away from the store.
 	Time lastAnsweredSentAt_;                            //!< When the latest answered read was sent.
+	uint64_t lastReport_ = 0;                            //!< Number of the last report.
+	Time lastReportAt_;                                  //!< When it was sent.
 	bool tryInFlight_ = false;                           //!< A trial read of the store is in flight.
 	std::array<std::optional<PendingRead>, KeyedTopic::Count> pendingReads_; //!< Reads that wait for the hub.
 	std::array<std::weak_ptr<PendingRead>, KeyedTopic::Count> storeReads_;   //!< Last store read of each topic.
--- a/packages/hall/include/hall/hubfollower.h
+++ b/packages/hall/include/hall/hubfollower.h
@@ -21,6 +21,16 @@
 class HallReport;
 } // namespace wire
 
+/// Receives that another node must learn something before the next report is due.
+class HubListenerI
+{
+public:
+	virtual ~HubListenerI() = default;
+
+	/// This node has chosen another hub between two steps, or the store has answered it and it reads for others.
+	virtual void onHubChanged() = 0;
+};
+
 /// Follows one node of the hall as its hub: detects that the hub is silent or that the store cannot be read through it,
 /// switches to another node, and sets the read mode of HallLog. Control thread only, except for isHub and reads.
 class HubFollower : public StoreReadListenerI
@@ -30,6 +40,11 @@
 	/// @param _cpuShare of this node.
 	HubFollower(const std::string& _self, double _cpuShare, const ClockI& _clock, HallLog& _log);
 
+	void setListener(HubListenerI& _listener)
+	{
+		listener_ = &_listener;
+	}
+
 	/// Enables or disables sharing among the nodes of a hall the trial reads of a store that is down. Enabled by
 	/// default.
 	void shareTries(bool _enabled)
@@ -88,6 +103,7 @@
 	}
 
 private:
+	void notifyListener();
 	void checkSilence(Time _now);
 	void applyHub(const Hub& _hub);
 	void evaluateAnswer(const wire::HallAnswer& _answer);
@@ -96,6 +112,7 @@
 	std::string self_;
 	const ClockI& clock_;
 	HallLog& log_;
+	HubListenerI* listener_ = nullptr;
 	HubSelector choice_;
 	Hub hub_;                   //!< Chosen last.
 	uint64_t lastReport_ = 0;   //!< Number of the last report.
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -45,6 +45,7 @@
       reports_(_fleet, _clock),
       responder_(_settings, _clock, hub_, aggregator_, _cache)
 {
+	hub_.setListener(*this);
 	hub_.shareTries(_settings.mechanisms.isEnabled(Mechanism::SharedTries));
 	PeerSettings settings;
 	settings.endpoint = peerAddress(_settings);
@@ -146,6 +147,14 @@
 	scheduleTick(std::max(Duration{}, Duration{kEarlyReportPause.micros - since.micros}));
 }
 
+void HallExchange::onHubChanged()
+{
+	if (isStarted_)
+	{
+		reportSoon();
+	}
+}
+
 void HallExchange::scheduleTick(Duration _pause)
 {
 	timer_.expires_after(std::chrono::microseconds(_pause.micros));
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -196,28 +196,22 @@
 void HallLog::readStore(KeyedTopic::Enum _topic, PendingRead&& _read)
 {
 	const Time sentAt = clock_.now();
+	const std::shared_ptr<PendingRead> current = storeReads_[_topic].lock();
+	if (current && current->call && current->from == _read.from && isExpectedToEnd(*current))
+	{
+		current->call = std::move(_read.call);
+		return;
+	}
 	const uint64_t number = ++lastRead_[_topic];
 	const auto read = std::make_shared<PendingRead>(std::move(_read));
+	read->startedAt = sentAt;
 	storeReads_[_topic] = read;
-	// Whether the store answers a trial read must be known at once.
-	store_.read(_topic, read->from, read->isTrial ? Duration{} : read->wait,
+	store_.read(_topic, read->from, read->wait,
 	            [this, _topic, sentAt, number, read](KeyedPage&& _page)
 	            {
 		            truncateValues(_topic, _page);
-		            if (StoreState::Done == _page.state)
-		            {
-			            cache_.addPage(_topic, read->from, _page, sentAt);
-		            }
-		            if (StoreState::Gone == _page.state)
-		            {
-			            cache_.clear(_topic);
-		            }
+		            updateCache(_topic, read->from, _page, sentAt);
 		            onStoreResult(_topic, number, sentAt, _page.state);
-		            if (keepsWaiting(_topic, number, *read, _page.state))
-		            {
-			            pendingReads_[_topic] = PendingRead{read->from, read->wait, std::move(read->call), clock_.now()};
-			            read->call = nullptr;
-		            }
 		            if (read->call) // otherwise it was recalled
 		            {
 			            const PageCallback call = std::move(read->call);
@@ -227,14 +221,58 @@
 	            });
 }
 
-/// A trial read that fails waits for the hub again. Its reader would otherwise pause before it reads again, and a hub
-/// that tries the store while it reads through another node would have no read for that node to answer.
-bool HallLog::keepsWaiting(KeyedTopic::Enum _topic, uint64_t _number, const PendingRead& _read,
-                           StoreState::Enum _state) const
+/// Readers renew their long reads after an outage, since the store may have lost them. A read that was sent after the
+/// newest one that was answered is not lost, and sending it again would cost the store a call.
+bool HallLog::isExpectedToEnd(const PendingRead& _read) const
 {
-	const bool answered = StoreState::Done == _state || StoreState::Gone == _state;
-	return _read.isTrial && !answered && _read.call && _number == lastRead_[_topic] && !pendingReads_[_topic] &&
-	       ReadMode::Store != readMode_;
+	return failedAt_ < lastAnsweredSentAt_ && !(_read.startedAt < lastAnsweredSentAt_);
+}
+
+/// Reads the store once without a wait, to check whether it answers. The read waits for the hub meanwhile: a silent
+/// store would otherwise keep it, and a hub that reads through another node would get no updates from that node.
+void HallLog::tryStore(KeyedTopic::Enum _topic)
+{
+	const Time sentAt = clock_.now();
+	const uint64_t number = ++lastRead_[_topic];
+	const Offset from = pendingReads_[_topic]->from;
+	store_.read(_topic, from, Duration{},
+	            [this, _topic, sentAt, number, from](KeyedPage&& _page)
+	            {
+		            truncateValues(_topic, _page);
+		            const bool answered = StoreState::Done == _page.state || StoreState::Gone == _page.state;
+		            PageCallback call = answered ? takePendingRead(_topic, from, sentAt) : PageCallback();
+		            updateCache(_topic, from, _page, sentAt);
+		            onStoreResult(_topic, number, sentAt, _page.state);
+		            if (call)
+		            {
+			            call(std::move(_page));
+		            }
+	            });
+}
+
+/// @returns the call of the read that waits since a time or longer; empty if there is none.
+KeyedLogI::PageCallback HallLog::takePendingRead(KeyedTopic::Enum _topic, Offset _from, Time _since)
+{
+	std::optional<PendingRead>& slot = pendingReads_[_topic];
+	if (!slot || slot->snapshot || !(slot->from == _from) || _since < slot->startedAt)
+	{
+		return PageCallback();
+	}
+	PageCallback call = std::move(slot->call);
+	slot.reset();
+	return call;
+}
+
+void HallLog::updateCache(KeyedTopic::Enum _topic, Offset _from, const KeyedPage& _page, Time _sentAt)
+{
+	if (StoreState::Done == _page.state)
+	{
+		cache_.addPage(_topic, _from, _page, _sentAt);
+	}
+	if (StoreState::Gone == _page.state)
+	{
+		cache_.clear(_topic);
+	}
 }
 
 /// The outcome of loading the nodes' topic does not affect the choice of a hub: every node of a fleet that starts loads
@@ -386,18 +424,23 @@
 	sendToStore(_topic, std::move(read));
 }
 
-/// Sends one waiting read to the store. The operator's topic comes first, since the validity of keys depends on when it
-/// was last confirmed.
+/// Tries the store with one waiting read. The operator's topic comes first, since the validity of keys depends on when
+/// it was last confirmed.
 void HallLog::sendTryRead()
 {
 	for (uint32_t topic = 0; !tryInFlight_ && topic < KeyedTopic::Count; ++topic)
 	{
-		if (pendingReads_[topic])
+		if (!pendingReads_[topic])
+		{
+			continue;
+		}
+		tryInFlight_ = true;
+		if (pendingReads_[topic]->snapshot)
 		{
-			tryInFlight_ = true;
-			pendingReads_[topic]->isTrial = true;
 			releaseToStore(static_cast<KeyedTopic::Enum>(topic));
+			continue;
 		}
+		tryStore(static_cast<KeyedTopic::Enum>(topic));
 	}
 }
 
@@ -413,6 +456,8 @@
 std::vector<HallLog::TopicQuery> HallLog::pendingQueries(uint64_t _report)
 {
 	std::vector<TopicQuery> queries;
+	lastReport_ = _report;
+	lastReportAt_ = clock_.now();
 	for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
 	{
 		std::optional<PendingRead>& slot = pendingReads_[topic];
@@ -458,8 +503,10 @@
 	}
 	const PendingRead read = std::move(*slot);
 	slot.reset();
-	// The hub answered after this read began, so that its confirmation is no older than this.
-	const Time provenAt = Time{read.startedAt.micros - _update.page.proofAge.micros};
+	// The hub answered after this read began and after the report was sent, so that its confirmation is no older than
+	// this. A read may have waited for seconds while the store was down.
+	const Time askedAt = _report == lastReport_ ? std::max(read.startedAt, lastReportAt_) : read.startedAt;
+	const Time provenAt = Time{askedAt.micros - _update.page.proofAge.micros};
 	_update.page.forwarded = true;
 	if (read.snapshot)
 	{
--- a/packages/hall/src/hubfollower.cpp
+++ b/packages/hall/src/hubfollower.cpp
@@ -135,9 +135,23 @@
 	choice_.onAnswer(node, false, now);
 }
 
+/// The next step takes the change into account.
 void HubFollower::onReader(const std::string& _node)
 {
-	choice_.onReaderAnnounced(_node, clock_.now());
+	const Time now = clock_.now();
+	choice_.onReaderAnnounced(_node, now);
+	if (hub_.name != choice_.choose(now).name)
+	{
+		notifyListener();
+	}
+}
+
+void HubFollower::notifyListener()
+{
+	if (nullptr != listener_)
+	{
+		listener_->onHubChanged();
+	}
 }
 
 void HubFollower::onFollower(const std::string& _node)
@@ -169,9 +183,15 @@
 void HubFollower::onStoreRead(bool _answered)
 {
 	const Time now = clock_.now();
+	const std::string before = hub_.name;
+	const bool wasProven = storeProven_;
 	choice_.onStoreResult(_answered, now);
 	applyHub(choice_.choose(now));
 	storeProven_ = _answered && self_ == hub_.name;
+	if (before != hub_.name || wasProven != storeProven_)
+	{
+		notifyListener();
+	}
 }
 
 } // namespace sedgecart
--- a/packages/hall/tests/simulatedhall.cpp
+++ b/packages/hall/tests/simulatedhall.cpp
@@ -19,7 +19,8 @@
 namespace
 {
 
-constexpr Duration kReportPause = Duration::fromMillis(150); //!< Same as in HallExchange.
+constexpr Duration kReportPause = Duration::fromMillis(150);     //!< Same as in HallExchange.
+constexpr Duration kEarlyReportPause = Duration::fromMillis(15); //!< Same as in HallExchange.
 constexpr Duration kLinkDelay = Duration::fromMillis(2);
 
 /// Pauses after failed reads, same as in Follower.
@@ -47,7 +48,7 @@
 } // namespace
 
 /// One node: does what HallExchange, Follower and EntryControl do, without their timers and sockets.
-class SimulatedHall::Node
+class SimulatedHall::Node : public HubListenerI
 {
 public:
 	Node(SimulatedHall& _hall, const std::string& _name, uint64_t _seed)
@@ -63,14 +64,11 @@
 
 	void start(const std::vector<HubCandidate>& _candidates)
 	{
+		follower_.setListener(*this);
 		follower_.setCandidates(_candidates);
 		follower_.update(); // before the first reads
 		std::uniform_int_distribution<int64_t> offset(0, kReportPause.micros);
-		hall_.loop_.after(Duration{offset(random_)},
-		                  [this]
-		                  {
-			                  tick();
-		                  });
+		scheduleTick(Duration{offset(random_)});
 		for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
 		{
 			cache_.setSnapshot(static_cast<KeyedTopic::Enum>(topic), {}, Offset{}, hall_.loop_.now()); // loaded
@@ -79,6 +77,12 @@
 		}
 	}
 
+	void onHubChanged() override
+	{
+		const Duration since = hall_.loop_.now() - lastTickAt_;
+		scheduleTick(std::max(Duration{}, kEarlyReportPause - since));
+	}
+
 	uint64_t choices() const
 	{
 		return choices_;
@@ -129,10 +133,20 @@
 		{
 			report(hub.name);
 		}
-		hall_.loop_.after(kReportPause,
-		                  [this]
+		lastTickAt_ = hall_.loop_.now();
+		scheduleTick(kReportPause);
+	}
+
+	/// Replaces the step that was scheduled before.
+	void scheduleTick(Duration _pause)
+	{
+		hall_.loop_.after(_pause,
+		                  [this, number = ++ticks_]
 		                  {
-			                  tick();
+			                  if (number == ticks_)
+			                  {
+				                  tick();
+			                  }
 		                  });
 	}
 
@@ -274,6 +288,8 @@
 	std::minstd_rand random_;
 	std::array<Topic, KeyedTopic::Count> topics_;
 	Hub last_;
+	Time lastTickAt_;
+	uint64_t ticks_ = 0; //!< Scheduled so far.
 	uint64_t choices_ = 0;
 };
 
