--- a/packages/core/tests/hubselectortest.cpp
+++ b/packages/core/tests/hubselectortest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
@@ -36,6 +38,7 @@
 	CPPUNIT_TEST(hubKeepsItsReaderDespiteOtherAnnouncements);
 	CPPUNIT_TEST(nodeInUseAsHubKeepsReadingDirectly);
 	CPPUNIT_TEST(nodesProbeInTurn);
+	CPPUNIT_TEST(smallHallIsSearchedWithinTwoSeconds);
 	CPPUNIT_TEST(withoutSharedProbesEachNodeReadsDirectly);
 	CPPUNIT_TEST(aHubIsAlwaysChosen);
 	CPPUNIT_TEST_SUITE_END();
@@ -212,6 +215,24 @@
 		CPPUNIT_ASSERT(due <= 6);
 	}
 
+	/// The store served one node of fifteen, which probed it only after 3.5 s.
+	void smallHallIsSearchedWithinTwoSeconds()
+	{
+		std::vector<HubCandidate> nodes = hallNodes();
+		nodes.resize(std::min<std::size_t>(15, nodes.size()));
+		for (const HubCandidate& node : nodes)
+		{
+			HubSelector selector(node.name);
+			selector.setCandidates(nodes);
+			const std::string& hub = nodes.front().name == node.name ? nodes.back().name : nodes.front().name;
+			for (int64_t millis = 0; millis < 1700; millis += 150)
+			{
+				selector.onStoreUnavailable(hub, after(millis));
+			}
+			CPPUNIT_ASSERT(selector.choose(after(1700)).probesStore);
+		}
+	}
+
 	void withoutSharedProbesEachNodeReadsDirectly()
 	{
 		HubSelector selector = largeHall("n30");
--- a/packages/hall/include/hall/halllog.h
+++ b/packages/hall/include/hall/halllog.h
@@ -175,7 +175,7 @@
 	PageCallback takePendingRead(KeyedTopic::Enum _topic, Offset _from, Time _since);
 	void updateCache(KeyedTopic::Enum _topic, Offset _from, const KeyedPage& _page, Time _sentAt);
 	bool readsFromStore(KeyedTopic::Enum _topic) const;
-	void recallLongReads();
+	void recallReads();
 	void releaseToStore(KeyedTopic::Enum _topic);
 	void onMissingRecords(const TopicUpdate& _update);
 	void sendTryRead();
--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -365,7 +365,7 @@
 	if (ReadMode::Store == readMode_ && ReadMode::Store != _mode)
 	{
 		storeModeUntil_ = now;
-		recallLongReads();
+		recallReads();
 	}
 	// A node that alternates between a hub and the store must not wait for rarely updated topics anew each time.
 	const bool isRepeated = now < storeModeUntil_ + kStoreModeBreak;
@@ -395,14 +395,14 @@
 	return ReadMode::Store == readMode_ && (isSettled || !kRarelyUpdated[_topic]);
 }
 
-/// Returns long reads of the store to the reads that wait for the hub. A long read that the store has lost would
-/// otherwise block until it ends, and keep the hub's updates from this node.
-void HallLog::recallLongReads()
+/// Returns reads of the store to the reads that wait for the hub. A read that the store has lost would otherwise block
+/// until it ends, and keep the hub's updates from this node.
+void HallLog::recallReads()
 {
 	for (uint32_t topic = 0; topic < KeyedTopic::Count; ++topic)
 	{
 		const std::shared_ptr<PendingRead> read = storeReads_[topic].lock();
-		if (!kRarelyUpdated[topic] || !read || !read->call)
+		if (!read || !read->call)
 		{
 			continue;
 		}
--- a/packages/hall/tests/halllogtest.cpp
+++ b/packages/hall/tests/halllogtest.cpp
@@ -137,6 +137,9 @@
 	CPPUNIT_TEST(cacheReportsAvailableSnapshot);
 	CPPUNIT_TEST(waitingReadsGoToStoreWithoutHub);
 	CPPUNIT_TEST(oneReadTriesTheStore);
+	CPPUNIT_TEST(readWaitsForHubWhileStoreIsTried);
+	CPPUNIT_TEST(renewedReadIsSentOnce);
+	CPPUNIT_TEST(confirmationIsDatedFromReport);
 	CPPUNIT_TEST(replacedReadSaysNothingAboutStore);
 	CPPUNIT_TEST(lateAnswerToLongReadSaysNothingAboutStore);
 	CPPUNIT_TEST(lateFailureOfLongReadSaysNothingAboutStore);
@@ -306,6 +309,45 @@
 		CPPUNIT_ASSERT((std::vector<bool>{false}) == listener_.answers);
 	}
 
+	/// A trial read that hung at a silent store kept the updates of a node that reads it from the hub for 0.7 s.
+	void readWaitsForHubWhileStoreIsTried()
+	{
+		log_.setReadMode(HallLog::ReadMode::Hub);
+		read(3);
+		log_.setReadMode(HallLog::ReadMode::Try);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.reads.size());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.pendingQueries(kReport).size());
+		CPPUNIT_ASSERT(log_.onUpdate(hubUpdate(3, 100, page(StoreState::Done, 4, {record(3)})), kReport));
+		store_.answerLast(page(StoreState::Unknown, 0));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages_.size());
+		CPPUNIT_ASSERT(pages_[0].forwarded);
+		CPPUNIT_ASSERT((std::vector<bool>{false}) == listener_.answers);
+	}
+
+	/// A node that found the store after an outage sent each long read twice.
+	void renewedReadIsSentOnce()
+	{
+		read(3);
+		store_.answerLast(page(StoreState::Done, 3));
+		read(3);
+		read(3);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), store_.reads.size());
+		store_.answerLast(page(StoreState::Done, 4, {record(3)}));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), pages_.size());
+	}
+
+	/// A hub whose reads had waited during an outage forwarded records as if they were confirmed before it.
+	void confirmationIsDatedFromReport()
+	{
+		log_.setReadMode(HallLog::ReadMode::Hub);
+		read(3);
+		clock_.advance(5000);
+		log_.pendingQueries(kReport);
+		CPPUNIT_ASSERT(log_.onUpdate(hubUpdate(3, 100, page(StoreState::Done, 4, {record(3)})), kReport));
+		const Time provenAt = cache_.find(KeyedTopic::Operator, Offset{4}).provenAt;
+		CPPUNIT_ASSERT_EQUAL(int64_t(100), (clock_.now() - provenAt).millis());
+	}
+
 	/// The connection of the replaced read was stuck; the read that replaced it was answered long ago.
 	void replacedReadSaysNothingAboutStore()
 	{
--- a/packages/hall/tests/manychangestest.cpp
+++ b/packages/hall/tests/manychangestest.cpp
@@ -84,6 +84,7 @@
 	CPPUNIT_TEST_SUITE(ManyChangesTest);
 	CPPUNIT_TEST(allKnowEachChangeWhereMostAreServed);
 	CPPUNIT_TEST(allKnowEachChangeThatOneNodeReads);
+	CPPUNIT_TEST(smallHallFindsTheOnlyServedNode);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,19 @@
 		CPPUNIT_ASSERT(holds);
 	}
 
+	/// With 7 nodes and seed 1 a change was known after 2,988 ms: the hub's own trial reads kept its read of the topic
+	/// from the node that the store served.
+	void smallHallFindsTheOnlyServedNode()
+	{
+		for (const std::size_t nodes : {7UL, 15UL})
+		{
+			for (uint64_t seed = 1; seed <= 10; ++seed)
+			{
+				CPPUNIT_ASSERT_LESSEQUAL(kMaxChangeDelay, simulateChanges(Changes{nodes, 1, 100, 100, seed}));
+			}
+		}
+	}
+
 	/// The same with a store that serves three quarters of a hall of any size.
 	void allKnowEachChangeWhereMostAreServed()
 	{
--- a/packages/hall/tests/storeoutagetest.cpp
+++ b/packages/hall/tests/storeoutagetest.cpp
@@ -353,6 +353,7 @@
 		    {6, 122, {{Outage::Refuses, 851, 100}, {Outage::Silent, 50, 900}}},
 		    {9, 30, {{Outage::Refuses, 1690, 2061}, {Outage::Refuses, 1098, 100}, {Outage::Refuses, 2119, 394}}},
 		    {35, 508, {{Outage::Refuses, 4101, 4100}, {Outage::Silent, 4149, 4051}, {Outage::Refuses, 0, 201}}},
+		    {11, 134, {{Outage::Silent, 41, 860}, {Outage::Silent, 1010, 300}}},
 		};
 		for (const Play& play : plays)
 		{
