--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -51,6 +51,7 @@
       responder_(_settings, _clock, hub_, aggregator_, _cache)
 {
 	responder_.setCapacityHub(capacity_.hub());
+	hub_.setListener(*this);
 	hub_.shareTries(_settings.mechanisms.isEnabled(Mechanism::SharedTries));
 	PeerSettings settings;
 	settings.endpoint = peerAddress(_settings);
@@ -155,6 +156,14 @@
 	scheduleTick(std::max(Duration{}, Duration{kEarlyReportPause.micros - since.micros}));
 }
 
+void HallExchange::onHubChanged()
+{
+	if (isStarted_)
+	{
+		reportSoon();
+	}
+}
+
 void HallExchange::scheduleTick(Duration _pause)
 {
 	timer_.expires_after(std::chrono::microseconds(_pause.micros));
--- a/packages/relay/src/admissioncontroller.cpp
+++ b/packages/relay/src/admissioncontroller.cpp
@@ -22,10 +22,6 @@
 /// objective, 250 ms between events.
 constexpr Duration kPollInterval = Duration::fromMillis(20);
 
-/// A request is refused at once only if capacity is expected this many times too late: of those expected in twice their
-/// slack, many are admitted in time, since requests of other nodes end as well.
-constexpr int64_t kExpectationMargin = 2;
-
 /// Requests that are passed over in one look because they exclude the free targets. Each costs one search for a path.
 constexpr uint32_t kMaxExcluded = 4;
 
@@ -91,8 +87,7 @@
 	const Duration byRate{static_cast<int64_t>(windows * static_cast<double>(RecentTokens::kWindow.micros))};
 	const std::optional<Duration> byForecast =
 	    _queue.account->returns.expectedIn(_request.tokens, _request.urgency, now);
-	const Duration expected = std::min(byRate, byForecast.value_or(byRate));
-	return now + Duration{expected.micros / kExpectationMargin} < _request.startBy;
+	return now + std::min(byRate, byForecast.value_or(byRate)) < _request.startBy;
 }
 
 std::optional<std::size_t> AdmissionController::push(const std::string& _service,
