--- a/packages/admission/include/admission/serviceaccount.h
+++ b/packages/admission/include/admission/serviceaccount.h
@@ -3,11 +3,11 @@
 #ifndef SEDGECART_ADMISSION_SERVICEACCOUNT_H_HEADER_GUARD
 #define SEDGECART_ADMISSION_SERVICEACCOUNT_H_HEADER_GUARD
 
-#include <admission/leaseaccount.h>
-#include <admission/releasetimeline.h>
-#include <admission/returnplanner.h>
-#include <admission/waitingtokens.h>
 #include <core/streampace.h>
+#include <demand/waitingtokens.h>
+#include <forecast/releasetimeline.h>
+#include <forecast/returnplanner.h>
+#include <leases/leaseaccount.h>
 
 namespace sedgecart
 {
--- a/packages/admission/include/admission/waitqueue.h
+++ b/packages/admission/include/admission/waitqueue.h
@@ -1,11 +1,14 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+/// \file
+/// Package `admission`: the order in which requests of prioritized services wait for capacity, and who is refused.
+
 #ifndef SEDGECART_ADMISSION_WAITQUEUE_H_HEADER_GUARD
 #define SEDGECART_ADMISSION_WAITQUEUE_H_HEADER_GUARD
 
 #include <admission/pendingrequest.h>
-#include <admission/servicedemand.h>
 #include <base/units.h>
+#include <demand/servicedemand.h>
 
 #include <array>
 #include <cstddef>
--- a/packages/admission/include/admission/servicecapacity.h
+++ b/packages/demand/include/demand/servicecapacity.h
@@ -1,10 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
+#ifndef SEDGECART_DEMAND_SERVICECAPACITY_H_HEADER_GUARD
+#define SEDGECART_DEMAND_SERVICECAPACITY_H_HEADER_GUARD
 
-#include <admission/servicedemand.h>
 #include <base/units.h>
+#include <demand/servicedemand.h>
 
 #include <cstdint>
 
@@ -25,4 +25,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_SERVICECAPACITY_H_HEADER_GUARD
+#endif // SEDGECART_DEMAND_SERVICECAPACITY_H_HEADER_GUARD
--- a/packages/admission/include/admission/servicedemand.h
+++ b/packages/demand/include/demand/servicedemand.h
@@ -1,12 +1,12 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Package `admission`: decisions on which requests of prioritised services are sent, wait or are refused while
-/// capacity is short. A service is prioritised if its streams have several urgencies. Pure: no I/O, the time is passed
-/// in. docs/design/admission.md has the parts.
+/// Package `demand`: what the nodes and the hub of a hall tell each other about prioritized services. A service is
+/// prioritized if its streams have several urgencies. Pure, like `leases`, `forecast` and `admission`, which decide by
+/// it: no I/O, the time is passed in. docs/design/admission.md has the parts.
 
-#ifndef SEDGECART_ADMISSION_SERVICEDEMAND_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_SERVICEDEMAND_H_HEADER_GUARD
+#ifndef SEDGECART_DEMAND_SERVICEDEMAND_H_HEADER_GUARD
+#define SEDGECART_DEMAND_SERVICEDEMAND_H_HEADER_GUARD
 
 #include <base/units.h>
 
@@ -30,7 +30,7 @@
 /// Tokens by step of a forecast.
 using StepTokens = std::array<uint64_t, kForecastSteps>;
 
-/// What a node needs of a prioritised service and what it has promised, as it reports it to the hub of its hall.
+/// What a node needs of a prioritized service and what it has promised, as it reports it to the hub of its hall.
 struct ServiceDemand
 {
 	uint64_t leaseUsed = 0;   //!< Tokens admitted under leases since the node started.
@@ -47,4 +47,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_SERVICEDEMAND_H_HEADER_GUARD
+#endif // SEDGECART_DEMAND_SERVICEDEMAND_H_HEADER_GUARD
--- a/packages/admission/include/admission/waitingtokens.h
+++ b/packages/demand/include/demand/waitingtokens.h
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_WAITINGTOKENS_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_WAITINGTOKENS_H_HEADER_GUARD
+#ifndef SEDGECART_DEMAND_WAITINGTOKENS_H_HEADER_GUARD
+#define SEDGECART_DEMAND_WAITINGTOKENS_H_HEADER_GUARD
 
-#include <admission/servicedemand.h>
+#include <demand/servicedemand.h>
 
 #include <array>
 #include <atomic>
@@ -25,4 +25,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_WAITINGTOKENS_H_HEADER_GUARD
+#endif // SEDGECART_DEMAND_WAITINGTOKENS_H_HEADER_GUARD
--- a/packages/admission/src/waitingtokens.cpp
+++ b/packages/demand/src/waitingtokens.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/waitingtokens.h>
+#include <demand/waitingtokens.h>
 
 namespace sedgecart
 {
--- a/packages/admission/include/admission/capacityforecast.h
+++ b/packages/forecast/include/forecast/capacityforecast.h
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_CAPACITYFORECAST_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_CAPACITYFORECAST_H_HEADER_GUARD
+#ifndef SEDGECART_FORECAST_CAPACITYFORECAST_H_HEADER_GUARD
+#define SEDGECART_FORECAST_CAPACITYFORECAST_H_HEADER_GUARD
 
-#include <admission/servicedemand.h>
-#include <admission/slottokens.h>
 #include <base/units.h>
+#include <demand/servicedemand.h>
+#include <forecast/slottokens.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -68,4 +68,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_CAPACITYFORECAST_H_HEADER_GUARD
+#endif // SEDGECART_FORECAST_CAPACITYFORECAST_H_HEADER_GUARD
--- a/packages/admission/include/admission/returnplanner.h
+++ b/packages/forecast/include/forecast/returnplanner.h
@@ -1,12 +1,17 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_RETURNPLANNER_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_RETURNPLANNER_H_HEADER_GUARD
+/// \file
+/// Package `forecast`: when capacity becomes free, and when refused callers return. `ReleaseTimeline` collects the
+/// expected ends of a node's requests, `CapacityForecast` divides the sum among the nodes of a hall, `ReturnPlanner`
+/// chooses times to return.
+
+#ifndef SEDGECART_FORECAST_RETURNPLANNER_H_HEADER_GUARD
+#define SEDGECART_FORECAST_RETURNPLANNER_H_HEADER_GUARD
 
-#include <admission/servicedemand.h>
-#include <admission/slottokens.h>
 #include <base/random.h>
 #include <base/units.h>
+#include <demand/servicedemand.h>
+#include <forecast/slottokens.h>
 
 #include <array>
 #include <cstddef>
@@ -81,4 +86,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_RETURNPLANNER_H_HEADER_GUARD
+#endif // SEDGECART_FORECAST_RETURNPLANNER_H_HEADER_GUARD
--- a/packages/admission/include/admission/slottokens.h
+++ b/packages/forecast/include/forecast/slottokens.h
@@ -1,10 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_SLOTTOKENS_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_SLOTTOKENS_H_HEADER_GUARD
+#ifndef SEDGECART_FORECAST_SLOTTOKENS_H_HEADER_GUARD
+#define SEDGECART_FORECAST_SLOTTOKENS_H_HEADER_GUARD
 
-#include <admission/servicedemand.h>
 #include <base/units.h>
+#include <demand/servicedemand.h>
 
 #include <array>
 #include <cstddef>
@@ -62,4 +62,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_SLOTTOKENS_H_HEADER_GUARD
+#endif // SEDGECART_FORECAST_SLOTTOKENS_H_HEADER_GUARD
--- a/packages/admission/src/capacityforecast.cpp
+++ b/packages/forecast/src/capacityforecast.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/capacityforecast.h>
+#include <forecast/capacityforecast.h>
 
 #include <algorithm>
 #include <iterator>
--- a/packages/admission/src/releasetimeline.cpp
+++ b/packages/forecast/src/releasetimeline.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/releasetimeline.h>
+#include <forecast/releasetimeline.h>
 
-#include <admission/slottokens.h>
+#include <forecast/slottokens.h>
 
 #include <algorithm>
 
--- a/packages/admission/src/slottokens.cpp
+++ b/packages/forecast/src/slottokens.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/slottokens.h>
+#include <forecast/slottokens.h>
 
 #include <algorithm>
 #include <limits>
--- a/packages/admission/tests/returnplannertest.cpp
+++ b/packages/forecast/tests/returnplannertest.cpp
@@ -1,9 +1,9 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <admission/releasetimeline.h>
-#include <admission/returnplanner.h>
-#include <admission/waitingtokens.h>
 #include <base/seededrandom.h>
+#include <demand/waitingtokens.h>
+#include <forecast/releasetimeline.h>
+#include <forecast/returnplanner.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/hall/include/hall/capacityexchange.h
+++ b/packages/hall/include/hall/capacityexchange.h
@@ -3,9 +3,9 @@
 #ifndef SEDGECART_HALL_CAPACITYEXCHANGE_H_HEADER_GUARD
 #define SEDGECART_HALL_CAPACITYEXCHANGE_H_HEADER_GUARD
 
-#include <admission/leaseaccount.h>
 #include <base/clock.h>
 #include <hall/capacityhub.h>
+#include <leases/leaseaccount.h>
 #include <loads/loadtable.h>
 #include <settings/mechanisms.h>
 
--- a/packages/hall/include/hall/capacityhub.h
+++ b/packages/hall/include/hall/capacityhub.h
@@ -3,11 +3,11 @@
 #ifndef SEDGECART_HALL_CAPACITYHUB_H_HEADER_GUARD
 #define SEDGECART_HALL_CAPACITYHUB_H_HEADER_GUARD
 
-#include <admission/capacityforecast.h>
-#include <admission/capacityoffers.h>
-#include <admission/hallcapacity.h>
-#include <admission/leaseledger.h>
 #include <base/clock.h>
+#include <forecast/capacityforecast.h>
+#include <leases/capacityoffers.h>
+#include <leases/hallcapacity.h>
+#include <leases/leaseledger.h>
 #include <settings/mechanisms.h>
 
 #include <cstdint>
--- a/packages/hall/src/capacityrows_p.h
+++ b/packages/hall/src/capacityrows_p.h
@@ -3,8 +3,8 @@
 #ifndef SEDGECART_HALL_CAPACITYROWS_P_H_HEADER_GUARD
 #define SEDGECART_HALL_CAPACITYROWS_P_H_HEADER_GUARD
 
-#include <admission/servicecapacity.h>
-#include <admission/servicedemand.h>
+#include <demand/servicecapacity.h>
+#include <demand/servicedemand.h>
 
 #include <cstddef>
 #include <string>
--- a/packages/admission/include/admission/hallcapacity.h
+++ b/packages/leases/include/leases/hallcapacity.h
@@ -1,7 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_HALLCAPACITY_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_HALLCAPACITY_H_HEADER_GUARD
+#ifndef SEDGECART_LEASES_HALLCAPACITY_H_HEADER_GUARD
+#define SEDGECART_LEASES_HALLCAPACITY_H_HEADER_GUARD
 
 #include <cstdint>
 #include <vector>
@@ -40,4 +40,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_HALLCAPACITY_H_HEADER_GUARD
+#endif // SEDGECART_LEASES_HALLCAPACITY_H_HEADER_GUARD
--- a/packages/admission/include/admission/leaseaccount.h
+++ b/packages/leases/include/leases/leaseaccount.h
@@ -1,12 +1,16 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_LEASEACCOUNT_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_LEASEACCOUNT_H_HEADER_GUARD
+/// \file
+/// Package `leases`: the hub of a hall lends its free capacity to the nodes. `LeaseLedger` is the hub's side,
+/// `LeaseAccount` that of a node, `CapacityOffers` what halls lend to each other.
+
+#ifndef SEDGECART_LEASES_LEASEACCOUNT_H_HEADER_GUARD
+#define SEDGECART_LEASES_LEASEACCOUNT_H_HEADER_GUARD
 
-#include <admission/recenttokens.h>
-#include <admission/servicecapacity.h>
-#include <admission/servicedemand.h>
 #include <base/units.h>
+#include <demand/recenttokens.h>
+#include <demand/servicecapacity.h>
+#include <demand/servicedemand.h>
 
 #include <cstdint>
 #include <mutex>
@@ -129,4 +133,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_LEASEACCOUNT_H_HEADER_GUARD
+#endif // SEDGECART_LEASES_LEASEACCOUNT_H_HEADER_GUARD
--- a/packages/admission/include/admission/leaseledger.h
+++ b/packages/leases/include/leases/leaseledger.h
@@ -1,11 +1,11 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_LEASELEDGER_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_LEASELEDGER_H_HEADER_GUARD
+#ifndef SEDGECART_LEASES_LEASELEDGER_H_HEADER_GUARD
+#define SEDGECART_LEASES_LEASELEDGER_H_HEADER_GUARD
 
-#include <admission/servicecapacity.h>
-#include <admission/servicedemand.h>
 #include <base/units.h>
+#include <demand/servicecapacity.h>
+#include <demand/servicedemand.h>
 
 #include <array>
 #include <cstddef>
@@ -110,4 +110,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_LEASELEDGER_H_HEADER_GUARD
+#endif // SEDGECART_LEASES_LEASELEDGER_H_HEADER_GUARD
--- a/packages/admission/tests/leasefailuretest.cpp
+++ b/packages/leases/tests/leasefailuretest.cpp
@@ -2,8 +2,8 @@
 
 #include "leaseplay.h"
 
-#include <admission/capacityoffers.h>
-#include <admission/hallcapacity.h>
+#include <leases/capacityoffers.h>
+#include <leases/hallcapacity.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/admission/tests/leaseplay.h
+++ b/packages/leases/tests/leaseplay.h
@@ -1,10 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_ADMISSION_TESTS_LEASEPLAY_H_HEADER_GUARD
-#define SEDGECART_ADMISSION_TESTS_LEASEPLAY_H_HEADER_GUARD
+#ifndef SEDGECART_LEASES_TESTS_LEASEPLAY_H_HEADER_GUARD
+#define SEDGECART_LEASES_TESTS_LEASEPLAY_H_HEADER_GUARD
 
-#include <admission/leaseaccount.h>
-#include <admission/leaseledger.h>
+#include <leases/leaseaccount.h>
+#include <leases/leaseledger.h>
 
 #include <algorithm>
 #include <map>
@@ -245,4 +245,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_ADMISSION_TESTS_LEASEPLAY_H_HEADER_GUARD
+#endif // SEDGECART_LEASES_TESTS_LEASEPLAY_H_HEADER_GUARD
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -100,7 +100,7 @@
 		Pause,      //!< Between two events of a stream, when longer than its route's objective.
 		OrderShown, //!< From an order to hold layers until the registry shows them.
 		LayerLoss,  //!< How long layers of a data hall had no holder.
-		RetryAfter, //!< Retry-After of refusals of prioritised services.
+		RetryAfter, //!< Retry-After of refusals of prioritized services.
 
 		Count
 	};
--- a/packages/relay/include/relay/admissioncontroller.h
+++ b/packages/relay/include/relay/admissioncontroller.h
@@ -5,10 +5,10 @@
 
 #include <admission/firsteventestimator.h>
 #include <admission/pendingrequest.h>
-#include <admission/recenttokens.h>
 #include <admission/waitqueue.h>
 #include <aio/timer.h>
 #include <base/units.h>
+#include <demand/recenttokens.h>
 #include <relay/admissionwaiter.h>
 
 #include <cstddef>
--- a/packages/relay/src/admissionwait_p.h
+++ b/packages/relay/src/admissionwait_p.h
@@ -3,10 +3,10 @@
 #ifndef SEDGECART_RELAY_ADMISSIONWAIT_P_H_HEADER_GUARD
 #define SEDGECART_RELAY_ADMISSIONWAIT_P_H_HEADER_GUARD
 
-#include <admission/leaseaccount.h>
 #include <admission/pendingrequest.h>
 #include <base/units.h>
 #include <core/relaymachine.h>
+#include <leases/leaseaccount.h>
 #include <relay/admissionwaiter.h>
 #include <relay/relaycontext.h>
 
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -6,12 +6,12 @@
 #include "relayplan_p.h"
 #include "requestrelay_p.h"
 
-#include <admission/servicedemand.h>
 #include <base/clock.h>
 #include <base/random.h>
 #include <core/responsetimeestimator.h>
 #include <core/resumeadmission.h>
 #include <crash/crashdetector.h>
+#include <demand/servicedemand.h>
 #include <fleet/fleetview.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -40,9 +40,9 @@
 		DrainNotice,      //!< A target that announces in an answer that it drains gets no more requests.
 		TargetBackoff,    //!< A target that refused a request gets none until its requested backoff is over.
 		RateLimits,       //!< All nodes together keep to the rate limit that a target advertises.
-		UrgencyAdmission, //!< Requests of prioritised services wait for capacity, the most urgent first.
-		CapacityLeases,   //!< The hub lends the capacity of its hall to the nodes of prioritised services.
-		CapacityForecast, //!< Refused callers of prioritised services return when capacity is expected.
+		UrgencyAdmission, //!< Requests of prioritized services wait for capacity, the most urgent first.
+		CapacityLeases,   //!< The hub lends the capacity of its hall to the nodes of prioritized services.
+		CapacityForecast, //!< Refused callers of prioritized services return when capacity is expected.
 		LoadShares,       //!< A node adds at most its share of the free capacity to a target of a prioritized service.
 
 		Count
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -8,13 +8,13 @@
 #include "../../packages/peer/src/peermessage_p.h"
 #include "../../platform/src/recordcodec_p.h"
 
-#include <admission/leaseaccount.h>
-#include <admission/leaseledger.h>
 #include <base/endpointtext.h>
 #include <core/routetable.h>
 #include <crash/crashupdate.h>
 #include <fleet/nodeaddress.h>
 #include <layout/layoutrecord.h>
+#include <leases/leaseaccount.h>
+#include <leases/leaseledger.h>
 #include <loads/loadrows.h>
 #include <platform/platform.h>
 #include <ports/documentparser.h>
