--- a/packages/core/tests/loadsharetest.cpp
+++ b/packages/core/tests/loadsharetest.cpp
@@ -60,8 +60,8 @@
 		CPPUNIT_ASSERT_MESSAGE(std::to_string(added), 90 <= added && added <= 100 + kNodes);
 	}
 
-	/// With room for 7 requests at 20 nodes, all nodes at once would add 600. On the mean of many bursts they add 7, and
-	/// never more than one each.
+	/// With room for 7 requests at 20 nodes, all nodes at once would add 600. On the mean of many bursts they add 7,
+	/// and never more than one each.
 	void burstDoesNotOverfillANearlyFullTarget()
 	{
 		constexpr uint32_t kBursts = 1000;
--- a/packages/ctl/tests/requeststorytest.cpp
+++ b/packages/ctl/tests/requeststorytest.cpp
@@ -77,7 +77,8 @@
 		std::istringstream log(
 		    line("00.000000", "n1", "Node starts.", "", R"("hall":"h1")") + leases("01.0", "h1", "llm", "500") +
 		    leases("02.0", "h1", "llm", "40") + leases("02.1", "h2", "llm", "1") + leases("02.1", "h1", "other", "2") +
-		    line("02.5", "n1", "Request waits for capacity.", "id1", decided) + line("03.0", "n1", "Leases of the hall.", "", R"("service":"llm","free":"30")") +
+		    line("02.5", "n1", "Request waits for capacity.", "id1", decided) +
+		    line("03.0", "n1", "Leases of the hall.", "", R"("service":"llm","free":"30")") +
 		    line("03.5", "n1", "Request is admitted after a wait.", "id1", decided) +
 		    line("03.5", "n1", "Request is sent.", "id1", decided) +
 		    line("03.6", "n1", "Request waits for capacity.", "id1", decided) +
