--- a/packages/core/src/routetable.cpp
+++ b/packages/core/src/routetable.cpp
@@ -13,6 +13,9 @@
 
 constexpr double kDrawRange = 18446744073709551616.0; // 2^64
 
+/// Targets are told urgencies of one digit.
+constexpr uint32_t kMaxRank = 9;
+
 char lower(char _letter)
 {
 	return 'A' <= _letter && _letter <= 'Z' ? static_cast<char>(_letter - 'A' + 'a') : _letter;
@@ -143,7 +146,7 @@
 	const bool hasUrgency = nullptr != _holder && _holder->hasUrgency;
 	const auto moreUrgent = static_cast<uint32_t>(
 	    std::distance(customerUrgencies_.begin(), customerUrgencies_.lower_bound(hasUrgency ? _holder->urgency : 0)));
-	return (hasUrgency ? moreUrgent : 0) * static_cast<uint32_t>(routes.size()) + ofRoute;
+	return std::min(kMaxRank, (hasUrgency ? moreUrgent : 0) * static_cast<uint32_t>(routes.size()) + ofRoute);
 }
 
 const WeightedService* pickService(const HostRoute& _route, uint64_t _draw)
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -21,7 +21,7 @@
 #include <ports/keyedlog.h>
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
-#include <relay/admissioncontroller.h>
+#include <queueing/admissioncontroller.h>
 #include <relay/requestingress.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
--- a/packages/relay/include/relay/admissioncontroller.h
+++ b/packages/queueing/include/queueing/admissioncontroller.h
@@ -1,7 +1,10 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#ifndef SEDGECART_RELAY_ADMISSIONCONTROLLER_H_HEADER_GUARD
-#define SEDGECART_RELAY_ADMISSIONCONTROLLER_H_HEADER_GUARD
+/// \file
+/// Package `queueing`: the queues in which requests of prioritized services wait at a node, with their timer.
+
+#ifndef SEDGECART_QUEUEING_ADMISSIONCONTROLLER_H_HEADER_GUARD
+#define SEDGECART_QUEUEING_ADMISSIONCONTROLLER_H_HEADER_GUARD
 
 #include <admission/firsteventestimator.h>
 #include <admission/pendingrequest.h>
@@ -9,7 +12,7 @@
 #include <aio/timer.h>
 #include <base/units.h>
 #include <demand/recenttokens.h>
-#include <relay/admissionwaiter.h>
+#include <queueing/admissionwaiter.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -114,4 +117,4 @@
 
 } // namespace sedgecart
 
-#endif // SEDGECART_RELAY_ADMISSIONCONTROLLER_H_HEADER_GUARD
+#endif // SEDGECART_QUEUEING_ADMISSIONCONTROLLER_H_HEADER_GUARD
--- a/packages/relay/src/admissioncontroller.cpp
+++ b/packages/queueing/src/admissioncontroller.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include <relay/admissioncontroller.h>
+#include <queueing/admissioncontroller.h>
 
 #include <admission/serviceaccount.h>
 #include <base/clock.h>
--- a/packages/relay/src/admissionwait.cpp
+++ b/packages/relay/src/admissionwait.cpp
@@ -10,7 +10,7 @@
 #include <base/clock.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
-#include <relay/admissioncontroller.h>
+#include <queueing/admissioncontroller.h>
 #include <settings/mechanisms.h>
 
 #include <algorithm>
--- a/packages/relay/src/admissionwait_p.h
+++ b/packages/relay/src/admissionwait_p.h
@@ -7,7 +7,7 @@
 #include <base/units.h>
 #include <core/relaymachine.h>
 #include <leases/leaseaccount.h>
-#include <relay/admissionwaiter.h>
+#include <queueing/admissionwaiter.h>
 #include <relay/relaycontext.h>
 
 #include <cstdint>
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -11,7 +11,6 @@
 #include <core/responsetimeestimator.h>
 #include <core/resumeadmission.h>
 #include <crash/crashdetector.h>
-#include <demand/servicedemand.h>
 #include <fleet/fleetview.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
@@ -224,14 +223,11 @@
 	const WeightedService* const service = pickService(route, context_.random.next());
 	plan.service = nullptr == service ? std::string() : service->service;
 	plan.customer = nullptr == _match.holder ? std::string() : _match.holder->name;
-	plan.urgency = RouteTable::urgencyOf(route, _match.holder);
 	plan.pauseObjective = route.pauseObjective;
 	plan.objective = route.objective;
 	plan.isPrioritized = RequestKind::Stream == route.kind && _routes.isPrioritized(plan.service);
-	if (plan.isPrioritized)
-	{
-		plan.urgency = std::min<uint32_t>(_routes.rankOf(plan.service, route, _match.holder), kUrgencies - 1);
-	}
+	plan.urgency = plan.isPrioritized ? _routes.rankOf(plan.service, route, _match.holder)
+	                                  : RouteTable::urgencyOf(route, _match.holder);
 	plan.facts.kind = route.kind;
 	plan.facts.resumable = route.resumable;
 	plan.facts.maxRuns = route.maxRuns;
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -23,7 +23,7 @@
 #include <loads/pathwatch.h>
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
-#include <relay/admissionwaiter.h>
+#include <queueing/admissionwaiter.h>
 #include <relay/relaycontext.h>
 
 #include <functional>
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -14,7 +14,7 @@
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
 #include <metrics/metrics.h>
-#include <relay/admissioncontroller.h>
+#include <queueing/admissioncontroller.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
 #include <relay/targetratelimiter.h>
