--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -222,7 +222,7 @@
 		{
 			continue;
 		}
-		const std::string node = row.service();
+		const std::string& node = row.service();
 		ledger.onReport(node, message.hall_report().number(), demand, now);
 		const uint64_t reported = ledger.outstanding(now);
 		const ServiceCapacity capacity = ledger.grant(node, message.hall_report().number(), kFree, now);
