Log why a target failed a request: refused, not connected, reset, lost

"Target failed a request" did not tell a connection that was refused from one that hung or was lost, so that a broken link of the node and targets that have ended looked alike. The line has a field `failure` now. No change of logic.

--- a/packages/aio/include/aio/clientconnection.h
+++ b/packages/aio/include/aio/clientconnection.h
@@ -46,6 +46,9 @@
 	};
 };
 
+/// @returns the name used in logs, such as "refused".
+const char* nameOf(ExchangeFailure::Enum _how);
+
 /// @returns true if no byte of the request was sent.
 constexpr bool isUnsent(ExchangeFailure::Enum _how)
 {
--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -27,6 +27,10 @@
 /// Assumed for a peer that names no timeout in a Keep-Alive field.
 constexpr Duration kDefaultKeepAlive = Duration::fromMillis(24L * 3600 * 1000);
 
+constexpr const char* kFailureNames[ExchangeFailure::Count] = {
+    "not_connected", "refused", "reset_on_connect", "connection_lost", "malformed",
+};
+
 /// @returns the endpoint of "ip:port"; one with port 0 if the text is malformed.
 Tcp::endpoint endpointOf(const std::string& _address)
 {
@@ -68,6 +72,11 @@
 
 } // namespace
 
+const char* nameOf(ExchangeFailure::Enum _how)
+{
+	return kFailureNames[_how];
+}
+
 class ClientConnection::Impl : public std::enable_shared_from_this<ClientConnection::Impl>
 {
 public:
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -386,7 +386,7 @@
 	context_.pool.release(path_.head().record, _send.takeConnection());
 	if (_send.answer.notExecuted)
 	{
-		failureHandler_.onFailure(_send.answer);
+		failureHandler_.onFailure(_send.answer, "not_executed");
 	}
 	else if (kFirstServerError <= _send.head.status)
 	{
@@ -415,7 +415,7 @@
 		return;
 	}
 	path_.release();
-	failureHandler_.onFailure(_send.answer);
+	failureHandler_.onFailure(_send.answer, nameOf(_how));
 	machine_.onSendFailed(isUnsent(_how) ? SendFailure::NotSent : SendFailure::Broken);
 	finishIfDone();
 }
--- a/packages/relay/src/targetfailurehandler.cpp
+++ b/packages/relay/src/targetfailurehandler.cpp
@@ -31,14 +31,15 @@
 {
 }
 
-void TargetFailureHandler::onFailure(const TargetResponse& _answer)
+void TargetFailureHandler::onFailure(const TargetResponse& _answer, const char* _failure)
 {
 	const FleetTarget* const named = RequestPath::findByAddress(path_.chosenPath(), _answer.atFault);
 	const FleetTarget& failed = nullptr == named ? path_.head() : *named;
 	const Time until = context_.clock.now() + (_answer.notExecuted ? kRefusedFor : kAvoidedFor);
 	_answer.notExecuted ? path_.excludeUntil(failed, until) : path_.exclude(failed);
 	failed.load->avoidedUntil.store(until.micros, std::memory_order_relaxed);
-	log_.outcome("Target failed a request.", LogLevel::Info, failed.record.instance.text, _answer.atFault);
+	log_.outcome("Target failed a request.", LogLevel::Info, failed.record.instance.text, _answer.atFault,
+	             {{"failure", _failure}});
 	if (_answer.layersNotHeld && (nullptr != named || _answer.atFault.empty()))
 	{
 		recordMissingLayers(failed, _answer.atFault);
--- a/packages/relay/src/targetfailurehandler_p.h
+++ b/packages/relay/src/targetfailurehandler_p.h
@@ -25,7 +25,8 @@
 
 	/// Excludes the target that the answer names as being at fault, or else the head, from further choices for this
 	/// request, and has other requests avoid it for a short time.
-	void onFailure(const TargetResponse& _answer);
+	/// @param _failure why there is no answer to forward, for the log.
+	void onFailure(const TargetResponse& _answer, const char* _failure);
 
 private:
 	void recordMissingLayers(const FleetTarget& _failed, const std::string& _atFault);
