--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -334,6 +334,23 @@
 	               _state.services + R"(,"tenants":[{"name":"bank","api_keys":[)" + keys + "]}]}");
 }
 
+void EntryHarness::addLinks()
+{
+	for (const auto& target : targets_)
+	{
+		links_.push_back(std::make_unique<TargetLink>(target->address()));
+		store_.substitute(settings_.storeAddress, target->address(), links_.back()->address());
+	}
+}
+
+void EntryHarness::setLinks(LinkCut::Enum _cut)
+{
+	for (const auto& link : links_)
+	{
+		link->set(_cut);
+	}
+}
+
 void EntryHarness::start()
 {
 	settings_.firstPeerPort = portOf(freeAddress());
@@ -360,6 +377,7 @@
 {
 	EntrySettings settings = settingsOf(_name);
 	settings.hall = _hall;
+	settings.storeAddress = links_.empty() ? settings.storeAddress : secondStoreAddress();
 	more_.push_back(std::make_unique<EntryNode>(settings, *ports_));
 	waitReady(*more_.back());
 	return settings.callerAddress;
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -5,6 +5,7 @@
 
 #include "faketarget.h"
 #include "memorylog.h"
+#include "targetlink.h"
 
 #include <base/runner.h>
 #include <entry/entrynode.h>
@@ -103,6 +104,13 @@
 	/// Ends the target: from then on nobody listens at its address. Its record stays. The reference is gone.
 	void end(FakeTarget& _target);
 
+	/// Puts a link between the first node and each target that was added so far. No other node of its hall may read the
+	/// store for it, or be read for.
+	void addLinks();
+
+	/// Cuts or restores these links.
+	void setLinks(LinkCut::Enum _cut);
+
 	/// Starts the node and waits until it is ready.
 	void start();
 
@@ -173,6 +181,7 @@
 	MemoryStore store_;
 	EntrySettings settings_;
 	std::vector<std::unique_ptr<FakeTarget>> targets_;
+	std::vector<std::unique_ptr<TargetLink>> links_;
 	std::unique_ptr<Ports> ports_;
 	std::unique_ptr<EntryNode> node_;
 	EntrySettings secondSettings_;
--- a/tests/entry/memorylog.cpp
+++ b/tests/entry/memorylog.cpp
@@ -31,7 +31,7 @@
 	{
 		if (!(record.offset < _from))
 		{
-			page.records.push_back(record);
+			page.records.push_back(_store.recordFor(_address, record));
 		}
 	}
 	return page;
@@ -97,6 +97,31 @@
 	return topics_[_topic];
 }
 
+void MemoryStore::substitute(const std::string& _address, const std::string& _from, const std::string& _to)
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	substitutes_[_address][_from] = _to;
+}
+
+KeyedRecord MemoryStore::recordFor(const std::string& _address, KeyedRecord _record) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	const auto row = substitutes_.find(_address);
+	if (substitutes_.end() == row)
+	{
+		return _record;
+	}
+	for (const auto& substitute : row->second)
+	{
+		const std::size_t at = _record.value.find(substitute.first);
+		if (std::string::npos != at)
+		{
+			_record.value.replace(at, substitute.first.size(), substitute.second);
+		}
+	}
+	return _record;
+}
+
 MemoryLog::MemoryLog(boost::asio::io_context& _loop, MemoryStore& _store, const std::string& _address)
     : loop_(_loop),
       store_(_store),
--- a/tests/entry/memorylog.h
+++ b/tests/entry/memorylog.h
@@ -44,6 +44,12 @@
 
 	std::vector<KeyedRecord> records(KeyedTopic::Enum _topic) const;
 
+	/// From now on the node that knows it under an address reads `_to` wherever a record holds `_from`.
+	void substitute(const std::string& _address, const std::string& _from, const std::string& _to);
+
+	/// @returns the record as the node that knows the store under an address reads it.
+	KeyedRecord recordFor(const std::string& _address, KeyedRecord _record) const;
+
 private:
 	mutable std::mutex mutex_;
 	std::array<std::vector<KeyedRecord>, KeyedTopic::Count> topics_;
@@ -51,6 +57,7 @@
 	std::set<std::string> turnedAway_;
 	std::set<std::string> loadsRefused_;
 	std::map<std::string, uint64_t> reads_;
+	std::map<std::string, std::map<std::string, std::string>> substitutes_; //!< By address of the store.
 };
 
 /// A node's way to a MemoryStore. A read that waits looks again every few milliseconds.
