--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -3,6 +3,7 @@
 #include <aio/clientconnection.h>
 #include <aio/timer.h>
 
+#include "endpointparse_p.h"
 #include "nonblockingsocket_p.h"
 
 #include <base/config.h>
@@ -31,21 +32,6 @@
     "not_connected", "refused", "reset_on_connect", "connection_lost", "malformed",
 };
 
-/// @returns the endpoint of "ip:port"; one with port 0 if the text is malformed.
-Tcp::endpoint endpointOf(const std::string& _address)
-{
-	const std::size_t colon = _address.rfind(':');
-	if (std::string::npos == colon)
-	{
-		return Tcp::endpoint();
-	}
-	uint16_t port = 0;
-	std::from_chars(_address.data() + colon + 1, _address.data() + _address.size(), port);
-	boost::system::error_code error;
-	const auto ip = asio::ip::make_address(_address.substr(0, colon), error);
-	return error ? Tcp::endpoint() : Tcp::endpoint(ip, port);
-}
-
 /// @returns the time of "timeout=N" (seconds) in the Keep-Alive field; kDefaultKeepAlive if there is none.
 Duration keepAliveTimeoutOf(const HeaderList& _headers)
 {
@@ -83,7 +69,7 @@
 	Impl(asio::io_context& _loop, const std::string& _address)
 	    : socket_(Tcp::socket(_loop)),
 	      timer_(_loop),
-	      endpoint_(endpointOf(_address))
+	      endpoint_(parseEndpoint(_address))
 	{
 	}
 
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -155,9 +155,10 @@
 {
 	std::shared_ptr<const RouteTable> routes; //!< Null until a desired state is known.
 	std::map<std::string, std::shared_ptr<const FleetService>> services;
-	uint32_t nodes = 1;                       //!< Entry nodes, this one included.
-	uint32_t hallPeers = 0;                   //!< Other entry nodes of this data hall.
-	std::shared_ptr<const NodeRoster> roster; //!< Null while no node is known.
+	uint32_t nodes = 1;                        //!< Entry nodes, this one included.
+	uint32_t hallPeers = 0;                    //!< Other entry nodes of this data hall.
+	std::shared_ptr<const NodeRoster> roster;  //!< Null while no node is known.
+	std::shared_ptr<const FleetService> peers; //!< The other nodes that take requests, as targets; null if none does.
 };
 
 /// The current view, and when it was last confirmed as current.
@@ -167,6 +168,7 @@
 	RcuCell<SuspectTable> suspects;           //!< Requests that targets crashed under.
 	LinkUtilization link;                     //!< Between data halls.
 	SkippedRecords skippedRecords;            //!< Records of the store that are not used.
+	std::atomic<bool> isCutOff{false};        //!< This node reaches no target, though other nodes may.
 	std::atomic<int64_t> provenAt{INT64_MIN}; //!< When the last read was sent that confirmed the desired state as the
 	                                          //!< newest; steady clock, microseconds.
 };
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -66,6 +66,10 @@
 		LeaseFloorAdmissions, //!< Requests that were admitted by the floor because there was no valid lease.
 		LeaseExpiries,        //!< Leases of this node that ran out without being renewed.
 		ReturnsPromised,      //!< Refused callers that were told to return when capacity is expected.
+		CutOffs,              //!< Times that this node found itself cut off from all targets.
+		Handovers,            //!< Sends of requests to another node because no target could be reached.
+		HandoversDeclined,    //!< Such sends that the other node did not take over.
+		HandoversTaken,       //!< Requests taken over from other nodes.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -60,6 +60,10 @@
     "lease_floor_admissions",
     "lease_expiries",
     "returns_promised",
+    "cut_offs",
+    "handovers",
+    "handovers_declined",
+    "handovers_taken",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
