A node that all targets refuse suspects none of them

A refused probe is reported to all nodes as the certain end of a target. Refusals of a round count now once a target of the round has answered or events arrive, or if the round has fewer than three targets; otherwise the node is told that it may be cut off. PathWatchTest::nodeThatAllTargetsRefuseSuspectsNone failed before: three sure suspicions, none now.

--- a/packages/loads/include/loads/pathwatch.h
+++ b/packages/loads/include/loads/pathwatch.h
@@ -23,6 +23,7 @@
 {
 
 class Metrics;
+class ReachabilityMonitor;
 
 /// A request that runs on a path of targets.
 class WatchedPathI
@@ -61,6 +62,13 @@
 public:
 	PathWatch(boost::asio::io_context& _loop, const ClockI& _clock, RunnerOrdersI& _orders, Metrics& _metrics);
 
+	/// Sets the monitor that is told of targets that did not answer while no other one did either, and that knows
+	/// whether this node is cut off. It must outlive this object.
+	void setReachability(ReachabilityMonitor& _monitor)
+	{
+		reachability_ = &_monitor;
+	}
+
 	void add(const std::shared_ptr<WatchedPathI>& _path);
 
 	/// Starts the timer. Paths that have ended are dropped automatically.
@@ -95,8 +103,9 @@
 		Time at;
 		uint32_t probed = 0;
 		uint32_t answered = 0;
-		uint32_t open = 0;               //!< Targets with unsettled probes.
-		std::vector<FleetTarget> silent; //!< Settled without an answer.
+		uint32_t open = 0;                //!< Targets with unsettled probes.
+		std::vector<FleetTarget> silent;  //!< Settled without an answer.
+		std::vector<FleetTarget> refused; //!< Nobody listens there, or this node reaches nobody.
 	};
 
 	void probeSilentPaths(const std::vector<std::shared_ptr<WatchedPathI>>& _paths, Time _now);
@@ -111,7 +120,8 @@
 	void onProbesSettled(const FleetTarget& _target, ProbeRound& _round, const ProbeAnswer& _answer);
 	void onStalled(const std::vector<std::string>& _addresses);
 	void onStalled(const FleetTarget& _target);
-	void finishRound(const ProbeRound& _round);
+	void finishRound(ProbeRound& _round);
+	void onNobodyListens(const FleetTarget& _target, Time _since);
 	void avoid(const FleetTarget& _target, Duration _span);
 	void suspect(const FleetTarget& _target, uint32_t _suspicion);
 	void notifyPaths(const FleetTarget& _target, const char* _cause, Time _since);
@@ -123,7 +133,8 @@
 	Metrics& metrics_;
 	std::vector<std::weak_ptr<WatchedPathI>> paths_;
 	std::map<TargetIncarnation, ProbeState> probeStates_;
-	AwakeTime awake_;         //!< Measured by the checks of the paths.
+	ReachabilityMonitor* reachability_ = nullptr; //!< Null in tests.
+	AwakeTime awake_;                             //!< Measured by the checks of the paths.
 	double usualGap_ = 22000; //!< Recent interval between two events, microseconds; initially that of small sites.
 	bool ticking_ = false;
 };
--- a/packages/loads/src/pathwatch.cpp
+++ b/packages/loads/src/pathwatch.cpp
@@ -2,7 +2,9 @@
 
 #include <loads/pathwatch.h>
 
+#include <core/targetreachability.h>
 #include <fleet/restartdetection.h>
+#include <loads/reachabilitymonitor.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 
@@ -10,6 +12,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace sedgecart
 {
@@ -331,9 +334,7 @@
 	if (_answer.refused)
 	{
 		state.notBefore = now + kSilentPause;
-		suspect(_target, kSureSuspicion);
-		avoid(_target, kAvoidDead);
-		notifyPaths(_target, "nobody listens", _round.at);
+		_round.refused.push_back(_target);
 	}
 	else if (_answer.notSent)
 	{
@@ -351,14 +352,35 @@
 	finishRound(_round);
 }
 
-/// Makes paths leave the targets that did not answer, once the last probe of a round is settled.
-void PathWatch::finishRound(const ProbeRound& _round)
+void PathWatch::onNobodyListens(const FleetTarget& _target, Time _since)
+{
+	const bool isCutOff = nullptr != reachability_ && reachability_->isCutOff();
+	if (!isCutOff)
+	{
+		suspect(_target, kSureSuspicion);
+	}
+	avoid(_target, isCutOff ? kAvoidDoubtful : kAvoidDead);
+	notifyPaths(_target, isCutOff ? "this node reaches no target" : "nobody listens", _since);
+}
+
+/// Makes paths leave the targets that did not answer, once the last probe of a round is settled. A refusal is evidence
+/// about a target as soon as another target has answered or the round has few targets: if all of many are unreachable,
+/// the link of this node is at fault.
+void PathWatch::finishRound(ProbeRound& _round)
 {
+	const bool receives = 0 < _round.answered || hasEventSince(_round.at);
+	if (receives || _round.probed < TargetReachability::kMinTargets)
+	{
+		for (const FleetTarget& target : std::exchange(_round.refused, {}))
+		{
+			onNobodyListens(target, _round.at);
+		}
+	}
 	if (0 < _round.open)
 	{
 		return;
 	}
-	const bool receives = 0 < _round.answered || hasEventSince(_round.at);
+	_round.silent.insert(_round.silent.end(), _round.refused.begin(), _round.refused.end());
 	std::vector<FleetTarget> dead;
 	for (const FleetTarget& target : _round.silent)
 	{
@@ -373,6 +395,10 @@
 		{
 			suspect(target, kWeakSuspicion);
 		}
+		else if (nullptr != reachability_)
+		{
+			reachability_->onUnreachable(target.record.incarnation());
+		}
 	}
 	for (const FleetTarget& target : dead)
 	{
--- a/packages/loads/tests/pathwatchtest.cpp
+++ b/packages/loads/tests/pathwatchtest.cpp
@@ -162,6 +162,7 @@
 	CPPUNIT_TEST(slowPathsAreNotSilent);
 	CPPUNIT_TEST(missingAnswerIsWeakSuspicion);
 	CPPUNIT_TEST(refusedConnectionIsSureSuspicion);
+	CPPUNIT_TEST(nodeThatAllTargetsRefuseSuspectsNone);
 	CPPUNIT_TEST(lateCheckVoidsMissingAnswer);
 	CPPUNIT_TEST(probeWaitsLongerWithoutCpuTime);
 	CPPUNIT_TEST(targetThatClosesConnectionIsAlive);
@@ -262,6 +263,25 @@
 		CPPUNIT_ASSERT(!b_.load->isDead(clock_.now()));
 	}
 
+	/// All links of this node are cut: other nodes must not be told that its targets have ended.
+	void nodeThatAllTargetsRefuseSuspectsNone()
+	{
+		const FleetTarget third = target("c");
+		path_->targets.push_back(&third);
+		becomeSilent();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), orders_.calls.size());
+		constexpr bool kRefused = true;
+		for (int probe = 0; probe < 3; ++probe)
+		{
+			orders_.answer(false, kRefused);
+		}
+		for (const FleetTarget* const target : path_->targets)
+		{
+			CPPUNIT_ASSERT_EQUAL(0U, target->load->ownSuspicion(clock_.now()));
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), path_->dead.size()); // the path is tried elsewhere nevertheless
+	}
+
 	/// The node lacks CPU time while its probe is open: the answer may be pending.
 	void lateCheckVoidsMissingAnswer()
 	{
