A node that reaches no target hands requests to nodes that do

Cause: a target that the node reaches itself was the only way to an answer; each failed connection was booked on the target, five sends were spent and the next request began anew. Evidence: every send of the cut nodes failed within 1 ms or after 150 ms over targets of all three halls, while the other nodes got answers from the same targets.

--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -44,7 +44,8 @@
 struct ResponseHead
 {
 	uint16_t status = 0;
-	bool notRun = false; //!< The target states that it did not run the request and will not run it.
+	bool notRun = false;  //!< The target states that it did not run the request and will not run it.
+	bool isFinal = false; //!< Another node gave the response after its own retries; an error is not retried.
 };
 
 /// How a send failed.
@@ -166,6 +167,9 @@
 
 	void onSendFailed(SendFailure::Enum _failure);
 
+	/// Reports that another node declined to take the request over. The send does not count: it reached no target.
+	void onHandoverDeclined();
+
 	/// Reports that a target of the current send is suspected to be dead. The suspicion may be wrong, so it never ends
 	/// the response: if the request may be sent again, it is sent to another target, and the suspected send stays open
 	/// until the new one delivers data. Otherwise the current send continues.
@@ -239,6 +243,12 @@
 		return sends_;
 	}
 
+	/// @returns on how many more targets the request may run.
+	uint32_t runsLeft() const
+	{
+		return runs_ < traits_.maxRuns ? traits_.maxRuns - runs_ : 0;
+	}
+
 	/// @returns how the last send failed; meaningful only after a send has failed.
 	SendFailure::Enum lastFailure() const
 	{
@@ -258,6 +268,13 @@
 	}
 
 private:
+	/// What the current send has consumed of the retry budget, as it was before it reached its peer.
+	struct RetryState
+	{
+		bool reachedTarget = false;
+		bool unusedRetryPaid = false;
+	};
+
 	/// State of a send whose target is suspected to be dead, at the time when the request was sent to another target.
 	struct SuspectedSend
 	{
@@ -294,6 +311,7 @@
 	std::optional<SuspectedSend> suspectedSend_;
 	bool reachedTarget_ = false;   //!< At least one send has reached a target.
 	bool unusedRetryPaid_ = false; //!< A retry was taken from the budget and has not reached a target yet.
+	RetryState beforeSend_;
 	SendFailure::Enum lastFailure_ = SendFailure::NotSent;
 	NoRetryReason::Enum noRetryReason_ = NoRetryReason::None;
 	bool inFlight_ = false; //!< The current send may have delivered bytes to its target.
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -78,6 +78,7 @@
 void RelayMachine::recordSend()
 {
 	++sends_;
+	beforeSend_ = RetryState{reachedTarget_, unusedRetryPaid_};
 	inFlight_ = false;
 	forwarding_ = false;
 	head_ = ResponseHead{};
@@ -240,7 +241,8 @@
 		afterRun(ErrorKind::StreamBroken);
 		return;
 	}
-	const bool mayRetry = kFirstServerError <= head_.status && repeatable() && runs_ + 1 < traits_.maxRuns;
+	const bool mayRetry =
+	    kFirstServerError <= head_.status && !head_.isFinal && repeatable() && runs_ + 1 < traits_.maxRuns;
 	if (mayRetry && spendRetryBudget())
 	{
 		++runs_;
@@ -273,6 +275,18 @@
 	afterRun(ErrorKind::TargetLost);
 }
 
+void RelayMachine::onHandoverDeclined()
+{
+	if (done_ || waiting_)
+	{
+		return;
+	}
+	--sends_;
+	reachedTarget_ = beforeSend_.reachedTarget;
+	unusedRetryPaid_ = beforeSend_.unusedRetryPaid;
+	onSendFailed(SendFailure::NotSent);
+}
+
 void RelayMachine::afterNotRun()
 {
 	inFlight_ = false;
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -167,6 +167,9 @@
 	CPPUNIT_TEST(waitEndsWhenTheCallerWouldLeave);
 	CPPUNIT_TEST(refusalsAreSpreadOverTheWait);
 	CPPUNIT_TEST(unreachableTargetsAreNoLackOfCapacity);
+	CPPUNIT_TEST(declinedHandoversCostNoSend);
+	CPPUNIT_TEST(declinedHandoverLeavesACallUnrun);
+	CPPUNIT_TEST(errorOfAnotherNodeIsNotRetried);
 	CPPUNIT_TEST(startedStreamWaitsForBudget);
 	CPPUNIT_TEST(retryThatWaitsIsPaidOnce);
 	CPPUNIT_TEST(requestWithoutResponseDoesNotWait);
@@ -602,6 +605,52 @@
 		CPPUNIT_ASSERT_EQUAL(4U, actions.sends);
 	}
 
+	/// Of many nodes most may be cut off like this one; each declines once.
+	void declinedHandoversCostNoSend()
+	{
+		RecordedActions actions;
+		actions.mayRetry = false;
+		RelayMachine machine(traits(RequestKind::Idempotent, false, 2), actions);
+		machine.start();
+		constexpr uint32_t kNodes = 20;
+		for (uint32_t node = 0; node < kNodes; ++node)
+		{
+			machine.onSent();
+			machine.onHandoverDeclined();
+		}
+		CPPUNIT_ASSERT_EQUAL(kNodes + 1, actions.sends);
+		CPPUNIT_ASSERT(!machine.mayHaveRun());
+		machine.onSent();
+		machine.onHead(kSuccess);
+		machine.onComplete();
+		CPPUNIT_ASSERT_EQUAL(1U, actions.responses);
+	}
+
+	void declinedHandoverLeavesACallUnrun()
+	{
+		RecordedActions actions;
+		RelayMachine machine(traits(RequestKind::AtMostOnce, false, 1), actions);
+		machine.start();
+		machine.onSent();
+		actions.outcome = SendOutcome::NoTargets;
+		machine.onHandoverDeclined();
+		CPPUNIT_ASSERT(std::vector<ErrorKind::Enum>{ErrorKind::NoTargets} == actions.refusals);
+	}
+
+	/// The other node has retried it already, and its refusal names when to come back.
+	void errorOfAnotherNodeIsNotRetried()
+	{
+		RecordedActions actions;
+		RelayMachine machine(traits(RequestKind::Idempotent, false, 3), actions);
+		machine.start();
+		machine.onSent();
+		constexpr uint16_t kUnavailable = 503;
+		machine.onHead(ResponseHead{kUnavailable, false, true});
+		machine.onComplete();
+		CPPUNIT_ASSERT_EQUAL(1U, actions.sends);
+		CPPUNIT_ASSERT_EQUAL(1U, actions.responses);
+	}
+
 	void startedStreamWaitsForBudget()
 	{
 		RecordedActions actions;
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -269,6 +269,7 @@
       lapseTimer_(_loop),
       onReady_(std::move(_onReady))
 {
+	fleet_.setSelf(settings_.name);
 	fleet_.setLapseGraceEnabled(settings_.mechanisms.isEnabled(Mechanism::LapseGrace));
 	layout_.setOnBehind(
 	    [this]
@@ -335,6 +336,7 @@
 	place.set_address(peerAddress(settings_));
 	place.set_hall(settings_.hall);
 	place.set_cpu_share(settings_.cpuShare);
+	place.set_forward_address(forwardAddress(settings_));
 	log_.append(KeyedTopic::Nodes, settings_.name, place.SerializeAsString(), std::nullopt,
 	            [this](const KeyedAppend& _outcome)
 	            {
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -14,6 +14,7 @@
 #include <crash/crashdetector.h>
 #include <fleet/fleetview.h>
 #include <loads/pathwatch.h>
+#include <loads/reachabilitymonitor.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
 #include <ports/documentparser.h>
@@ -22,6 +23,7 @@
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
 #include <queueing/admissioncontroller.h>
+#include <relay/handoveringress.h>
 #include <relay/requestingress.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
@@ -94,10 +96,11 @@
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      crashes_(requestLoop_, clock_, *pathOrders_, cell_, *this),
 	      admission_(requestLoop_, clock_, cell_),
+	      reachability_(requestLoop_, clock_, cell_, random_, metrics_),
 	      readiness_(*wire_, metrics_),
 	      ingress_(RelayContext{requestLoop_, clock_, *wire_, cell_, cell_.link, pool_, random_, retries_, metrics_,
 	                            watch_, *pathOrders_, startSettings_.mechanisms, responseTimes_, crashes_,
-	                            resumeAdmission_, rates_, admission_},
+	                            resumeAdmission_, rates_, admission_, reachability_},
 	               _settings),
 	      control_(controlLoop_, _settings, *log_, *orders_, *documents_, clock_, cell_,
 	               [this]
@@ -105,8 +108,15 @@
 		               onReady();
 	               }),
 	      readyServer_(requestLoop_, _settings.readyAddress, readiness_),
-	      callerServer_(requestLoop_, _settings.callerAddress, ingress_)
+	      callerServer_(requestLoop_, _settings.callerAddress, ingress_),
+	      handoverIngress_(ingress_)
 	{
+		const std::string handoverAddress = forwardAddress(_settings);
+		if (!handoverAddress.empty())
+		{
+			handoverServer_ = std::make_unique<Server>(requestLoop_, handoverAddress, handoverIngress_);
+		}
+		watch_.setReachability(reachability_);
 		cell_.skippedRecords.setMetrics(metrics_);
 		control_.setMetrics(metrics_);
 		crashes_.setEnabled(startSettings_.mechanisms.isEnabled(Mechanism::CrashLedger));
@@ -211,6 +221,8 @@
 		text += ",\"sends\":" + std::to_string(metrics_.value(Counter::Sends));
 		text += ",\"retries\":" + std::to_string(metrics_.value(Counter::Retries));
 		const bool known = INT64_MIN != proven;
+		text += ",\"peers\":" + std::to_string(countPeers());
+		text += ",\"cut_off\":" + std::string(cell_.isCutOff.load(std::memory_order_relaxed) ? "true" : "false");
 		text += ",\"config_age_ms\":" + (known ? std::to_string((clock_.now() - Time{proven}).millis()) : "null");
 		text += ",\"passed_over\":" + cell_.skippedRecords.toJson();
 		text += ",\"suspects\":" + suspectsText();
@@ -219,6 +231,13 @@
 	}
 
 private:
+	/// @returns the number of other nodes that take requests.
+	std::size_t countPeers() const
+	{
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		return view->peers ? view->peers->targets.size() : 0;
+	}
+
 	/// @returns the requests suspected of crashing targets, as JSON.
 	std::string suspectsText() const
 	{
@@ -300,7 +319,8 @@
 		asio::post(requestLoop_,
 		           [this, count]
 		           {
-			           count->set_value(callerServer_.deliveringConnections());
+			           const uint32_t handedOver = handoverServer_ ? handoverServer_->deliveringConnections() : 0;
+			           count->set_value(callerServer_.deliveringConnections() + handedOver);
 		           });
 		std::future<uint32_t> result = count->get_future();
 		const bool isKnown =
@@ -360,11 +380,14 @@
 	PathWatch watch_;
 	CrashDetector crashes_;         //!< Used by the request loop.
 	AdmissionController admission_; //!< Used by the request loop.
+	ReachabilityMonitor reachability_;
 	ReadinessHandler readiness_;
 	RequestIngress ingress_;
 	EntryControl control_;
 	Server readyServer_;
 	Server callerServer_;
+	HandoverIngress handoverIngress_;
+	std::unique_ptr<Server> handoverServer_; //!< Null if the settings leave no port for it.
 	std::thread requestThread_;
 	std::thread controlThread_;
 };
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -38,6 +38,12 @@
 	FleetController(const DocumentParserI& _documents, FleetCell& _cell, const ClockI& _clock,
 	                const std::string& _homeHall);
 
+	/// Sets the name of this node, which does not hand requests to itself.
+	void setSelf(const std::string& _node)
+	{
+		self_ = _node;
+	}
+
 	/// Applies a record of the operator's topic.
 	void onOperatorRecord(const KeyedRecord& _record);
 
@@ -170,6 +176,7 @@
 	void publish();
 	uint32_t hallPeers() const;
 	void updateRoster();
+	void updatePeers();
 	void addRetiredServices(FleetView& _view);
 	std::shared_ptr<const FleetService> buildService(const ServiceSpec& _spec,
 	                                                 const std::shared_ptr<const RouteTable>& _routes);
@@ -189,7 +196,10 @@
 	std::map<std::string, RemovedTarget> removedTargets_;             //!< By instance, for `kRemovedRetention`.
 	std::map<std::string, uint32_t> halls_;                           //!< Index of each hall; 0 is this node's.
 	std::map<std::string, NodeAddress> nodes_;                        //!< By name.
-	std::shared_ptr<const NodeRoster> roster_; //!< `nodes_` for the request path; null before the first node.
+	std::shared_ptr<const NodeRoster> roster_;  //!< `nodes_` for the request path; null before the first node.
+	std::string self_;                          //!< Name of this node.
+	std::shared_ptr<const FleetService> peers_; //!< Null if no other node takes requests.
+	std::map<std::string, std::shared_ptr<TargetLoad>> peerLoads_; //!< By name of the node.
 	AddressClaims addresses_;
 	TargetLog log_;
 	std::set<std::string> lapsed_; //!< Instances whose records lapsed during an outage and may be renewed.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -20,6 +20,9 @@
 /// seconds later and bring the target's record back.
 constexpr Duration kRemovedRetention = Duration::fromMillis(10000);
 
+/// Nodes that take requests are chosen like the targets of a plain service.
+const ServiceSpec kPeers;
+
 /// @returns true if two records of one incarnation of a target differ in a field that this node uses.
 bool needsUpdate(const RunnerRecord& _a, const RunnerRecord& _b)
 {
@@ -358,8 +361,9 @@
 		}
 		cell_.skippedRecords.onValid(RecordKind::Node, _record.key);
 		const auto known = nodes_.find(_record.key);
-		const bool isChange =
-		    nodes_.end() == known || known->second.hall != node.hall || known->second.cpuShare != node.cpuShare;
+		const bool isChange = nodes_.end() == known || known->second.hall != node.hall ||
+		                      known->second.cpuShare != node.cpuShare ||
+		                      known->second.forwardAddress != node.forwardAddress;
 		nodesChanged_ = isChange || nodesChanged_;
 		nodes_[_record.key] = node;
 	}
@@ -375,6 +379,7 @@
 	}
 	nodesChanged_ = false;
 	updateRoster();
+	updatePeers();
 	if (routes_)
 	{
 		publish();
@@ -393,6 +398,29 @@
 	roster_ = std::make_shared<const NodeRoster>(std::move(nodes));
 }
 
+void FleetController::updatePeers()
+{
+	auto peers = std::make_shared<FleetService>();
+	peers->spec = &kPeers;
+	for (const auto& row : nodes_)
+	{
+		if (self_ == row.first || row.second.forwardAddress.empty())
+		{
+			continue;
+		}
+		std::shared_ptr<TargetLoad>& load = peerLoads_[row.first];
+		load = load ? load : std::make_shared<TargetLoad>();
+		FleetTarget peer;
+		peer.record.instance.text = row.first;
+		peer.record.address = row.second.forwardAddress;
+		peer.record.hall = row.second.hall;
+		peer.hall = hallIndex(row.second.hall);
+		peer.load = load;
+		peers->targets.push_back(std::move(peer));
+	}
+	peers_ = peers->targets.empty() ? nullptr : std::move(peers);
+}
+
 uint32_t FleetController::hallIndex(const std::string& _hall)
 {
 	const auto next = static_cast<uint32_t>(halls_.size());
@@ -483,6 +511,7 @@
 	view->nodes = std::max<uint32_t>(1, static_cast<uint32_t>(nodes_.size()));
 	view->hallPeers = hallPeers();
 	view->roster = roster_;
+	view->peers = peers_;
 	for (const ServiceSpec& spec : routes_->state().services)
 	{
 		view->services.emplace(spec.name, buildService(spec, routes_));
--- a/packages/fleet/src/nodeaddress.cpp
+++ b/packages/fleet/src/nodeaddress.cpp
@@ -36,11 +36,12 @@
 		return RecordFault::FieldMissing;
 	}
 	const bool isShare = 0 <= place.cpu_share() && place.cpu_share() <= kMaxCores; // also false for NaN
-	if (!isShare || !isEndpoint(place.address()))
+	const bool isForward = place.forward_address().empty() || isEndpoint(place.forward_address());
+	if (!isShare || !isForward || !isEndpoint(place.address()))
 	{
 		return RecordFault::AbsurdValue;
 	}
-	_node = NodeAddress{place.address(), place.hall(), place.cpu_share()};
+	_node = NodeAddress{place.address(), place.hall(), place.cpu_share(), place.forward_address()};
 	return RecordFault::None;
 }
 
--- a/packages/fleet/tests/fleetcontrollertest.cpp
+++ b/packages/fleet/tests/fleetcontrollertest.cpp
@@ -88,6 +88,7 @@
 	CPPUNIT_TEST(aDeadTargetLosesItsAddressAtOnce);
 	CPPUNIT_TEST(invalidNodeRecordsAreIgnored);
 	CPPUNIT_TEST(recordsOfManyNodesPublishOneView);
+	CPPUNIT_TEST(otherNodesThatTakeRequestsArePeers);
 	CPPUNIT_TEST(anInvalidRecordTakesTheTargetOutOfUse);
 	CPPUNIT_TEST(anInvalidRecordIsNotALapsedOne);
 	CPPUNIT_TEST(anUnknownServiceMayBecomeKnown);
@@ -205,6 +206,20 @@
 		CPPUNIT_ASSERT_EQUAL(2U, publishedNodes());
 	}
 
+	void otherNodesThatTakeRequestsArePeers()
+	{
+		fleet_.setSelf("n1");
+		placeNode("n1", "10.0.0.1:80", "h1", 0.5, "10.0.0.1:81");
+		placeNode("n2", "10.0.0.2:80", "h1", 0.5, "10.0.0.2:81");
+		placeNode("old", "10.0.0.3:80", "h1", 0.5);
+		placeNode("odd", "10.0.0.4:80", "h1", 0.5, "10.0.0.4");
+		fleet_.onNodesCurrent();
+		CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.2:81"} == peers());
+		placeNode("n2", "10.0.0.2:80", "h1", 0.5, "10.0.0.2:91"); // started again
+		fleet_.onNodesCurrent();
+		CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.2:91"} == peers());
+	}
+
 	/// The other targets stay in use, and the next valid record brings the target back with its load.
 	void anInvalidRecordTakesTheTargetOutOfUse()
 	{
@@ -361,12 +376,26 @@
 	}
 
 private:
-	void placeNode(const char* _name, const char* _address, const char* _hall, double _share)
+	/// @returns the addresses of the published peers.
+	std::vector<std::string> peers() const
+	{
+		std::vector<std::string> addresses;
+		const RcuCell<FleetView>::Reader view(cell_.view);
+		for (const FleetTarget& peer : view->peers->targets)
+		{
+			addresses.push_back(peer.record.address);
+		}
+		return addresses;
+	}
+
+	void placeNode(const char* _name, const char* _address, const char* _hall, double _share,
+	               const char* _forwardAddress = "")
 	{
 		wire::NodePlace place;
 		place.set_address(_address);
 		place.set_hall(_hall);
 		place.set_cpu_share(_share);
+		place.set_forward_address(_forwardAddress);
 		fleet_.onNodeRecord(KeyedRecord{_name, place.SerializeAsString(), false, Offset{0}});
 	}
 
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -41,6 +41,14 @@
 	uint32_t urgency = 5;
 };
 
+/// How a request is handed to another node, which admits it by its own desired state.
+struct PeerCall
+{
+	Duration budget; //!< Remaining part of the caller's and the route's time limit.
+	std::optional<uint64_t> resumeAfter;
+	HeaderList headers; //!< Added to those of the caller.
+};
+
 /// Whether a target's answer names a rate limit: requests per second that it accepts from all nodes together.
 struct RateNotice
 {
@@ -97,6 +105,9 @@
 	/// @returns the request in the format that is sent to a target.
 	virtual std::string formatTargetRequest(const ServerRequest& _request, const TargetCall& _call) const = 0;
 
+	/// @returns the request in the format that is sent to another node.
+	virtual std::string formatPeerRequest(const ServerRequest& _request, const PeerCall& _call) const = 0;
+
 	virtual TargetResponse parseResponse(const MessageHead& _head) const = 0;
 
 	/// @returns the headers of a target's answer that are forwarded to the caller.
@@ -105,6 +116,9 @@
 	/// @returns the headers of an answer that the router itself generates.
 	/// @param _retryAfter when the caller may retry; 0: not stated.
 	virtual HeaderList routerHeaders(const std::string& _id, Duration _retryAfter) const = 0;
+
+	/// States in the headers of an answer to another node that the request was not run and will not be.
+	virtual void addNotExecuted(HeaderList& _headers) const = 0;
 };
 
 } // namespace sedgecart
--- a/packages/relay/include/relay/relaycontext.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -20,6 +20,7 @@
 class Metrics;
 class PathWatch;
 class RandomI;
+class ReachabilityMonitor;
 class TargetRateLimiter;
 class ResumeAdmission;
 class ServiceRetryBudgets;
@@ -48,6 +49,7 @@
 	ResumeAdmission& resumes;
 	TargetRateLimiter& rates;
 	AdmissionController& admission;
+	ReachabilityMonitor& reachability;
 };
 
 } // namespace sedgecart
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -51,6 +51,11 @@
 
 	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override;
 	void onCallerDisconnected(const ServerConnection& _connection) override;
+
+	/// Handles a request that another node handed over.
+	/// @param _runsLeft on how many targets it may run.
+	void onForwarded(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request,
+	                 uint32_t _runsLeft);
 	uint16_t onBadRequest(ReadState::Enum _why) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
@@ -91,9 +96,9 @@
 	void admit(QueuedRequest&& _queued);
 	bool queueUntilReady(QueuedRequest& _queued, const CallerRequest& _caller);
 	bool queueResumed(QueuedRequest& _queued, const CallerRequest& _caller);
-	RelayPlan makePlan(const RouteTable& _routes, const RouteMatch& _match, ServerRequest&& _request,
-	                   CallerRequest&& _caller, Time _arrivedAt) const;
-	void refuse(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id);
+	RelayPlan makePlan(const RouteTable& _routes, const RouteMatch& _match, QueuedRequest&& _queued,
+	                   CallerRequest&& _caller) const;
+	void refuse(const QueuedRequest& _queued, ErrorKind::Enum _kind, const std::string& _id);
 	void refuseBlocked(ServerConnection& _connection, const RelayPlan& _plan, Duration _left);
 	void remove(const ServerConnection* _connection);
 	CallerLimits callerLimits() const;
--- a/packages/relay/src/admissionwait.cpp
+++ b/packages/relay/src/admissionwait.cpp
@@ -80,7 +80,7 @@
 		hasPath_ = false;
 		return SendOutcome::Started;
 	}
-	if (!isControlled() || wasAdmitted_)
+	if (!isControlled() || wasAdmitted_ || path_.isHandedOver())
 	{
 		return path_.choose(_isReroute);
 	}
--- a/packages/relay/src/relaysend.cpp
+++ b/packages/relay/src/relaysend.cpp
@@ -9,6 +9,7 @@
 
 RelaySend::RelaySend(RequestRelay& _relay, const FleetTarget& _target, std::unique_ptr<ClientConnection> _connection)
     : target(_target),
+      isNewConnection(!_connection->reusable()),
       relay_(_relay),
       connection_(std::move(_connection))
 {
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -215,8 +215,8 @@
 	return false;
 }
 
-RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, ServerRequest&& _request,
-                                   CallerRequest&& _caller, Time _arrivedAt) const
+RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, QueuedRequest&& _queued,
+                                   CallerRequest&& _caller) const
 {
 	const HostRoute& route = *_match.route;
 	RelayPlan plan;
@@ -232,19 +232,24 @@
 	plan.facts.resumable = route.resumable;
 	plan.facts.maxRuns = route.maxRuns;
 	plan.facts.resumeAfter = _caller.resumeAfter;
-	plan.identity = identityOf(plan.customer, _request, _caller);
+	plan.identity = identityOf(plan.customer, _queued.request, _caller);
 	if (context_.crashes.isSuspected(plan.identity))
 	{
 		plan.facts.maxRuns = 1; // until it is known whether it crashes its target as well
 	}
-	plan.arrivedAt = _arrivedAt;
+	if (_queued.runsLeft)
+	{
+		plan.isForwarded = true;
+		plan.facts.maxRuns = std::min(plan.facts.maxRuns, *_queued.runsLeft);
+	}
+	plan.arrivedAt = _queued.arrivedAt;
 	Duration budget = _caller.budget.value_or(kDefaultBudget);
 	if (0 < route.timeout.micros && route.timeout < budget)
 	{
 		budget = route.timeout;
 	}
 	plan.deadline = plan.arrivedAt + budget;
-	plan.request = std::move(_request);
+	plan.request = std::move(_queued.request);
 	plan.caller = std::move(_caller);
 	return plan;
 }
@@ -252,7 +257,20 @@
 void RequestIngress::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
 	context_.metrics.add(Counter::Requests);
-	admit(QueuedRequest{_connection, std::move(_request), context_.clock.now(), Time{}, false});
+	admit(QueuedRequest{_connection, std::move(_request), context_.clock.now(), Time{}, false, std::nullopt});
+}
+
+void RequestIngress::onForwarded(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request,
+                                 uint32_t _runsLeft)
+{
+	context_.metrics.add(Counter::HandoversTaken);
+	QueuedRequest queued{_connection, std::move(_request), context_.clock.now(), Time{}, false, _runsLeft};
+	if (!ready_ || context_.cell.isCutOff.load(std::memory_order_relaxed))
+	{
+		refuse(queued, ErrorKind::NoTargets, std::string());
+		return;
+	}
+	admit(std::move(queued));
 }
 
 /// @returns true if the request was queued until the node is ready.
@@ -298,7 +316,7 @@
 	CallerRequest caller;
 	if (!context_.wire.parseRequest(_queued.request, caller))
 	{
-		refuse(*connection, ErrorKind::BadRequest, caller.id);
+		refuse(_queued, ErrorKind::BadRequest, caller.id);
 		return;
 	}
 	if (queueUntilReady(_queued, caller))
@@ -314,19 +332,19 @@
 	ErrorKind::Enum fault = ErrorKind::CatchingUp;
 	if (!routes || !matchRoute(*routes, _queued.request, caller, match, fault))
 	{
-		refuse(*connection, fault, caller.id);
+		refuse(_queued, fault, caller.id);
 		return;
 	}
 	if (closing() && !finishesBeforeStop(match, caller))
 	{
-		refuse(*connection, ErrorKind::Stopping, caller.id);
+		refuse(_queued, ErrorKind::Stopping, caller.id);
 		return;
 	}
 	if (queueResumed(_queued, caller))
 	{
 		return;
 	}
-	RelayPlan plan = makePlan(*routes, match, std::move(_queued.request), std::move(caller), _queued.arrivedAt);
+	RelayPlan plan = makePlan(*routes, match, std::move(_queued), std::move(caller));
 	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan.identity);
 	if (blocked)
 	{
@@ -344,7 +362,7 @@
 	relay->begin();
 }
 
-void RequestIngress::refuse(ServerConnection& _connection, ErrorKind::Enum _kind, const std::string& _id)
+void RequestIngress::refuse(const QueuedRequest& _queued, ErrorKind::Enum _kind, const std::string& _id)
 {
 	const ErrorResponse& row = responseOf(_kind);
 	context_.metrics.addError(_kind);
@@ -357,8 +375,12 @@
 	ResponseStart start;
 	start.status = row.status;
 	start.headers = context_.wire.routerHeaders(_id, row.retry ? kRetryAfter : Duration{});
-	_connection.start(start, std::string_view());
-	_connection.finish();
+	if (_queued.runsLeft)
+	{
+		context_.wire.addNotExecuted(start.headers); // a node with a newer desired state may still take it
+	}
+	_queued.connection->start(start, std::string_view());
+	_queued.connection->finish();
 }
 
 /// @param _left time until the block ends, sent as Retry-After: an earlier retry would be refused as well.
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -98,7 +98,9 @@
 	{
 		const RcuCell<FleetView>::Reader view(context_.cell.view);
 		const auto row = view->services.find(plan_.service);
+		_path.leadsToPeer = view->peers && isHandedOver();
 		_path.service = view->services.end() == row ? nullptr : row->second;
+		_path.service = _path.leadsToPeer ? view->peers : _path.service;
 		_path.nodes = view->nodes;
 		_path.hallPeers = view->hallPeers;
 		_path.roster = view->roster;
@@ -124,6 +126,12 @@
 	return outcome;
 }
 
+bool RequestPath::isHandedOver() const
+{
+	return !plan_.isForwarded && context_.cell.isCutOff.load(std::memory_order_relaxed) &&
+	       context_.mechanisms.isEnabled(Mechanism::PeerForwarding);
+}
+
 /// @returns the earliest time at which a target accepts a request of this node, by what it announced itself.
 Time RequestPath::opensAt(const FleetTarget& _target, const ChosenPath& _path, Time _now) const
 {
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -39,6 +39,7 @@
 		uint32_t hallPeers = 0; //!< Other entry nodes of this data hall.
 		std::shared_ptr<const NodeRoster> roster;
 		Choice choice;
+		bool leadsToPeer = false; //!< `service` holds the other nodes, and the path is one of them.
 	};
 
 	/// @param _plan must outlive it.
@@ -101,6 +102,15 @@
 
 	bool hasEngine() const;
 
+	/// @returns true if the path leads to another node instead of a target.
+	bool leadsToPeer() const
+	{
+		return chosenPath_.leadsToPeer;
+	}
+
+	/// @returns true if the request is to be handed to another node: this one reaches no target.
+	bool isHandedOver() const;
+
 	/// @returns the stages of the path, as they are sent to its head.
 	std::vector<StageEndpoint> stops() const;
 	static std::vector<StageEndpoint> stopsOf(const ChosenPath& _path);
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -2,9 +2,12 @@
 
 #include "requestrelay_p.h"
 
+#include "handoverheader_p.h"
+
 #include <base/clock.h>
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
+#include <loads/reachabilitymonitor.h>
 #include <metrics/metrics.h>
 #include <relay/serviceretrybudgets.h>
 #include <relay/targetconnectionpool.h>
@@ -68,7 +71,10 @@
 	{
 		resumeSlot_ = std::make_unique<ResumeSlot>(context_.resumes, context_.clock, plan_.pauseObjective);
 	}
-	context_.retries.onFirstSend(plan_.service, context_.clock.now());
+	if (!plan_.isForwarded)
+	{
+		context_.retries.onFirstSend(plan_.service, context_.clock.now()); // the node that handed it over counts it
+	}
 	machine_.start();
 	finishIfDone();
 }
@@ -144,9 +150,10 @@
 
 void RequestRelay::startSend(std::optional<uint64_t> _resumeAfter)
 {
-	context_.metrics.add(Counter::Sends);
+	context_.metrics.add(path_.leadsToPeer() ? Counter::Handovers : Counter::Sends);
 	log_.sent(_resumeAfter.has_value());
 	send_ = std::make_shared<RelaySend>(*this, path_.head(), context_.pool.acquire(path_.head().record));
+	send_->isToPeer = path_.leadsToPeer();
 	send_->runNumber = context_.crashes.beginRun();
 	send_->lastProgressAt = context_.clock.now();
 	send_->eventsBefore = machine_.events();
@@ -195,6 +202,14 @@
 
 std::string RequestRelay::requestText(std::optional<uint64_t> _resumeAfter) const
 {
+	if (path_.leadsToPeer())
+	{
+		PeerCall handover;
+		handover.budget = plan_.deadline - context_.clock.now();
+		handover.resumeAfter = _resumeAfter;
+		handover.headers.add(kRunsLeftHeader, std::to_string(machine_.runsLeft()));
+		return context_.wire.formatPeerRequest(plan_.request, handover);
+	}
 	TargetCall call;
 	call.expected = path_.head().record.instance;
 	call.customer = plan_.customer;
@@ -294,6 +309,10 @@
 void RequestRelay::onSent(const RelaySend& _send)
 {
 	admission_.onSent();
+	if (_send.isNewConnection && !_send.isToPeer)
+	{
+		context_.reachability.onConnected(_send.target.record.incarnation());
+	}
 	if (isCurrent(_send))
 	{
 		machine_.onSent();
@@ -309,14 +328,18 @@
 		logOutcome("Surplus answer is discarded.", LogLevel::Info, answer.id);
 		return HeadVerdict::Skip;
 	}
-	notices_.apply(_send.target, answer);
+	if (!_send.isToPeer)
+	{
+		notices_.apply(_send.target, answer);
+	}
 	_send.answer = std::move(answer);
 	_send.head = std::move(_head);
 	_send.forwardable = !_send.hasSucceeded() || (_send.answer.isSigned && !_send.answer.id.empty());
 	const bool accepted = isCurrent(_send) || (_send.isGood() && machine_.onSuspectedSendProgress());
 	if (_send.forwardable && accepted)
 	{
-		machine_.onHead(ResponseHead{_send.head.status, _send.answer.notExecuted});
+		const bool isFinal = _send.isToPeer && !_send.answer.notExecuted;
+		machine_.onHead(ResponseHead{_send.head.status, _send.answer.notExecuted && !_send.isToPeer, isFinal});
 		endCapacityWait();
 	}
 	return HeadVerdict::Accept;
@@ -384,6 +407,14 @@
 	}
 	path_.release();
 	context_.pool.release(path_.head().record, _send.takeConnection());
+	if (_send.isToPeer && _send.answer.notExecuted)
+	{
+		context_.metrics.add(Counter::HandoversDeclined);
+		failureHandler_.onDeclined();
+		machine_.onHandoverDeclined();
+		finishIfDone();
+		return;
+	}
 	if (_send.answer.notExecuted)
 	{
 		failureHandler_.onFailure(_send.answer, "not_executed");
@@ -405,6 +436,10 @@
 
 void RequestRelay::onBroken(RelaySend& _send, ExchangeFailure::Enum _how)
 {
+	if (isUnsent(_how) && !_send.isToPeer)
+	{
+		context_.reachability.onUnreachable(_send.target.record.incarnation());
+	}
 	if (!isUnsent(_how) && !_send.answer.notExecuted)
 	{
 		recordLostRun(_send, _send.target);
@@ -455,7 +490,7 @@
 	recordLostRun(*send_, _target);
 	path_.exclude(_target);
 	const bool isHead = path_.head().load == _target.load;
-	if (isHead || isBlocked() || !changePath(_target))
+	if (isHead || path_.isHandedOver() || isBlocked() || !changePath(_target))
 	{
 		resendElsewhere(_target);
 	}
--- a/packages/relay/src/targetfailurehandler.cpp
+++ b/packages/relay/src/targetfailurehandler.cpp
@@ -18,6 +18,10 @@
 /// How long a target that failed is avoided if there is another one.
 constexpr Duration kAvoidedFor = Duration::fromMillis(1500);
 
+/// How long a node is avoided that declined to take a request over, mostly because it reaches no target either. Links
+/// are cut for seconds.
+constexpr Duration kDeclinedFor = Duration::fromMillis(2000);
+
 /// How long a target is avoided that refused a request because it is full, draining or giving up layers. Some of its
 /// requests end meanwhile.
 constexpr Duration kRefusedFor = Duration::fromMillis(200);
@@ -46,6 +50,14 @@
 	}
 }
 
+void TargetFailureHandler::onDeclined()
+{
+	const FleetTarget& node = path_.head();
+	path_.exclude(node);
+	node.load->avoidedUntil.store((context_.clock.now() + kDeclinedFor).micros, std::memory_order_relaxed);
+	log_.outcome("Node declined to take a request over.", LogLevel::Info, node.record.instance.text, std::string());
+}
+
 /// Records that the target itself contradicts its record, so that no other request has to be refused to find that out.
 void TargetFailureHandler::recordMissingLayers(const FleetTarget& _failed, const std::string& _atFault)
 {
--- a/packages/relay/src/targetfailurehandler_p.h
+++ b/packages/relay/src/targetfailurehandler_p.h
@@ -28,6 +28,9 @@
 	/// @param _failure why there is no answer to forward, for the log.
 	void onFailure(const TargetResponse& _answer, const char* _failure);
 
+	/// The same for a node that did not take the request over.
+	void onDeclined();
+
 private:
 	void recordMissingLayers(const FleetTarget& _failed, const std::string& _atFault);
 
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -13,6 +13,7 @@
 #include <core/resumeadmission.h>
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
+#include <loads/reachabilitymonitor.h>
 #include <metrics/metrics.h>
 #include <queueing/admissioncontroller.h>
 #include <relay/serviceretrybudgets.h>
@@ -46,6 +47,13 @@
 	{
 		return std::string();
 	}
+	std::string formatPeerRequest(const ServerRequest&, const PeerCall&) const override
+	{
+		return std::string();
+	}
+	void addNotExecuted(HeaderList&) const override
+	{
+	}
 	TargetResponse parseResponse(const MessageHead&) const override
 	{
 		return TargetResponse{};
@@ -180,10 +188,12 @@
 	CrashDetector crashes_{loop_, clock_, orders_, cell_, sink_};
 	TargetRateLimiter rates_{"n1"};
 	AdmissionController admission_{loop_, clock_, cell_};
+	ReachabilityMonitor reachability_{loop_, clock_, cell_, random_, metrics_};
 
 public:
-	const RelayContext context{loop_,  clock_,  wire_,       cell_, cell_.link, pool_,    random_, retries_,  metrics_,
-	                           watch_, orders_, mechanisms_, pace_, crashes_,   resumes_, rates_,  admission_};
+	const RelayContext context{loop_,   clock_,   wire_,    cell_,  cell_.link, pool_,
+	                           random_, retries_, metrics_, watch_, orders_,    mechanisms_,
+	                           pace_,   crashes_, resumes_, rates_, admission_, reachability_};
 };
 
 } // namespace
--- a/packages/settings/src/entrysettings.cpp
+++ b/packages/settings/src/entrysettings.cpp
@@ -176,6 +176,12 @@
 	return _settings.ip + ':' + std::to_string(_settings.firstPeerPort);
 }
 
+std::string forwardAddress(const EntrySettings& _settings)
+{
+	const bool hasPort = _settings.firstPeerPort < _settings.lastPeerPort;
+	return hasPort ? _settings.ip + ':' + std::to_string(_settings.lastPeerPort) : std::string();
+}
+
 std::string settingsRequiringRestart(const EntrySettings& _before, const EntrySettings& _after)
 {
 	std::string names;
--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -90,6 +90,14 @@
 	return static_cast<uint16_t>(std::stoi(_address.substr(_address.rfind(':') + 1)));
 }
 
+void setPeerPorts(EntrySettings& _settings)
+{
+	const uint16_t port = portOf(freeAddress());
+	const uint16_t next = portOf(freeAddress());
+	_settings.firstPeerPort = std::min(port, next);
+	_settings.lastPeerPort = std::max(port, next);
+}
+
 void waitReady(const EntryNode& _node)
 {
 	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
@@ -345,6 +353,11 @@
 
 void EntryHarness::setLinks(LinkCut::Enum _cut)
 {
+	// The links are cut one by one: what one of them resets must not get through another one.
+	for (const auto& link : links_)
+	{
+		link->set(LinkCut::None == _cut ? LinkCut::None : LinkCut::RefusedNew);
+	}
 	for (const auto& link : links_)
 	{
 		link->set(_cut);
@@ -353,7 +366,7 @@
 
 void EntryHarness::start()
 {
-	settings_.firstPeerPort = portOf(freeAddress());
+	setPeerPorts(settings_);
 	node_ = std::make_unique<EntryNode>(settings_, *ports_);
 	waitReady(*node_);
 }
@@ -390,7 +403,7 @@
 	settings.name = _name;
 	settings.callerAddress = freeAddress();
 	settings.readyAddress = freeAddress();
-	settings.firstPeerPort = portOf(freeAddress());
+	setPeerPorts(settings);
 	return settings;
 }
 
--- a/tests/entry/targetcutproof.cpp
+++ b/tests/entry/targetcutproof.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace sedgecart
@@ -35,6 +36,9 @@
 /// Interval at which the connections that are kept serve all calls. At `kCallInterval` new ones are needed.
 constexpr std::chrono::milliseconds kRareCallInterval = 250ms;
 
+/// Id of a stream that stands still after two events.
+const std::string kSlow = "slow";
+
 /// Time that a call takes at a target.
 constexpr std::chrono::milliseconds kCallTime = 200ms;
 
@@ -84,8 +88,12 @@
 	void start()
 	{
 		harness_.start();
-		helper_ = harness_.startMore("n2", "h2");
+		harness_.startMore("n2", "h2");
 		harness_.startMore("n3", "h3");
+		while (std::string::npos == harness_.dump().find("\"peers\":2"))
+		{
+			std::this_thread::sleep_for(kCallInterval);
+		}
 		CPPUNIT_ASSERT(harness_.callUntil(requestTo("/again/", "first"), 200));
 	}
 
@@ -118,6 +126,14 @@
 		                                              }));
 	}
 
+	void endTargets()
+	{
+		for (FakeTarget* const target : std::exchange(targets_, {}))
+		{
+			harness_.end(*target);
+		}
+	}
+
 	/// @returns how often each request that must not be repeated reached a target.
 	std::map<std::string, uint32_t> runsOfCalls() const
 	{
@@ -155,6 +171,18 @@
 			answerWhole(*_caller, _request, 200, "{}");
 			return;
 		}
+		const std::string* const resumeAfter = _request.head.headers.find("Last-Event-Id");
+		if (nullptr != resumeAfter)
+		{
+			startStream(*_caller, _request, std::stoul(*resumeAfter) + 1, 2);
+			_caller->finish();
+			return;
+		}
+		if (kSlow == idOf(_request))
+		{
+			startStream(*_caller, _request, 0, 1);
+			return;
+		}
 		_target.postAfter(kCallTime,
 		                  [_caller, _request]
 		                  {
@@ -176,7 +204,6 @@
 
 	std::vector<FakeTarget*> targets_;
 	EntryHarness harness_;
-	std::string helper_;
 };
 
 } // namespace
@@ -187,6 +214,9 @@
 	CPPUNIT_TEST(callersAreServedWhileConnectionsAreRefused);
 	CPPUNIT_TEST(callersAreServedWhileConnectionsHang);
 	CPPUNIT_TEST(callersAreServedWhileNewConnectionsAreRefused);
+	CPPUNIT_TEST(streamGoesOnOverAnotherNode);
+	CPPUNIT_TEST(requestIsRefusedAtOnceIfNoNodeReachesATarget);
+	CPPUNIT_TEST(callersCannotSetTheHeaderOfNodes);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +235,45 @@
 		callersAreServedWhile(LinkCut::RefusedNew);
 	}
 
+	void streamGoesOnOverAnotherNode()
+	{
+		Scene scene;
+		scene.start();
+		TestCaller caller(scene.harness().callerAddress());
+		caller.send(textOf(requestTo("/stream/", kSlow)));
+		caller.receiveUntil(eventText(1));
+		scene.harness().setLinks(LinkCut::Refused);
+		const CallerAnswer answer = caller.receive();
+		CPPUNIT_ASSERT_EQUAL(wholeStream(), answer.body);
+		CPPUNIT_ASSERT(answer.whole);
+	}
+
+	void requestIsRefusedAtOnceIfNoNodeReachesATarget()
+	{
+		Scene scene;
+		scene.start();
+		scene.endTargets();
+		scene.harness().setLinks(LinkCut::Refused);
+		CPPUNIT_ASSERT(scene.harness().callUntil(requestTo("/again/", "kept connections"), 503));
+		for (const std::string& path : kPaths)
+		{
+			const auto sentAt = std::chrono::steady_clock::now();
+			const CallerAnswer answer = scene.harness().call(requestTo(path, "no target" + path));
+			CPPUNIT_ASSERT_EQUAL(uint16_t{503}, answer.status);
+			CPPUNIT_ASSERT(0 < comeBackOf(answer));
+			CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sentAt < kTakeoverTime);
+		}
+	}
+
+	void callersCannotSetTheHeaderOfNodes()
+	{
+		Scene scene;
+		scene.start();
+		TestRequest request = requestTo("/again/", "forged");
+		request.lines = {"Sedgecart-Runs-Left: 0"};
+		CPPUNIT_ASSERT_EQUAL(uint16_t{200}, scene.harness().call(request).status);
+	}
+
 private:
 	static void callersAreServedWhile(LinkCut::Enum _cut)
 	{
