aio: the parser of endpoints has a name of its own

Package http has a function parseEndpoint of the same signature and another result. The unit tests and proofs link only one of the two.

--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -3,7 +3,7 @@
 #include <aio/clientconnection.h>
 #include <aio/timer.h>
 
-#include "endpointparse_p.h"
+#include "tcpendpoint_p.h"
 #include "nonblockingsocket_p.h"
 
 #include <base/config.h>
@@ -69,7 +69,7 @@
 	Impl(asio::io_context& _loop, const std::string& _address)
 	    : socket_(Tcp::socket(_loop)),
 	      timer_(_loop),
-	      endpoint_(parseEndpoint(_address))
+	      endpoint_(tcpEndpointOf(_address))
 	{
 	}
 
--- a/packages/aio/src/connectprobe.cpp
+++ b/packages/aio/src/connectprobe.cpp
@@ -2,7 +2,7 @@
 
 #include <aio/connectprobe.h>
 
-#include "endpointparse_p.h"
+#include "tcpendpoint_p.h"
 
 #include <aio/timer.h>
 
@@ -39,7 +39,7 @@
 				    self->finish(false);
 			    }
 		    });
-		socket_.async_connect(parseEndpoint(_address),
+		socket_.async_connect(tcpEndpointOf(_address),
 		                      [self = shared_from_this()](const boost::system::error_code& _error)
 		                      {
 			                      self->finish(!_error);
--- a/packages/aio/src/endpointparse.cpp
+++ b/packages/aio/src/tcpendpoint.cpp
@@ -1,13 +1,13 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
-#include "endpointparse_p.h"
+#include "tcpendpoint_p.h"
 
 #include <charconv>
 
 namespace sedgecart
 {
 
-boost::asio::ip::tcp::endpoint parseEndpoint(const std::string& _address)
+boost::asio::ip::tcp::endpoint tcpEndpointOf(const std::string& _address)
 {
 	using Endpoint = boost::asio::ip::tcp::endpoint;
 	const std::size_t colon = _address.rfind(':');
