A node that reaches no target counts no crash of targets

A lost run is probed, and a refused probe counts as the end of the target under that request. When a link is reset, all runs of the node are lost and all probes refused: its requests were taken as ones that crash targets, and three such nodes could have blocked an innocent one. A refusal counts 10 ms later, unless the node is cut off by then. CrashDetectorTest::nodeThatReachesNoTargetCountsNoCrash failed before with 3 crashes. The other tests of the class wait for that verdict now; their checks are the same.

--- a/packages/crash/include/crash/crashdetector.h
+++ b/packages/crash/include/crash/crashdetector.h
@@ -87,6 +87,7 @@
 	bool isCurrent(const FleetTarget& _target) const;
 	void sendProbe(const TargetIncarnation& _incarnation);
 	void scheduleProbe(const TargetIncarnation& _incarnation);
+	void scheduleVerdict(const TargetIncarnation& _incarnation);
 	void onProbeAnswer(const TargetIncarnation& _incarnation, const ProbeAnswer& _answer);
 	void finishProbe(const TargetIncarnation& _incarnation, bool _ended);
 	bool markCounted(uint64_t _run);
--- a/packages/crash/src/crashdetector.cpp
+++ b/packages/crash/src/crashdetector.cpp
@@ -24,6 +24,10 @@
 constexpr Duration kProbeRetryDelay = Duration::fromMillis(250);
 constexpr uint32_t kMaxProbes = 6;
 
+/// Time within which a node whose connections are all refused finds out that it is cut off: the connections of its
+/// requests fail at the same moment.
+constexpr Duration kRefusalSettleTime = Duration::fromMillis(10);
+
 /// Maximum number of runs that are remembered as counted; a probe is finished within seconds.
 constexpr std::size_t kMaxCountedRuns = 4096;
 
@@ -112,7 +116,12 @@
 {
 	const PendingProbe& pending = probes_.at(_incarnation);
 	const bool restarted = _answer.answered && detectRestart(_incarnation, _answer, *pending.target.load);
-	const bool ended = _answer.refused || restarted || pending.target.load->ended.load(std::memory_order_relaxed);
+	const bool ended = restarted || pending.target.load->ended.load(std::memory_order_relaxed);
+	if (_answer.refused && !ended)
+	{
+		scheduleVerdict(_incarnation);
+		return;
+	}
 	if (ended || _answer.answered || kMaxProbes <= pending.attempts)
 	{
 		finishProbe(_incarnation, ended);
@@ -121,6 +130,28 @@
 	scheduleProbe(_incarnation);
 }
 
+/// A refusal says nothing about the target if this node is cut off from all targets, which it finds out by refusals
+/// too.
+void CrashDetector::scheduleVerdict(const TargetIncarnation& _incarnation)
+{
+	const auto timer = std::make_shared<Timer>(loop_, std::chrono::microseconds(kRefusalSettleTime.micros));
+	timer->async_wait(
+	    [this, timer, _incarnation](const boost::system::error_code& _error)
+	    {
+		    if (_error)
+		    {
+			    return;
+		    }
+		    const bool isCutOff = cell_.isCutOff.load(std::memory_order_relaxed);
+		    if (isCutOff && probes_.at(_incarnation).attempts < kMaxProbes)
+		    {
+			    scheduleProbe(_incarnation);
+			    return;
+		    }
+		    finishProbe(_incarnation, !isCutOff);
+	    });
+}
+
 void CrashDetector::finishProbe(const TargetIncarnation& _incarnation, bool _ended)
 {
 	const auto row = probes_.find(_incarnation);
--- a/packages/crash/tests/crashdetectortest.cpp
+++ b/packages/crash/tests/crashdetectortest.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -70,6 +72,9 @@
 
 const RequestIdentity kRequest{1, 2, 3};
 
+/// Longer than a refusal needs to count.
+constexpr std::chrono::milliseconds kSettled{100};
+
 } // namespace
 
 class CrashDetectorTest : public CppUnit::TestFixture
@@ -77,6 +82,7 @@
 	CPPUNIT_TEST_SUITE(CrashDetectorTest);
 	CPPUNIT_TEST(oneRunOverTargetsThatEndTogetherCountsOnce);
 	CPPUNIT_TEST(eachRunCounts);
+	CPPUNIT_TEST(nodeThatReachesNoTargetCountsNoCrash);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,7 +110,7 @@
 		{
 			watch_.onRunLost(kRequest, run, ResponseProgress{}, target);
 		}
-		orders_.answerAll();
+		refuseAll();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), sink_.crashes);
 	}
 
@@ -113,12 +119,33 @@
 		for (const FleetTarget& target : targets_)
 		{
 			watch_.onRunLost(kRequest, watch_.beginRun(), ResponseProgress{}, target);
-			orders_.answerAll();
+			refuseAll();
 		}
 		CPPUNIT_ASSERT_EQUAL(targets_.size(), sink_.crashes);
 	}
 
+	/// Its link is cut: the targets run on, and their requests are innocent.
+	void nodeThatReachesNoTargetCountsNoCrash()
+	{
+		for (const FleetTarget& target : targets_)
+		{
+			watch_.onRunLost(kRequest, watch_.beginRun(), ResponseProgress{}, target);
+		}
+		orders_.answerAll();
+		cell_.isCutOff = true;
+		loop_.run_for(kSettled);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sink_.crashes);
+	}
+
 private:
+	/// Refuses all open probes, and waits until they count.
+	void refuseAll()
+	{
+		orders_.answerAll();
+		loop_.restart();
+		loop_.run_for(kSettled);
+	}
+
 	boost::asio::io_context loop_;
 	SteadyClock clock_;
 	CrashedTargets orders_;
