--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -3,8 +3,8 @@
 #include <aio/clientconnection.h>
 #include <aio/timer.h>
 
-#include "tcpendpoint_p.h"
 #include "nonblockingsocket_p.h"
+#include "tcpendpoint_p.h"
 
 #include <base/config.h>
 
