Prompt parts that crash targets are blocked

Cause: CrashLedger knew a request by its customer, path and body. No two of these were alike, so each began at zero crashes and had its two runs.

A part that prompts share is a suspect of its own in the same ledger, update and store topic. It is accused by runs that crash before their first event, and cleared by any response that has begun with it; nodes remember that for ten minutes.

--- a/packages/base/include/base/requestidentity.h
+++ b/packages/base/include/base/requestidentity.h
@@ -29,6 +29,9 @@
 	uint64_t high = 0;
 	uint64_t low = 0;
 
+	/// @returns true if it identifies a part of prompts instead of a request.
+	bool isPromptPart() const;
+
 	/// @returns 48 lower-case hex digits.
 	std::string text() const;
 
@@ -54,6 +57,11 @@
 
 RequestIdentity identifyCaller(const RequestParts& _parts);
 
+/// Identifies a part of prompts, whoever sends it: what crashes a target is the part, not its customer.
+/// @param _service whose targets run the prompts.
+/// @param _part as the callers name it.
+RequestIdentity identifyPromptPart(std::string_view _service, std::string_view _part);
+
 } // namespace sedgecart
 
 #endif // SEDGECART_BASE_REQUESTIDENTITY_H_HEADER_GUARD
--- a/packages/base/src/requestidentity.cpp
+++ b/packages/base/src/requestidentity.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Stands for the customer in the identity of a prompt part. No customer's hash is 0 but by a chance of 2^-64.
+constexpr uint64_t kPromptPartCaller = 0;
+
 constexpr int kHex = 16;
 constexpr std::size_t kWordDigits = 16;
 constexpr std::size_t kWords = 3;
@@ -34,6 +37,11 @@
 
 } // namespace
 
+bool RequestIdentity::isPromptPart() const
+{
+	return kPromptPartCaller == caller;
+}
+
 std::string RequestIdentity::text() const
 {
 	std::string text;
@@ -69,4 +77,10 @@
 	return RequestIdentity{caller.low, rest.high, rest.low};
 }
 
+RequestIdentity identifyPromptPart(std::string_view _service, std::string_view _part)
+{
+	const Digest128 digest = hash128({_service, _part});
+	return RequestIdentity{kPromptPartCaller, digest.high, digest.low};
+}
+
 } // namespace sedgecart
--- a/packages/base/tests/requestidentitytest.cpp
+++ b/packages/base/tests/requestidentitytest.cpp
@@ -24,6 +24,7 @@
 	CPPUNIT_TEST_SUITE(RequestIdentityTest);
 	CPPUNIT_TEST(eachPartChangesTheIdentity);
 	CPPUNIT_TEST(boundariesBetweenPartsCount);
+	CPPUNIT_TEST(promptPartsAreNoRequests);
 	CPPUNIT_TEST(textIsParsed);
 	CPPUNIT_TEST(otherTextsAreRejected);
 	CPPUNIT_TEST_SUITE_END();
@@ -51,6 +52,17 @@
 		CPPUNIT_ASSERT(identifyCaller(parts()) == identifyCaller(parts()));
 	}
 
+	void promptPartsAreNoRequests()
+	{
+		const RequestIdentity part = identifyPromptPart("engine", "a1");
+		CPPUNIT_ASSERT(part.isPromptPart());
+		CPPUNIT_ASSERT(!identifyCaller(parts()).isPromptPart());
+		CPPUNIT_ASSERT(!(part == identifyPromptPart("engine", "a2")));
+		CPPUNIT_ASSERT(!(part == identifyPromptPart("other", "a1")));
+		RequestIdentity read;
+		CPPUNIT_ASSERT(RequestIdentity::parse(part.text(), read) && part == read);
+	}
+
 	void boundariesBetweenPartsCount()
 	{
 		RequestParts moved = parts();
--- a/packages/core/include/core/crashledger.h
+++ b/packages/core/include/core/crashledger.h
@@ -72,6 +72,13 @@
 /// - of two requests that ran on exactly the same targets, the one that progressed less there is blocked; if they
 ///   progressed equally, neither is blocked until one of them has run without the other.
 ///
+/// A part that many prompts share is recorded like a request, from runs that crashed before their first event. What
+/// holds for it besides:
+/// - a response that has begun clears it. Nodes remember that for long, so a part is blocked only once they had time to
+///   object;
+/// - a blocked request does not explain its crashes, since it may have crashed its targets by that part;
+/// - of parts that occurred together in all of many crashes one is blocked: prompts have all of them.
+///
 /// The time is passed in; the class reads no clock.
 class CrashLedger
 {
@@ -131,6 +138,13 @@
 	/// runs had produced events: equal progress is a coincidence more often than responses that have not started.
 	static constexpr std::size_t kCrashesToBlock = 3;
 
+	/// Time from the suspicion of a prompt part to its block, in which nodes report that they have had a response to
+	/// it: a report to the hub, its answer to all nodes, and a report back.
+	static constexpr Duration kObjectionTime = Duration::fromMillis(500);
+
+	/// Crashes after which one of the prompt parts is blocked that always occurred together.
+	static constexpr std::size_t kCrashesToBlockOne = 5;
+
 	/// Crashes at any progress, and distinct times of them, after which a request is blocked that crashes its targets
 	/// at varying positions. A caller retries only a few times, and a request of many callers is hit by many crashes at
 	/// one time when a data hall fails.
@@ -184,6 +198,7 @@
 		Crashes crashes;
 		uint32_t reportedCrashes = 0; //!< Number of crashes reported by a node that receives reports of more nodes.
 		Time lastEventAt;             //!< When the last crash was learned of, or the request was blocked or unblocked.
+		Time suspectedAt;             //!< When it became a suspect.
 		Time changedAt;               //!< When the state that is reported to other nodes last changed.
 		Time blockedUntil;
 		bool blocked = false;
@@ -207,6 +222,10 @@
 	static Crashes withoutProgress(const Crashes& _crashes);
 	static Crashes excluding(const Crashes& _crashes, const Incarnations& _explained);
 	bool hasEquivalentSuspect(const RequestIdentity& _request, const Crashes& _unexplained) const;
+	static bool isPending(const Cases::value_type& _row, Time _now);
+	Incarnations pendingCrashes(Time _now) const;
+	bool isSure(const RequestIdentity& _request, const Crashes& _unexplained) const;
+	std::vector<RequestIdentity> blockProven(bool _parts, Incarnations& _explained, Time _now);
 	static CrashSuspect suspectOf(const Cases::value_type& _row, Time _now);
 
 	Cases cases_;
--- a/packages/core/src/crashledger.cpp
+++ b/packages/core/src/crashledger.cpp
@@ -170,9 +170,11 @@
 	{
 		return false;
 	}
+	const bool wasSuspect = found.isSuspect();
 	found.crashes[_row.target] = Crash{Origin{_now, _source}, _row.progress, _now};
 	found.lastEventAt = _now;
 	found.changedAt = _now;
+	found.suspectedAt = !wasSuspect && found.isSuspect() ? _now : found.suspectedAt;
 	return true;
 }
 
@@ -268,26 +270,75 @@
 				                   shared.insert(*found);
 			                   }
 		                   }
-		                   const bool isOther = !(_row.first == _request) && !_row.second.blocked;
+		                   const bool isOther = !(_row.first == _request) && !_row.second.blocked &&
+		                                        _row.first.isPromptPart() == _request.isPromptPart();
 		                   const bool isAlike = withoutProgress(_unexplained).size() <= withoutProgress(shared).size();
 		                   return isOther && shared.size() == _unexplained.size() && isProven(shared) && isAlike;
 	                   });
 }
 
+bool CrashLedger::isSure(const RequestIdentity& _request, const Crashes& _unexplained) const
+{
+	const bool isBeyondDoubt =
+	    _request.isPromptPart() ? kCrashesToBlockOne <= _unexplained.size() : isBeyondChance(_unexplained);
+	return isBeyondDoubt || !hasEquivalentSuspect(_request, _unexplained);
+}
+
 std::vector<RequestIdentity> CrashLedger::blockProven(Time _now)
 {
+	constexpr bool kParts = true;
 	Incarnations explained;
+	std::vector<RequestIdentity> blocked = blockProven(kParts, explained, _now);
+	const Incarnations pending = pendingCrashes(_now);
+	explained.insert(pending.begin(), pending.end());
+	const std::vector<RequestIdentity> requests = blockProven(!kParts, explained, _now);
+	blocked.insert(blocked.end(), requests.begin(), requests.end());
+	return blocked;
+}
+
+/// Nodes may still object to a part.
+bool CrashLedger::isPending(const Cases::value_type& _row, Time _now)
+{
+	return _row.first.isPromptPart() && !_row.second.blocked && _now < _row.second.suspectedAt + kObjectionTime;
+}
+
+/// @returns the crashes that prompt parts are proven to have caused unless a node objects. Until then no request is
+/// blocked for them.
+CrashLedger::Incarnations CrashLedger::pendingCrashes(Time _now) const
+{
+	Incarnations pending;
+	for (const auto& row : cases_)
+	{
+		for (const auto& crash : row.second.crashes)
+		{
+			if (isPending(row, _now) && isProven(row.second.crashes))
+			{
+				pending.insert(crash.first);
+			}
+		}
+	}
+	return pending;
+}
+
+/// Blocks the prompt parts, or the requests, that are proven to crash targets.
+/// @param _explained crashes that blocked ones explain; receives those of this kind.
+std::vector<RequestIdentity> CrashLedger::blockProven(bool _parts, Incarnations& _explained, Time _now)
+{
 	std::vector<Cases::iterator> open;
 	for (auto row = cases_.begin(); cases_.end() != row; ++row)
 	{
+		if (_parts != row->first.isPromptPart())
+		{
+			continue;
+		}
 		for (const auto& crash : row->second.crashes)
 		{
 			if (row->second.blocked)
 			{
-				explained.insert(crash.first);
+				_explained.insert(crash.first);
 			}
 		}
-		if (!row->second.blocked && isProven(row->second.crashes))
+		if (!row->second.blocked && !isPending(*row, _now) && isProven(row->second.crashes))
 		{
 			open.push_back(row);
 		}
@@ -304,16 +355,15 @@
 	std::vector<RequestIdentity> blocked;
 	for (const Cases::iterator& row : open)
 	{
-		const Crashes left = excluding(row->second.crashes, explained);
-		const bool isSure = isBeyondChance(left) || !hasEquivalentSuspect(row->first, left);
-		if (!isProven(left) || !isSure)
+		const Crashes left = excluding(row->second.crashes, _explained);
+		if (!isProven(left) || !isSure(row->first, left))
 		{
 			continue;
 		}
 		block(row->second, _now);
 		for (const auto& crash : left)
 		{
-			explained.insert(crash.first);
+			_explained.insert(crash.first);
 		}
 		blocked.push_back(row->first);
 	}
--- a/packages/core/tests/crashledgertest.cpp
+++ b/packages/core/tests/crashledgertest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 namespace sedgecart
@@ -57,6 +58,11 @@
 	CPPUNIT_TEST(reportedVerdictsApply);
 	CPPUNIT_TEST(updatesAreSelectedBySource);
 	CPPUNIT_TEST(varyingRequestsDoNotEvictBlockedOnes);
+	CPPUNIT_TEST(promptPartIsBlockedOnceNodesHadTimeToObject);
+	CPPUNIT_TEST(responseToAPromptPartClearsIt);
+	CPPUNIT_TEST(blockedRequestDoesNotExcuseItsPromptPart);
+	CPPUNIT_TEST(noRequestIsBlockedWhileItsPromptPartIsPending);
+	CPPUNIT_TEST(oneOfTwoPromptPartsThatOccurTogetherIsBlocked);
 	CPPUNIT_TEST(recentIdentitiesAreBounded);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -292,6 +298,60 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), ledger_.suspects(kStart).size());
 	}
 
+	void promptPartIsBlockedOnceNodesHadTimeToObject()
+	{
+		partCrashes("a", {1, 2, 3});
+		CPPUNIT_ASSERT(ledger_.blockProven(kStart).empty());
+		const Time decided = kStart + CrashLedger::kObjectionTime;
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), ledger_.blockProven(decided).size());
+		CPPUNIT_ASSERT(isPartBlocked("a", decided));
+	}
+
+	/// All requests have it: it was at each crash.
+	void responseToAPromptPartClearsIt()
+	{
+		partCrashes("all", {1, 2, 3, 4});
+		partCrashes("a", {1, 2, 3});
+		ledger_.recordResponse(part("all"), CrashSource::Hall, kStart);
+		const Time decided = kStart + CrashLedger::kObjectionTime;
+		ledger_.blockProven(decided);
+		CPPUNIT_ASSERT(isPartBlocked("a", decided));
+		CPPUNIT_ASSERT(!isPartBlocked("all", decided));
+	}
+
+	/// Its caller sent it again, so that it had three crashes before the part had.
+	void blockedRequestDoesNotExcuseItsPromptPart()
+	{
+		crashes(1, {1, 2, 3});
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), ledger_.blockProven(kStart).size());
+		partCrashes("a", {1, 2, 3});
+		const Time decided = kStart + CrashLedger::kObjectionTime;
+		ledger_.blockProven(decided);
+		CPPUNIT_ASSERT(isPartBlocked("a", decided));
+	}
+
+	/// A sound request that ran beside three with the part would be blocked in its place.
+	void noRequestIsBlockedWhileItsPromptPartIsPending()
+	{
+		partCrashes("a", {1, 2, 3});
+		crashes(1, {1, 2, 3});
+		CPPUNIT_ASSERT(ledger_.blockProven(kStart).empty());
+		const Time decided = kStart + CrashLedger::kObjectionTime;
+		ledger_.blockProven(decided);
+		CPPUNIT_ASSERT(!isBlocked(1, decided));
+	}
+
+	void oneOfTwoPromptPartsThatOccurTogetherIsBlocked()
+	{
+		const Time decided = kStart + CrashLedger::kObjectionTime;
+		partCrashes("a", {1, 2, 3, 4});
+		partCrashes("b", {1, 2, 3, 4});
+		CPPUNIT_ASSERT(ledger_.blockProven(decided).empty());
+		partCrashes("a", {5});
+		partCrashes("b", {5});
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), ledger_.blockProven(decided).size());
+	}
+
 	void recentIdentitiesAreBounded()
 	{
 		RecentIdentities recent;
@@ -318,6 +378,30 @@
 		}
 	}
 
+	static RequestIdentity part(const char* _name)
+	{
+		return identifyPromptPart("engine", _name);
+	}
+
+	void partCrashes(const char* _name, const std::vector<uint32_t>& _incarnations)
+	{
+		for (const uint32_t number : _incarnations)
+		{
+			ledger_.recordCrash(CrashRow{part(_name), incarnation(number), ResponseProgress{}}, CrashSource::Own,
+			                    kStart);
+		}
+	}
+
+	bool isPartBlocked(const char* _name, Time _now) const
+	{
+		const std::vector<CrashSuspect> suspects = ledger_.suspects(_now);
+		return std::any_of(suspects.begin(), suspects.end(),
+		                   [_name](const CrashSuspect& _suspect)
+		                   {
+			                   return part(_name) == _suspect.request && _suspect.blocked;
+		                   });
+	}
+
 	void crashAt(uint64_t _request, uint32_t _incarnation, uint64_t _events, Time _now = kStart)
 	{
 		ledger_.recordCrash(CrashRow{request(_request), incarnation(_incarnation), ResponseProgress{_events, _events}},
--- a/packages/crash/include/crash/crashcoordinator.h
+++ b/packages/crash/include/crash/crashcoordinator.h
@@ -94,6 +94,7 @@
 	bool isBlocked(const RequestIdentity& _request) const;
 	void refresh();
 	void publish(const std::vector<CrashSuspect>& _suspects, Time _now);
+	Time heldUntil(const CrashSuspect& _suspect, Time _now) const;
 	Time updatesSince() const;
 
 	KeyedLogI& log_;
--- a/packages/crash/include/crash/crashdetector.h
+++ b/packages/crash/include/crash/crashdetector.h
@@ -52,18 +52,25 @@
 
 	/// Called when a run of a request at a target ended, or was abandoned, without a response.
 	/// @param _run number of the run; if several targets of a run crash together, only one crash counts.
+	/// @param _parts parts of its prompt; they are suspected too if the response has not begun.
 	/// @param _progress progress of the response.
-	void onRunLost(const RequestIdentity& _request, uint64_t _run, ResponseProgress _progress,
-	               const FleetTarget& _target);
+	void onRunLost(const RequestIdentity& _request, const std::vector<RequestIdentity>& _parts, uint64_t _run,
+	               ResponseProgress _progress, const FleetTarget& _target);
 
 	/// Called when a target has completed a request.
 	void onAnswered(const RequestIdentity& _request);
 
+	/// Called when a target has begun a response to a prompt with these parts: none of them crashes targets.
+	void onBegun(const std::vector<RequestIdentity>& _parts);
+
+	/// @param _parts parts of its prompt.
 	/// @returns for how much longer the request must not be sent to any target; none if it may be sent.
-	std::optional<Duration> blockedFor(const RequestIdentity& _request) const;
+	std::optional<Duration> blockedFor(const RequestIdentity& _request,
+	                                   const std::vector<RequestIdentity>& _parts) const;
 
-	/// @returns true if targets crashed while running the request and it may be the cause.
-	bool isSuspected(const RequestIdentity& _request) const;
+	/// @returns true if targets crashed while running the request, or others with a part of its prompt, and it may be
+	/// the cause.
+	bool isSuspected(const RequestIdentity& _request, const std::vector<RequestIdentity>& _parts) const;
 
 	/// Called when the suspects have changed. Reports those that a target completed recently.
 	void reportRecentAnswers();
@@ -76,21 +83,26 @@
 		ResponseProgress progress;
 	};
 
+	using LostRunsOfProbe = std::map<RequestIdentity, LostRun>;
+
 	/// A probe of whether a target incarnation has crashed, and the runs that were lost there.
 	struct PendingProbe
 	{
 		FleetTarget target;
-		std::map<RequestIdentity, LostRun> lostRuns;
+		LostRunsOfProbe lostRuns; //!< By request and by part of its prompt.
 		uint32_t attempts = 0;
 	};
 
 	bool isCurrent(const FleetTarget& _target) const;
+	bool isListed(const RequestIdentity& _request) const;
+	bool isCleared(const RequestIdentity& _request, Time _now) const;
+	std::optional<Duration> blockedFor(const RequestIdentity& _request) const;
 	void sendProbe(const TargetIncarnation& _incarnation);
 	void scheduleProbe(const TargetIncarnation& _incarnation);
 	void scheduleVerdict(const TargetIncarnation& _incarnation);
 	void onProbeAnswer(const TargetIncarnation& _incarnation, const ProbeAnswer& _answer);
 	void finishProbe(const TargetIncarnation& _incarnation, bool _ended);
-	bool markCounted(uint64_t _run);
+	bool markCounted(uint64_t _run, const RequestIdentity& _request);
 
 	boost::asio::io_context& loop_;
 	const ClockI& clock_;
@@ -99,8 +111,10 @@
 	CrashListenerI& listener_;
 	std::map<TargetIncarnation, PendingProbe> probes_;
 	RecentIdentities answered_;
+	RecentIdentities begunParts_;
 	uint64_t lastRun_ = 0;
-	std::set<uint64_t> countedRuns_; //!< The latest runs that a crash was counted for.
+	/// The latest runs that a crash was counted for, with the request or the part of its prompt.
+	std::set<std::pair<uint64_t, RequestIdentity>> countedRuns_;
 	bool enabled_ = true;
 };
 
--- a/packages/crash/src/crashcoordinator.cpp
+++ b/packages/crash/src/crashcoordinator.cpp
@@ -26,6 +26,10 @@
 /// Minimum time between two attempts to write a blocked request.
 constexpr Duration kWriteRetryDelay = Duration::fromMillis(1000);
 
+/// How long a suspected prompt part is held: the hub decides after `CrashLedger::kObjectionTime`, and its verdict has
+/// to reach all nodes.
+constexpr Duration kHoldTime = CrashLedger::kObjectionTime + CrashLedger::kObjectionTime;
+
 /// Maximum number of blocked requests in the store. It takes three target crashes to get one blocked.
 constexpr std::size_t kMaxStoredRequests = 1024;
 
@@ -71,6 +75,11 @@
 	{
 		newRows += ledger_.recordCrash(CrashRow{run.first, _target, run.second}, CrashSource::Own, now) ? 1 : 0;
 	}
+	const auto parts = static_cast<std::size_t>(std::count_if(_runs.begin(), _runs.end(),
+	                                                          [](const LostRuns::value_type& _run)
+	                                                          {
+		                                                          return _run.first.isPromptPart();
+	                                                          }));
 	if (nullptr != metrics_)
 	{
 		metrics_->add(Counter::TargetCrashes);
@@ -78,7 +87,8 @@
 	logEvent(LogPart::Targets, LogLevel::Warning, "Target ended under requests.",
 	         {{"target", _target.instance.text},
 	          {"born", std::to_string(_target.startTime.unixMillis)},
-	          {"requests", std::to_string(_runs.size())},
+	          {"requests", std::to_string(_runs.size() - parts)},
+	          {"prompt_parts", std::to_string(parts)},
 	          {"news", std::to_string(newRows)},
 	          {"identity", 1 == _runs.size() ? _runs.begin()->first.text() : std::string()}});
 	refresh();
@@ -93,6 +103,7 @@
 	if (ledger_.recordResponse(_request, CrashSource::Own, clock_.now()))
 	{
 		logRequest(_request, "Request is no longer suspected.", "answered");
+		notifyUpdate(); // before the hub blocks it
 	}
 	refresh();
 }
@@ -229,6 +240,7 @@
 	const std::vector<TargetIncarnation> targets = ledger_.crashesOf(_request);
 	logEvent(LogPart::Requests, LogLevel::Warning, _message,
 	         {{"identity", _request.text()},
+	          {"kind", _request.isPromptPart() ? "prompt_part" : "request"},
 	          {"cause", _cause},
 	          {"crashes", std::to_string(targets.size())},
 	          {"targets", textOf(targets)},
@@ -340,13 +352,24 @@
 	answerUpdate_ = update->empty() ? nullptr : std::move(update);
 }
 
+/// A suspected prompt part is held until the hub has decided, anew with each crash. If it blocks the part neither then
+/// nor after the next crash, the crashes had another cause.
+Time CrashCoordinator::heldUntil(const CrashSuspect& _suspect, Time _now) const
+{
+	const RcuCell<SuspectTable>::Reader table(cell_.suspects);
+	const auto known = table->rows.find(_suspect.request);
+	const bool isKnown = table->rows.end() != known && _suspect.crashes <= known->second.crashes;
+	return isKnown ? known->second.heldUntil : _now + kHoldTime;
+}
+
 void CrashCoordinator::publish(const std::vector<CrashSuspect>& _suspects, Time _now)
 {
 	published_ = _suspects;
 	auto table = std::make_unique<SuspectTable>();
 	for (const CrashSuspect& suspect : _suspects)
 	{
-		table->rows[suspect.request] = Suspect{suspect.crashes, suspect.blocked, _now + suspect.blockedFor};
+		table->rows[suspect.request] =
+		    Suspect{suspect.crashes, suspect.blocked, _now + suspect.blockedFor, heldUntil(suspect, _now)};
 	}
 	cell_.suspects.publish(std::move(table));
 	if (onSuspects_)
--- a/packages/crash/src/crashdetector.cpp
+++ b/packages/crash/src/crashdetector.cpp
@@ -29,7 +29,7 @@
 constexpr Duration kRefusalSettleTime = Duration::fromMillis(10);
 
 /// Maximum number of runs that are remembered as counted; a probe is finished within seconds.
-constexpr std::size_t kMaxCountedRuns = 4096;
+constexpr std::size_t kMaxCountedRuns = 8192;
 
 /// Maximum number of targets that are probed at once; more than these crash together only if a data hall fails.
 constexpr std::size_t kMaxPendingProbes = 256;
@@ -64,18 +64,23 @@
 	                   });
 }
 
-void CrashDetector::onRunLost(const RequestIdentity& _request, uint64_t _run, ResponseProgress _progress,
-                              const FleetTarget& _target)
+void CrashDetector::onRunLost(const RequestIdentity& _request, const std::vector<RequestIdentity>& _parts,
+                              uint64_t _run, ResponseProgress _progress, const FleetTarget& _target)
 {
 	if (!enabled_)
 	{
 		return;
 	}
 	const TargetIncarnation incarnation = _target.record.incarnation();
+	LostRunsOfProbe lost{{_request, LostRun{_run, _progress}}};
+	for (const RequestIdentity& part : 0 == _progress.events ? _parts : std::vector<RequestIdentity>())
+	{
+		lost.emplace(part, LostRun{_run, _progress});
+	}
 	const auto open = probes_.find(incarnation);
 	if (probes_.end() != open)
 	{
-		open->second.lostRuns.emplace(_request, LostRun{_run, _progress});
+		open->second.lostRuns.insert(lost.begin(), lost.end());
 		return;
 	}
 	const bool isRunning =
@@ -84,7 +89,7 @@
 	{
 		return;
 	}
-	probes_[incarnation] = PendingProbe{_target, {{_request, LostRun{_run, _progress}}}, 0};
+	probes_[incarnation] = PendingProbe{_target, std::move(lost), 0};
 	sendProbe(incarnation);
 }
 
@@ -165,7 +170,7 @@
 	LostRuns runs;
 	for (const auto& lost : finished.lostRuns)
 	{
-		if (!answered_.recordedWithin(lost.first, CrashLedger::kClearingPeriod, now) && markCounted(lost.second.run))
+		if (!isCleared(lost.first, now) && markCounted(lost.second.run, lost.first))
 		{
 			runs.emplace(lost.first, lost.second.progress);
 		}
@@ -179,13 +184,13 @@
 /// Counts each run only once, even if several of its targets crash together: otherwise three stages of one path that
 /// restart together would block a request that has run only once.
 /// @returns true if the run has not been counted before.
-bool CrashDetector::markCounted(uint64_t _run)
+bool CrashDetector::markCounted(uint64_t _run, const RequestIdentity& _request)
 {
 	if (kMaxCountedRuns <= countedRuns_.size())
 	{
 		countedRuns_.erase(countedRuns_.begin());
 	}
-	return countedRuns_.insert(_run).second;
+	return countedRuns_.emplace(_run, _request).second;
 }
 
 void CrashDetector::onAnswered(const RequestIdentity& _request)
@@ -195,25 +200,68 @@
 		return;
 	}
 	answered_.record(_request, clock_.now());
-	if (isSuspected(_request))
+	if (isListed(_request))
 	{
 		listener_.onAnswered(_request);
 	}
 }
 
+void CrashDetector::onBegun(const std::vector<RequestIdentity>& _parts)
+{
+	for (const RequestIdentity& part : enabled_ ? _parts : std::vector<RequestIdentity>())
+	{
+		begunParts_.record(part, clock_.now());
+		if (isListed(part))
+		{
+			listener_.onAnswered(part);
+		}
+	}
+}
+
+/// A part is remembered for longer than a request: it is shared, and a response that has begun shows for good that it
+/// does not crash targets at that point.
+bool CrashDetector::isCleared(const RequestIdentity& _request, Time _now) const
+{
+	return _request.isPromptPart() ? begunParts_.recordedWithin(_request, CrashLedger::kCrashLifetime, _now)
+	                               : answered_.recordedWithin(_request, CrashLedger::kClearingPeriod, _now);
+}
+
+std::optional<Duration> CrashDetector::blockedFor(const RequestIdentity& _request,
+                                                  const std::vector<RequestIdentity>& _parts) const
+{
+	std::optional<Duration> longest = blockedFor(_request);
+	for (const RequestIdentity& part : _parts)
+	{
+		longest = std::max(longest, blockedFor(part));
+	}
+	return longest;
+}
+
 std::optional<Duration> CrashDetector::blockedFor(const RequestIdentity& _request) const
 {
 	const RcuCell<SuspectTable>::Reader table(cell_.suspects);
 	const auto row = table->rows.find(_request);
-	if (!enabled_ || table->rows.end() == row || !row->second.blocked)
+	if (!enabled_ || table->rows.end() == row)
 	{
 		return std::nullopt;
 	}
-	const Duration left = row->second.blockedUntil - clock_.now();
-	return 0 < left.micros ? std::optional<Duration>(left) : std::nullopt;
+	const Time now = clock_.now();
+	const bool isHeld = _request.isPromptPart() && !row->second.blocked && !isCleared(_request, now);
+	const Time until = isHeld ? row->second.heldUntil : row->second.blockedUntil;
+	const bool holds = (isHeld || row->second.blocked) && now < until;
+	return holds ? std::optional<Duration>(until - now) : std::nullopt;
+}
+
+bool CrashDetector::isSuspected(const RequestIdentity& _request, const std::vector<RequestIdentity>& _parts) const
+{
+	return isListed(_request) || std::any_of(_parts.begin(), _parts.end(),
+	                                         [this](const RequestIdentity& _part)
+	                                         {
+		                                         return isListed(_part);
+	                                         });
 }
 
-bool CrashDetector::isSuspected(const RequestIdentity& _request) const
+bool CrashDetector::isListed(const RequestIdentity& _request) const
 {
 	const RcuCell<SuspectTable>::Reader table(cell_.suspects);
 	return enabled_ && 0 < table->rows.count(_request);
@@ -227,7 +275,7 @@
 		const RcuCell<SuspectTable>::Reader table(cell_.suspects);
 		for (const auto& row : table->rows)
 		{
-			if (answered_.recordedWithin(row.first, CrashLedger::kClearingPeriod, now))
+			if (isCleared(row.first, now))
 			{
 				found.push_back(row.first);
 			}
--- a/packages/crash/src/crashupdate.cpp
+++ b/packages/crash/src/crashupdate.cpp
@@ -59,7 +59,14 @@
 
 void putCrashUpdate(const CrashUpdate& _update, wire::CrashNews& _out)
 {
-	for (const CrashRow& row : _update.crashes)
+	// Prompt parts first: they are few, and a target may have run more requests than there is room for.
+	std::vector<CrashRow> crashes = _update.crashes;
+	std::stable_partition(crashes.begin(), crashes.end(),
+	                      [](const CrashRow& _row)
+	                      {
+		                      return _row.request.isPromptPart();
+	                      });
+	for (const CrashRow& row : crashes)
 	{
 		if (_out.crashes_size() < kMaxRows)
 		{
--- a/packages/crash/tests/crashdetectortest.cpp
+++ b/packages/crash/tests/crashdetectortest.cpp
@@ -72,6 +72,9 @@
 
 const RequestIdentity kRequest{1, 2, 3};
 
+const RequestIdentity kPart = identifyPromptPart("engine", "a1");
+const RequestIdentity kSoundPart = identifyPromptPart("engine", "b2");
+
 /// Longer than a refusal needs to count.
 constexpr std::chrono::milliseconds kSettled{100};
 
@@ -83,6 +86,8 @@
 	CPPUNIT_TEST(oneRunOverTargetsThatEndTogetherCountsOnce);
 	CPPUNIT_TEST(eachRunCounts);
 	CPPUNIT_TEST(nodeThatReachesNoTargetCountsNoCrash);
+	CPPUNIT_TEST(promptPartsAreSuspectedUntilAResponseBegins);
+	CPPUNIT_TEST(suspectedPromptPartIsHeldOnlyWhereItNeverBegan);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,7 +113,7 @@
 		const uint64_t run = watch_.beginRun();
 		for (const FleetTarget& target : targets_)
 		{
-			watch_.onRunLost(kRequest, run, ResponseProgress{}, target);
+			watch_.onRunLost(kRequest, {}, run, ResponseProgress{}, target);
 		}
 		refuseAll();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), sink_.crashes);
@@ -118,7 +123,7 @@
 	{
 		for (const FleetTarget& target : targets_)
 		{
-			watch_.onRunLost(kRequest, watch_.beginRun(), ResponseProgress{}, target);
+			watch_.onRunLost(kRequest, {}, watch_.beginRun(), ResponseProgress{}, target);
 			refuseAll();
 		}
 		CPPUNIT_ASSERT_EQUAL(targets_.size(), sink_.crashes);
@@ -129,7 +134,7 @@
 	{
 		for (const FleetTarget& target : targets_)
 		{
-			watch_.onRunLost(kRequest, watch_.beginRun(), ResponseProgress{}, target);
+			watch_.onRunLost(kRequest, {}, watch_.beginRun(), ResponseProgress{}, target);
 		}
 		orders_.answerAll();
 		cell_.isCutOff = true;
@@ -137,6 +142,31 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sink_.crashes);
 	}
 
+	void promptPartsAreSuspectedUntilAResponseBegins()
+	{
+		watch_.onBegun({kSoundPart});
+		watch_.onRunLost(kRequest, {kSoundPart, kPart}, watch_.beginRun(), ResponseProgress{}, targets_[0]);
+		refuseAll();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), sink_.crashes); // the request and the other part
+		watch_.onRunLost(kRequest, {kSoundPart, kPart}, watch_.beginRun(), ResponseProgress{5, 5}, targets_[1]);
+		refuseAll();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(3), sink_.crashes); // the request alone: its response had begun
+	}
+
+	/// Nodes that have had responses to it know better than to wait for the hub.
+	void suspectedPromptPartIsHeldOnlyWhereItNeverBegan()
+	{
+		const Time later = clock_.now() + Duration::fromMillis(1000);
+		auto table = std::make_unique<SuspectTable>();
+		table->rows[kPart] = Suspect{2, false, Time{}, later};
+		table->rows[kSoundPart] = Suspect{2, false, Time{}, later};
+		cell_.suspects.publish(std::move(table));
+		watch_.onBegun({kSoundPart});
+		CPPUNIT_ASSERT(watch_.blockedFor(kRequest, {kPart}));
+		CPPUNIT_ASSERT(!watch_.blockedFor(kRequest, {kSoundPart}));
+		CPPUNIT_ASSERT(watch_.isSuspected(kRequest, {kSoundPart}));
+	}
+
 private:
 	/// Refuses all open probes, and waits until they count.
 	void refuseAll()
--- a/packages/fleet/include/fleet/suspecttable.h
+++ b/packages/fleet/include/fleet/suspecttable.h
@@ -18,6 +18,7 @@
 	uint32_t crashes = 0;
 	bool blocked = false;
 	Time blockedUntil;
+	Time heldUntil; //!< Of a prompt part: nodes that have had no response to it send it nowhere until then.
 };
 
 /// The suspect requests, for the request path. Immutable.
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -22,9 +22,10 @@
 {
 	std::string id; //!< Of this attempt of the caller; forwarded to the target unchanged.
 	std::string host;
-	std::string key;                     //!< Bearer key; empty if there is none.
-	std::optional<Duration> budget;      //!< How long the caller waits.
-	std::optional<uint64_t> resumeAfter; //!< The caller resumes a stream after this event.
+	std::string key;                      //!< Bearer key; empty if there is none.
+	std::optional<Duration> budget;       //!< How long the caller waits.
+	std::optional<uint64_t> resumeAfter;  //!< The caller resumes a stream after this event.
+	std::vector<std::string> sharedParts; //!< Names of the prompt's parts but the last, which is the request's own.
 	uint32_t promptTokens = 0;
 	uint32_t maxTokens = 0;    //!< Upper bound of the answer.
 	uint32_t hintedTokens = 0; //!< The caller's estimate of the answer; 0: none.
--- a/packages/relay/src/relayplan_p.h
+++ b/packages/relay/src/relayplan_p.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sedgecart
 {
@@ -21,6 +22,7 @@
 	ServerRequest request;
 	CallerRequest caller;
 	RequestIdentity identity;
+	std::vector<RequestIdentity> promptParts; //!< The parts of its prompt that other requests may share.
 	std::string customer;
 	std::string service;
 	RequestTraits facts;
--- a/packages/relay/src/relaysend_p.h
+++ b/packages/relay/src/relaysend_p.h
@@ -67,6 +67,7 @@
 	bool repathing = false;       //!< An order to change the path is pending.
 	bool mayHaveRepathed = false; //!< An unanswered order to change the path may have been executed.
 	bool forwardable = true;      //!< The answer may be forwarded.
+	bool hasBegun = false;        //!< It has delivered an event.
 	bool isToPeer = false;        //!< `target` is another node.
 	const bool isNewConnection;   //!< It has to establish its connection first.
 
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -233,7 +233,11 @@
 	plan.facts.maxRuns = route.maxRuns;
 	plan.facts.resumeAfter = _caller.resumeAfter;
 	plan.identity = identityOf(plan.customer, _queued.request, _caller);
-	if (context_.crashes.isSuspected(plan.identity))
+	for (const std::string& part : _caller.sharedParts)
+	{
+		plan.promptParts.push_back(identifyPromptPart(plan.service, part));
+	}
+	if (context_.crashes.isSuspected(plan.identity, plan.promptParts))
 	{
 		plan.facts.maxRuns = 1; // until it is known whether it crashes its target as well
 	}
@@ -345,7 +349,7 @@
 		return;
 	}
 	RelayPlan plan = makePlan(*routes, match, std::move(_queued), std::move(caller));
-	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan.identity);
+	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan.identity, plan.promptParts);
 	if (blocked)
 	{
 		refuseBlocked(*connection, plan, *blocked);
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -145,7 +145,7 @@
 /// A request that crashes each target that begins to run it must not reach another one.
 bool RequestRelay::isBlocked() const
 {
-	return context_.crashes.blockedFor(plan_.identity).has_value();
+	return context_.crashes.blockedFor(plan_.identity, plan_.promptParts).has_value();
 }
 
 void RequestRelay::startSend(std::optional<uint64_t> _resumeAfter)
@@ -290,7 +290,7 @@
 	{
 		recordDuration(); // a lower bound of its duration
 	}
-	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan_.identity);
+	const std::optional<Duration> blocked = context_.crashes.blockedFor(plan_.identity, plan_.promptParts);
 	const std::string atFault = send_ ? send_->answer.atFault : std::string();
 	forwarder_.refuse(answer, Refusal{blocked ? blocked : path_.untilOpen(), path_.reservedTokens(), atFault});
 }
@@ -359,6 +359,11 @@
 		{
 			resumeSlot_->onEvent();
 		}
+		if (!_send.hasBegun && _send.eventsBefore < machine_.events())
+		{
+			_send.hasBegun = true;
+			context_.crashes.onBegun(plan_.promptParts);
+		}
 		context_.answerDurations.recordEvents(mark_, machine_.events(), forwarder_.lastReceivedAt());
 		path_.onEvents(machine_.lastEvent());
 		finishIfDone();
@@ -404,6 +409,7 @@
 	if (_send.forwardable && !_send.answer.notExecuted && !machine_.forwarding())
 	{
 		context_.crashes.onAnswered(plan_.identity);
+		context_.crashes.onBegun(plan_.promptParts);
 	}
 	path_.release();
 	context_.pool.release(path_.head().record, _send.takeConnection());
@@ -500,7 +506,7 @@
 void RequestRelay::recordLostRun(const RelaySend& _send, const FleetTarget& _target)
 {
 	const ResponseProgress place{machine_.lastEvent(), machine_.events() - _send.eventsBefore};
-	context_.crashes.onRunLost(plan_.identity, _send.runNumber, place, _target);
+	context_.crashes.onRunLost(plan_.identity, plan_.promptParts, _send.runNumber, place, _target);
 }
 
 /// Resends the request elsewhere if it may be repeated. Otherwise it stays where it is: the suspicion may be wrong, and
