A node that reaches no target leaves layout changes to others

Such a node appended changes whose orders it could not deliver, and each waited until another node sent them again. Found by reading. LayoutControllerTest::nodeThatReachesNoTargetLeavesChangesToOthers failed before: the change was appended.

--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -139,6 +139,12 @@
 		return cell_.skippedRecords;
 	}
 
+	/// @returns true if this node reaches no target at present.
+	bool isCutOff() const
+	{
+		return cell_.isCutOff.load(std::memory_order_relaxed);
+	}
+
 	/// @returns true once a desired state and the targets are known.
 	bool ready() const
 	{
--- a/packages/layout/src/layoutcontroller.cpp
+++ b/packages/layout/src/layoutcontroller.cpp
@@ -84,7 +84,9 @@
 	const Time now = clock_.now();
 	const bool fresh = now < fleet_.provenAt() + kMaxProofAge;
 	Duration pause = kEvaluationInterval;
-	if (isTopicRead_ && fresh && !appending_ && fleet_.ready())
+	// A node that reaches no target leaves changes to nodes that can order them. What only it knows it still publishes.
+	const bool isAble = !fleet_.isCutOff() || dispatcher_.hasUnpublished();
+	if (isTopicRead_ && fresh && !appending_ && fleet_.ready() && isAble)
 	{
 		const std::size_t place = turnIndex();
 		// What only this node knows, no other one can publish.
@@ -281,7 +283,8 @@
 	lossReporter_.update(nullptr != seen.engine ? seen.engine->layers : 0, seen.records, clock_.now());
 	const Snapshot available = withoutRefusingTargets(seen);
 	const std::vector<LayoutOrder> orders =
-	    withoutUncertainOrders(available, withoutRefusedOrders(available, wantedOrders(available)));
+	    fleet_.isCutOff() ? std::vector<LayoutOrder>()
+	                      : withoutUncertainOrders(available, withoutRefusedOrders(available, wantedOrders(available)));
 	const Time now = clock_.now();
 	const bool hasUnpublished = dispatcher_.hasUnpublished();
 	appendSchedule_.setContenders(_place, fleet_.nodes().size());
--- a/packages/layout/tests/layoutcontrollertest.cpp
+++ b/packages/layout/tests/layoutcontrollertest.cpp
@@ -132,6 +132,7 @@
 {
 	CPPUNIT_TEST_SUITE(LayoutControllerTest);
 	CPPUNIT_TEST(layersOfADeadTargetAreReassignedAtOnce);
+	CPPUNIT_TEST(nodeThatReachesNoTargetLeavesChangesToOthers);
 	CPPUNIT_TEST(weakSuspicionChangesNothing);
 	CPPUNIT_TEST(aHallThatSeemsCutOffIsLeftAlone);
 	CPPUNIT_TEST(withoutNodeEvidenceItWaitsForTheRegistry);
@@ -191,6 +192,18 @@
 		}
 	}
 
+	/// Its orders would not arrive, and the change would wait until another node sends them.
+	void nodeThatReachesNoTargetLeavesChangesToOthers()
+	{
+		suspect(soleHolder(), kSureSuspicion);
+		cell_.isCutOff = true;
+		evaluateOnce();
+		CPPUNIT_ASSERT(log_.appended.empty());
+		cell_.isCutOff = false;
+		evaluateOnce();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), log_.appended.size());
+	}
+
 	void weakSuspicionChangesNothing()
 	{
 		suspect(soleHolder(), kWeakSuspicion);
