--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -227,6 +227,12 @@
 		return forwarding_;
 	}
 
+	/// @returns true if the part of the stream received so far ends inside an event.
+	bool isInsideEvent() const
+	{
+		return !splitter_.atBoundary();
+	}
+
 	/// @returns the number of complete events that were forwarded.
 	uint64_t events() const
 	{
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -406,6 +406,11 @@
 		machine_.onSuspectedSendEnded(_send.answer.notExecuted);
 		return;
 	}
+	if (machine_.forwarding() && machine_.isInsideEvent())
+	{
+		onBroken(_send, ExchangeFailure::ConnectionLost); // the end of an unframed stream looks the same after a crash
+		return;
+	}
 	if (_send.forwardable && !_send.answer.notExecuted && !machine_.forwarding())
 	{
 		context_.crashes.onAnswered(plan_.identity);
--- a/tests/entry/crashpartproof.cpp
+++ b/tests/entry/crashpartproof.cpp
@@ -11,10 +11,12 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <future>
 #include <map>
 #include <mutex>
 #include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace sedgecart
@@ -66,11 +68,18 @@
 	return request;
 }
 
+/// How the answer of a crashing target ends.
+enum class AnswerEnd
+{
+	Reset,
+	InsideEvent, //!< In good order as far as HTTP shows, inside the first event.
+};
+
 /// Targets that hold the whole model and crash when they begin to answer the part. Each comes back as a new instance.
 class CrashingTargets
 {
 public:
-	explicit CrashingTargets(EntryHarness& _harness) : harness_(_harness)
+	CrashingTargets(EntryHarness& _harness, AnswerEnd _end) : harness_(_harness), end_(_end)
 	{
 		for (uint32_t target = 0; target < kTargets; ++target)
 		{
@@ -148,14 +157,31 @@
 		startStream(*_caller, _request, 1, 0); // a head without an event
 		const std::lock_guard<std::mutex> lock(mutex_);
 		arrivals_.push_back(Clock::now());
+		held_[_self].push_back(_caller);
 		if (nullptr != _self && crashing_.insert(_self).second)
 		{
-			held_.push_back(_caller);
 			steps_.emplace(Clock::now() + kRunTime, _self);
 			changed_.notify_all();
 		}
 	}
 
+	/// Ends answers of a target that is about to crash.
+	static void endAnswers(FakeTarget& _target, const std::vector<std::shared_ptr<ServerConnection>>& _callers)
+	{
+		std::promise<void> done;
+		_target.post(
+		    [&_callers, &done]
+		    {
+			    for (const std::shared_ptr<ServerConnection>& caller : _callers)
+			    {
+				    caller->send("id: 0\nda");
+				    caller->finish();
+			    }
+			    done.set_value();
+		    });
+		done.get_future().wait();
+	}
+
 	void runSteps()
 	{
 		std::unique_lock<std::mutex> lock(mutex_);
@@ -173,8 +199,20 @@
 				continue;
 			}
 			steps_.erase(steps_.begin());
+			const std::vector<std::shared_ptr<ServerConnection>> callers = std::exchange(held_[step.second], {});
 			lock.unlock();
-			nullptr != step.second ? harness_.end(*step.second) : add();
+			if (nullptr == step.second)
+			{
+				add();
+			}
+			else
+			{
+				if (AnswerEnd::InsideEvent == end_)
+				{
+					endAnswers(*step.second, callers);
+				}
+				harness_.end(*step.second);
+			}
 			lock.lock();
 			if (nullptr != step.second)
 			{
@@ -187,11 +225,12 @@
 	}
 
 	EntryHarness& harness_;
+	const AnswerEnd end_;
 	mutable std::mutex mutex_;
 	std::condition_variable changed_;
 	std::multimap<Clock::time_point, FakeTarget*> steps_; //!< Target that ends; null: one starts.
 	std::set<FakeTarget*> crashing_;
-	std::vector<std::shared_ptr<ServerConnection>> held_;
+	std::map<FakeTarget*, std::vector<std::shared_ptr<ServerConnection>>> held_;
 	std::vector<Clock::time_point> arrivals_;
 	std::vector<Clock::time_point> crashes_;
 	bool isOver_ = false;
@@ -204,13 +243,66 @@
 {
 	CPPUNIT_TEST_SUITE(CrashPartProof);
 	CPPUNIT_TEST(requestsWithACrashingPartStopReachingTargets);
+	CPPUNIT_TEST(streamThatEndsInsideAnEventIsALostRun);
+	CPPUNIT_TEST(targetThatEndedAStreamInsideAnEventGetsItNoMore);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
 	void requestsWithACrashingPartStopReachingTargets()
+	{
+		crashingPartIsBlocked(AnswerEnd::Reset);
+	}
+
+	/// The crash was not noticed: neither a reset nor a missing byte showed it.
+	void streamThatEndsInsideAnEventIsALostRun()
+	{
+		crashingPartIsBlocked(AnswerEnd::InsideEvent);
+	}
+
+	/// It was not avoided, so that the stream spent its second run there.
+	void targetThatEndedAStreamInsideAnEventGetsItNoMore()
+	{
+		EntryHarness harness;
+		std::mutex mutex;
+		std::set<std::string> begun;
+		const TargetScript script =
+		    [&mutex, &begun](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		{
+			if ("/stream/" != _request.head.target)
+			{
+				answerWhole(*_caller, _request, 200, "{}");
+				return;
+			}
+			const std::lock_guard<std::mutex> lock(mutex);
+			const bool isFirst = begun.insert(_request.body).second;
+			startStream(*_caller, _request, 0, isFirst ? 0 : 2);
+			_caller->send(isFirst ? "id: 1\nda" : "");
+			_caller->finish();
+		};
+		const std::vector<const FakeTarget*> targets = {&harness.addEngine(LayerSpan{0, 8}, script),
+		                                                &harness.addEngine(LayerSpan{0, 8}, script)};
+		harness.start();
+		constexpr uint32_t kStreams = 20;
+		for (uint32_t number = 0; number < kStreams; ++number)
+		{
+			harness.call(requestWith(kSoundPart, number));
+		}
+		for (const FakeTarget* const target : targets)
+		{
+			std::set<std::string> seen;
+			for (const ServerRequest& request : target->requests())
+			{
+				const bool isStream = "/stream/" == request.head.target;
+				CPPUNIT_ASSERT_MESSAGE(request.body, !isStream || seen.insert(request.body).second);
+			}
+		}
+	}
+
+private:
+	static void crashingPartIsBlocked(AnswerEnd _end)
 	{
 		EntryHarness harness;
-		CrashingTargets targets(harness);
+		CrashingTargets targets(harness, _end);
 		harness.start();
 		const std::vector<std::string> nodes = {harness.callerAddress(), harness.startMore("n2", "h1"),
 		                                        harness.startMore("n3", "h2")};
