The refusal of another node clears no suspect

A request that was handed over and refused by the other node (ends_targets) counted as answered by a target, so that its crashing prompt part was cleared and the count began anew: 6 late arrivals in one of four runs of CrashPartProof::streamThatEndsInsideAnEventIsALostRun, "Request is no longer suspected." 86 ms after that refusal in its log. Only signed answers of another node clear a request, and only successes clear prompt parts.

--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -411,9 +411,14 @@
 		onBroken(_send, ExchangeFailure::ConnectionLost); // the end of an unframed stream looks the same after a crash
 		return;
 	}
-	if (_send.forwardable && !_send.answer.notExecuted && !machine_.forwarding())
+	// An unsigned answer of another node is its own refusal, and no target has run the request.
+	const bool isFromTarget = !_send.isToPeer || _send.answer.isSigned;
+	if (_send.forwardable && !_send.answer.notExecuted && !machine_.forwarding() && isFromTarget)
 	{
 		context_.crashes.onAnswered(plan_.identity);
+	}
+	if (_send.isGood() && !machine_.forwarding())
+	{
 		context_.crashes.onBegun(plan_.promptParts);
 	}
 	path_.release();
