--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -45,7 +45,7 @@
 {
 	uint16_t status = 0;
 	bool notRun = false;  //!< The target states that it did not run the request and will not run it.
-	bool isFinal = false; //!< Another node gave the response after its own retries; an error is not retried.
+	bool isFinal = false; //!< Another node refuses the request after its own tries; it is not sent again.
 };
 
 /// How a send failed.
@@ -249,12 +249,6 @@
 		return sends_;
 	}
 
-	/// @returns on how many more targets the request may run.
-	uint32_t runsLeft() const
-	{
-		return runs_ < traits_.maxRuns ? traits_.maxRuns - runs_ : 0;
-	}
-
 	/// @returns how the last send failed; meaningful only after a send has failed.
 	SendFailure::Enum lastFailure() const
 	{
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -47,7 +47,6 @@
 {
 	Duration budget; //!< Remaining part of the caller's and the route's time limit.
 	std::optional<uint64_t> resumeAfter;
-	HeaderList headers; //!< Added to those of the caller.
 };
 
 /// Whether a target's answer names a rate limit: requests per second that it accepts from all nodes together.
--- a/packages/relay/src/handoveringress.cpp
+++ b/packages/relay/src/handoveringress.cpp
@@ -2,54 +2,22 @@
 
 #include <relay/handoveringress.h>
 
-#include "handoverheader_p.h"
-
 #include <relay/requestingress.h>
 
-#include <charconv>
-#include <optional>
-
 namespace sedgecart
 {
 
 namespace
 {
 
-constexpr uint16_t kBadRequest = 400;
-
-/// Room for the headers that the other node adds to those of the caller.
+/// Room for what the other node adds to the headers of the caller.
 constexpr uint32_t kAddedHeaderBytes = 256;
 
-/// @returns the number that the header states; none if it is missing, repeated or no number.
-std::optional<uint32_t> parseRunsLeft(const HeaderList& _headers)
-{
-	const std::string* const value = _headers.find(kRunsLeftHeader);
-	if (nullptr == value || 1 != _headers.count(kRunsLeftHeader))
-	{
-		return std::nullopt;
-	}
-	uint32_t runs = 0;
-	const char* const end = value->data() + value->size();
-	const auto parsed = std::from_chars(value->data(), end, runs);
-	const bool isNumber = std::errc{} == parsed.ec && parsed.ptr == end && 0 < runs;
-	return isNumber ? std::optional<uint32_t>(runs) : std::nullopt;
-}
-
 } // namespace
 
 void HandoverIngress::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
-	const std::optional<uint32_t> runsLeft = parseRunsLeft(_request.head.headers);
-	if (!runsLeft)
-	{
-		ResponseStart start;
-		start.status = kBadRequest;
-		_connection->start(start, std::string_view());
-		_connection->finish();
-		return;
-	}
-	_request.head.headers.remove(kRunsLeftHeader);
-	ingress_.onForwarded(_connection, std::move(_request), *runsLeft);
+	ingress_.onForwarded(_connection, std::move(_request));
 }
 
 void HandoverIngress::onCallerDisconnected(const ServerConnection& _connection)
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -2,8 +2,6 @@
 
 #include "requestrelay_p.h"
 
-#include "handoverheader_p.h"
-
 #include <base/clock.h>
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
@@ -35,6 +33,7 @@
 constexpr std::size_t kMaxBuffered = 16UL * 1024 * 1024;
 
 constexpr uint16_t kFirstServerError = 500;
+constexpr uint16_t kUnavailable = 503;
 
 } // namespace
 
@@ -207,7 +206,6 @@
 		PeerCall handover;
 		handover.budget = plan_.deadline - context_.clock.now();
 		handover.resumeAfter = _resumeAfter;
-		handover.headers.add(kRunsLeftHeader, std::to_string(machine_.runsLeft()));
 		return context_.wire.formatPeerRequest(plan_.request, handover);
 	}
 	TargetCall call;
@@ -338,7 +336,7 @@
 	const bool accepted = isCurrent(_send) || (_send.isGood() && machine_.onSuspectedSendProgress());
 	if (_send.forwardable && accepted)
 	{
-		const bool isFinal = _send.isToPeer && !_send.answer.notExecuted;
+		const bool isFinal = _send.isToPeer && !_send.answer.isSigned && kUnavailable == _send.head.status;
 		machine_.onHead(ResponseHead{_send.head.status, _send.answer.notExecuted && !_send.isToPeer, isFinal});
 		endCapacityWait();
 	}
--- a/tests/entry/targetcutproof.cpp
+++ b/tests/entry/targetcutproof.cpp
@@ -39,6 +39,12 @@
 /// Id of a stream that stands still after two events.
 const std::string kSlow = "slow";
 
+/// Beginning of the ids of streams that each target resets.
+const std::string kLost = "lost";
+
+/// Number of targets that the route of streams allows for a request.
+constexpr uint32_t kMaxRuns = 2;
+
 /// Time that a call takes at a target.
 constexpr std::chrono::milliseconds kCallTime = 200ms;
 
@@ -134,15 +140,15 @@
 		}
 	}
 
-	/// @returns how often each request that must not be repeated reached a target.
-	std::map<std::string, uint32_t> runsOfCalls() const
+	/// @returns how often each request of a path reached a target.
+	std::map<std::string, uint32_t> runsOf(const std::string& _path) const
 	{
 		std::map<std::string, uint32_t> runs;
 		for (const FakeTarget* const target : targets_)
 		{
 			for (const ServerRequest& request : target->requests())
 			{
-				if ("/plain/" == request.head.target)
+				if (_path == request.head.target)
 				{
 					++runs[idOf(request)];
 				}
@@ -178,6 +184,12 @@
 			_caller->finish();
 			return;
 		}
+		if (0 == idOf(_request).rfind(kLost, 0))
+		{
+			startStream(*_caller, _request, 1, 0); // a head without an event
+			_caller->abort();
+			return;
+		}
 		if (kSlow == idOf(_request))
 		{
 			startStream(*_caller, _request, 0, 1);
@@ -216,7 +228,7 @@
 	CPPUNIT_TEST(callersAreServedWhileNewConnectionsAreRefused);
 	CPPUNIT_TEST(streamGoesOnOverAnotherNode);
 	CPPUNIT_TEST(requestIsRefusedAtOnceIfNoNodeReachesATarget);
-	CPPUNIT_TEST(callersCannotSetTheHeaderOfNodes);
+	CPPUNIT_TEST(requestThatIsHandedOverRunsNoMoreOftenThanItsRouteAllows);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -265,13 +277,22 @@
 		}
 	}
 
-	void callersCannotSetTheHeaderOfNodes()
+	/// Its runs are lost at the helper, too.
+	void requestThatIsHandedOverRunsNoMoreOftenThanItsRouteAllows()
 	{
 		Scene scene;
 		scene.start();
-		TestRequest request = requestTo("/again/", "forged");
-		request.lines = {"Sedgecart-Runs-Left: 0"};
-		CPPUNIT_ASSERT_EQUAL(uint16_t{200}, scene.harness().call(request).status);
+		scene.harness().setLinks(LinkCut::Refused);
+		scene.failuresUnderLoad("takeover", kTakeoverTime);
+		constexpr uint32_t kStreams = 10;
+		for (uint32_t number = 0; number < kStreams; ++number)
+		{
+			scene.harness().call(requestTo("/stream/", kLost + std::to_string(number)));
+		}
+		for (const auto& run : scene.runsOf("/stream/"))
+		{
+			CPPUNIT_ASSERT_MESSAGE(run.first, run.second <= kMaxRuns);
+		}
 	}
 
 private:
@@ -286,7 +307,7 @@
 		scene.harness().setLinks(LinkCut::None);
 		scene.failuresUnderLoad("return", kTakeoverTime);
 		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scene.failuresUnderLoad("after", kLoadTime / 6));
-		for (const auto& call : scene.runsOfCalls())
+		for (const auto& call : scene.runsOf("/plain/"))
 		{
 			CPPUNIT_ASSERT_MESSAGE(call.first, call.second <= 1);
 		}
