A node that seems cut off asks targets that have not failed

Probes prefer targets that have not failed lately, so that the wrong decision ends after one round trip.

--- a/packages/core/include/core/targetreachability.h
+++ b/packages/core/include/core/targetreachability.h
@@ -44,6 +44,12 @@
 		return isCutOff_;
 	}
 
+	/// @returns true if the target is one of those that could not be reached.
+	bool isUnreachable(const TargetIncarnation& _target) const
+	{
+		return 0 < unreachable_.count(_target);
+	}
+
 private:
 	std::size_t needed() const;
 	void dropExpired(Time _now);
--- a/packages/core/src/targetreachability.cpp
+++ b/packages/core/src/targetreachability.cpp
@@ -56,11 +56,11 @@
 {
 	dropExpired(_now);
 	connected_.erase(_target);
+	unreachable_[_target] = _now;
 	if (isCutOff_)
 	{
 		return false;
 	}
-	unreachable_[_target] = _now;
 	isCutOff_ = needed() <= unreachable_.size();
 	return isCutOff_;
 }
--- a/packages/core/tests/targetreachabilitytest.cpp
+++ b/packages/core/tests/targetreachabilitytest.cpp
@@ -54,6 +54,8 @@
 		CPPUNIT_ASSERT(fail("c"));
 		CPPUNIT_ASSERT(reachability_.isCutOff());
 		CPPUNIT_ASSERT(!fail("d")); // no change any more
+		CPPUNIT_ASSERT(reachability_.isUnreachable(target("d")));
+		CPPUNIT_ASSERT(!reachability_.isUnreachable(target("e")));
 	}
 
 	void aConnectionBetweenFailuresShowsTheLink()
--- a/packages/loads/src/reachabilitymonitor.cpp
+++ b/packages/loads/src/reachabilitymonitor.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -91,10 +93,18 @@
 	scheduleProbe();
 }
 
-/// After a success the next target is probed at once, so that the return of the link is noticed without a pause.
+/// Prefers targets that have not failed lately: several may have crashed while the others run. After a success the next
+/// target is probed at once, so that the return of the link is noticed without a pause.
 void ReachabilityMonitor::probeOne(const std::vector<RunnerRecord>& _targets)
 {
-	const RunnerRecord& record = _targets[random_.below(static_cast<uint32_t>(_targets.size()))];
+	std::vector<RunnerRecord> untried;
+	std::copy_if(_targets.begin(), _targets.end(), std::back_inserter(untried),
+	             [this](const RunnerRecord& _target)
+	             {
+		             return !reachability_.isUnreachable(_target.incarnation());
+	             });
+	const std::vector<RunnerRecord>& candidates = untried.empty() ? _targets : untried;
+	const RunnerRecord& record = candidates[random_.below(static_cast<uint32_t>(candidates.size()))];
 	probeConnect(loop_, record.address, kConnectTimeout,
 	             [this, target = record.incarnation()](bool _connected)
 	             {
