Requests are handed over to nodes of all halls alike

The choice preferred the own hall by more than one request, so that the few sound nodes of a hall that is mostly cut off got the work of all others while nodes of other halls had room. Found by reading.

--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -414,7 +414,7 @@
 		peer.record.instance.text = row.first;
 		peer.record.address = row.second.forwardAddress;
 		peer.record.hall = row.second.hall;
-		peer.hall = hallIndex(row.second.hall);
+		peer.hall = kHomeHall; // whatever its hall: most nodes of this one may be cut off, and would load the others
 		peer.load = load;
 		peers->targets.push_back(std::move(peer));
 	}
--- a/packages/fleet/tests/fleetcontrollertest.cpp
+++ b/packages/fleet/tests/fleetcontrollertest.cpp
@@ -210,7 +210,7 @@
 	{
 		fleet_.setSelf("n1");
 		placeNode("n1", "10.0.0.1:80", "h1", 0.5, "10.0.0.1:81");
-		placeNode("n2", "10.0.0.2:80", "h1", 0.5, "10.0.0.2:81");
+		placeNode("n2", "10.0.0.2:80", "h2", 0.5, "10.0.0.2:81");
 		placeNode("old", "10.0.0.3:80", "h1", 0.5);
 		placeNode("odd", "10.0.0.4:80", "h1", 0.5, "10.0.0.4");
 		fleet_.onNodesCurrent();
@@ -384,6 +384,7 @@
 		for (const FleetTarget& peer : view->peers->targets)
 		{
 			addresses.push_back(peer.record.address);
+			CPPUNIT_ASSERT_EQUAL(kHomeHall, peer.hall); // none is preferred
 		}
 		return addresses;
 	}
