One name for requests that are handed over

Forwarding, peers and handovers named one thing; the setting, the field of a node's record, functions and the note are called handovers now, as the metrics and logs are. Loads of nodes that have left are dropped with them.

--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -336,7 +336,7 @@
 	place.set_address(peerAddress(settings_));
 	place.set_hall(settings_.hall);
 	place.set_cpu_share(settings_.cpuShare);
-	place.set_forward_address(forwardAddress(settings_));
+	place.set_handover_address(handoverAddress(settings_));
 	log_.append(KeyedTopic::Nodes, settings_.name, place.SerializeAsString(), std::nullopt,
 	            [this](const KeyedAppend& _outcome)
 	            {
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -111,10 +111,10 @@
 	      callerServer_(requestLoop_, _settings.callerAddress, ingress_),
 	      handoverIngress_(ingress_)
 	{
-		const std::string handoverAddress = forwardAddress(_settings);
-		if (!handoverAddress.empty())
+		const std::string address = handoverAddress(_settings);
+		if (!address.empty())
 		{
-			handoverServer_ = std::make_unique<Server>(requestLoop_, handoverAddress, handoverIngress_);
+			handoverServer_ = std::make_unique<Server>(requestLoop_, address, handoverIngress_);
 		}
 		watch_.setReachability(reachability_);
 		cell_.skippedRecords.setMetrics(metrics_);
--- a/packages/fleet/include/fleet/nodeaddress.h
+++ b/packages/fleet/include/fleet/nodeaddress.h
@@ -15,8 +15,8 @@
 {
 	std::string address; //!< "ip:port" that it listens on for other nodes.
 	std::string hall;
-	double cpuShare = 0;        //!< Of a core.
-	std::string forwardAddress; //!< "ip:port" that takes callers' requests from other nodes; empty: none.
+	double cpuShare = 0;         //!< Of a core.
+	std::string handoverAddress; //!< "ip:port" that takes callers' requests from other nodes; empty: none.
 };
 
 /// Parses a record of the nodes' topic.
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -363,7 +363,7 @@
 		const auto known = nodes_.find(_record.key);
 		const bool isChange = nodes_.end() == known || known->second.hall != node.hall ||
 		                      known->second.cpuShare != node.cpuShare ||
-		                      known->second.forwardAddress != node.forwardAddress;
+		                      known->second.handoverAddress != node.handoverAddress;
 		nodesChanged_ = isChange || nodesChanged_;
 		nodes_[_record.key] = node;
 	}
@@ -402,22 +402,24 @@
 {
 	auto peers = std::make_shared<FleetService>();
 	peers->spec = &kPeers;
+	std::map<std::string, std::shared_ptr<TargetLoad>> loads;
 	for (const auto& row : nodes_)
 	{
-		if (self_ == row.first || row.second.forwardAddress.empty())
+		if (self_ == row.first || row.second.handoverAddress.empty())
 		{
 			continue;
 		}
-		std::shared_ptr<TargetLoad>& load = peerLoads_[row.first];
-		load = load ? load : std::make_shared<TargetLoad>();
+		const auto known = peerLoads_.find(row.first);
 		FleetTarget peer;
 		peer.record.instance.text = row.first;
-		peer.record.address = row.second.forwardAddress;
+		peer.record.address = row.second.handoverAddress;
 		peer.record.hall = row.second.hall;
 		peer.hall = kHomeHall; // whatever its hall: most nodes of this one may be cut off, and would load the others
-		peer.load = load;
+		peer.load = peerLoads_.end() == known ? std::make_shared<TargetLoad>() : known->second;
+		loads[row.first] = peer.load;
 		peers->targets.push_back(std::move(peer));
 	}
+	peerLoads_ = std::move(loads);
 	peers_ = peers->targets.empty() ? nullptr : std::move(peers);
 }
 
--- a/packages/fleet/src/nodeaddress.cpp
+++ b/packages/fleet/src/nodeaddress.cpp
@@ -36,12 +36,12 @@
 		return RecordFault::FieldMissing;
 	}
 	const bool isShare = 0 <= place.cpu_share() && place.cpu_share() <= kMaxCores; // also false for NaN
-	const bool isForward = place.forward_address().empty() || isEndpoint(place.forward_address());
-	if (!isShare || !isForward || !isEndpoint(place.address()))
+	const bool isHandoverValid = place.handover_address().empty() || isEndpoint(place.handover_address());
+	if (!isShare || !isHandoverValid || !isEndpoint(place.address()))
 	{
 		return RecordFault::AbsurdValue;
 	}
-	_node = NodeAddress{place.address(), place.hall(), place.cpu_share(), place.forward_address()};
+	_node = NodeAddress{place.address(), place.hall(), place.cpu_share(), place.handover_address()};
 	return RecordFault::None;
 }
 
--- a/packages/fleet/tests/fleetcontrollertest.cpp
+++ b/packages/fleet/tests/fleetcontrollertest.cpp
@@ -390,13 +390,13 @@
 	}
 
 	void placeNode(const char* _name, const char* _address, const char* _hall, double _share,
-	               const char* _forwardAddress = "")
+	               const char* _handoverAddress = "")
 	{
 		wire::NodePlace place;
 		place.set_address(_address);
 		place.set_hall(_hall);
 		place.set_cpu_share(_share);
-		place.set_forward_address(_forwardAddress);
+		place.set_handover_address(_handoverAddress);
 		fleet_.onNodeRecord(KeyedRecord{_name, place.SerializeAsString(), false, Offset{0}});
 	}
 
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -43,7 +43,7 @@
 };
 
 /// How a request is handed to another node, which admits it by its own desired state.
-struct PeerCall
+struct HandoverCall
 {
 	Duration budget; //!< Remaining part of the caller's and the route's time limit.
 	std::optional<uint64_t> resumeAfter;
@@ -106,7 +106,7 @@
 	virtual std::string formatTargetRequest(const ServerRequest& _request, const TargetCall& _call) const = 0;
 
 	/// @returns the request in the format that is sent to another node.
-	virtual std::string formatPeerRequest(const ServerRequest& _request, const PeerCall& _call) const = 0;
+	virtual std::string formatHandover(const ServerRequest& _request, const HandoverCall& _call) const = 0;
 
 	virtual TargetResponse parseResponse(const MessageHead& _head) const = 0;
 
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -53,7 +53,7 @@
 	void onCallerDisconnected(const ServerConnection& _connection) override;
 
 	/// Handles a request that another node handed over. It may run on one target only: the other node counts its runs.
-	void onForwarded(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request);
+	void onHandover(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request);
 	uint16_t onBadRequest(ReadState::Enum _why) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
--- a/packages/relay/src/admissionqueue_p.h
+++ b/packages/relay/src/admissionqueue_p.h
@@ -23,9 +23,9 @@
 	std::shared_ptr<ServerConnection> connection;
 	ServerRequest request;
 	Time arrivedAt;
-	Time releaseAt;           //!< It leaves the queue by then, to be admitted or refused.
-	bool wasQueued = false;   //!< It has been queued already, and is not queued again.
-	bool isForwarded = false; //!< Handed over by another node.
+	Time releaseAt;             //!< It leaves the queue by then, to be admitted or refused.
+	bool wasQueued = false;     //!< It has been queued already, and is not queued again.
+	bool wasHandedOver = false; //!< Handed over by another node.
 };
 
 /// FIFO queue of requests that wait for admission. Loop thread only.
--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -91,7 +91,8 @@
 	ResponseStart start;
 	start.status = _answer.status;
 	start.headers = context_.wire.routerHeaders(plan_.caller.id, retryAfter);
-	if (plan_.isForwarded && Executed::No == _answer.executed && context_.cell.isCutOff.load(std::memory_order_relaxed))
+	if (plan_.wasHandedOver && Executed::No == _answer.executed &&
+	    context_.cell.isCutOff.load(std::memory_order_relaxed))
 	{
 		context_.wire.addNotExecuted(start.headers); // another node may still reach a target
 	}
--- a/packages/relay/src/handoveringress.cpp
+++ b/packages/relay/src/handoveringress.cpp
@@ -17,7 +17,7 @@
 
 void HandoverIngress::onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
-	ingress_.onForwarded(_connection, std::move(_request));
+	ingress_.onHandover(_connection, std::move(_request));
 }
 
 void HandoverIngress::onCallerDisconnected(const ServerConnection& _connection)
--- a/packages/relay/src/relayplan_p.h
+++ b/packages/relay/src/relayplan_p.h
@@ -27,7 +27,7 @@
 	std::string service;
 	RequestTraits facts;
 	uint32_t urgency = 5;
-	bool isForwarded = false;   //!< Handed over by another node; it is not handed over again.
+	bool wasHandedOver = false; //!< Handed over by another node; it is not handed over again.
 	bool isPrioritized = false; //!< Its service admits by urgency under overload.
 	Duration objective;         //!< Time to the first event of an answer that is on time; 0: none given.
 	Duration pauseObjective;    //!< Longest pause within a stream that meets its objective; 0: none given.
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -241,8 +241,8 @@
 	{
 		plan.facts.maxRuns = 1; // until it is known whether it crashes its target as well
 	}
-	plan.isForwarded = _queued.isForwarded;
-	plan.facts.maxRuns = _queued.isForwarded ? 1 : plan.facts.maxRuns;
+	plan.wasHandedOver = _queued.wasHandedOver;
+	plan.facts.maxRuns = _queued.wasHandedOver ? 1 : plan.facts.maxRuns;
 	plan.arrivedAt = _queued.arrivedAt;
 	Duration budget = _caller.budget.value_or(kDefaultBudget);
 	if (0 < route.timeout.micros && route.timeout < budget)
@@ -261,7 +261,7 @@
 	admit(QueuedRequest{_connection, std::move(_request), context_.clock.now(), Time{}, false, false});
 }
 
-void RequestIngress::onForwarded(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
+void RequestIngress::onHandover(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request)
 {
 	context_.metrics.add(Counter::HandoversTaken);
 	QueuedRequest queued{_connection, std::move(_request), context_.clock.now(), Time{}, false, true};
@@ -375,7 +375,7 @@
 	ResponseStart start;
 	start.status = row.status;
 	start.headers = context_.wire.routerHeaders(_id, row.retry ? kRetryAfter : Duration{});
-	if (_queued.isForwarded)
+	if (_queued.wasHandedOver)
 	{
 		context_.wire.addNotExecuted(start.headers); // a node with a newer desired state may still take it
 	}
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -128,8 +128,8 @@
 
 bool RequestPath::isHandedOver() const
 {
-	return !plan_.isForwarded && context_.cell.isCutOff.load(std::memory_order_relaxed) &&
-	       context_.mechanisms.isEnabled(Mechanism::PeerForwarding);
+	return !plan_.wasHandedOver && context_.cell.isCutOff.load(std::memory_order_relaxed) &&
+	       context_.mechanisms.isEnabled(Mechanism::Handovers);
 }
 
 /// @returns the earliest time at which a target accepts a request of this node, by what it announced itself.
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -70,7 +70,7 @@
 	{
 		resumeSlot_ = std::make_unique<ResumeSlot>(context_.resumes, context_.clock, plan_.pauseObjective);
 	}
-	if (!plan_.isForwarded)
+	if (!plan_.wasHandedOver)
 	{
 		context_.retries.onFirstSend(plan_.service, context_.clock.now()); // the node that handed it over counts it
 	}
@@ -203,10 +203,10 @@
 {
 	if (path_.leadsToPeer())
 	{
-		PeerCall handover;
+		HandoverCall handover;
 		handover.budget = plan_.deadline - context_.clock.now();
 		handover.resumeAfter = _resumeAfter;
-		return context_.wire.formatPeerRequest(plan_.request, handover);
+		return context_.wire.formatHandover(plan_.request, handover);
 	}
 	TargetCall call;
 	call.expected = path_.head().record.instance;
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -47,7 +47,7 @@
 	{
 		return std::string();
 	}
-	std::string formatPeerRequest(const ServerRequest&, const PeerCall&) const override
+	std::string formatHandover(const ServerRequest&, const HandoverCall&) const override
 	{
 		return std::string();
 	}
--- a/packages/settings/include/settings/entrysettings.h
+++ b/packages/settings/include/settings/entrysettings.h
@@ -47,7 +47,7 @@
 std::string peerAddress(const EntrySettings& _settings);
 
 /// @returns "ip:port" that the node takes callers' requests from other nodes on; empty if it has one peer port only.
-std::string forwardAddress(const EntrySettings& _settings);
+std::string handoverAddress(const EntrySettings& _settings);
 
 /// @returns the names of changed settings that take effect only after a restart, separated by blanks.
 std::string settingsRequiringRestart(const EntrySettings& _before, const EntrySettings& _after);
--- a/packages/settings/include/settings/mechanisms.h
+++ b/packages/settings/include/settings/mechanisms.h
@@ -45,7 +45,7 @@
 		CapacityForecast, //!< Refused callers of prioritized services return when capacity is expected.
 		LoadShares,       //!< A node adds at most its share of the free capacity to a target of a prioritized service.
 
-		PeerForwarding, //!< A node that reaches no target hands requests to nodes that do.
+		Handovers, //!< A node that reaches no target hands requests to nodes that do.
 
 		Count
 	};
--- a/packages/settings/src/entrysettings.cpp
+++ b/packages/settings/src/entrysettings.cpp
@@ -176,7 +176,7 @@
 	return _settings.ip + ':' + std::to_string(_settings.firstPeerPort);
 }
 
-std::string forwardAddress(const EntrySettings& _settings)
+std::string handoverAddress(const EntrySettings& _settings)
 {
 	const bool hasPort = _settings.firstPeerPort < _settings.lastPeerPort;
 	return hasPort ? _settings.ip + ':' + std::to_string(_settings.lastPeerPort) : std::string();
--- a/packages/settings/src/mechanisms.cpp
+++ b/packages/settings/src/mechanisms.cpp
@@ -13,12 +13,12 @@
 {
 
 constexpr const char* kNames[Mechanism::Count] = {
-    "second-copies",   "own-evidence", "path-watch",        "pace-polls",       "head-slots",        "move-spread",
-    "mean-answer",     "busy-last",    "lapse-grace",       "tight-halls",      "link-bound",        "start-waits",
-    "hall-loads",      "shared-tries", "idle-polls",        "refusal-evidence", "make-before-break", "stop-pace",
-    "order-lives",     "stream-waits", "resume-pace",       "unheard-loads",    "crash-ledger",      "drain-notice",
-    "target-backoff",  "rate-limits",  "urgency-admission", "capacity-leases",  "capacity-forecast", "load-shares",
-    "peer-forwarding",
+    "second-copies",  "own-evidence", "path-watch",        "pace-polls",       "head-slots",        "move-spread",
+    "mean-answer",    "busy-last",    "lapse-grace",       "tight-halls",      "link-bound",        "start-waits",
+    "hall-loads",     "shared-tries", "idle-polls",        "refusal-evidence", "make-before-break", "stop-pace",
+    "order-lives",    "stream-waits", "resume-pace",       "unheard-loads",    "crash-ledger",      "drain-notice",
+    "target-backoff", "rate-limits",  "urgency-admission", "capacity-leases",  "capacity-forecast", "load-shares",
+    "handovers",
 };
 
 constexpr const char* kNone = "none";
