--- a/packages/core/include/core/targetreachability.h
+++ b/packages/core/include/core/targetreachability.h
@@ -8,7 +8,6 @@
 
 #include <cstddef>
 #include <map>
-#include <set>
 
 namespace sedgecart
 {
