Log line and counter for retries that the budget denies

Which of the hypotheses holds could not be told from the logs: no line named what a node had used of its share, nor the number of nodes by which it divides the slack. A line a second and service says so now; sedgecart_retries_denied_total counts. No change of logic.

--- a/packages/core/include/core/retryshare.h
+++ b/packages/core/include/core/retryshare.h
@@ -31,6 +31,14 @@
 	};
 };
 
+/// What a node has used of its share, for log lines.
+struct RetryUsage
+{
+	double firstSends = 0; //!< Requests sent for the first time within the window.
+	double retries = 0;    //!< Retries sent within the window.
+	double limit = 0;      //!< Retries that the share allows within the window.
+};
+
 /// This node's share of the retries that all nodes together may send to one service. It needs no communication between
 /// nodes: each node applies the ratio to its own requests and uses an equal part of the slack.
 class RetryShare
@@ -46,6 +54,9 @@
 	/// @returns false if no retry may be sent now.
 	bool tryTake(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now);
 
+	/// @returns the use of the share in the window that ends now.
+	RetryUsage usage(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now);
+
 private:
 	static constexpr uint32_t kSlices = 10;
 
--- a/packages/core/src/retryshare.cpp
+++ b/packages/core/src/retryshare.cpp
@@ -38,27 +38,33 @@
 	++slice(_now).firsts;
 }
 
-bool RetryShare::tryTake(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now)
+RetryUsage RetryShare::usage(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now)
 {
 	window_ = _allowance.window;
-	Slice& current = slice(_now);
-	double firsts = 0;
-	double retries = 0;
+	const Slice& current = slice(_now);
+	RetryUsage usage;
 	for (const Slice& entry : slices_)
 	{
 		if (current.number - kSlices <= entry.number && entry.number <= current.number)
 		{
-			firsts += entry.firsts;
-			retries += entry.retries;
+			usage.firstSends += entry.firsts;
+			usage.retries += entry.retries;
 		}
 	}
 	const double slack = _allowance.slack / std::max<uint32_t>(1, _nodes);
 	const double fraction = RetryPurpose::Started == _purpose ? kUsedFraction : kUsedFraction * kNotStartedFraction;
-	if (fraction * (_allowance.ratio * firsts + slack) < retries + 1)
+	usage.limit = fraction * (_allowance.ratio * usage.firstSends + slack);
+	return usage;
+}
+
+bool RetryShare::tryTake(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now)
+{
+	const RetryUsage used = usage(_allowance, _nodes, _purpose, _now);
+	if (used.limit < used.retries + 1)
 	{
 		return false;
 	}
-	++current.retries;
+	++slice(_now).retries;
 	return true;
 }
 
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -70,6 +70,7 @@
 		Handovers,            //!< Sends of requests to another node because no target could be reached.
 		HandoversDeclined,    //!< Such sends that the other node did not take over.
 		HandoversTaken,       //!< Requests taken over from other nodes.
+		RetriesDenied,        //!< Retries that were not sent because the retry budget was exhausted.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -64,6 +64,7 @@
     "handovers",
     "handovers_declined",
     "handovers_taken",
+    "retries_denied",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
--- a/packages/relay/include/relay/serviceretrybudgets.h
+++ b/packages/relay/include/relay/serviceretrybudgets.h
@@ -6,6 +6,7 @@
 #include <core/retryshare.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sedgecart
@@ -38,9 +39,26 @@
 		return shares_[_service].tryTake(allowance_, _nodes, _for, _now);
 	}
 
+	/// @returns the use of this node's share, if it was not reported within `kReportInterval`.
+	std::optional<RetryUsage> usageToReport(const std::string& _service, uint32_t _nodes, RetryPurpose::Enum _for,
+	                                        Time _now)
+	{
+		const auto last = reportedAt_.find(_service);
+		if (reportedAt_.end() != last && _now < last->second + kReportInterval)
+		{
+			return std::nullopt;
+		}
+		reportedAt_[_service] = _now;
+		return shares_[_service].usage(allowance_, _nodes, _for, _now);
+	}
+
 private:
+	/// Each request is denied a retry while the budget is exhausted, so that a log line for each would be too many.
+	static constexpr Duration kReportInterval = Duration::fromMillis(1000);
+
 	RetryAllowance allowance_;
 	std::map<std::string, RetryShare> shares_;
+	std::map<std::string, Time> reportedAt_;
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/relaylog.cpp
+++ b/packages/relay/src/relaylog.cpp
@@ -7,6 +7,9 @@
 #include "requestpath_p.h"
 
 #include <base/clock.h>
+#include <core/retryshare.h>
+
+#include <cmath>
 
 namespace sedgecart
 {
@@ -71,6 +74,18 @@
 	logEvent(LogPart::Requests, _level, _sentence, fields, plan_.caller.id);
 }
 
+void RelayLog::retryDenied(const RetryUsage& _usage, uint32_t _nodes) const
+{
+	logEvent(LogPart::Requests, LogLevel::Info, "Retry budget is exhausted.",
+	         {{"service", plan_.service},
+	          {"first_sends", std::to_string(std::lround(_usage.firstSends))},
+	          {"retries", std::to_string(std::lround(_usage.retries))},
+	          {"limit", std::to_string(std::lround(_usage.limit))},
+	          {"nodes", std::to_string(_nodes)},
+	          {"begun", 0 < machine_.events() ? "true" : "false"}},
+	         plan_.caller.id);
+}
+
 void RelayLog::cutOff(Time _signal) const
 {
 	const Time now = clock_.now();
--- a/packages/relay/src/relaylog_p.h
+++ b/packages/relay/src/relaylog_p.h
@@ -18,6 +18,7 @@
 class RelayMachine;
 class RequestPath;
 struct RelayPlan;
+struct RetryUsage;
 
 /// Arrival times of an answer's events.
 struct AnswerTimes
@@ -47,6 +48,11 @@
 	void outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause, const std::string& _atFault,
 	             const std::vector<LogField>& _more = {}) const;
 
+	/// Logs that the request is not sent again because the retry budget is exhausted.
+	/// @param _usage what this node has used of its share.
+	/// @param _nodes number of nodes by which the slack is divided.
+	void retryDenied(const RetryUsage& _usage, uint32_t _nodes) const;
+
 	/// Logs that shutdown ends the request.
 	/// @param _signal time of the stop signal.
 	void cutOff(Time _signal) const;
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -20,6 +20,7 @@
 #include <aio/timer.h>
 #include <core/relaymachine.h>
 #include <core/responsetimeestimator.h>
+#include <core/retryshare.h>
 #include <loads/pathwatch.h>
 #include <ports/runnerorders.h>
 #include <ports/wireformat.h>
@@ -92,6 +93,7 @@
 	}
 
 	bool isBlocked() const;
+	void reportDeniedRetry(RetryPurpose::Enum _purpose);
 	void recordLostRun(const RelaySend& _send, const FleetTarget& _target);
 	void startSend(std::optional<uint64_t> _resumeAfter);
 	void retire(std::shared_ptr<RelaySend>&& _send);
