A process that starts has no fresh share of the retry budget

Cause: RetryShare lived in one process and began with a whole share, so that each life of a node spent one within the same window; and the slack was divided by the number of nodes in the registry at the moment, 1 while it was empty.

Change: a process that is younger than the window uses no slack and of the ratio only what older ones leave (0.2). The slack is divided by a count that rises at once and falls after 30 s (HeldCount); a node that does not know it, or has read nothing from the store for 20 s, uses no slack. Why it works: in any window a node's older process uses at most 0.8 of its share and the younger ones 0.2 of the ratio.

--- a/packages/core/include/core/retryshare.h
+++ b/packages/core/include/core/retryshare.h
@@ -37,20 +37,26 @@
 	double firstSends = 0; //!< Requests sent for the first time within the window.
 	double retries = 0;    //!< Retries sent within the window.
 	double limit = 0;      //!< Retries that the share allows within the window.
+	Duration age;          //!< Of the process.
 };
 
 /// This node's share of the retries that all nodes together may send to one service. It needs no communication between
-/// nodes: each node applies the ratio to its own requests and uses an equal part of the slack.
+/// nodes: each node applies the ratio to its own first sends and uses an equal part of the slack.
+///
+/// The share holds over any sequence of processes: a node that is killed may have used its whole share just before, and
+/// its next process does not know. Until it is as old as the window, a process uses no slack and only the fraction of
+/// the ratio that older processes leave.
 class RetryShare
 {
 public:
-	RetryShare();
+	/// @param _start when the process started.
+	explicit RetryShare(Time _start);
 
 	/// Reports that a request was sent for the first time.
 	void onFirstSend(Time _now);
 
 	/// Counts a retry if one may be sent now. Part of the share is reserved for responses that have started.
-	/// @param _nodes number of nodes that share the slack, including this one.
+	/// @param _nodes number of nodes that share the slack, including this one; 0: not known, this node uses no slack.
 	/// @returns false if no retry may be sent now.
 	bool tryTake(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now);
 
@@ -58,7 +64,7 @@
 	RetryUsage usage(const RetryAllowance& _allowance, uint32_t _nodes, RetryPurpose::Enum _purpose, Time _now);
 
 private:
-	static constexpr uint32_t kSlices = 10;
+	static constexpr uint32_t kSlices = 20;
 
 	/// Counters of one slice of the window.
 	struct Slice
@@ -69,7 +75,9 @@
 	};
 
 	Slice& slice(Time _now);
+	double limitOf(const RetryAllowance& _allowance, uint32_t _nodes, const RetryUsage& _usage) const;
 
+	Time start_;
 	Duration window_ = Duration::fromMillis(10000);
 	std::array<Slice, kSlices + 1> slices_; //!< One more slice, as a window may start within a slice.
 };
--- a/packages/core/tests/retryfleettest.cpp
+++ b/packages/core/tests/retryfleettest.cpp
@@ -3,6 +3,7 @@
 // Retries of a whole fleet whose nodes are killed, replaced, added, stopped and cut off, in virtual time.
 
 #include <base/seededrandom.h>
+#include <core/heldcount.h>
 #include <core/retryshare.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,6 +33,7 @@
 	uint32_t killMany = 0; //!< Of a random part of the fleet.
 	uint32_t replace = 0;  //!< Of one node by one of another name; the record of the old one lapses later.
 	uint32_t resize = 0;   //!< One node more or less.
+	uint32_t lapse = 0;    //!< Of the records of a random part of the fleet, whose nodes live, for some seconds.
 };
 
 struct FleetShape
@@ -52,7 +54,10 @@
 class FleetSimulation
 {
 public:
-	FleetSimulation(const FleetShape& _shape, uint64_t _seed) : shape_(_shape), random_(_seed), nodes_(_shape.nodes)
+	FleetSimulation(const FleetShape& _shape, uint64_t _seed)
+	    : shape_(_shape),
+	      random_(_seed),
+	      nodes_(_shape.nodes, Node(kStart))
 	{
 		allowance_.slack = _shape.slack;
 	}
@@ -78,10 +83,20 @@
 private:
 	struct Node
 	{
+		explicit Node(Time _start) : share(_start)
+		{
+		}
+
 		RetryShare share;
+		HeldCount registered;   //!< As this process has read it.
 		uint32_t aliveFrom = 0; //!< Step from which on it runs.
 	};
 
+	Time now() const
+	{
+		return kStart + Duration{kStep.micros * step_};
+	}
+
 	bool happens(uint32_t _percent)
 	{
 		return random_.next() % kPercent < _percent;
@@ -95,7 +110,7 @@
 	void restart(Node& _node)
 	{
 		constexpr uint32_t kMaxRestartSteps = 10;
-		_node = Node{};
+		_node = Node(now());
 		_node.aliveFrom = step_ + random_.next() % kMaxRestartSteps;
 	}
 
@@ -125,8 +140,13 @@
 		if (happens(disruptions.resize))
 		{
 			const bool grows = nodes_.size() < shape_.nodes / 2 + 1 || 0 == random_.next() % 2;
-			nodes_.resize(nodes_.size() + (grows ? 1 : -1));
-			nodes_.back().aliveFrom = grows ? step_ : nodes_.back().aliveFrom;
+			nodes_.resize(nodes_.size() + (grows ? 1 : -1), Node(now()));
+		}
+		if (missingUntil_ + kStepsPerWindow < step_ && happens(disruptions.lapse))
+		{
+			constexpr uint32_t kMaxLapseSteps = 80;
+			missing_ = random_.next() % nodes_.size();
+			missingUntil_ = step_ + random_.next() % kMaxLapseSteps;
 		}
 	}
 
@@ -138,7 +158,8 @@
 		                                   {
 			                                   return step_ < _until;
 		                                   });
-		return static_cast<uint32_t>(nodes_.size() + lapsing);
+		const std::size_t missing = step_ < missingUntil_ ? std::min(missing_, nodes_.size() - 1) : 0;
+		return static_cast<uint32_t>(nodes_.size() - missing + lapsing);
 	}
 
 	/// Sends this step's requests, and each retry that the node's share allows.
@@ -148,15 +169,16 @@
 		{
 			return;
 		}
-		const Time now = kStart + Duration{kStep.micros * step_};
+		_node.registered.set(registered(), now());
 		const uint32_t perThousand = shape_.firstsPerSecond * 100 / static_cast<uint32_t>(nodes_.size());
 		const uint32_t firsts = perThousand / 1000 + (random_.next() % 1000 < perThousand % 1000 ? 1 : 0);
 		for (uint32_t sent = 0; sent < firsts; ++sent)
 		{
-			_node.share.onFirstSend(now);
+			_node.share.onFirstSend(now());
 		}
 		traffic_.firsts.back() += firsts;
-		while (kQuietSteps <= step_ && _node.share.tryTake(allowance_, registered(), RetryPurpose::Started, now))
+		while (kQuietSteps <= step_ &&
+		       _node.share.tryTake(allowance_, _node.registered.at(now()), RetryPurpose::Started, now()))
 		{
 			traffic_.retries.back() += 1;
 		}
@@ -167,6 +189,8 @@
 	RetryAllowance allowance_;
 	std::vector<Node> nodes_;
 	std::vector<uint32_t> lapsing_; //!< Steps at which records of ended nodes lapse.
+	std::size_t missing_ = 0;       //!< Records that have lapsed though their nodes live.
+	uint32_t missingUntil_ = 0;
 	FleetTraffic traffic_;
 	uint32_t step_ = 0;
 };
@@ -234,6 +258,8 @@
 	CPPUNIT_TEST(killedNodesStayWithinTheBudget);
 	CPPUNIT_TEST(replacedNodesStayWithinTheBudget);
 	CPPUNIT_TEST(resizedFleetStaysWithinTheBudget);
+	CPPUNIT_TEST(lapsedRecordsEnlargeNoShare);
+	CPPUNIT_TEST(largeFleetStaysWithinTheBudget);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +287,21 @@
 		shape.disruptions.resize = 10;
 		assertWithinBudget(worstUseOf(shape, 50));
 	}
+
+	void lapsedRecordsEnlargeNoShare()
+	{
+		FleetShape shape = fleetOf(9);
+		shape.disruptions.lapse = 5;
+		shape.disruptions.kill = 5;
+		assertWithinBudget(worstUseOf(shape, 50));
+	}
+
+	void largeFleetStaysWithinTheBudget()
+	{
+		FleetShape shape = fleetOf(295);
+		shape.disruptions = Disruptions{10, 5, 10, 10, 5};
+		assertWithinBudget(worstUseOf(shape, 3));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryFleetTest);
--- a/packages/core/tests/routetabletest.cpp
+++ b/packages/core/tests/routetabletest.cpp
@@ -175,6 +175,8 @@
 {
 	CPPUNIT_TEST_SUITE(RetryShareTest);
 	CPPUNIT_TEST(slackIsShared);
+	CPPUNIT_TEST(youngProcessUsesWhatOlderOnesLeave);
+	CPPUNIT_TEST(unknownNodeCountGivesNoSlack);
 	CPPUNIT_TEST(partIsReservedForStartedRequests);
 	CPPUNIT_TEST(windowSlides);
 	CPPUNIT_TEST(allNodesTogetherStayWithinTheBound);
@@ -186,13 +188,31 @@
 		RetryAllowance allowance;
 		allowance.ratio = 0;
 		allowance.slack = 100;
-		RetryShare share;
-		uint32_t taken = 0;
-		while (share.tryTake(allowance, 10, RetryPurpose::Started, Time{0}))
+		RetryShare share(kStart);
+		CPPUNIT_ASSERT_EQUAL(8U, takeAll(share, allowance, 10, RetryPurpose::Started, Time{0}));
+	}
+
+	void youngProcessUsesWhatOlderOnesLeave()
+	{
+		RetryAllowance allowance;
+		allowance.slack = 100;
+		RetryShare share(Time{0});
+		CPPUNIT_ASSERT_EQUAL(0U, takeAll(share, allowance, 1, RetryPurpose::Started, Time{0}));
+		for (uint32_t request = 0; request < 52; ++request)
 		{
-			++taken;
+			share.onFirstSend(Time{5000000});
 		}
-		CPPUNIT_ASSERT_EQUAL(8U, taken);
+		// 0.2 of the 10.4 earned retries, then 0.8 of them and of the slack.
+		CPPUNIT_ASSERT_EQUAL(2U, takeAll(share, allowance, 1, RetryPurpose::Started, Time{5000000}));
+		CPPUNIT_ASSERT_EQUAL(86U, takeAll(share, allowance, 1, RetryPurpose::Started, Time{10000000}));
+	}
+
+	void unknownNodeCountGivesNoSlack()
+	{
+		RetryAllowance allowance;
+		allowance.slack = 100;
+		RetryShare share(kStart);
+		CPPUNIT_ASSERT_EQUAL(0U, takeAll(share, allowance, 0, RetryPurpose::Started, Time{0}));
 	}
 
 	void partIsReservedForStartedRequests()
@@ -200,16 +220,9 @@
 		RetryAllowance allowance;
 		allowance.ratio = 0;
 		allowance.slack = 10;
-		RetryShare share;
-		uint32_t unbegun = 0;
-		while (share.tryTake(allowance, 1, RetryPurpose::NotStarted, Time{0}))
-		{
-			++unbegun;
-		}
-		CPPUNIT_ASSERT_EQUAL(6U, unbegun);
-		CPPUNIT_ASSERT(share.tryTake(allowance, 1, RetryPurpose::Started, Time{0}));
-		CPPUNIT_ASSERT(share.tryTake(allowance, 1, RetryPurpose::Started, Time{0}));
-		CPPUNIT_ASSERT(!share.tryTake(allowance, 1, RetryPurpose::Started, Time{0}));
+		RetryShare share(kStart);
+		CPPUNIT_ASSERT_EQUAL(6U, takeAll(share, allowance, 1, RetryPurpose::NotStarted, Time{0}));
+		CPPUNIT_ASSERT_EQUAL(2U, takeAll(share, allowance, 1, RetryPurpose::Started, Time{0}));
 	}
 
 	void windowSlides()
@@ -217,7 +230,7 @@
 		RetryAllowance allowance;
 		allowance.ratio = 0;
 		allowance.slack = 2;
-		RetryShare share;
+		RetryShare share(kStart);
 		CPPUNIT_ASSERT(share.tryTake(allowance, 1, RetryPurpose::Started, Time{0}));
 		CPPUNIT_ASSERT(!share.tryTake(allowance, 1, RetryPurpose::Started, Time{9000000}));
 		CPPUNIT_ASSERT(share.tryTake(allowance, 1, RetryPurpose::Started, Time{11100000}));
@@ -230,7 +243,7 @@
 		constexpr uint32_t kNodes = 9;
 		RetryAllowance allowance;
 		allowance.slack = 202;
-		std::vector<RetryShare> shares(kNodes);
+		std::vector<RetryShare> shares(kNodes, RetryShare(kStart));
 		std::vector<uint32_t> repeats(400, 0);
 		for (uint32_t step = 0; step < repeats.size(); ++step)
 		{
@@ -254,6 +267,21 @@
 			CPPUNIT_ASSERT(sum <= 0.2 * 100 * kNodes + 202);
 		}
 	}
+
+private:
+	static constexpr Time kStart{-20000000}; //!< Of processes that are older than the window.
+
+	/// @returns how many retries the share grants at once.
+	static uint32_t takeAll(RetryShare& _share, const RetryAllowance& _allowance, uint32_t _nodes,
+	                        RetryPurpose::Enum _purpose, Time _now)
+	{
+		uint32_t taken = 0;
+		while (_share.tryTake(_allowance, _nodes, _purpose, _now))
+		{
+			++taken;
+		}
+		return taken;
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryShareTest);
--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -7,6 +7,7 @@
 #include <base/rcucell.h>
 #include <base/runner.h>
 #include <base/units.h>
+#include <core/heldcount.h>
 #include <core/linkutilization.h>
 #include <core/routetable.h>
 #include <fleet/advertisedratecell.h>
@@ -156,6 +157,7 @@
 	std::shared_ptr<const RouteTable> routes; //!< Null until a desired state is known.
 	std::map<std::string, std::shared_ptr<const FleetService>> services;
 	uint32_t nodes = 1;                        //!< Entry nodes, this one included.
+	HeldCount budgetNodes;                     //!< Entry nodes that fleet-wide budgets are divided by.
 	uint32_t hallPeers = 0;                    //!< Other entry nodes of this data hall.
 	std::shared_ptr<const NodeRoster> roster;  //!< Null while no node is known.
 	std::shared_ptr<const FleetService> peers; //!< The other nodes that take requests, as targets; null if none does.
@@ -171,6 +173,19 @@
 	std::atomic<bool> isCutOff{false};        //!< This node reaches no target, though other nodes may.
 	std::atomic<int64_t> provenAt{INT64_MIN}; //!< When the last read was sent that confirmed the desired state as the
 	                                          //!< newest; steady clock, microseconds.
+
+	/// How long the known number of nodes is relied on while the store cannot be read. Less than `HeldCount::kHold`: a
+	/// node that is cut off must stop using its part of a budget before the others, which have lost its record, use
+	/// that part.
+	static constexpr Duration kNodeCountTrust = Duration::fromMillis(20000);
+
+	/// @returns the number of nodes that fleet-wide budgets are divided by; 0 if this node does not know it.
+	uint32_t budgetNodes(Time _now) const
+	{
+		const Time proven{provenAt.load(std::memory_order_relaxed)};
+		const RcuCell<FleetView>::Reader current(view);
+		return _now < proven + kNodeCountTrust ? current->budgetNodes.at(_now) : 0;
+	}
 };
 
 } // namespace sedgecart
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -378,6 +378,7 @@
 		return false;
 	}
 	nodesChanged_ = false;
+	budgetNodes_.set(static_cast<uint32_t>(nodes_.size()), clock_.now());
 	updateRoster();
 	updatePeers();
 	if (routes_)
@@ -511,6 +512,7 @@
 	auto view = std::make_unique<FleetView>();
 	view->routes = routes_;
 	view->nodes = std::max<uint32_t>(1, static_cast<uint32_t>(nodes_.size()));
+	view->budgetNodes = budgetNodes_;
 	view->hallPeers = hallPeers();
 	view->roster = roster_;
 	view->peers = peers_;
--- a/packages/relay/include/relay/serviceretrybudgets.h
+++ b/packages/relay/include/relay/serviceretrybudgets.h
@@ -16,7 +16,8 @@
 class ServiceRetryBudgets
 {
 public:
-	explicit ServiceRetryBudgets(const RetryAllowance& _allowance) : allowance_(_allowance)
+	/// @param _start when the process started.
+	ServiceRetryBudgets(const RetryAllowance& _allowance, Time _start) : allowance_(_allowance), start_(_start)
 	{
 	}
 
@@ -28,15 +29,15 @@
 	/// Records the first send of a request to the service.
 	void onFirstSend(const std::string& _service, Time _now)
 	{
-		shares_[_service].onFirstSend(_now);
+		shareOf(_service).onFirstSend(_now);
 	}
 
 	/// Consumes one repeat from the budget of the service.
-	/// @param _nodes number of nodes that share the budget, this one included.
+	/// @param _nodes number of nodes that share the slack, this one included; 0: not known.
 	/// @returns true if the repeat may be sent now; false if the budget is exhausted, and nothing is consumed.
 	bool tryConsume(const std::string& _service, uint32_t _nodes, RetryPurpose::Enum _for, Time _now)
 	{
-		return shares_[_service].tryTake(allowance_, _nodes, _for, _now);
+		return shareOf(_service).tryTake(allowance_, _nodes, _for, _now);
 	}
 
 	/// @returns the use of this node's share, if it was not reported within `kReportInterval`.
@@ -49,14 +50,20 @@
 			return std::nullopt;
 		}
 		reportedAt_[_service] = _now;
-		return shares_[_service].usage(allowance_, _nodes, _for, _now);
+		return shareOf(_service).usage(allowance_, _nodes, _for, _now);
 	}
 
 private:
 	/// Each request is denied a retry while the budget is exhausted, so that a log line for each would be too many.
 	static constexpr Duration kReportInterval = Duration::fromMillis(1000);
 
+	RetryShare& shareOf(const std::string& _service)
+	{
+		return shares_.try_emplace(_service, start_).first->second;
+	}
+
 	RetryAllowance allowance_;
+	Time start_;
 	std::map<std::string, RetryShare> shares_;
 	std::map<std::string, Time> reportedAt_;
 };
--- a/packages/relay/src/relaylog.cpp
+++ b/packages/relay/src/relaylog.cpp
@@ -81,6 +81,7 @@
 	          {"first_sends", std::to_string(std::lround(_usage.firstSends))},
 	          {"retries", std::to_string(std::lround(_usage.retries))},
 	          {"limit", std::to_string(std::lround(_usage.limit))},
+	          {"age_ms", std::to_string(_usage.age.millis())},
 	          {"nodes", std::to_string(_nodes)},
 	          {"begun", 0 < machine_.events() ? "true" : "false"}},
 	         plan_.caller.id);
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -150,12 +150,6 @@
 		return untilOpen_;
 	}
 
-	/// @returns the number of entry nodes that share the targets, as of the last choice.
-	uint32_t nodes() const
-	{
-		return chosenPath_.nodes;
-	}
-
 	/// @returns the tokens that the request occupies at each of its layers, averaged over its duration: an answer grows
 	/// from zero to its full length.
 	uint64_t reservedTokens() const;
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -233,26 +233,22 @@
 bool RequestRelay::spendRetryBudget()
 {
 	const RetryPurpose::Enum purpose = 0 < machine_.events() ? RetryPurpose::Started : RetryPurpose::NotStarted;
-	if (!context_.retries.tryConsume(plan_.service, path_.nodes(), purpose, context_.clock.now()))
+	const Time now = context_.clock.now();
+	const uint32_t nodes = context_.cell.budgetNodes(now);
+	if (!context_.retries.tryConsume(plan_.service, nodes, purpose, now))
 	{
-		reportDeniedRetry(purpose);
+		context_.metrics.add(Counter::RetriesDenied);
+		const std::optional<RetryUsage> usage = context_.retries.usageToReport(plan_.service, nodes, purpose, now);
+		if (usage)
+		{
+			log_.retryDenied(*usage, nodes);
+		}
 		return false;
 	}
 	context_.metrics.add(Counter::Retries);
 	return true;
 }
 
-void RequestRelay::reportDeniedRetry(RetryPurpose::Enum _purpose)
-{
-	context_.metrics.add(Counter::RetriesDenied);
-	const Time now = context_.clock.now();
-	const std::optional<RetryUsage> usage = context_.retries.usageToReport(plan_.service, path_.nodes(), _purpose, now);
-	if (usage)
-	{
-		log_.retryDenied(*usage, path_.nodes());
-	}
-}
-
 void RequestRelay::forwardHead()
 {
 	forwarder_.forwardHead(send_->head);
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -93,7 +93,6 @@
 	}
 
 	bool isBlocked() const;
-	void reportDeniedRetry(RetryPurpose::Enum _purpose);
 	void recordLostRun(const RelaySend& _send, const FleetTarget& _target);
 	void startSend(std::optional<uint64_t> _resumeAfter);
 	void retire(std::shared_ptr<RelaySend>&& _send);
