A restarted sender keeps the spacing of a target's rate limit

A process now counts as having sent when it started. RateGateTest.restartedSenderKeepsTheSpacing: with a start long ago, which is what the code before did, it fails (one send each 500 ms where the limit is one a second); it passes now.

--- a/packages/core/include/core/rategate.h
+++ b/packages/core/include/core/rategate.h
@@ -34,6 +34,11 @@
 class RateGate
 {
 public:
+	/// @param _start when the process started. Its predecessor may have sent a request just before.
+	explicit RateGate(Time _start) : sentAt_(_start)
+	{
+	}
+
 	/// @returns true if this node may send a request to the target now.
 	bool admits(const AdvertisedRate& _advertised, const SenderOrder& _order, Time _now) const;
 
@@ -50,7 +55,7 @@
 	static constexpr Time kNever{std::numeric_limits<int64_t>::max()};
 
 private:
-	Time sentAt_{std::numeric_limits<int64_t>::min()};
+	Time sentAt_;
 };
 
 } // namespace sedgecart
--- a/packages/core/src/rategate.cpp
+++ b/packages/core/src/rategate.cpp
@@ -73,8 +73,7 @@
 	{
 		return kNever;
 	}
-	const bool neverSent = std::numeric_limits<int64_t>::min() == sentAt_.micros;
-	return neverSent ? _now : std::max(_now, sentAt_ + share.spacing);
+	return std::max(_now, sentAt_ + share.spacing);
 }
 
 } // namespace sedgecart
--- a/packages/core/tests/rategatetest.cpp
+++ b/packages/core/tests/rategatetest.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr Time kStart{1000000000};
+constexpr Time kLongAgo{0}; //!< Start of processes that are older than any spacing.
 constexpr Duration kStep = Duration::fromMillis(10);
 constexpr Duration kWindow = Duration::fromMillis(4000);
 constexpr Duration kDuration = Duration::fromMillis(30000);
@@ -77,7 +78,7 @@
 private:
 	struct Node
 	{
-		RateGate gate;
+		RateGate gate{kLongAgo};
 		AdvertisedRate advertised;
 		AdvertisedRate pending; //!< In transit to the node.
 		Time pendingAt;
@@ -191,6 +192,7 @@
 	CPPUNIT_TEST(nextNodesReplaceFailedSenders);
 	CPPUNIT_TEST(withoutALimitEveryNodeMaySend);
 	CPPUNIT_TEST(limitOfZeroStillAdmitsRareRequests);
+	CPPUNIT_TEST(restartedSenderKeepsTheSpacing);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,7 +243,7 @@
 
 	void withoutALimitEveryNodeMaySend()
 	{
-		const RateGate gate;
+		const RateGate gate(kLongAgo);
 		CPPUNIT_ASSERT(gate.admits(AdvertisedRate{}, SenderOrder{8, 3, 9}, kStart));
 		CPPUNIT_ASSERT(gate.admits(AdvertisedRate{std::nullopt, kStart}, SenderOrder{8, 3, 9}, kStart));
 	}
@@ -251,12 +253,28 @@
 	{
 		const AdvertisedRate nothing{RequestRate{0}, kStart};
 		const SenderOrder first{0, 3, 9};
-		RateGate gate;
+		RateGate gate(kLongAgo);
 		CPPUNIT_ASSERT(gate.admits(nothing, first, kStart));
 		gate.onSent(kStart);
 		CPPUNIT_ASSERT(!gate.admits(nothing, first, kStart + Duration::fromMillis(10000)));
 		CPPUNIT_ASSERT(gate.admits(nothing, first, kStart + Duration::fromMillis(21000)));
 	}
+
+	/// A sender that was killed and started again sent one request at once in each life.
+	void restartedSenderKeepsTheSpacing()
+	{
+		constexpr Duration kLife = Duration::fromMillis(500);
+		const AdvertisedRate advertised{RequestRate{1}, kStart};
+		const SenderOrder order{0, 1, 1};
+		uint32_t sent = 0;
+		for (Time now = kStart; now < kStart + kWindow; now = now + kLife)
+		{
+			RateGate gate(now);
+			const bool admitted = gate.admits(advertised, order, now);
+			sent += admitted ? 1 : 0;
+		}
+		CPPUNIT_ASSERT(sent <= 1 * kWindow.micros / 1000000 + 1);
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateGateTest);
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -91,7 +91,7 @@
 	      resumeAdmission_(clock_.now()),
 	      pool_(requestLoop_, clock_),
 	      retries_(_settings.retries, clock_.now()),
-	      rates_(_settings.name),
+	      rates_(_settings.name, clock_.now()),
 	      pathOrders_(_ports.makeOrders(requestLoop_)),
 	      watch_(requestLoop_, clock_, *pathOrders_, metrics_),
 	      crashes_(requestLoop_, clock_, *pathOrders_, cell_, *this),
--- a/packages/relay/include/relay/targetratelimiter.h
+++ b/packages/relay/include/relay/targetratelimiter.h
@@ -21,7 +21,8 @@
 {
 public:
 	/// @param _self name of this node.
-	explicit TargetRateLimiter(std::string _self) : self_(std::move(_self))
+	/// @param _start when the process started.
+	TargetRateLimiter(std::string _self, Time _start) : self_(std::move(_self)), start_(_start)
 	{
 	}
 
@@ -37,12 +38,17 @@
 	/// State of a target that advertises a limit.
 	struct Row
 	{
+		explicit Row(Time _start) : gate(_start)
+		{
+		}
+
 		RateGate gate;
 		SenderOrder order;
 		std::shared_ptr<const NodeRoster> roster; //!< Roster that `order` was derived from.
 	};
 
 	std::string self_;
+	Time start_;
 	std::map<TargetIncarnation, Row> rows_;
 };
 
--- a/packages/relay/src/targetratelimiter.cpp
+++ b/packages/relay/src/targetratelimiter.cpp
@@ -26,7 +26,7 @@
 	{
 		rows_.clear(); // mostly targets that have gone; the others get one request early
 	}
-	Row& row = rows_[incarnation];
+	Row& row = rows_.try_emplace(incarnation, start_).first->second;
 	if (row.roster != _roster)
 	{
 		row.roster = _roster;
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -186,7 +186,7 @@
 	ResumeAdmission resumes_{Time{}};
 	NullCrashSink sink_;
 	CrashDetector crashes_{loop_, clock_, orders_, cell_, sink_};
-	TargetRateLimiter rates_{"n1"};
+	TargetRateLimiter rates_{"n1", Time{}};
 	AdmissionController admission_{loop_, clock_, cell_};
 	ReachabilityMonitor reachability_{loop_, clock_, cell_, random_, metrics_};
 
