--- a/packages/core/tests/retryfleettest.cpp
+++ b/packages/core/tests/retryfleettest.cpp
@@ -37,7 +37,8 @@
 	uint32_t killMany = 0; //!< Of a random part of the fleet.
 	uint32_t replace = 0;  //!< Of one node by one of another name; the record of the old one lapses later.
 	uint32_t resize = 0;   //!< One node more or less.
-	uint32_t lapse = 0; //!< Of the records of a random part of the fleet, whose nodes live, in an outage of the store.
+	uint32_t lapse = 0;    //!< Of the records of a random part of the fleet, whose nodes live, for some seconds.
+	uint32_t outage = 0;   //!< Of the store; such records lapse meanwhile and return one after the other.
 };
 
 struct FleetShape
@@ -140,6 +141,14 @@
 			nodes_.resize(nodes_.size() + (grows ? 1 : -1), Node{});
 		}
 		if (missingUntil_ + kStepsPerWindow < step_ && happens(disruptions.lapse))
+		{
+			constexpr uint32_t kMaxLapseSteps = 80;
+			missing_ = random_.next() % nodes_.size();
+			missingUntil_ = step_ + random_.next() % kMaxLapseSteps;
+			outageUntil_ = 0;
+		}
+		const bool mayBegin = 0 < disruptions.outage && missingUntil_ + kStepsPerWindow < step_;
+		if (mayBegin && happens(disruptions.outage))
 		{
 			constexpr uint32_t kMaxOutageSteps = 80;
 			missing_ = random_.next() % nodes_.size();
@@ -156,7 +165,8 @@
 		                                   {
 			                                   return step_ < _until;
 		                                   });
-		const std::size_t awaited = step_ < missingUntil_ ? missing_ * (missingUntil_ - step_) / kStepsToReturn : 0;
+		const uint32_t returning = 0 < outageUntil_ ? missingUntil_ - step_ : kStepsToReturn; // a lapse ends at once
+		const std::size_t awaited = step_ < missingUntil_ ? missing_ * returning / kStepsToReturn : 0;
 		const std::size_t missing = std::min(awaited, nodes_.size() - 1);
 		return static_cast<uint32_t>(nodes_.size() - missing + lapsing);
 	}
@@ -264,7 +274,9 @@
 	CPPUNIT_TEST(replacedNodesStayWithinTheBudget);
 	CPPUNIT_TEST(resizedFleetStaysWithinTheBudget);
 	CPPUNIT_TEST(lapsedRecordsEnlargeNoShare);
+	CPPUNIT_TEST(outagesEnlargeNoShare);
 	CPPUNIT_TEST(largeFleetStaysWithinTheBudget);
+	CPPUNIT_TEST(largeFleetStaysWithinTheBudgetInOutages);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -301,6 +313,21 @@
 		assertWithinBudget(worstUseOf(shape, 50));
 	}
 
+	void outagesEnlargeNoShare()
+	{
+		FleetShape shape = fleetOf(9);
+		shape.disruptions.outage = 5;
+		shape.disruptions.kill = 5;
+		assertWithinBudget(worstUseOf(shape, 50));
+	}
+
+	void largeFleetStaysWithinTheBudgetInOutages()
+	{
+		FleetShape shape = fleetOf(295);
+		shape.disruptions = Disruptions{10, 5, 10, 10, 0, 5};
+		assertWithinBudget(worstUseOf(shape, 3));
+	}
+
 	void largeFleetStaysWithinTheBudget()
 	{
 		FleetShape shape = fleetOf(295);
