Refusals for want of capacity name the limit

A refusal as overloaded did not say which limit refused it, so that the hypotheses of the incident could not be told apart. The log line now counts the heads that allow this node no further connection, have no slot or are closed to it, the targets without memory, and says whether the link between halls is full.

--- a/packages/relay/src/answerforwarder.cpp
+++ b/packages/relay/src/answerforwarder.cpp
@@ -87,7 +87,7 @@
 		more.push_back({"retry_after_ms", std::to_string(retryAfter.millis())});
 		more.push_back({"urgency", std::to_string(plan_.urgency)});
 	}
-	log_.outcome("Request is refused.", LogLevel::Info, _answer.name, _refusal.atFault, more);
+	log_.refused(_answer.name, _refusal.atFault, std::move(more));
 	ResponseStart start;
 	start.status = _answer.status;
 	start.headers = context_.wire.routerHeaders(plan_.caller.id, retryAfter);
--- a/packages/relay/src/relaylog.cpp
+++ b/packages/relay/src/relaylog.cpp
@@ -74,6 +74,21 @@
 	logEvent(LogPart::Requests, _level, _sentence, fields, plan_.caller.id);
 }
 
+void RelayLog::refused(const std::string& _cause, const std::string& _atFault, std::vector<LogField> _more) const
+{
+	const std::optional<CapacityShortage>& shortage = path_.shortage();
+	if (shortage)
+	{
+		_more.push_back({"heads", std::to_string(shortage->heads)});
+		_more.push_back({"without_connection", std::to_string(shortage->noConnection)});
+		_more.push_back({"without_slot", std::to_string(shortage->noSlot)});
+		_more.push_back({"closed", std::to_string(shortage->closed)});
+		_more.push_back({"without_memory", std::to_string(shortage->noMemory)});
+		_more.push_back({"link_full", shortage->linkFull ? "true" : "false"});
+	}
+	outcome("Request is refused.", LogLevel::Info, _cause, _atFault, _more);
+}
+
 void RelayLog::retryDenied(const RetryUsage& _usage, const BudgetNodes& _nodes) const
 {
 	logEvent(LogPart::Requests, LogLevel::Info, "Retry budget is exhausted.",
--- a/packages/relay/src/relaylog_p.h
+++ b/packages/relay/src/relaylog_p.h
@@ -49,6 +49,11 @@
 	void outcome(const char* _sentence, LogLevel::Enum _level, const std::string& _cause, const std::string& _atFault,
 	             const std::vector<LogField>& _more = {}) const;
 
+	/// Logs that the request is refused, and for want of which capacity.
+	/// @param _atFault as in `outcome`.
+	/// @param _more further fields.
+	void refused(const std::string& _cause, const std::string& _atFault, std::vector<LogField> _more) const;
+
 	/// Logs that the request is not sent again because the retry budget is exhausted.
 	/// @param _usage what this node has used of its share.
 	/// @param _nodes nodes that share the slack.
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -106,6 +106,7 @@
 		_path.roster = view->roster;
 	}
 	untilOpen_.reset();
+	shortage_.reset();
 	if (!_path.service)
 	{
 		return SendOutcome::NoTargets;
@@ -119,6 +120,10 @@
 	const SendOutcome::Enum outcome = _path.service->spec->hasEngine
 	                                      ? choosePath(wanted, context_.random, _path.choice)
 	                                      : chooseTarget(wanted, context_.random, _path.choice);
+	if (SendOutcome::NoCapacity == outcome)
+	{
+		shortage_ = shortageOf(wanted);
+	}
 	if (SendOutcome::Started != outcome && closed.allClosed && closed.opensAt < RateGate::kNever)
 	{
 		untilOpen_ = closed.opensAt - wanted.now;
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -150,6 +150,12 @@
 		return untilOpen_;
 	}
 
+	/// @returns what kept the targets from taking the request, if the last choice failed for want of capacity.
+	const std::optional<CapacityShortage>& shortage() const
+	{
+		return shortage_;
+	}
+
 	/// @returns the tokens that the request occupies at each of its layers, averaged over its duration: an answer grows
 	/// from zero to its full length.
 	uint64_t reservedTokens() const;
@@ -199,6 +205,7 @@
 	std::set<TargetIncarnation> excluded_;            //!< Targets that failed or refused this request.
 	std::map<TargetIncarnation, Time> excludedUntil_; //!< Those that only refused it, and when their exclusion expires.
 	mutable std::optional<Duration> untilOpen_;       //!< As of the last choice.
+	mutable std::optional<CapacityShortage> shortage_; //!< As of the last choice.
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -373,6 +373,31 @@
 	return full || isLinkFull(_query) ? SendOutcome::NoCapacity : SendOutcome::NoTargets;
 }
 
+CapacityShortage shortageOf(const ChoiceQuery& _query)
+{
+	CapacityShortage shortage;
+	shortage.linkFull = isLinkFull(_query);
+	for (const FleetTarget& target : _query.service.targets)
+	{
+		if (isExcluded(target, _query))
+		{
+			continue;
+		}
+		const bool isEngine = _query.service.spec->hasEngine;
+		const bool hasMemory = !isEngine || capacityUtilization(target, _query, kNoUnreportedLoad) < kMaxUtilization;
+		shortage.noMemory += hasMemory ? 0 : 1;
+		if (isEngine && 0 != target.record.layers.begin)
+		{
+			continue;
+		}
+		++shortage.heads;
+		shortage.noConnection += hasFreeConnection(target, *_query.service.spec, _query.nodes) ? 0 : 1;
+		shortage.noSlot += !isEngine || hasFreeSlot(target, kNoUnreportedLoad) ? 0 : 1;
+		shortage.closed += isClosed(target, _query) ? 1 : 0;
+	}
+	return shortage;
+}
+
 Duration linkOccupancy(const ChoiceQuery& _query, const Choice& _choice)
 {
 	const uint32_t crossings = hallCrossings(_query.service, _choice);
--- a/packages/relay/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -43,6 +43,17 @@
 	    false; //!< Its capacity is lent by the hub of this hall: the path begins here if there is any such path.
 };
 
+/// Why the targets of a service take no further request of this node, for log lines.
+struct CapacityShortage
+{
+	uint32_t heads = 0;        //!< Targets that requests are sent to and that are not excluded.
+	uint32_t noConnection = 0; //!< Those to which this node may have no further connection.
+	uint32_t noSlot = 0;       //!< Those without a free slot, by the reports of all nodes.
+	uint32_t closed = 0;       //!< Those that announced that they accept no requests of this node now.
+	uint32_t noMemory = 0;     //!< Targets at any place of a path that have no free memory, by the same reports.
+	bool linkFull = false;     //!< The link between halls is saturated.
+};
+
 /// Chooses a target of a plain service: the one with the fewest requests of this node, preferring this data hall.
 /// @returns `NoRoom` if every target is full or closed, `NoTargets` if all are excluded.
 SendOutcome::Enum chooseTarget(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
@@ -51,6 +62,9 @@
 /// @returns `NoRoom` if a target or the link between halls is full, `NoTargets` if the layers are not covered.
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
 
+/// @returns what keeps the targets from taking the request.
+CapacityShortage shortageOf(const ChoiceQuery& _query);
+
 /// @returns the time for which the request's prompt and answer occupy the link between halls.
 Duration linkOccupancy(const ChoiceQuery& _query, const Choice& _choice);
 
