--- a/packages/hall/tests/simulatedhall.cpp
+++ b/packages/hall/tests/simulatedhall.cpp
@@ -96,6 +96,17 @@
 		return readAt.end() == found ? -1 : found->second;
 	}
 
+	/// From now on the node does nothing, as after a kill.
+	void end()
+	{
+		hasEnded_ = true;
+	}
+
+	bool hasEnded() const
+	{
+		return hasEnded_;
+	}
+
 	Time provenAt() const
 	{
 		return topics_[KeyedTopic::Operator].provenAt;
@@ -122,6 +133,10 @@
 
 	void tick()
 	{
+		if (hasEnded_)
+		{
+			return;
+		}
 		const Hub hub = follower_.update();
 		recordChoice();
 		if (follower_.isHub())
@@ -175,6 +190,10 @@
 
 	void answer(const wire::HallReport& _report, Node& _sender)
 	{
+		if (hasEnded_)
+		{
+			return;
+		}
 		wire::HallAnswer answer;
 		responder_.answer(_report, answer);
 		if (follower_.isHub())
@@ -191,6 +210,10 @@
 
 	void read(KeyedTopic::Enum _topic)
 	{
+		if (hasEnded_)
+		{
+			return;
+		}
 		Topic& topic = topics_[_topic];
 		const Time sentAt = hall_.loop_.now();
 		const Duration wait = topic.failing ? Duration{} : kPlans[_topic].wait;
@@ -289,6 +312,7 @@
 	std::array<Topic, KeyedTopic::Count> topics_;
 	Hub last_;
 	Time lastTickAt_;
+	bool hasEnded_ = false;
 	uint64_t ticks_ = 0; //!< Scheduled so far.
 	uint64_t choices_ = 0;
 };
@@ -325,6 +349,14 @@
 	return *nodes_.at(index);
 }
 
+void SimulatedHall::endFirst(std::size_t _nodes)
+{
+	for (std::size_t index = 0; index < _nodes; ++index)
+	{
+		nodes_[index]->end();
+	}
+}
+
 void SimulatedHall::runTo(int64_t _millis)
 {
 	loop_.runTo(_millis);
@@ -360,7 +392,7 @@
 	Time oldest = loop_.now();
 	for (const std::unique_ptr<Node>& node : nodes_)
 	{
-		oldest = std::min(oldest, node->provenAt());
+		oldest = node->hasEnded() ? oldest : std::min(oldest, node->provenAt());
 	}
 	return (loop_.now() - oldest).millis();
 }
--- a/packages/hall/tests/simulatedhall.h
+++ b/packages/hall/tests/simulatedhall.h
@@ -28,6 +28,9 @@
 	/// Advances virtual time to a time in milliseconds from the start.
 	void runTo(int64_t _millis);
 
+	/// Ends the first nodes in the order of hub candidates, as a kill does. The others keep their records.
+	void endFirst(std::size_t _nodes);
+
 	SimulatedStore& store()
 	{
 		return store_;
@@ -42,7 +45,7 @@
 	/// @returns when the last node had read a topic up to an offset, milliseconds; negative if some node has not yet.
 	int64_t allReadAt(Offset _end, KeyedTopic::Enum _topic = KeyedTopic::Operator) const;
 
-	/// @returns the age of the most outdated state of the operator's topic in use at a node, milliseconds.
+	/// @returns the age of the most outdated state of the operator's topic in use at a node that has not ended, milliseconds.
 	int64_t maxProofAge() const;
 
 private:
