A node with most callers uses connections to targets that the other nodes leave free

What callers saw: 429 at once from the node that got most new connections, while targets had room. Cause: the connections that a target accepts from all nodes were divided by the number of nodes. With 51 nodes and a limit of 958 a node had 18 to each head; with 67 nodes and 110 it has one to each target of a plain service. 1,252 of 1,252 refusals in the logs of the node that had most callers count all twelve heads as without connection, none without slot or memory. Change: half of the limit is divided as before; the rest is admitted by the connections that are in use according to the reports, each node an equal part of what is free per report (core/connectionshare). What a node borrows is not kept idle.

--- a/packages/relay/include/relay/targetconnectionpool.h
+++ b/packages/relay/include/relay/targetconnectionpool.h
@@ -7,6 +7,7 @@
 #include <base/clock.h>
 #include <base/runner.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,7 +33,8 @@
 	std::unique_ptr<ClientConnection> acquire(const RunnerRecord& _target);
 
 	/// Returns a connection to the pool if it can be reused, or closes it otherwise.
-	void release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection);
+	/// @param _maxIdle idle connections that the pool may keep to the target.
+	void release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection, uint32_t _maxIdle);
 
 private:
 	/// A connection that no request uses.
--- a/packages/relay/src/requestpath.cpp
+++ b/packages/relay/src/requestpath.cpp
@@ -5,6 +5,7 @@
 #include "relayplan_p.h"
 
 #include <base/clock.h>
+#include <core/connectionshare.h>
 #include <core/linkutilization.h>
 #include <relay/targetratelimiter.h>
 
@@ -122,7 +123,7 @@
 	                                      : chooseTarget(wanted, context_.random, _path.choice);
 	if (SendOutcome::NoCapacity == outcome)
 	{
-		shortage_ = shortageOf(wanted);
+		shortage_ = shortageOf(wanted, context_.random);
 	}
 	if (SendOutcome::Started != outcome && closed.allClosed && closed.opensAt < RateGate::kNever)
 	{
@@ -200,6 +201,12 @@
 	return outcome;
 }
 
+uint32_t RequestPath::maxIdleConnections() const
+{
+	const uint32_t limit = chosenPath_.service->spec->maxConnections;
+	return 0 == limit ? UINT32_MAX : ConnectionShare(limit, chosenPath_.nodes).guaranteed();
+}
+
 SendOutcome::Enum RequestPath::choose(bool _isReroute)
 {
 	ChosenPath path;
@@ -269,7 +276,8 @@
 		}
 	}
 	const uint32_t crossings = hallCrossings(*chosenPath_.service, chosenPath_.choice);
-	return sedgecart::chooseRemainingStages(query(_rest, excluded, kIsReroute), crossings, _rest.choice);
+	return sedgecart::chooseRemainingStages(query(_rest, excluded, kIsReroute), crossings, context_.random,
+	                                        _rest.choice);
 }
 
 void RequestPath::switchTo(const ChosenPath& _path)
--- a/packages/relay/src/requestpath_p.h
+++ b/packages/relay/src/requestpath_p.h
@@ -156,6 +156,10 @@
 		return shortage_;
 	}
 
+	/// @returns how many idle connections to the head this node may keep: what it borrows of the target's limit beyond
+	/// its guaranteed part must be free for other nodes once it is not used.
+	uint32_t maxIdleConnections() const;
+
 	/// @returns the tokens that the request occupies at each of its layers, averaged over its duration: an answer grows
 	/// from zero to its full length.
 	uint64_t reservedTokens() const;
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -428,7 +428,7 @@
 		context_.crashes.onBegun(plan_.promptParts);
 	}
 	path_.release();
-	context_.pool.release(path_.head().record, _send.takeConnection());
+	context_.pool.release(path_.head().record, _send.takeConnection(), path_.maxIdleConnections());
 	if (_send.isToPeer && _send.answer.notExecuted)
 	{
 		context_.metrics.add(Counter::HandoversDeclined);
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -2,6 +2,7 @@
 
 #include "targetchooser_p.h"
 
+#include <core/connectionshare.h>
 #include <core/layoutplan.h>
 #include <core/loadshare.h>
 #include <core/reportschedule.h>
@@ -85,15 +86,29 @@
 	return requests + hall + (isAvoided(_target, _now) ? kAvoidedPenalty : 0);
 }
 
-/// @returns true if this node's share of the target's connections allows one more.
-bool hasFreeConnection(const FleetTarget& _target, const ServiceSpec& _service, uint32_t _nodes)
+/// @returns the random number that decides whether the node may add a request to a target that it has less than a
+/// request's share of. A new one is drawn as often as loads are reported.
+double shareDraw(TargetLoad& _load, Time _now, RandomI& _random)
 {
-	if (0 == _service.maxConnections)
+	constexpr uint32_t kDrawSteps = 1U << 20;
+	if (_load.shareDrawnUntil.load(std::memory_order_relaxed) <= _now.micros)
 	{
-		return true;
+		_load.shareDraw.store(static_cast<double>(_random.below(kDrawSteps)) / kDrawSteps, std::memory_order_relaxed);
+		_load.shareDrawnUntil.store((_now + ReportSchedule::kStep).micros, std::memory_order_relaxed);
 	}
-	const uint32_t share = std::max(1U, _service.maxConnections / std::max(1U, _nodes));
-	return _target.load->requests.load(std::memory_order_relaxed) < share;
+	return _load.shareDraw.load(std::memory_order_relaxed);
+}
+
+/// @returns true if this node may have one more connection to the target.
+bool hasFreeConnection(const FleetTarget& _target, const ChoiceQuery& _query, RandomI& _random)
+{
+	TargetLoad& load = *_target.load;
+	const ConnectionShare share(_query.service.spec->maxConnections, _query.nodes);
+	ConnectionUse use;
+	use.own = load.requests.load(std::memory_order_relaxed);
+	use.ownReported = load.reportedRequests.load(std::memory_order_relaxed);
+	use.others = load.remoteRequests.load(std::memory_order_relaxed);
+	return share.admits(use, shareDraw(load, _query.now, _random));
 }
 
 /// @returns the utilization of a target's slots with this request included, from this node's load, the reported load of
@@ -140,23 +155,24 @@
 }
 
 /// @returns true if a target accepts no more requests for now.
-bool isFull(const FleetTarget& _target, const ChoiceQuery& _query)
+bool isFull(const FleetTarget& _target, const ChoiceQuery& _query, RandomI& _random)
 {
 	const bool isHead = 0 == _target.record.layers.begin;
-	const bool mayLead = hasFreeConnection(_target, *_query.service.spec, _query.nodes) &&
-	                     hasFreeSlot(_target, kNoUnreportedLoad) && !isClosed(_target, _query);
+	const bool mayLead = hasFreeConnection(_target, _query, _random) && hasFreeSlot(_target, kNoUnreportedLoad) &&
+	                     !isClosed(_target, _query);
 	return kMaxUtilization <= capacityUtilization(_target, _query, kNoUnreportedLoad) || (isHead && !mayLead);
 }
 
-PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query, const UnreportedLoad& _unreported)
+PathCandidate candidateOf(const FleetTarget& _target, const ChoiceQuery& _query, const UnreportedLoad& _unreported,
+                          RandomI& _random)
 {
 	const EngineSpec& engine = _query.service.spec->engine;
 	PathCandidate candidate;
 	candidate.hall = _target.hall;
 	candidate.held = _target.record.layers;
 	candidate.usable = nullptr != _target.accelerator && !isExcluded(_target, _query);
-	candidate.mayBeHead = hasFreeConnection(_target, *_query.service.spec, _query.nodes) &&
-	                      hasFreeSlot(_target, _unreported) && !isClosed(_target, _query);
+	candidate.mayBeHead =
+	    hasFreeConnection(_target, _query, _random) && hasFreeSlot(_target, _unreported) && !isClosed(_target, _query);
 	const double step =
 	    (nullptr == _target.accelerator ? 1 : _target.accelerator->stepFactor) * _target.load->slowdown();
 	const bool slotsCount = _query.mechanisms.isEnabled(Mechanism::HeadSlots);
@@ -185,13 +201,13 @@
 	return unreported;
 }
 
-std::vector<PathCandidate> candidatesOf(const ChoiceQuery& _query, const UnreportedLoad& _unreported)
+std::vector<PathCandidate> candidatesOf(const ChoiceQuery& _query, const UnreportedLoad& _unreported, RandomI& _random)
 {
 	std::vector<PathCandidate> candidates;
 	candidates.reserve(_query.service.targets.size());
 	for (const FleetTarget& target : _query.service.targets)
 	{
-		candidates.push_back(candidateOf(target, _query, _unreported));
+		candidates.push_back(candidateOf(target, _query, _unreported, _random));
 	}
 	return candidates;
 }
@@ -238,19 +254,6 @@
 	return query;
 }
 
-/// @returns the random number that decides whether the node may add a request to a target that it has less than a
-/// request's share of. A new one is drawn as often as loads are reported.
-double shareDraw(TargetLoad& _load, Time _now, RandomI& _random)
-{
-	constexpr uint32_t kDrawSteps = 1U << 20;
-	if (_load.shareDrawnUntil.load(std::memory_order_relaxed) <= _now.micros)
-	{
-		_load.shareDraw.store(static_cast<double>(_random.below(kDrawSteps)) / kDrawSteps, std::memory_order_relaxed);
-		_load.shareDrawnUntil.store((_now + ReportSchedule::kStep).micros, std::memory_order_relaxed);
-	}
-	return _load.shareDraw.load(std::memory_order_relaxed);
-}
-
 /// @returns true if this node's shares of the target's free memory and, at the head, of its free slots allow one more
 /// request.
 bool isWithinShare(const FleetTarget& _target, const ChoiceQuery& _query, RandomI& _random)
@@ -294,7 +297,7 @@
 bool findSpreadPath(const ChoiceQuery& _query, const UnreportedLoad& _unreported, bool _anyHall, RandomI& _random,
                     Choice& _choice)
 {
-	std::vector<PathCandidate> candidates = candidatesOf(_query, _unreported);
+	std::vector<PathCandidate> candidates = candidatesOf(_query, _unreported, _random);
 	for (PathCandidate& candidate : candidates)
 	{
 		candidate.mayBeHead = candidate.mayBeHead && (_anyHall || kHomeHall == candidate.hall);
@@ -336,7 +339,7 @@
 			continue;
 		}
 		any = true;
-		if (!hasFreeConnection(targets[index], *_query.service.spec, _query.nodes) || isClosed(targets[index], _query))
+		if (!hasFreeConnection(targets[index], _query, _random) || isClosed(targets[index], _query))
 		{
 			continue;
 		}
@@ -366,14 +369,14 @@
 	}
 	const std::vector<FleetTarget>& targets = _query.service.targets;
 	const bool full = std::any_of(targets.begin(), targets.end(),
-	                              [&_query](const FleetTarget& _target)
+	                              [&_query, &_random](const FleetTarget& _target)
 	                              {
-		                              return isFull(_target, _query);
+		                              return isFull(_target, _query, _random);
 	                              });
 	return full || isLinkFull(_query) ? SendOutcome::NoCapacity : SendOutcome::NoTargets;
 }
 
-CapacityShortage shortageOf(const ChoiceQuery& _query)
+CapacityShortage shortageOf(const ChoiceQuery& _query, RandomI& _random)
 {
 	CapacityShortage shortage;
 	shortage.linkFull = isLinkFull(_query);
@@ -391,7 +394,7 @@
 			continue;
 		}
 		++shortage.heads;
-		shortage.noConnection += hasFreeConnection(target, *_query.service.spec, _query.nodes) ? 0 : 1;
+		shortage.noConnection += hasFreeConnection(target, _query, _random) ? 0 : 1;
 		shortage.noSlot += !isEngine || hasFreeSlot(target, kNoUnreportedLoad) ? 0 : 1;
 		shortage.closed += isClosed(target, _query) ? 1 : 0;
 	}
@@ -427,10 +430,10 @@
 	return crossings;
 }
 
-bool chooseRemainingStages(const ChoiceQuery& _query, uint32_t _crossings, Choice& _choice)
+bool chooseRemainingStages(const ChoiceQuery& _query, uint32_t _crossings, RandomI& _random, Choice& _choice)
 {
 	const PathStage head = _choice.stages.front();
-	std::vector<PathCandidate> candidates = candidatesOf(_query, unreportedLoadOf(_query));
+	std::vector<PathCandidate> candidates = candidatesOf(_query, unreportedLoadOf(_query), _random);
 	candidates[head.candidate].usable = false; // a target runs only one stage of a path
 	PathQuery query = pathQuery(_query);
 	query.firstLayer = head.layers.end;
--- a/packages/relay/src/targetchooser_p.h
+++ b/packages/relay/src/targetchooser_p.h
@@ -63,7 +63,7 @@
 SendOutcome::Enum choosePath(const ChoiceQuery& _query, RandomI& _random, Choice& _choice);
 
 /// @returns what keeps the targets from taking the request.
-CapacityShortage shortageOf(const ChoiceQuery& _query);
+CapacityShortage shortageOf(const ChoiceQuery& _query, RandomI& _random);
 
 /// @returns the time for which the request's prompt and answer occupy the link between halls.
 Duration linkOccupancy(const ChoiceQuery& _query, const Choice& _choice);
@@ -79,7 +79,7 @@
 /// @param _choice keeps its head; the other stages are replaced.
 /// @returns false if no path avoids the excluded targets without further hall crossings: sending a new stage what it
 /// has to process again would occupy the link between halls for longer than another chain takes to process everything.
-bool chooseRemainingStages(const ChoiceQuery& _query, uint32_t _crossings, Choice& _choice);
+bool chooseRemainingStages(const ChoiceQuery& _query, uint32_t _crossings, RandomI& _random, Choice& _choice);
 
 } // namespace sedgecart
 
--- a/packages/relay/src/targetconnectionpool.cpp
+++ b/packages/relay/src/targetconnectionpool.cpp
@@ -44,7 +44,8 @@
 	return std::make_unique<ClientConnection>(loop_, _target.address);
 }
 
-void TargetConnectionPool::release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection)
+void TargetConnectionPool::release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection,
+                                   uint32_t _maxIdle)
 {
 	const Time until = clock_.now() + _connection->keepAliveTimeout();
 	const Time usableUntil{until.micros - kCloseMargin.micros};
@@ -53,6 +54,11 @@
 		return;
 	}
 	const TargetIncarnation incarnation = _target.incarnation();
+	const auto idle = idle_.find(incarnation);
+	if (idle_.end() != idle && _maxIdle <= idle->second.size())
+	{
+		return;
+	}
 	const ClientConnection* const raw = _connection.get();
 	_connection->setOnIdleClosed(
 	    [this, incarnation, raw]
--- a/packages/relay/tests/targetchoosertest.cpp
+++ b/packages/relay/tests/targetchoosertest.cpp
@@ -229,11 +229,11 @@
 		Choice choice;
 		CPPUNIT_ASSERT(SendOutcome::Started == choosePath(fleet.query(10), random_, choice));
 		fleet.excluded = {incarnation("i-1")};
-		CPPUNIT_ASSERT(!chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), choice));
+		CPPUNIT_ASSERT(!chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), random_, choice));
 		fleet.service.targets[3].hall = 0;
 		CPPUNIT_ASSERT(SendOutcome::Started == choosePath(fleet.query(10), random_, choice));
 		choice.stages = {PathStage{0, LayerSpan{0, 4}}, PathStage{1, LayerSpan{4, 8}}};
-		CPPUNIT_ASSERT(chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), choice));
+		CPPUNIT_ASSERT(chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), random_, choice));
 		CPPUNIT_ASSERT_EQUAL(0U, choice.stages[0].candidate);
 		CPPUNIT_ASSERT_EQUAL(3U, choice.stages[1].candidate);
 	}
@@ -248,7 +248,7 @@
 		choice.stages = {PathStage{0, LayerSpan{0, 4}}, PathStage{1, LayerSpan{4, 8}}};
 		fleet.excluded = {incarnation("i-1")};
 		fleet.load(3).ended = true;
-		CPPUNIT_ASSERT(!chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), choice));
+		CPPUNIT_ASSERT(!chooseRemainingStages(fleet.query(10), hallCrossings(fleet.service, choice), random_, choice));
 		CPPUNIT_ASSERT(SendOutcome::NoTargets == choosePath(fleet.query(10), random_, choice));
 		fleet.excluded.clear();
 		for (uint32_t target = 0; target < 4; ++target)
