A hub that does not answer is chosen again only after it has answered a probe

What callers saw: 503 (catching_up) for 7.5 s from the last node of a hall whose other nodes had left, since it had no proof that its keys are valid. Cause: a node tried the first three candidates for hub in turn, 0.45 s each, and tried each again 0.4 to 6.4 s later, also when it could read the store itself. Each try was a change of hub, which drops the read in flight and the proof. Change: the node stays with the hub that answers, and probes the others with an empty report, which any version answers. When one hub is silent, the other candidates must answer a probe within 0.3 s, so that losing three costs little more than losing one.

--- a/packages/core/include/core/hubselector.h
+++ b/packages/core/include/core/hubselector.h
@@ -33,8 +33,9 @@
 };
 
 /// Selects the node of a hall through which this node reads the store and which adds up loads. All nodes of a hall use
-/// the same order, so they mostly agree; two hubs at the same time for a moment do no harm. A node that does not
-/// answer, or that cannot read the store, is avoided for some time.
+/// the same order, so they mostly agree; two hubs at the same time for a moment do no harm. A node that cannot read the
+/// store is avoided for some time. One that does not answer is avoided until it answers a probe: a hall that tried it
+/// as its hub again would have no hub meanwhile.
 ///
 /// If the store does not answer the hub, it may be unavailable to all nodes: they then stay with the hub and probe the
 /// store in turn, a few per second whatever the size of the hall. A node that can read the store announces it to the
@@ -66,6 +67,17 @@
 	/// A node did not answer.
 	void onNoAnswer(const std::string& _node, Time _now);
 
+	/// @returns the nodes to probe now: those that have not answered, each at longer and longer intervals, and the
+	/// other candidates once after a node has not answered. A hall may have lost several of its nodes at once, and
+	/// waiting for one after the other would outlast the time for which keys are accepted without proof.
+	std::vector<std::string> takeDueProbes(Time _now);
+
+	/// @returns all nodes that have not answered, or of which an answer to a probe is expected.
+	std::vector<std::string> probedNodes() const;
+
+	/// A node answered a probe.
+	void onProbeAnswered(const std::string& _node);
+
 	/// A node reads the store itself, but its data is outdated.
 	void onOutdated(const std::string& _node, Time _now);
 
@@ -95,7 +107,7 @@
 	static constexpr Duration kProbeStep = Duration::fromMillis(250);
 
 private:
-	/// How long a node is avoided; the span doubles each time in a row.
+	/// How long a node is avoided, or not probed; the span doubles each time in a row.
 	struct Avoidance
 	{
 		Time until;
@@ -104,12 +116,21 @@
 
 	using Avoidances = std::map<std::string, Avoidance>;
 
+	bool isUnresponsive(const std::string& _node) const
+	{
+		return 0 < unresponsive_.count(_node);
+	}
+
+	bool isPassedOver(const std::string& _node) const;
+	void doubtOthersThan(const std::string& _node, Time _now);
+	void updateDoubted(Time _now);
+
 	static bool isAvoided(const Avoidances& _pauses, const std::string& _node, Time _now);
 	static bool isAnotherAvoided(const Avoidances& _pauses, const std::string& _node, Time _now);
 	static void extend(Avoidances& _pauses, const std::string& _node, Time _now);
 	Hub chooseInOrder(Time _now) const;
 	Hub chooseDuringOutage(Time _now) const;
-	std::string firstResponsive(Time _now) const;
+	std::string firstResponsive() const;
 	bool isStoreUnavailable(Time _now) const;
 	void avoid(const std::string& _node, Time _now);
 	void markUnavailableIf(bool _isOut, Time _now);
@@ -124,9 +145,12 @@
 	std::vector<HubCandidate> order_; //!< The first nodes of the hall, and this one.
 	std::size_t hallSize_ = 1;
 	std::size_t probePlace_ = 0; //!< Position of this node in the hall's order of probing.
-	Avoidances unresponsive_;
-	Avoidances withoutStore_; //!< Nodes through which the store is not readable.
-	Avoidances outdated_;     //!< Those of them that read the store, but have outdated data.
+	Avoidances unresponsive_;    //!< Nodes that did not answer, and when each is probed next.
+	std::map<std::string, Time>
+	    doubted_; //!< Nodes that must answer a probe because another did not answer, and since when.
+	bool doubtedOneAnswered_ = false; //!< One of `doubted_` has answered; the others are passed over until they do.
+	Avoidances withoutStore_;         //!< Nodes through which the store is not readable.
+	Avoidances outdated_;             //!< Those of them that read the store, but have outdated data.
 	bool storeAnswers_ = true;
 	bool sharesProbes_ = true;
 	Time unavailableUntil_;   //!< The store counts as unavailable until then.
--- a/packages/core/src/hubselector.cpp
+++ b/packages/core/src/hubselector.cpp
@@ -5,6 +5,7 @@
 #include <base/digest.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -12,11 +13,15 @@
 namespace
 {
 
-/// First time that a node is avoided: a retry costs one message, or one call to the store. Doubled each time in a row
-/// up to the longest, which bounds the cost of a node that is gone permanently.
+/// First time that a node is avoided or not probed: a retry costs one message, or one call to the store. Doubled each
+/// time in a row up to the longest, which bounds the cost of a node that is gone permanently.
 constexpr Duration kFirstAvoidance = Duration::fromMillis(400);
 constexpr Duration kMaxAvoidance = Duration::fromMillis(6400);
 
+/// A node that has not answered a probe for this long, two reports, counts as one that does not answer. The probe asks
+/// for nothing, so that it is answered faster than a report may be.
+constexpr Duration kProbeTimeout = Duration::fromMillis(300);
+
 /// Interval at which the first nodes of a hall probe a store that does not answer. A key is accepted for 4.5 s after it
 /// was last confirmed, so a shorter outage of the store is hardly noticed.
 constexpr Duration kProbeInterval = Duration::fromMillis(300);
@@ -52,6 +57,15 @@
 /// report interval, and so does the hub's first report. If the hub does not, it can mostly read the store itself again.
 constexpr Duration kDirectReadTime = Duration::fromMillis(450);
 
+/// Erases the rows of a map whose key fulfils a condition.
+template <typename Map, typename Condition> void dropIf(Map& _map, const Condition& _condition)
+{
+	for (auto row = _map.begin(); _map.end() != row;)
+	{
+		row = _condition(row->first) ? _map.erase(row) : std::next(row);
+	}
+}
+
 } // namespace
 
 void sortHubCandidates(std::vector<HubCandidate>& _candidates)
@@ -78,6 +92,16 @@
 	{
 		_candidates.push_back(HubCandidate{self_, cpuShare_});
 	}
+	const auto isGone = [&_candidates](const std::string& _node)
+	{
+		return std::none_of(_candidates.begin(), _candidates.end(),
+		                    [&_node](const HubCandidate& _candidate)
+		                    {
+			                    return _node == _candidate.name;
+		                    });
+	};
+	dropIf(unresponsive_, isGone); // nodes that left the hall are not probed any more
+	dropIf(doubted_, isGone);
 	sortHubCandidates(_candidates);
 	hallSize_ = _candidates.size();
 	probePlace_ = 0;
@@ -106,30 +130,30 @@
 	}
 	for (const HubCandidate& candidate : order_)
 	{
-		if (!isAvoided(unresponsive_, candidate.name, _now) && !isAvoided(withoutStore_, candidate.name, _now))
+		if (!isPassedOver(candidate.name) && !isAvoided(withoutStore_, candidate.name, _now))
 		{
 			return Hub{candidate.name, true};
 		}
 	}
-	return Hub{firstResponsive(_now)};
+	return Hub{firstResponsive()};
 }
 
 Hub HubSelector::chooseDuringOutage(Time _now) const
 {
 	const bool due = !(_now < probeAt_);
-	if (_now < readerValidUntil_ && !isAvoided(unresponsive_, reader_, _now))
+	if (_now < readerValidUntil_ && !isUnresponsive(reader_))
 	{
 		return Hub{reader_, true, due, true};
 	}
-	const std::string hub = firstResponsive(_now);
+	const std::string hub = firstResponsive();
 	return Hub{hub, due && self_ == hub, due};
 }
 
-std::string HubSelector::firstResponsive(Time _now) const
+std::string HubSelector::firstResponsive() const
 {
 	for (const HubCandidate& candidate : order_)
 	{
-		if (!isAvoided(unresponsive_, candidate.name, _now))
+		if (!isPassedOver(candidate.name))
 		{
 			return candidate.name;
 		}
@@ -139,7 +163,7 @@
 
 bool HubSelector::isStoreUnavailable(Time _now) const
 {
-	const bool outForHub = !storeAnswers_ && self_ == firstResponsive(_now);
+	const bool outForHub = !storeAnswers_ && self_ == firstResponsive();
 	return sharesProbes_ && (outForHub || _now < unavailableUntil_);
 }
 
@@ -204,7 +228,7 @@
 		markUnavailableIf(isAnotherAvoided(outdated_, _node, _now), _now);
 		return;
 	}
-	unresponsive_.erase(_node);
+	onProbeAnswered(_node);
 	withoutStore_.erase(_node);
 	outdated_.erase(_node);
 	unavailableUntil_ = Time{};
@@ -212,7 +236,7 @@
 
 void HubSelector::avoid(const std::string& _node, Time _now)
 {
-	unresponsive_.erase(_node);
+	onProbeAnswered(_node);
 	extend(withoutStore_, _node, _now);
 	readerValidUntil_ = reader_ == _node ? Time{} : readerValidUntil_;
 }
@@ -220,6 +244,90 @@
 void HubSelector::onNoAnswer(const std::string& _node, Time _now)
 {
 	extend(unresponsive_, _node, _now);
+	doubted_.erase(_node);
+	doubtOthersThan(_node, _now);
+}
+
+/// A doubted node is passed over while there is a better choice: another one that has answered, or this node if it is
+/// among the first candidates. The others would be too many to read the store at once.
+bool HubSelector::isPassedOver(const std::string& _node) const
+{
+	const bool hasBetter = doubtedOneAnswered_ || ownIndex() < kMaxQueried;
+	return isUnresponsive(_node) || (hasBetter && 0 < doubted_.count(_node));
+}
+
+/// Nodes that are known not to answer are probed anyway.
+void HubSelector::doubtOthersThan(const std::string& _node, Time _now)
+{
+	for (const HubCandidate& candidate : order_)
+	{
+		if (self_ != candidate.name && _node != candidate.name && !isUnresponsive(candidate.name))
+		{
+			doubted_.emplace(candidate.name, _now);
+		}
+	}
+}
+
+void HubSelector::updateDoubted(Time _now)
+{
+	for (auto row = doubted_.begin(); doubted_.end() != row;)
+	{
+		if (_now < row->second + kProbeTimeout)
+		{
+			++row;
+			continue;
+		}
+		extend(unresponsive_, row->first, _now);
+		row = doubted_.erase(row);
+	}
+	doubtedOneAnswered_ = doubtedOneAnswered_ && !doubted_.empty();
+}
+
+std::vector<std::string> HubSelector::takeDueProbes(Time _now)
+{
+	updateDoubted(_now);
+	std::vector<std::string> due;
+	for (const auto& row : doubted_)
+	{
+		due.push_back(row.first);
+	}
+	for (const auto& row : unresponsive_)
+	{
+		if (!(_now < row.second.until))
+		{
+			due.push_back(row.first);
+		}
+	}
+	for (const std::string& node : due)
+	{
+		if (isUnresponsive(node))
+		{
+			extend(unresponsive_, node, _now);
+		}
+	}
+	return due;
+}
+
+std::vector<std::string> HubSelector::probedNodes() const
+{
+	std::vector<std::string> names;
+	for (const auto& row : doubted_)
+	{
+		names.push_back(row.first);
+	}
+	for (const auto& row : unresponsive_)
+	{
+		names.push_back(row.first);
+	}
+	return names;
+}
+
+void HubSelector::onProbeAnswered(const std::string& _node)
+{
+	unresponsive_.erase(_node);
+	doubtedOneAnswered_ = doubtedOneAnswered_ || 0 < doubted_.count(_node);
+	doubted_.erase(_node);
+	doubtedOneAnswered_ = doubtedOneAnswered_ && !doubted_.empty();
 }
 
 /// One node's path to the store may hang while others can read it. If the next node that is queried cannot read it
@@ -240,8 +348,7 @@
 /// A hub that changed its reader with each announcement would lose the answers in flight.
 void HubSelector::onReaderAnnounced(const std::string& _node, Time _now)
 {
-	const bool hasOtherReader =
-	    _node != reader_ && _now < readerValidUntil_ && !isAvoided(unresponsive_, reader_, _now);
+	const bool hasOtherReader = _node != reader_ && _now < readerValidUntil_ && !isUnresponsive(reader_);
 	if (hasOtherReader)
 	{
 		return;
--- a/packages/hall/include/hall/hallexchange.h
+++ b/packages/hall/include/hall/hallexchange.h
@@ -89,8 +89,10 @@
 		std::string hub;                   //!< The hub of this hall; empty if this node is its own hub.
 		std::vector<std::string> hubs;     //!< Hubs of the other halls, if this node is a hub.
 		std::vector<std::string> notified; //!< Nodes to notify that this node reads the store.
+		std::vector<std::string> probed;   //!< Nodes that must answer a probe.
 	};
 
+	void probeNodes();
 	void tick();
 	void scheduleTick(Duration _pause);
 	Peers peersOf(const Hub& _hub) const;
--- a/packages/hall/include/hall/hubfollower.h
+++ b/packages/hall/include/hall/hubfollower.h
@@ -59,6 +59,21 @@
 	/// @returns the chosen hub.
 	const Hub& update();
 
+	/// @returns the nodes to probe now.
+	std::vector<std::string> takeDueProbes()
+	{
+		return choice_.takeDueProbes(clock_.now());
+	}
+
+	/// @returns the nodes that are probed or of which an answer is expected.
+	std::vector<std::string> probedNodes() const
+	{
+		return choice_.probedNodes();
+	}
+
+	/// Records that a node has answered a probe.
+	void onProbeAnswered(const std::string& _node);
+
 	/// Writes a report's number and the reads that wait for the hub. The hub's answer is expected from now on.
 	void fillReport(wire::HallReport& _report);
 
--- a/packages/hall/src/hallexchange.cpp
+++ b/packages/hall/src/hallexchange.cpp
@@ -2,7 +2,7 @@
 
 #include <hall/hallexchange.h>
 
-#include "registryrequest_p.h"
+#include "reportnumber_p.h"
 #include "topicupdate_p.h"
 
 #include <base/digest.h>
@@ -98,7 +98,7 @@
 	wire::PeerMessage message;
 	wire::HallReport& report = *message.mutable_hall_report();
 	report.set_node(name_);
-	report.set_number(kRegistryRequest);
+	report.set_number(kUncountedReport);
 	report.set_takes_changes(true);
 	wire::TopicQuestion& query = *report.add_questions();
 	query.set_topic(KeyedTopic::Nodes);
@@ -110,6 +110,16 @@
 	link_->send(address, message);
 }
 
+/// Sends empty reports, which each node answers that runs.
+void HallExchange::probeNodes()
+{
+	wire::PeerMessage message;
+	message.mutable_hall_report()->set_node(name_);
+	message.mutable_hall_report()->set_number(kUncountedReport);
+	message.mutable_hall_report()->set_takes_changes(true);
+	send(addressesOf(hub_.takeDueProbes()), message);
+}
+
 void HallExchange::tick()
 {
 	lastTickAt_ = clock_.now();
@@ -146,6 +156,7 @@
 	reportedTo_ = peers.hub;
 	isUrgent_ = false;
 	notifyNodes(peers.notified);
+	probeNodes();
 	scheduleTick(ReportSchedule::kStep);
 }
 
@@ -189,6 +200,7 @@
 		peers.hub = nodes_.addressOf(_hub.name); // empty if it has just left the registry of nodes
 	}
 	peers.notified = addressesOf(hub_.nodesToNotify());
+	peers.probed = addressesOf(hub_.probedNodes());
 	return peers;
 }
 
@@ -263,6 +275,7 @@
 {
 	std::vector<std::string> addresses = _peers.hubs;
 	addresses.insert(addresses.end(), _peers.notified.begin(), _peers.notified.end());
+	addresses.insert(addresses.end(), _peers.probed.begin(), _peers.probed.end());
 	if (!_peers.hub.empty())
 	{
 		addresses.push_back(_peers.hub);
@@ -282,7 +295,10 @@
 		responder_.answer(_message.hall_report(), *_reply.mutable_hall_answer());
 		crashes_.writeAnswer(*_reply.mutable_hall_answer()->mutable_crash_news());
 		applyCrashUpdates(_message.hall_report().crash_news(), &CrashCoordinator::applyReport);
-		onFollower(_message.hall_report().node());
+		if (kUncountedReport != _message.hall_report().number())
+		{
+			onFollower(_message.hall_report().node());
+		}
 	}
 	else if (_message.has_hall_sum())
 	{
@@ -351,9 +367,10 @@
 
 void HallExchange::onAnswer(const wire::HallAnswer& _answer)
 {
-	if (kRegistryRequest == _answer.number())
+	if (kUncountedReport == _answer.number())
 	{
 		onRegistryAnswer(_answer);
+		hub_.onProbeAnswered(_answer.node());
 		return;
 	}
 	if (0 == _answer.number())
--- a/packages/hall/src/hubfollower.cpp
+++ b/packages/hall/src/hubfollower.cpp
@@ -146,6 +146,15 @@
 	}
 }
 
+void HubFollower::onProbeAnswered(const std::string& _node)
+{
+	choice_.onProbeAnswered(_node);
+	if (hub_.name != choice_.choose(clock_.now()).name)
+	{
+		notifyListener();
+	}
+}
+
 void HubFollower::notifyListener()
 {
 	if (nullptr != listener_)
--- a/packages/hall/src/reportresponder.cpp
+++ b/packages/hall/src/reportresponder.cpp
@@ -2,7 +2,7 @@
 
 #include <hall/reportresponder.h>
 
-#include "registryrequest_p.h"
+#include "reportnumber_p.h"
 #include "topicupdate_p.h"
 
 #include <hall/capacityhub.h>
@@ -47,7 +47,7 @@
 	_answer.set_number(_report.number());
 	_answer.set_is_hub(hub_.isHub());
 	_answer.set_reads(hub_.reads());
-	if (kRegistryRequest != _report.number())
+	if (kUncountedReport != _report.number())
 	{
 		aggregator_.onReport(_report.node(), _report.number(), loadTableOf(_report.loads(), clock_.now()),
 		                     clock_.now());
--- a/packages/hall/tests/simulatedhall.cpp
+++ b/packages/hall/tests/simulatedhall.cpp
@@ -148,10 +148,31 @@
 		{
 			report(hub.name);
 		}
+		for (const std::string& node : follower_.takeDueProbes())
+		{
+			hall_.loop_.after(kLinkDelay,
+			                  [this, node]
+			                  {
+				                  hall_.nodeOf(node).answerProbe(*this);
+			                  });
+		}
 		lastTickAt_ = hall_.loop_.now();
 		scheduleTick(kReportPause);
 	}
 
+	void answerProbe(Node& _sender)
+	{
+		if (hasEnded_)
+		{
+			return;
+		}
+		hall_.loop_.after(kLinkDelay,
+		                  [this, &_sender]
+		                  {
+			                  _sender.follower_.onProbeAnswered(settings_.name);
+		                  });
+	}
+
 	/// Replaces the step that was scheduled before.
 	void scheduleTick(Duration _pause)
 	{
