--- a/packages/hall/src/halllog.cpp
+++ b/packages/hall/src/halllog.cpp
@@ -412,8 +412,8 @@
 	}
 }
 
-/// Sends a read that waits for the hub to the store. It has waited for a part of its time already: waiting for all of it
-/// again would delay the proof of a state that is already old.
+/// Sends a read that waits for the hub to the store. It has waited for a part of its time already: waiting for all of
+/// it again would delay the proof of a state that is already old.
 void HallLog::releaseToStore(KeyedTopic::Enum _topic)
 {
 	std::optional<PendingRead>& slot = pendingReads_[_topic];
--- a/packages/hall/tests/simulatedhall.h
+++ b/packages/hall/tests/simulatedhall.h
@@ -45,7 +45,8 @@
 	/// @returns when the last node had read a topic up to an offset, milliseconds; negative if some node has not yet.
 	int64_t allReadAt(Offset _end, KeyedTopic::Enum _topic = KeyedTopic::Operator) const;
 
-	/// @returns the age of the most outdated state of the operator's topic in use at a node that has not ended, milliseconds.
+	/// @returns the age of the most outdated state of the operator's topic in use at a node that has not ended,
+	/// milliseconds.
 	int64_t maxProofAge() const;
 
 private:
