A server that gets more connections than it can read closes the surplus unread

What callers saw: at 240 requests a second to one node of 0.12 cores, 1,834 tries ended because the node had not read them within a second or the rest of their time, and 957 of 4,632 requests of the hall failed, while those that were read got their first event after 0.1 s. Cause: a server accepts one connection per turn of its loop; a busy loop left the others in the accept queue until callers gave up. Nothing told the callers to try another node. Change: AcceptQueue counts a queue that has been filled for 0.25 s and 8 turns without a break as overload; from then on the server still accepts one connection per turn and closes the others at once, until none waits. A log line and a counter.

--- a/packages/aio/include/aio/serverconnection.h
+++ b/packages/aio/include/aio/serverconnection.h
@@ -81,6 +81,9 @@
 	/// @returns the status of the response; the connection is closed after it.
 	virtual uint16_t onBadRequest(ReadState::Enum _reason) = 0;
 
+	/// Connections were closed before anything was read from them, since the server gets more than it can read.
+	virtual void onClosedUnread(uint32_t _count) = 0;
+
 	/// @returns the size limits that apply to the next request.
 	virtual ReaderLimits limits() const = 0;
 
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -3,6 +3,9 @@
 #include <aio/server.h>
 
 #include "acceptedconnection_p.h"
+#include "acceptqueue_p.h"
+
+#include <base/steadyclock.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,10 +60,15 @@
 		acceptor_.set_option(asio::socket_base::reuse_address(true));
 		acceptor_.bind(endpoint);
 		acceptor_.listen(kAcceptBacklog);
+		acceptor_.non_blocking(true);
 	}
 
 	void accept()
 	{
+		if (!acceptor_.is_open())
+		{
+			return;
+		}
 		const auto self = shared_from_this();
 		acceptor_.async_accept(
 		    [self](const boost::system::error_code& _error, Tcp::socket _socket)
@@ -69,11 +77,12 @@
 			    {
 				    return;
 			    }
-			    if (!_error)
+			    if (_error)
 			    {
-				    self->add(std::move(_socket));
+				    self->accept();
+				    return;
 			    }
-			    self->accept();
+			    self->onAccepted(std::move(_socket));
 		    });
 	}
 
@@ -103,6 +112,45 @@
 	}
 
 private:
+	/// Accepts one more connection in a later turn of the loop, between the work on those that are open.
+	void onAccepted(Tcp::socket _socket)
+	{
+		add(std::move(_socket));
+		boost::system::error_code noneWaits;
+		Tcp::socket next = acceptor_.accept(noneWaits);
+		queue_.onAccepted(!noneWaits, clock_.now());
+		if (noneWaits)
+		{
+			accept();
+			return;
+		}
+		if (queue_.isOverloaded())
+		{
+			closeWaiting(std::move(next));
+			accept();
+			return;
+		}
+		asio::post(loop_,
+		           [self = shared_from_this(), socket = std::move(next)]() mutable
+		           {
+			           self->onAccepted(std::move(socket));
+		           });
+	}
+
+	/// Closes all connections that wait, so that their callers try another server.
+	void closeWaiting(Tcp::socket _first)
+	{
+		uint32_t count = 0;
+		boost::system::error_code noneWaits;
+		for (Tcp::socket socket = std::move(_first); !noneWaits; socket = acceptor_.accept(noneWaits))
+		{
+			boost::system::error_code ignored; // the caller may have closed first
+			socket.close(ignored);
+			++count;
+		}
+		handler_.onClosedUnread(count);
+	}
+
 	void add(Tcp::socket _socket)
 	{
 		const std::weak_ptr<Impl> weak = weak_from_this();
@@ -121,6 +169,8 @@
 	asio::io_context& loop_;
 	Tcp::acceptor acceptor_;
 	ServerHandlerI& handler_;
+	SteadyClock clock_;
+	AcceptQueue queue_;
 	std::unordered_map<AcceptedConnection*, std::shared_ptr<AcceptedConnection>> connections_;
 };
 
--- a/packages/aio/tests/plainhandler.h
+++ b/packages/aio/tests/plainhandler.h
@@ -16,6 +16,9 @@
 	{
 		return 400;
 	}
+	void onClosedUnread(uint32_t) override
+	{
+	}
 	ReaderLimits limits() const override
 	{
 		return ReaderLimits{};
--- a/packages/entry/src/readinesshandler.cpp
+++ b/packages/entry/src/readinesshandler.cpp
@@ -70,6 +70,11 @@
 	return kBadRequest;
 }
 
+/// The balancer takes a check that is not answered for a failed one.
+void ReadinessHandler::onClosedUnread(uint32_t)
+{
+}
+
 ReaderLimits ReadinessHandler::limits() const
 {
 	ReaderLimits limits;
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -71,6 +71,7 @@
 		HandoversDeclined,    //!< Such sends that the other node did not take over.
 		HandoversTaken,       //!< Requests taken over from other nodes.
 		RetriesDenied,        //!< Retries that were not sent because the retry budget was exhausted.
+		ClosedUnread,         //!< Callers' connections closed unread because the node gets more than it can read.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -65,6 +65,7 @@
     "handovers_declined",
     "handovers_taken",
     "retries_denied",
+    "closed_unread",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -55,6 +55,7 @@
 	/// Handles a request that another node handed over. It may run on one target only: the other node counts its runs.
 	void onHandover(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request);
 	uint16_t onBadRequest(ReadState::Enum _why) override;
+	void onClosedUnread(uint32_t _count) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
 	Duration idleTimeout() const override;
@@ -105,6 +106,8 @@
 	EntrySettings settings_;
 	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
 	StartWait startWait_;
+	uint32_t closedUnread_ = 0;                   //!< Connections closed unread since the last log line on them.
+	Time closedLoggedAt_{INT64_MIN / 2};          //!< Of that line.
 	std::unique_ptr<AdmissionQueue> startQueue_;  //!< Requests that arrived before this node was ready.
 	std::unique_ptr<AdmissionQueue> resumeQueue_; //!< Resumed streams, while the prompts of others are processed.
 	bool ready_ = false;
--- a/packages/relay/src/handoveringress.cpp
+++ b/packages/relay/src/handoveringress.cpp
@@ -30,6 +30,11 @@
 	return ingress_.onBadRequest(_why);
 }
 
+void HandoverIngress::onClosedUnread(uint32_t _count)
+{
+	ingress_.onClosedUnread(_count);
+}
+
 ReaderLimits HandoverIngress::limits() const
 {
 	ReaderLimits limits = ingress_.limits();
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -35,6 +35,9 @@
 /// Retry-After for callers that are refused while this node's desired state is outdated.
 constexpr Duration kRetryAfter = Duration::fromMillis(300);
 
+/// Least time between two log lines on connections that are closed unread.
+constexpr Duration kClosedLogInterval = Duration::fromMillis(1000);
+
 constexpr int64_t kMillisPerSecond = 1000;
 
 constexpr uint16_t kBadRequest = 400;
@@ -155,6 +158,21 @@
 	return ReadState::BodyTooLarge == _why ? kBodyTooLarge : kBadRequest;
 }
 
+void RequestIngress::onClosedUnread(uint32_t _count)
+{
+	context_.metrics.add(Counter::ClosedUnread, _count);
+	closedUnread_ += _count;
+	const Time now = context_.clock.now();
+	if (now < closedLoggedAt_ + kClosedLogInterval)
+	{
+		return;
+	}
+	logEvent(LogPart::Requests, LogLevel::Warning, "Connections are closed unread.",
+	         {{"connections", std::to_string(closedUnread_)}, {"active", std::to_string(active())}});
+	closedLoggedAt_ = now;
+	closedUnread_ = 0;
+}
+
 bool RequestIngress::isViewFresh() const
 {
 	if (!settings_.keyBoundStrict)
--- a/tests/entry/faketarget.cpp
+++ b/tests/entry/faketarget.cpp
@@ -77,6 +77,10 @@
 	++gone_;
 }
 
+void FakeTarget::onClosedUnread(uint32_t)
+{
+}
+
 uint16_t FakeTarget::onBadRequest(ReadState::Enum)
 {
 	return 400;
--- a/tests/entry/faketarget.h
+++ b/tests/entry/faketarget.h
@@ -49,6 +49,7 @@
 	void onRequest(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request) override;
 	void onCallerDisconnected(const ServerConnection& _connection) override;
 	uint16_t onBadRequest(ReadState::Enum _why) override;
+	void onClosedUnread(uint32_t _count) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
 	Duration idleTimeout() const override;
