proof.connectionshare: callers that move from node to node

Nine calls in ten go to one of six nodes after another, as from a balancer that sends most new connections to one node.

--- a/tests/entry/connectionshareproof.cpp
+++ b/tests/entry/connectionshareproof.cpp
@@ -10,7 +10,9 @@
 #include <algorithm>
 #include <chrono>
 #include <future>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace sedgecart
@@ -29,6 +31,11 @@
 constexpr std::chrono::milliseconds kCallInterval = kCallTime / (kTargets * kConnections / 4);
 constexpr std::size_t kCalls = 60;
 
+/// While the callers move: a node gets nine calls in ten, for two and a half seconds.
+constexpr std::size_t kCallsPerNode = 30;
+constexpr std::size_t kCallsInRow = 9;
+constexpr double kServedPart = 0.95;
+
 const char* const kServices = R"([{"name":"plain","health_path":"/health","max_conns":24},)"
                               R"({"name":"engine","health_path":"/health"}])";
 
@@ -38,11 +45,45 @@
 {
 	CPPUNIT_TEST_SUITE(ConnectionShareProof);
 	CPPUNIT_TEST(nodeWithAllCallersIsNotLimitedToItsEqualPart);
+	CPPUNIT_TEST(callersThatMoveFromNodeToNodeAreServed);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
 	/// Six nodes share the connections to each target; all calls arrive at one of the nodes.
 	void nodeWithAllCallersIsNotLimitedToItsEqualPart()
+	{
+		startNodes();
+		const std::size_t refused = refusedOf(callAt({nodes_.front()}, kCalls));
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " calls are refused", 0 == refused);
+	}
+
+	/// A balancer sends nearly all callers to one node after another. Connections that a node has borrowed must be free
+	/// for the next one: calls are served at least 0.95 as often as while they are spread over all nodes.
+	void callersThatMoveFromNodeToNodeAreServed()
+	{
+		startNodes();
+		const std::size_t refusedBefore = refusedOf(callAt(nodes_, kCalls));
+		std::vector<std::future<CallerAnswer>> calls;
+		for (std::size_t index = 0; index < nodes_.size(); ++index)
+		{
+			std::vector<std::string> weighted(kCallsInRow, nodes_[index]);
+			weighted.push_back(nodes_[(index + 1) % nodes_.size()]);
+			for (std::future<CallerAnswer>& call : callAt(weighted, kCallsPerNode))
+			{
+				calls.push_back(std::move(call));
+			}
+		}
+		const std::size_t all = calls.size();
+		const std::size_t refused = refusedOf(std::move(calls));
+		const std::string text = std::to_string(refused) + " of " + std::to_string(all) + " calls are refused, " +
+		                         std::to_string(refusedBefore) + " of " + std::to_string(kCalls) + " before";
+		const double before = 1 - static_cast<double>(refusedBefore) / kCalls;
+		const double served = 1 - static_cast<double>(refused) / static_cast<double>(all);
+		CPPUNIT_ASSERT_MESSAGE(text, kServedPart * before <= served);
+	}
+
+private:
+	void startNodes()
 	{
 		for (uint32_t target = 0; target < kTargets; ++target)
 		{
@@ -56,20 +97,21 @@
 		state.services = kServices;
 		harness_.putWhole(2, state);
 		harness_.start();
+		nodes_.push_back(harness_.callerAddress());
 		for (const char* const name : {"n2", "n3", "n4", "n5", "n6"})
 		{
-			harness_.startMore(name, "h1");
+			nodes_.push_back(harness_.startMore(name, "h1"));
 		}
 		while (std::string::npos == harness_.dump().find("\"peers\":5"))
 		{
 			std::this_thread::sleep_for(10ms);
 		}
-		CPPUNIT_ASSERT(harness_.callUntil(TestRequest(), 200));
-		const std::size_t refused = callAll();
-		CPPUNIT_ASSERT_MESSAGE(std::to_string(refused) + " calls are refused", 0 == refused);
+		for (const std::string& node : nodes_)
+		{
+			CPPUNIT_ASSERT(EntryHarness::callUntilAt(node, TestRequest(), 200));
+		}
 	}
 
-private:
 	static void answerLate(FakeTarget& _target, const std::shared_ptr<ServerConnection>& _caller,
 	                       const ServerRequest& _request)
 	{
@@ -81,23 +123,29 @@
 		                  });
 	}
 
-	/// @returns the number of calls that were not served.
-	std::size_t callAll() const
+	/// Calls the nodes in turn, at a fixed rate.
+	std::vector<std::future<CallerAnswer>> callAt(const std::vector<std::string>& _nodes, std::size_t _calls)
 	{
 		std::vector<std::future<CallerAnswer>> calls;
-		for (std::size_t call = 0; call < kCalls; ++call)
+		for (std::size_t call = 0; call < _calls; ++call)
 		{
+			TestRequest request;
+			request.id = "c" + std::to_string(++callNumber_);
+			request.body = request.id;
+			const std::string& node = _nodes[call % _nodes.size()];
 			calls.push_back(std::async(std::launch::async,
-			                           [this, call]
+			                           [node, request]
 			                           {
-				                           TestRequest request;
-				                           request.id = "c" + std::to_string(call);
-				                           request.body = request.id;
-				                           return harness_.call(request);
+				                           return EntryHarness::callAt(node, request);
 			                           }));
 			std::this_thread::sleep_for(kCallInterval);
 		}
-		return static_cast<std::size_t>(std::count_if(calls.begin(), calls.end(),
+		return calls;
+	}
+
+	static std::size_t refusedOf(std::vector<std::future<CallerAnswer>> _calls)
+	{
+		return static_cast<std::size_t>(std::count_if(_calls.begin(), _calls.end(),
 		                                              [](std::future<CallerAnswer>& _call)
 		                                              {
 			                                              return 200 != _call.get().status;
@@ -105,6 +153,8 @@
 	}
 
 	std::vector<FakeTarget*> targets_;
+	std::vector<std::string> nodes_; //!< Addresses for callers.
+	std::size_t callNumber_ = 0;
 	EntryHarness harness_;
 };
 
