--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -115,6 +115,10 @@
 	/// Accepts one more connection in a later turn of the loop, between the work on those that are open.
 	void onAccepted(Tcp::socket _socket)
 	{
+		if (!acceptor_.is_open())
+		{
+			return; // the server has stopped meanwhile
+		}
 		add(std::move(_socket));
 		boost::system::error_code noneWaits;
 		Tcp::socket next = acceptor_.accept(noneWaits);
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -108,7 +108,7 @@
 	use.own = load.requests.load(std::memory_order_relaxed);
 	use.ownReported = load.reportedRequests.load(std::memory_order_relaxed);
 	use.others = load.remoteRequests.load(std::memory_order_relaxed);
-	return share.admits(use, shareDraw(load, _query.now, _random));
+	return use.own < share.guaranteed() || share.admits(use, shareDraw(load, _query.now, _random));
 }
 
 /// @returns the utilization of a target's slots with this request included, from this node's load, the reported load of
