--- a/packages/core/include/core/hubselector.h
+++ b/packages/core/include/core/hubselector.h
@@ -122,8 +122,8 @@
 	}
 
 	bool isPassedOver(const std::string& _node) const;
-	void doubtOthersThan(const std::string& _node, Time _now);
-	void updateDoubted(Time _now);
+	void suspectOthers(const std::string& _node, Time _now);
+	void expireSuspicions(Time _now);
 
 	static bool isAvoided(const Avoidances& _pauses, const std::string& _node, Time _now);
 	static bool isAnotherAvoided(const Avoidances& _pauses, const std::string& _node, Time _now);
@@ -146,11 +146,11 @@
 	std::size_t hallSize_ = 1;
 	std::size_t probePlace_ = 0; //!< Position of this node in the hall's order of probing.
 	Avoidances unresponsive_;    //!< Nodes that did not answer, and when each is probed next.
-	std::map<std::string, Time>
-	    doubted_; //!< Nodes that must answer a probe because another did not answer, and since when.
-	bool doubtedOneAnswered_ = false; //!< One of `doubted_` has answered; the others are passed over until they do.
-	Avoidances withoutStore_;         //!< Nodes through which the store is not readable.
-	Avoidances outdated_;             //!< Those of them that read the store, but have outdated data.
+	/// Nodes that must answer a probe because another one did not answer, and since when.
+	std::map<std::string, Time> suspected_;
+	bool suspectAnswered_ = false; //!< One of `suspected_` has answered; the others are passed over until they do.
+	Avoidances withoutStore_;      //!< Nodes through which the store is not readable.
+	Avoidances outdated_;          //!< Those of them that read the store, but have outdated data.
 	bool storeAnswers_ = true;
 	bool sharesProbes_ = true;
 	Time unavailableUntil_;   //!< The store counts as unavailable until then.
--- a/packages/core/src/hubselector.cpp
+++ b/packages/core/src/hubselector.cpp
@@ -101,7 +101,7 @@
 		                    });
 	};
 	dropIf(unresponsive_, isGone); // nodes that left the hall are not probed any more
-	dropIf(doubted_, isGone);
+	dropIf(suspected_, isGone);
 	sortHubCandidates(_candidates);
 	hallSize_ = _candidates.size();
 	probePlace_ = 0;
@@ -244,33 +244,33 @@
 void HubSelector::onNoAnswer(const std::string& _node, Time _now)
 {
 	extend(unresponsive_, _node, _now);
-	doubted_.erase(_node);
-	doubtOthersThan(_node, _now);
+	suspected_.erase(_node);
+	suspectOthers(_node, _now);
 }
 
-/// A doubted node is passed over while there is a better choice: another one that has answered, or this node if it is
+/// A suspected node is passed over while there is a better choice: another one that has answered, or this node if it is
 /// among the first candidates. The others would be too many to read the store at once.
 bool HubSelector::isPassedOver(const std::string& _node) const
 {
-	const bool hasBetter = doubtedOneAnswered_ || ownIndex() < kMaxQueried;
-	return isUnresponsive(_node) || (hasBetter && 0 < doubted_.count(_node));
+	const bool hasBetter = suspectAnswered_ || ownIndex() < kMaxQueried;
+	return isUnresponsive(_node) || (hasBetter && 0 < suspected_.count(_node));
 }
 
 /// Nodes that are known not to answer are probed anyway.
-void HubSelector::doubtOthersThan(const std::string& _node, Time _now)
+void HubSelector::suspectOthers(const std::string& _node, Time _now)
 {
 	for (const HubCandidate& candidate : order_)
 	{
 		if (self_ != candidate.name && _node != candidate.name && !isUnresponsive(candidate.name))
 		{
-			doubted_.emplace(candidate.name, _now);
+			suspected_.emplace(candidate.name, _now);
 		}
 	}
 }
 
-void HubSelector::updateDoubted(Time _now)
+void HubSelector::expireSuspicions(Time _now)
 {
-	for (auto row = doubted_.begin(); doubted_.end() != row;)
+	for (auto row = suspected_.begin(); suspected_.end() != row;)
 	{
 		if (_now < row->second + kProbeTimeout)
 		{
@@ -278,16 +278,16 @@
 			continue;
 		}
 		extend(unresponsive_, row->first, _now);
-		row = doubted_.erase(row);
+		row = suspected_.erase(row);
 	}
-	doubtedOneAnswered_ = doubtedOneAnswered_ && !doubted_.empty();
+	suspectAnswered_ = suspectAnswered_ && !suspected_.empty();
 }
 
 std::vector<std::string> HubSelector::takeDueProbes(Time _now)
 {
-	updateDoubted(_now);
+	expireSuspicions(_now);
 	std::vector<std::string> due;
-	for (const auto& row : doubted_)
+	for (const auto& row : suspected_)
 	{
 		due.push_back(row.first);
 	}
@@ -311,7 +311,7 @@
 std::vector<std::string> HubSelector::probedNodes() const
 {
 	std::vector<std::string> names;
-	for (const auto& row : doubted_)
+	for (const auto& row : suspected_)
 	{
 		names.push_back(row.first);
 	}
@@ -325,9 +325,9 @@
 void HubSelector::onProbeAnswered(const std::string& _node)
 {
 	unresponsive_.erase(_node);
-	doubtedOneAnswered_ = doubtedOneAnswered_ || 0 < doubted_.count(_node);
-	doubted_.erase(_node);
-	doubtedOneAnswered_ = doubtedOneAnswered_ && !doubted_.empty();
+	suspectAnswered_ = suspectAnswered_ || 0 < suspected_.count(_node);
+	suspected_.erase(_node);
+	suspectAnswered_ = suspectAnswered_ && !suspected_.empty();
 }
 
 /// One node's path to the store may hang while others can read it. If the next node that is queried cannot read it
