--- a/packages/core/tests/connectionsharetest.cpp
+++ b/packages/core/tests/connectionsharetest.cpp
@@ -89,6 +89,8 @@
 	CPPUNIT_TEST_SUITE(ConnectionShareTest);
 	CPPUNIT_TEST(nodeWithAllCallersUsesWhatOthersCannotHaveOpen);
 	CPPUNIT_TEST(busyNodesTogetherStayWithinTheLimit);
+	CPPUNIT_TEST(nodeWithAllCallersUsesWhatIsFreeWhereNodesOutnumberTheConnections);
+	CPPUNIT_TEST(firstBurstStaysWithinTheLimit);
 	CPPUNIT_TEST(eachNodeMayAlwaysServe);
 	CPPUNIT_TEST(withoutReportsANodeUsesItsEqualPart);
 	CPPUNIT_TEST(noLimitAdmitsAll);
@@ -142,6 +144,39 @@
 		}
 	}
 
+	/// The aim of the first case, where a node's part of what is free is less than one connection per report.
+	void nodeWithAllCallersUsesWhatIsFreeWhereNodesOutnumberTheConnections()
+	{
+		constexpr Site kSite{110, 295};
+		SeededRandom random(1);
+		Fleet fleet(kSite, 1);
+		uint32_t most = 0;
+		for (uint32_t report = 0; report < kReports; ++report)
+		{
+			fleet.step(random);
+			most = std::max(most, fleet.total());
+		}
+		CPPUNIT_ASSERT_MESSAGE(nameOf(kSite) + std::to_string(most), 0.9 * kSite.limit / 2 <= most);
+	}
+
+	/// The aim of the second case from the first report on.
+	void firstBurstStaysWithinTheLimit()
+	{
+		for (const Site& site : kSites)
+		{
+			SeededRandom random(site.nodes);
+			Fleet fleet(site, site.nodes);
+			double sum = 0;
+			for (uint32_t report = 0; report < kReports; ++report)
+			{
+				fleet.step(random);
+				sum += fleet.total();
+			}
+			const double mean = sum / kReports;
+			CPPUNIT_ASSERT_MESSAGE(nameOf(site) + std::to_string(mean), mean <= std::max(site.limit, site.nodes));
+		}
+	}
+
 	void eachNodeMayAlwaysServe()
 	{
 		for (const Site& site : kSites)
