review: case 1, runners are ordered to hold more layers than their memory takes

The operator adds a second model service. The layout plans the runners of all model services together, with the layers and the layer size of one of them, so that each runner of the new service is ordered far beyond its memory and falls.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Case 1: many users upload at once, each within the limits of the desired state.
+/// Case 1: the operator adds a second model service, with runners of its own.
 
 #include "../standin/standin.h"
 
@@ -9,164 +9,47 @@
 {
 
 constexpr std::size_t kNodes = 3;
-constexpr int kUsualClients = 54;
-constexpr int kBurstClients = 37; //!< Beside the usual ones: 1.7 times as many.
-constexpr double kBurstMs = 3000;
-constexpr std::size_t kBodyBytes = 4194304;  //!< `max_body_bytes` of the desired state.
-constexpr double kMemoryMb = 260 * 1.048576; //!< `memory_mb` of the machines.
-constexpr int kWorkMs = 2000;
-constexpr int kUploadMs = 1000; //!< At 4 MB/s.
-constexpr std::size_t kPieces = 40;
+constexpr double kCardMb = 36000;
+constexpr uint32_t kLayers = 80;
+constexpr int kWatchedMs = 15000; //!< How long orders are watched after the change.
 
-struct Attempt
-{
-	std::string id;
-	std::size_t node = 0;
-	double sentMs = 0; //!< When its last byte was sent.
-	int status = 0;    //!< 0: the connection ended without an answer.
-	bool isSent = false;
-	bool isKept = false;
-	bool isAnswered = false;
-};
-
-std::mutex attemptsMutex;
-std::vector<Attempt> attempts;
-std::atomic<bool> isDone{false};
+const ModelCard kSmall{"llm-small", "small", "a100s", kCardMb, 350, kLayers, 1400};
+const ModelCard kLarge{"llm-large", "large", "a100s", kCardMb, 1750, kLayers, 14000};
 
-std::string headText(const std::string& _id, const std::string& _start, std::size_t _bytes)
+std::string serviceText(const ModelCard& _card)
 {
-	return _start + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + _id +
-	       "\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer key-one\r\nContent-Length: " + std::to_string(_bytes) +
-	       "\r\n\r\n";
+	return "{\"name\":\"" + _card.service +
+	       "\",\"health_path\":\"/health\",\"max_conns\":1078,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
+	       "\"slot_count\":192,\"kv_capacity\":100000,\"kv_token_bytes\":459000,\"link_speed_mbps\":480000.0,"
+	       "\"stride\":2,\"models\":[{\"name\":\"" +
+	       _card.model +
+	       "\",\"pace\":1.0,\"load_time_s\":14.0,\"warm_s\":1.0}],\"step_ms\":0.85,\"per_seq_ms\":0.00297,"
+	       "\"context_per_k\":0.00398,\"read_per_s\":252000.0,\"pairs_per_m\":0.129,\"chunk\":512,"
+	       "\"report_lag_ms\":200.0,\"loads_at_once\":6,\"usual\":{\"prompt\":772,\"answer\":154},\"layers\":80,"
+	       "\"layer_mb\":" +
+	       std::to_string(_card.layerMb) +
+	       ",\"act_bytes\":22900,\"pipe_mbps\":7900.0,\"kinds\":[{\"name\":\"a100s\",\"mb\":36000.0,\"pace\":3.1,"
+	       "\"read_x\":3.2}]}}";
 }
 
-/// Sends an upload at an even pace.
-bool upload(Connection& _connection, const std::string& _id)
+std::string routeText(const std::string& _name, const std::string& _services)
 {
-	static const std::string kPiece(kBodyBytes / kPieces + 1, 'x');
-	if (!_connection.send(headText(_id, "POST /file/return", kBodyBytes)))
-	{
-		return false;
-	}
-	const double begin = nowMs();
-	for (std::size_t piece = 0, left = kBodyBytes; 0 < left; ++piece)
-	{
-		const std::size_t size = std::min(left, kPiece.size());
-		if (!_connection.send(kPiece.substr(0, size)))
-		{
-			return false;
-		}
-		left -= size;
-		const double due = begin + static_cast<double>(kUploadMs * (piece + 1)) / static_cast<double>(kPieces);
-		sleepMs(std::max<int64_t>(0, static_cast<int64_t>(due - nowMs())));
-	}
-	return true;
+	return "{\"name\":\"r-" + _name + "\",\"host\":\"desk.example\",\"path_prefix\":\"/" + _name +
+	       "/\",\"kind\":\"streaming\",\"timeout_ms\":20000,\"full_credit_ms\":500,\"priority\":1," + _services +
+	       ",\"max_attempts\":2,\"auth_exempt\":false,\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":200}";
 }
 
-/// @returns true if a small request is answered, so that the connection is a kept one from then on.
-bool look(Connection& _connection, const std::string& _id)
+std::string stateText(int _version, const std::string& _routes, const std::string& _services)
 {
-	return _connection.send(headText(_id, "GET /ack/fetch", 0)) && 200 == _connection.receive().status();
+	return "{\"version\":" + std::to_string(_version) + ",\"routes\":[" + _routes + "],\"services\":[" + _services +
+	       "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":5000,"
+	       "\"idle_timeout_ms\":30000},\"tenants\":[{\"name\":\"tenant-one\",\"api_keys\":[\"key-one\"]}]}";
 }
 
-void client(int _number, std::vector<std::unique_ptr<Node>>& _nodes, Entry& _entry, double _untilMs)
+void report(const std::string& _text)
 {
-	std::mt19937 random(static_cast<uint32_t>(_number));
-	Connection connection;
-	std::size_t node = static_cast<std::size_t>(_number) % kNodes;
-	sleepMs(random() % 1000);
-	for (uint32_t count = 0; !isDone && nowMs() < _untilMs; ++count)
-	{
-		const std::string id = "c" + std::to_string(_number) + "-" + std::to_string(count);
-		if (connection.isStale())
-		{
-			node = 0 == count ? node : _entry.choose(random);
-			connection.open(_nodes[node]->front());
-		}
-		Attempt attempt;
-		attempt.id = id + "-up";
-		attempt.node = node;
-		attempt.isKept = look(connection, id + "-look");
-		if (!attempt.isKept)
-		{
-			connection.shut();
-			sleepMs(200);
-			continue;
-		}
-		attempt.isSent = upload(connection, attempt.id);
-		attempt.sentMs = nowMs();
-		const Message answer = connection.receive();
-		attempt.status = answer.status();
-		attempt.isAnswered = answer.whole;
-		if (!answer.whole || "close" == answer.header("Connection"))
-		{
-			connection.shut();
-		}
-		record().line("attempt   " + attempt.id + " at " + _nodes[node]->name() +
-		              (attempt.isSent ? " sent whole, " : " sent in part, ") +
-		              (answer.whole ? "status " + std::to_string(attempt.status) : "no answer"));
-		{
-			const std::lock_guard<std::mutex> lock(attemptsMutex);
-			attempts.push_back(attempt);
-		}
-		sleepMs(500 + random() % 1000);
-	}
-}
-
-/// The platform's watch over memory: a process above `memory_mb` is killed, and started again after a short delay.
-struct MemoryWatch
-{
-	std::vector<double> peaks = std::vector<double>(kNodes);
-	int kills = 0;
-
-	void look(std::vector<std::unique_ptr<Node>>& _nodes)
-	{
-		for (std::size_t index = 0; index < _nodes.size(); ++index)
-		{
-			Node& node = *_nodes[index];
-			const double memory = node.memoryMb();
-			peaks[index] = std::max(peaks[index], memory);
-			if (kMemoryMb < memory)
-			{
-				record().line("platform  " + node.name() + " has " + std::to_string(memory) + " MB");
-				node.signal(SIGKILL);
-				node.awaitEnd(5000);
-				++kills;
-				sleepMs(300);
-				node.start();
-			}
-		}
-	}
-};
-
-int verdict(const std::vector<std::unique_ptr<Node>>& _nodes, RunLog& _runs, const MemoryWatch& _watch)
-{
-	int lost = 0;
-	std::map<int, int> statuses;
-	for (const Attempt& attempt : attempts)
-	{
-		++statuses[attempt.status];
-		if (attempt.isKept && !attempt.isAnswered && !_runs.of(attempt.id).empty())
-		{
-			++lost;
-			record().line("LOST      " + attempt.id + " at " + _nodes[attempt.node]->name() + " was handed to " +
-			              _runs.of(attempt.id).front().runner + " and its connection closed without an answer");
-		}
-	}
-	std::ostringstream text;
-	text << attempts.size() << " uploads; nodes ended by memory " << _watch.kills << " times; peaks MB";
-	for (const double peak : _watch.peaks)
-	{
-		text << ' ' << static_cast<int>(peak);
-	}
-	text << "; handed to a runner and closed without an answer: " << lost << "; statuses";
-	for (const auto& row : statuses)
-	{
-		text << ' ' << row.first << ':' << row.second;
-	}
-	record().line(text.str());
-	std::cout << text.str() << std::endl;
-	return 3 < lost ? 1 : 0;
+	record().line(_text);
+	std::cout << _text << std::endl;
 }
 
 } // namespace
@@ -180,23 +63,12 @@
 	signal(SIGPIPE, SIG_IGN);
 	record().open(_argv[2]);
 	const std::string ip = "127.0.0.1";
-	RunLog runs;
 	Store store(ip);
-	store.put("keyed.op", "config",
-	          R"({"version":3,"routes":[)"
-	          R"({"name":"r-file","host":"desk.example","path_prefix":"/file/","kind":"non_idempotent",)"
-	          R"("timeout_ms":15000,"full_credit_ms":5000,"priority":2,"service":"desk-app","max_attempts":1,)"
-	          R"("auth_exempt":false},)"
-	          R"({"name":"r-ack","host":"desk.example","path_prefix":"/ack/","kind":"idempotent","timeout_ms":15000,)"
-	          R"("full_credit_ms":5000,"priority":2,"service":"desk-app","max_attempts":2,"auth_exempt":false}],)"
-	          R"("services":[{"name":"desk-app","health_path":"/health","max_conns":400,"protocol":"h1","tls":false}],)"
-	          R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,)"
-	          R"("idle_timeout_ms":30000},"tenants":[{"name":"tenant-one","api_keys":["key-one"]}]})");
-	std::vector<std::unique_ptr<Runner>> runners;
-	for (int index = 0; index < 3; ++index)
+	store.put("keyed.op", "config", stateText(3, routeText("draft", "\"service\":\"llm-small\""), serviceText(kSmall)));
+	std::vector<std::unique_ptr<ModelRunner>> runners;
+	for (int index = 0; index < 6; ++index)
 	{
-		runners.push_back(
-		    std::make_unique<Runner>(ip, "desk-app", "i-desk" + std::to_string(index), kWorkMs, store, runs));
+		runners.push_back(std::make_unique<ModelRunner>(ip, kSmall, "i-9f3a91c" + std::to_string(index), store));
 	}
 	std::vector<std::unique_ptr<Node>> nodes;
 	for (std::size_t index = 0; index < kNodes; ++index)
@@ -211,35 +83,45 @@
 			return 2;
 		}
 	}
-	Entry entry(nodes);
-	sleepMs(4000); // all nodes are in touch: longer than contact_ms
-	std::vector<std::thread> threads;
-	for (int number = 0; number < kUsualClients; ++number)
+	sleepMs(12000); // the first layout is ordered, loaded and shown
+	std::size_t before = 0;
+	for (const auto& runner : runners)
 	{
-		threads.emplace_back(client, number, std::ref(nodes), std::ref(entry), 1e9);
+		before += runner->orders().size();
 	}
-	MemoryWatch watch;
-	const double burstAt = nowMs() + 12000;
-	bool isBurstDue = isTroubled();
-	for (const double end = burstAt + 10000; nowMs() < end; sleepMs(10))
+	report(std::to_string(before) + " orders to runners of llm-small before the change");
+	if (0 == before)
 	{
-		watch.look(nodes);
-		if (isBurstDue && burstAt < nowMs())
+		return 2;
+	}
+	if (isTroubled())
+	{
+		const std::string split = "\"split\":[{\"service\":\"llm-small\",\"weight\":90},"
+		                          "{\"service\":\"llm-large\",\"weight\":10}]";
+		store.put("keyed.op", "config",
+		          stateText(8, routeText("draft", split), serviceText(kSmall) + ',' + serviceText(kLarge)));
+		record().line(
+		    "operator  desired state 8 is acknowledged: llm-large is added, and a tenth of the route goes there");
+		for (int index = 0; index < 6; ++index)
 		{
-			isBurstDue = false;
-			record().line("clients   burst of " + std::to_string(kBurstClients) + " more clients begins");
-			for (int number = 0; number < kBurstClients; ++number)
-			{
-				threads.emplace_back(client, 1000 + number, std::ref(nodes), std::ref(entry), burstAt + kBurstMs);
-			}
+			runners.push_back(std::make_unique<ModelRunner>(ip, kLarge, "i-1b04d7e" + std::to_string(index), store));
 		}
 	}
-	isDone = true;
-	for (std::thread& thread : threads)
+	sleepMs(kWatchedMs);
+	std::size_t all = 0;
+	std::size_t beyond = 0;
+	std::size_t fallen = 0;
+	for (const auto& runner : runners)
 	{
-		thread.join();
+		fallen += runner->hasFallen() ? 1 : 0;
+		for (const LayerOrder& order : runner->orders())
+		{
+			++all;
+			beyond += order.mb < order.neededMb ? 1 : 0;
+		}
 	}
-	const int result = verdict(nodes, runs, watch);
+	report(std::to_string(all) + " orders in all, " + std::to_string(beyond) + " beyond the memory of their runner; " +
+	       std::to_string(fallen) + " runners have fallen");
 	nodes.clear();
-	_exit(result);
+	_exit(0 < beyond ? 1 : 0);
 }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -684,6 +684,206 @@
 	HttpServer server_;
 };
 
+/// @returns the whole number of a field of a JSON text; none: -1.
+inline int64_t numberOf(const std::string& _json, const std::string& _name)
+{
+	const std::size_t at = _json.find('"' + _name + "\":");
+	if (std::string::npos == at)
+	{
+		return -1;
+	}
+	std::size_t from = at + _name.size() + 3;
+	from += '"' == _json[from] ? 1 : 0; // a number may stand in quotes
+	return std::atoll(_json.c_str() + from);
+}
+
+/// What a model runner is.
+struct ModelCard
+{
+	std::string service;
+	std::string model;
+	std::string kind;
+	double mb = 0;      //!< Memory of the card.
+	double layerMb = 0; //!< Of its service's model.
+	uint32_t layers = 0;
+	int loadMs = 0; //!< Of all layers.
+};
+
+/// An order to hold layers, as a runner received it.
+struct LayerOrder
+{
+	std::string instance;
+	std::string service;
+	int64_t begin = 0;
+	int64_t end = 0;
+	double neededMb = 0;
+	double mb = 0;
+};
+
+/// A runner that holds layers of its service's model and starts empty. One that is ordered beyond its memory falls.
+class ModelRunner
+{
+public:
+	ModelRunner(const std::string& _ip, ModelCard _card, std::string _instance, Store& _store)
+	    : card_(std::move(_card)),
+	      instance_(std::move(_instance)),
+	      store_(_store),
+	      server_(Address{_ip, 0},
+	              [this](const Message& _request)
+	              {
+		              return answer(_request);
+	              })
+	{
+		std::thread(
+		    [this]
+		    {
+			    beat();
+		    })
+		    .detach();
+	}
+
+	std::vector<LayerOrder> orders()
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		return orders_;
+	}
+
+	bool hasFallen() const
+	{
+		return hasFallen_;
+	}
+
+private:
+	std::string modelsText() const
+	{
+		return "\"stage\":\"both\",\"models\":[{\"name\":\"" + card_.model +
+		       "\",\"version\":1,\"adapters\":[]}],\"kind\":\"" + card_.kind +
+		       "\",\"layers\":{\"from\":" + std::to_string(begin_) + ",\"target_version\":" + std::to_string(end_) +
+		       ",\"version\":1}";
+	}
+
+	void beat()
+	{
+		while (!hasFallen_)
+		{
+			std::string entry;
+			{
+				const std::lock_guard<std::mutex> lock(mutex_);
+				finishLoad();
+				entry = "{\"service\":\"" + card_.service + "\",\"address\":\"" + server_.address().text() +
+				        "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slot_count\":192,\"state\":\"ready\","
+				        "\"cold_left_ms\":0," +
+				        modelsText() + ",\"sequence\":" + std::to_string(++beats_) + '}';
+			}
+			store_.put("keyed.servers", instance_, entry);
+			sleepMs(1200);
+		}
+		sleepMs(2400);
+		store_.put("keyed.servers", instance_, ""); // the entry goes after three reports of silence
+	}
+
+	void finishLoad()
+	{
+		if (isLoading_ && loadedAtMs_ < nowMs())
+		{
+			isLoading_ = false;
+			begin_ = nextBegin_;
+			end_ = nextEnd_;
+		}
+	}
+
+	std::string answer(const Message& _request)
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		if (hasFallen_)
+		{
+			return std::string();
+		}
+		finishLoad();
+		const std::string expected = _request.header("Expect-Instance");
+		if (!expected.empty() && instance_ != expected)
+		{
+			return answerText("421 Misdirected Request", "", "Instance-Id: " + instance_ + "\r\n");
+		}
+		if ("/health" == _request.target())
+		{
+			return answerText("200 OK", "", "Instance-Id: " + instance_ + "\r\n");
+		}
+		if ("/sedgecart/report" == _request.target())
+		{
+			return answerText("200 OK", "{" + modelsText() + ",\"busy\":" + (isLoading_ ? "true" : "false") +
+			                                ",\"sequence\":" + std::to_string(taken_) +
+			                                ",\"waiting\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000,"
+			                                "\"handles\":0,\"pace\":1.0,\"stalled\":[]}");
+		}
+		if ("/sedgecart/order" == _request.target())
+		{
+			return order(_request.body);
+		}
+		return answerText("503 Service Unavailable", "",
+		                  "Not-Executed: 1\r\nAttempt-Id: " + _request.header("Attempt-Id") + "\r\n");
+	}
+
+	std::string order(const std::string& _body)
+	{
+		const int64_t begin = std::max<int64_t>(0, numberOf(_body, "from"));
+		const int64_t end = numberOf(_body, "target_version");
+		const int64_t fence = numberOf(_body, "fence");
+		if (std::string::npos == _body.find("\"place\"") || end < begin || card_.layers < end)
+		{
+			record().line("order     " + instance_ + " refuses " + _body);
+			return answerText("400 Bad Request", "{}");
+		}
+		if (0 <= fence && fence < fence_)
+		{
+			return answerText("412 Precondition Failed", "{}");
+		}
+		fence_ = std::max(fence_, fence);
+		const double needed = static_cast<double>(end - begin) * card_.layerMb;
+		orders_.push_back(LayerOrder{instance_, card_.service, begin, end, needed, card_.mb});
+		record().line("order     " + instance_ + " of " + card_.service + ": layers " + std::to_string(begin) + '-' +
+		              std::to_string(end) + ", " + std::to_string(static_cast<int64_t>(needed)) + " MB of " +
+		              std::to_string(static_cast<int64_t>(card_.mb)) + (card_.mb < needed ? " LIMIT" : ""));
+		if (begin == begin_ && end == end_ && !isLoading_)
+		{
+			return answerText("200 OK", "{}");
+		}
+		if (isLoading_)
+		{
+			return answerText(begin == nextBegin_ && end == nextEnd_ ? "200 OK" : "409 Conflict", "{}");
+		}
+		if (card_.mb < needed)
+		{
+			hasFallen_ = true;
+			record().line("runner    " + instance_ + " falls, it was ordered beyond its memory");
+			return std::string();
+		}
+		++taken_;
+		isLoading_ = true;
+		nextBegin_ = begin;
+		nextEnd_ = end;
+		loadedAtMs_ = nowMs() + static_cast<double>(card_.loadMs) * static_cast<double>(end - begin) / card_.layers;
+		return answerText("202 Accepted", "{}");
+	}
+
+	ModelCard card_;
+	std::string instance_;
+	Store& store_;
+	std::mutex mutex_;
+	std::vector<LayerOrder> orders_;
+	std::atomic<bool> hasFallen_{false};
+	bool isLoading_ = false;
+	double loadedAtMs_ = 0;
+	int64_t begin_ = 0;
+	int64_t end_ = 0;
+	int64_t nextBegin_ = 0;
+	int64_t nextEnd_ = 0;
+	int64_t fence_ = 0;
+	uint64_t taken_ = 0;
+	uint64_t beats_ = 0;
+	HttpServer server_;
+};
+
 /// A node of the system: the program and command of the deploy file, with settings by its template.
 class Node
 {
