--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -62,12 +62,19 @@
 		out_.open(_path, std::ios::trunc);
 	}
 
+	/// Writes what is buffered; a case ends without destructors.
+	void flush()
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		out_.flush();
+	}
+
 	void line(const std::string& _text)
 	{
 		const std::lock_guard<std::mutex> lock(mutex_);
 		char time[32];
 		std::snprintf(time, sizeof(time), "%10.1f ms  ", nowMs());
-		out_ << time << _text << std::endl;
+		out_ << time << _text << '\n';
 	}
 
 private:
