--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -19,8 +19,8 @@
 	       R"("timeout_ms":1500,"full_credit_ms":300,"priority":2,"service":"desk-app","max_attempts":1,)"
 	       R"("auth_exempt":false}],)"
 	       R"("services":[{"name":"desk-app","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],)"
-	       R"("limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":5000,)"
-	       R"("idle_timeout_ms":30000},"tenants":)" +
+	       R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
+	       R"("idle_timeout_ms":15000},"tenants":)" +
 	       _tenants + '}';
 }
 
@@ -164,5 +164,6 @@
 	report("no key, the same: " + without.text());
 	played.end();
 	const int wronglyRun = (isTroubled() ? revoked.ran : 0) + unknown.ran + without.ran + beforeUnknown.ran;
+	record().flush();
 	_exit(0 < wronglyRun ? 1 : 0);
 }
