A node that stops answers all requests that it has read

Cause: at the end of a stop the main thread looked for active requests, then for answers under delivery, then ended the process, while the request loop went on reading. Evidence: "Node ends." now tells the requests read so far, and "Request loop has ended." tells them again with those still active.

The servers are drained now: in one turn of the request loop they close the listening socket and the connections at rest. A connection with input that was not read, with a request that is received or handled, or with an answer that is not acknowledged, stays open until it is at rest. As nothing is read on a closed connection and each look and its close are one turn, no request can come between them. Draining begins at the first moment without requests, at the latest 500 ms before the deadline of the stop. The same holds for requests that other nodes hand over, for those that wait for a node to become ready, and for uploads that are still being received, none of which were counted.

--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -37,6 +37,19 @@
 	/// lost if the VM ends now. Loop thread.
 	uint32_t deliveringConnections() const;
 
+	/// @returns true if a request is being received or handled, or a response is being delivered. Loop thread.
+	bool isBusy() const;
+
+	/// Accepts no more connections and closes those that are at rest: nothing has arrived that was not read, no request
+	/// is being received or handled, and the caller has acknowledged all responses. A request that arrived before is
+	/// thus read and answered, and one that arrives later meets a closed connection. To be called again until no
+	/// connection is left. Loop thread.
+	/// @returns the number of connections that are still open.
+	uint32_t drain();
+
+	/// Closes all connections; those with an incomplete response are reset. Loop thread, or once the loop has ended.
+	void close();
+
 private:
 	class Impl;
 	std::shared_ptr<Impl> impl_;
--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -273,6 +273,19 @@
 	return Phase::Closed != phase_ && 0 < socket_.sentBytes().unacknowledged;
 }
 
+bool AcceptedConnection::isBusy()
+{
+	return Phase::Closed != phase_ && (!isIdleOrLingering() || !unparsed_.empty() || isDelivering());
+}
+
+void AcceptedConnection::closeAtRest()
+{
+	if (!isBusy() && socket_.isOpenWithoutInput())
+	{
+		closeNow();
+	}
+}
+
 void AcceptedConnection::becomeIdle()
 {
 	phase_ = Phase::Idle;
--- a/packages/aio/src/acceptedconnection_p.h
+++ b/packages/aio/src/acceptedconnection_p.h
@@ -39,6 +39,12 @@
 	/// @returns true while the caller has not acknowledged all bytes written.
 	bool isDelivering();
 
+	/// @returns true while a request is being received or handled, or a response is being delivered.
+	bool isBusy();
+
+	/// Closes the connection unless it is busy or has input that was not read.
+	void closeAtRest();
+
 private:
 	/// State of the connection.
 	struct Phase
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -86,17 +86,36 @@
 		    });
 	}
 
-	void stop()
+	void close()
 	{
-		boost::system::error_code ignored; // the socket is not used any more
-		acceptor_.close(ignored);
-		const auto all = connections_;
+		closeAcceptor();
+		const auto all = connections_; // each connection removes itself
 		for (const auto& row : all)
 		{
 			row.second->shutDown();
 		}
 	}
 
+	uint32_t drain()
+	{
+		closeAcceptor();
+		const auto all = connections_; // each connection removes itself
+		for (const auto& row : all)
+		{
+			row.second->closeAtRest();
+		}
+		return static_cast<uint32_t>(connections_.size());
+	}
+
+	bool isBusy() const
+	{
+		return std::any_of(connections_.begin(), connections_.end(),
+		                   [](const auto& _row)
+		                   {
+			                   return _row.second->isBusy();
+		                   });
+	}
+
 	uint16_t port() const
 	{
 		return acceptor_.local_endpoint().port();
@@ -112,6 +131,12 @@
 	}
 
 private:
+	void closeAcceptor()
+	{
+		boost::system::error_code ignored; // the socket is not used any more
+		acceptor_.close(ignored);
+	}
+
 	/// Accepts one more connection in a later turn of the loop, between the work on those that are open.
 	void onAccepted(Tcp::socket _socket)
 	{
@@ -186,7 +211,7 @@
 
 Server::~Server()
 {
-	impl_->stop();
+	impl_->close();
 }
 
 uint16_t Server::port() const
@@ -199,4 +224,19 @@
 	return impl_->deliveringConnections();
 }
 
+bool Server::isBusy() const
+{
+	return impl_->isBusy();
+}
+
+uint32_t Server::drain()
+{
+	return impl_->drain();
+}
+
+void Server::close()
+{
+	impl_->close();
+}
+
 } // namespace sedgecart
--- a/packages/core/include/core/stopwindow.h
+++ b/packages/core/include/core/stopwindow.h
@@ -30,6 +30,9 @@
 	/// @returns true while the load balancer may still send callers to this node.
 	bool callersMayArrive(Time _now) const;
 
+	/// @returns from when on no more requests are read: the last answers need time to reach their callers.
+	Time drainAt() const;
+
 	/// @returns when all requests must have ended so that the process can exit before the kill.
 	Time deadline() const;
 
--- a/packages/core/src/stopwindow.cpp
+++ b/packages/core/src/stopwindow.cpp
@@ -14,6 +14,9 @@
 /// Time between the end of the last answer and the kill: a process needs some tens of milliseconds to exit.
 constexpr Duration kExitMargin = Duration::fromMillis(350);
 
+/// Time for the last answers to reach their callers: a round trip, and a retransmission or two of a lost segment.
+constexpr Duration kDrainTime = Duration::fromMillis(500);
+
 } // namespace
 
 StopWindow::StopWindow(Time _signalAt, Duration _bound) : signalAt_(_signalAt), bound_(_bound)
@@ -30,6 +33,11 @@
 	return _now < signalAt_ + kBalancerDelay;
 }
 
+Time StopWindow::drainAt() const
+{
+	return Time{deadline().micros - kDrainTime.micros};
+}
+
 Time StopWindow::deadline() const
 {
 	return Time{(signalAt_ + bound_).micros - kExitMargin.micros};
--- a/packages/core/tests/stopwindowtest.cpp
+++ b/packages/core/tests/stopwindowtest.cpp
@@ -12,6 +12,7 @@
 	CPPUNIT_TEST_SUITE(StopWindowTest);
 	CPPUNIT_TEST(admitsRequestsThatEndBeforeTheKill);
 	CPPUNIT_TEST(callersArriveUntilTheBalancerReacts);
+	CPPUNIT_TEST(drainLeavesTimeForTheLastAnswers);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,12 @@
 		CPPUNIT_ASSERT(!window.callersMayArrive(at(3800)));
 	}
 
+	void drainLeavesTimeForTheLastAnswers()
+	{
+		const StopWindow window(at(1000), Duration::fromMillis(8000));
+		CPPUNIT_ASSERT_EQUAL(int64_t(500), (window.deadline() - window.drainAt()).millis());
+	}
+
 private:
 	static Time at(int64_t _millis)
 	{
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -150,6 +150,8 @@
 		controlLoop_.stop();
 		requestThread_.join();
 		controlThread_.join();
+		logEvent(LogPart::Node, LogLevel::Info, "Request loop has ended.",
+		         {{"active", std::to_string(ingress_.active())}, {"requests", requestsText()}});
 	}
 
 	void onCrash(const LostRuns& _runs, const TargetIncarnation& _target) override
@@ -194,19 +196,15 @@
 		const StopWindow window(clock_.now(), Duration{stopTimeout_.load(std::memory_order_relaxed)});
 		beginStop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(ingress_.active())}});
-		while (window.callersMayArrive(clock_.now()) || (hasUnfinishedAnswers() && clock_.now() < window.deadline()))
+		while (window.callersMayArrive(clock_.now()) || (clock_.now() < window.drainAt() && isBusy()))
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		const uint32_t cutOff = ingress_.active();
-		if (0 < cutOff)
+		while (clock_.now() < window.deadline() && !isDrained())
 		{
-			logCutOff();
+			sleepFor(kStopCheckInterval);
 		}
-		const std::optional<uint32_t> delivering = deliveringConnections();
-		logEvent(LogPart::Node, LogLevel::Info, "Node ends.",
-		         {{"cut_off", std::to_string(cutOff)},
-		          {"delivering", delivering ? std::to_string(*delivering) : "unknown"}});
+		end();
 	}
 
 	std::string dump() const
@@ -231,6 +229,12 @@
 	}
 
 private:
+	/// @returns the number of requests read since the start.
+	std::string requestsText() const
+	{
+		return std::to_string(metrics_.value(Counter::Requests));
+	}
+
 	/// @returns the number of other nodes that take requests.
 	std::size_t countPeers() const
 	{
@@ -303,29 +307,75 @@
 		           });
 	}
 
-	/// @returns true while requests are active, or callers have not acknowledged all of a response: the bytes that the
-	/// kernel has not delivered are lost with the VM. Requests must be queried first, since a response is written
-	/// before its request ends.
-	bool hasUnfinishedAnswers()
+	/// Runs a function on the request loop.
+	/// @returns its result; none if the loop does not run it within kRequestLoopTimeout.
+	template <typename Function> auto runOnRequestLoop(Function _function) -> std::optional<decltype(_function())>
 	{
-		return 0 < ingress_.active() || 0 != deliveringConnections().value_or(1);
-	}
-
-	/// @returns the number of connections whose caller has not acknowledged all of a response; none if the request loop
-	/// does not answer within kRequestLoopTimeout.
-	std::optional<uint32_t> deliveringConnections()
-	{
-		const auto count = std::make_shared<std::promise<uint32_t>>();
+		const auto done = std::make_shared<std::promise<decltype(_function())>>();
 		asio::post(requestLoop_,
-		           [this, count]
+		           [function = std::move(_function), done]
 		           {
-			           const uint32_t handedOver = handoverServer_ ? handoverServer_->deliveringConnections() : 0;
-			           count->set_value(callerServer_.deliveringConnections() + handedOver);
+			           done->set_value(function());
 		           });
-		std::future<uint32_t> result = count->get_future();
-		const bool isKnown =
-		    std::future_status::ready == result.wait_for(std::chrono::microseconds(kRequestLoopTimeout.micros));
-		return isKnown ? std::optional<uint32_t>(result.get()) : std::nullopt;
+		auto result = done->get_future();
+		if (std::future_status::ready != result.wait_for(std::chrono::microseconds(kRequestLoopTimeout.micros)))
+		{
+			return std::nullopt;
+		}
+		return result.get();
+	}
+
+	/// @returns true while a request is received or handled, or an answer is delivered: bytes that the kernel has not
+	/// delivered are lost with the VM.
+	bool isBusy()
+	{
+		const auto busy = [this]
+		{
+			return 0 < ingress_.active() || callerServer_.isBusy() || (handoverServer_ && handoverServer_->isBusy());
+		};
+		return runOnRequestLoop(busy).value_or(true);
+	}
+
+	/// Closes what is at rest. Answers and connections are looked at in one turn of the loop, and nothing is read after
+	/// it: a request that came between two looks would be run and lose its answer.
+	/// @returns true once no request can arrive any more and all are answered.
+	bool isDrained()
+	{
+		const auto drained = [this]
+		{
+			const uint32_t handedOver = handoverServer_ ? handoverServer_->drain() : 0;
+			return 0 == callerServer_.drain() + handedOver && 0 == ingress_.active();
+		};
+		return runOnRequestLoop(drained).value_or(false);
+	}
+
+	/// Closes the connections that are left, and logs each request that this cuts off.
+	void end()
+	{
+		const auto cutOff = [this]
+		{
+			const uint32_t active = ingress_.active();
+			if (0 < active)
+			{
+				ingress_.logCutOff();
+			}
+			const uint32_t handedOver = handoverServer_ ? handoverServer_->deliveringConnections() : 0;
+			logEvent(LogPart::Node, LogLevel::Info, "Node ends.",
+			         {{"cut_off", std::to_string(active)},
+			          {"delivering", std::to_string(callerServer_.deliveringConnections() + handedOver)},
+			          {"requests", requestsText()}});
+			callerServer_.close();
+			if (handoverServer_)
+			{
+				handoverServer_->close();
+			}
+			return true;
+		};
+		if (!runOnRequestLoop(cutOff))
+		{
+			logEvent(LogPart::Node, LogLevel::Warning, "Request loop does not answer at the end of a stop.",
+			         {{"active", std::to_string(ingress_.active())}});
+		}
 	}
 
 	void onReady()
@@ -342,20 +392,6 @@
 		           });
 	}
 
-	/// Logs each request that the stop cuts off, on the request loop. Returns when that is done, or after
-	/// kRequestLoopTimeout.
-	void logCutOff()
-	{
-		const auto done = std::make_shared<std::promise<void>>();
-		asio::post(requestLoop_,
-		           [this, done]
-		           {
-			           ingress_.logCutOff();
-			           done->set_value();
-		           });
-		done->get_future().wait_for(std::chrono::microseconds(kRequestLoopTimeout.micros));
-	}
-
 	const EntrySettings startSettings_; //!< Settings at the start, read by all threads.
 	std::atomic<int64_t> stopTimeout_;  //!< Microseconds; by the current settings.
 	std::mutex readyMutex_;             //!< A node that stops while it becomes ready must not report that it is.
--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -135,10 +135,12 @@
 	const sigset_t signals = blockSignals();
 	startLogging(LogLevel::Info, true, settings.name, std::cout);
 	PlatformPorts ports;
-	EntryNode node(settings, ports);
-	serveUntilStop(signals, file, node);
-	node.stop();
-	flushLogging();
+	{
+		EntryNode node(settings, ports);
+		serveUntilStop(signals, file, node);
+		node.stop();
+	}
+	flushLogging(); // last: the node logs what it leaves unfinished
 	return 0;
 }
 
