--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -64,7 +64,8 @@
 	         {{"version", std::to_string(state->version.value)},
 	          {"offset", std::to_string(_record.offset.value)},
 	          {"routes", std::to_string(state->routes.size())},
-	          {"customers", std::to_string(state->customers.size())}});
+	          {"customers", std::to_string(state->customers.size())},
+	          {"keys_required", state->keysRequired ? "true" : "false"}});
 	auto next = std::make_shared<RouteTable>(std::move(state));
 	retainRemovedServices(*next);
 	routes_ = std::move(next);
