A draining server accepts the connections that wait; keys are required by default

Where under half of a hall's nodes are in, new connections go to stopping nodes as well: those in the accept queue were reset when the listening socket closed, with the requests that they carried. They are accepted now, and closed once they are at rest. A desired state that nobody has read requires keys.

--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -40,10 +40,10 @@
 	/// @returns true if a request is being received or handled, or a response is being delivered. Loop thread.
 	bool isBusy() const;
 
-	/// Accepts no more connections and closes those that are at rest: nothing has arrived that was not read, no request
-	/// is being received or handled, and the caller has acknowledged all responses. A request that arrived before is
-	/// thus read and answered, and one that arrives later meets a closed connection. To be called again until no
-	/// connection is left. Loop thread.
+	/// Closes the connections that are at rest: nothing has arrived that was not read, no request is being received or
+	/// handled, and the caller has acknowledged all responses. Accepts those that wait, and none after them. A request
+	/// that arrived before is thus read and answered, and one that arrives later meets a closed connection. To be
+	/// called again until no connection is left. Loop thread.
 	/// @returns the number of connections that are still open.
 	uint32_t drain();
 
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -98,12 +98,13 @@
 
 	uint32_t drain()
 	{
-		closeAcceptor();
 		const auto all = connections_; // each connection removes itself
 		for (const auto& row : all)
 		{
 			row.second->closeAtRest();
 		}
+		acceptWaiting(); // their requests may be on the way: they are closed at rest by a later call
+		closeAcceptor();
 		return static_cast<uint32_t>(connections_.size());
 	}
 
@@ -166,6 +167,20 @@
 		           });
 	}
 
+	/// Accepts all connections that wait.
+	void acceptWaiting()
+	{
+		boost::system::error_code noneWaits;
+		while (acceptor_.is_open() && !noneWaits)
+		{
+			Tcp::socket socket = acceptor_.accept(noneWaits);
+			if (!noneWaits)
+			{
+				add(std::move(socket));
+			}
+		}
+	}
+
 	/// Closes all connections that wait, so that their callers try another server.
 	void closeWaiting(Tcp::socket _first)
 	{
--- a/packages/aio/tests/serverdraintest.cpp
+++ b/packages/aio/tests/serverdraintest.cpp
@@ -107,6 +107,7 @@
 	CPPUNIT_TEST_SUITE(ServerDrainTest);
 	CPPUNIT_TEST(connectionsAtRestAreClosed);
 	CPPUNIT_TEST(newConnectionsAreRefused);
+	CPPUNIT_TEST(requestOfAConnectionThatWaitsToBeAcceptedIsAnswered);
 	CPPUNIT_TEST(requestThatArrivedBeforeTheDrainIsAnswered);
 	CPPUNIT_TEST(requestThatIsBeingReceivedIsAnswered);
 	CPPUNIT_TEST(requestThatIsBeingHandledIsAnswered);
@@ -141,6 +142,15 @@
 		isAnswered(server, caller);
 	}
 
+	void requestOfAConnectionThatWaitsToBeAcceptedIsAnswered()
+	{
+		DrainedServer server;
+		PlainCaller caller(server.endpoint());
+		CPPUNIT_ASSERT_EQUAL(1U, server.drain());
+		caller.send(requestOf("/done"));
+		isAnswered(server, caller);
+	}
+
 	void requestThatIsBeingReceivedIsAnswered()
 	{
 		DrainedServer server;
--- a/packages/base/include/base/desiredstate.h
+++ b/packages/base/include/base/desiredstate.h
@@ -133,7 +133,7 @@
 	std::vector<HostRoute> routes;
 	std::vector<ServiceSpec> services;
 	std::vector<KeyHolder> customers;
-	bool keysRequired = false; //!< Customers are listed, if only in an empty list: requests need a key.
+	bool keysRequired = true; //!< False only if a state that was read does not list customers at all.
 	CallerLimits limits;
 };
 
