--- a/packages/aio/tests/clientconnectiontest.cpp
+++ b/packages/aio/tests/clientconnectiontest.cpp
@@ -11,9 +11,12 @@
 
 #include <array>
 #include <chrono>
+#include <future>
 #include <string>
 #include <thread>
 
+#include <malloc.h>
+
 namespace sedgecart
 {
 
@@ -32,6 +35,16 @@
 /// Longer than the time after which a connection without progress is aborted.
 constexpr std::chrono::milliseconds kSlowDuration{SEDGECART_CONFIG_UNACKNOWLEDGED_MS + 2000};
 
+/// Body whose copy shows in the memory of the process, bytes.
+constexpr std::size_t kUpload = 8UL * 1024 * 1024;
+
+/// @returns bytes that are allocated now.
+std::size_t allocatedBytes()
+{
+	const struct mallinfo2 info = mallinfo2();
+	return info.uordblks + info.hblkhd;
+}
+
 /// Records how an exchange ends.
 class RecordingHandler : public ExchangeHandlerI
 {
@@ -76,6 +89,7 @@
 	CPPUNIT_TEST(whatThePeerKeepsIsUsedAgain);
 	CPPUNIT_TEST(aPeerThatReceivesSlowlyGetsAllOfARequest);
 	CPPUNIT_TEST(aPeerThatReceivesNothingIsGivenUp);
+	CPPUNIT_TEST(aRequestThatIsSentTakesNoMemory);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,7 +143,60 @@
 		CPPUNIT_ASSERT(ExchangeFailure::ConnectionLost == sendLarge(false));
 	}
 
+	/// Guards against keeping the text of a request for as long as its connection is open, so that uploads end a node
+	/// by its memory.
+	void aRequestThatIsSentTakesNoMemory()
+	{
+		Tcp::acceptor acceptor(server_, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+		std::promise<void> received;
+		std::promise<void> mayAnswer;
+		std::thread peer(
+		    [&]
+		    {
+			    Tcp::socket socket = acceptor.accept();
+			    receive(socket, kUpload);
+			    received.set_value();
+			    mayAnswer.get_future().wait();
+			    answer(socket);
+		    });
+		const std::size_t before = allocatedBytes();
+		RecordingHandler handler;
+		ClientConnection connection(loop_, addressOf(acceptor.local_endpoint()));
+		connection.exchange(std::string(kUpload, 'y'), handler, kConnectTimeout);
+		const auto isReceived = received.get_future();
+		while (std::future_status::ready != isReceived.wait_for(std::chrono::seconds(0)))
+		{
+			loop_.run_for(std::chrono::milliseconds(10));
+		}
+		const std::size_t whileWaiting = allocatedBytes();
+		mayAnswer.set_value();
+		while (!handler.ended && 0 < loop_.run_one())
+		{
+		}
+		peer.join();
+		CPPUNIT_ASSERT(ExchangeFailure::Count == handler.failure);
+		CPPUNIT_ASSERT(whileWaiting < before + kUpload / 8);
+		CPPUNIT_ASSERT(allocatedBytes() < before + kUpload / 8);
+	}
+
 private:
+	static void receive(Tcp::socket& _socket, std::size_t _bytes)
+	{
+		std::array<char, 16384> buffer{};
+		boost::system::error_code error;
+		for (std::size_t received = 0; !error && received < _bytes;)
+		{
+			received += _socket.read_some(boost::asio::buffer(buffer), error);
+		}
+	}
+
+	static void answer(Tcp::socket& _socket)
+	{
+		boost::system::error_code ignored; // the test sees that no answer came
+		boost::asio::write(_socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+		                   ignored);
+	}
+
 	/// Sends a request that is larger than the peer's receive buffer.
 	/// @param _receives the peer receives all of it, slowly at first, and answers; else it receives nothing.
 	/// @returns how the exchange failed, Count if it did not.
