--- a/packages/aio/src/messagereader.cpp
+++ b/packages/aio/src/messagereader.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace sedgecart
 {
 
@@ -15,6 +17,9 @@
 namespace
 {
 
+/// Memory that is reserved for a body of a length that is only claimed yet, bytes at most.
+constexpr uint64_t kMaxReserved = 16ULL * 1024 * 1024;
+
 std::string_view toStringView(beast::string_view _text)
 {
 	return std::string_view(_text.data(), _text.size());
@@ -119,8 +124,13 @@
 		head_.untilClose = !isRequest && this->need_eof();
 	}
 
-	void on_body_init_impl(const boost::optional<uint64_t>&, beast::error_code&) override
+	/// Reserves the memory of a body once: a string that grows by doubling takes up to twice as much.
+	void on_body_init_impl(const boost::optional<uint64_t>& _length, beast::error_code&) override
 	{
+		if (isRequest && _length)
+		{
+			body_.reserve(std::min(*_length, kMaxReserved));
+		}
 	}
 
 	std::size_t on_body_impl(beast::string_view _bytes, beast::error_code&) override
--- a/packages/aio/tests/messagereadertest.cpp
+++ b/packages/aio/tests/messagereadertest.cpp
@@ -51,6 +51,8 @@
 	CPPUNIT_TEST(nextMessageIsLeft);
 	CPPUNIT_TEST(ambiguousLengthsAreMalformed);
 	CPPUNIT_TEST(boundsHold);
+	CPPUNIT_TEST(bodyOfKnownLengthTakesNoMoreMemory);
+	CPPUNIT_TEST(claimedLengthTakesBoundedMemory);
 	CPPUNIT_TEST(answerUntilClose);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +124,29 @@
 		CPPUNIT_ASSERT(ReadState::BodyTooLarge == readInPieces(chunks, sent, sent.size(), left));
 	}
 
+	/// Guards against bodies that take up to twice their size, so that uploads end a node by its memory.
+	void bodyOfKnownLengthTakesNoMoreMemory()
+	{
+		constexpr std::size_t kBody = 1100000;
+		MessageReader reader(Side::Request, ReaderLimits{});
+		std::string left;
+		const std::string text =
+		    "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n" + std::string(kBody, 'x');
+		CPPUNIT_ASSERT(ReadState::Done == readInPieces(reader, text, 64UL * 1024, left));
+		CPPUNIT_ASSERT_EQUAL(kBody, reader.body().size());
+		CPPUNIT_ASSERT(reader.body().capacity() < kBody + kBody / 8);
+	}
+
+	/// Guards against reserving all that a caller only claims to send.
+	void claimedLengthTakesBoundedMemory()
+	{
+		MessageReader reader(Side::Request, ReaderLimits{});
+		std::string left;
+		const std::string text = "POST / HTTP/1.1\r\nContent-Length: 900000000000000000\r\n\r\nx";
+		CPPUNIT_ASSERT(ReadState::More == readInPieces(reader, text, text.size(), left));
+		CPPUNIT_ASSERT(reader.body().capacity() < 32UL * 1024 * 1024);
+	}
+
 	void answerUntilClose()
 	{
 		MessageReader reader(Side::Response, ReaderLimits{});
