--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -164,7 +164,7 @@
 		handler_->onSent();
 		delivery_.startMessage(socket_.sentBytes());
 		const bool written = socket_.write(request_);
-		std::string().swap(request_); // gives the memory back: a pooled connection would keep that of its largest request
+		std::string().swap(request_); // a pooled connection would keep the memory of its largest request
 		if (!written)
 		{
 			fail(ExchangeFailure::ConnectionLost);
