--- a/tests/entry/keysproof.cpp
+++ b/tests/entry/keysproof.cpp
@@ -16,6 +16,8 @@
 constexpr const char* kUnknownKey = "nobody";
 constexpr const char* kNoKey = "";
 
+constexpr const char* kEmptyList = R"("tenants":[],)";
+
 /// Puts the usual routes and services with a list of customers, and waits until that is in force.
 /// @param _customers a field of the desired state that ends with a comma; empty: the field is not there.
 void putCustomers(EntryHarness& _harness, const std::string& _customers)
@@ -46,6 +48,9 @@
 {
 	CPPUNIT_TEST_SUITE(KeysProof);
 	CPPUNIT_TEST(emptyListOfCustomersLetsNoKeyIn);
+	CPPUNIT_TEST(customerWithoutKeysLetsNoKeyIn);
+	CPPUNIT_TEST(emptyListHoldsAfterARestart);
+	CPPUNIT_TEST(emptyListHoldsWhereTheHubServesTheState);
 	CPPUNIT_TEST(listThatIsNotThereNeedsNoKey);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -55,10 +60,36 @@
 	{
 		EntryHarness harness;
 		start(harness);
-		putCustomers(harness, R"("tenants":[],)");
-		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(harness, kHeldKey));
-		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(harness, kUnknownKey));
-		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(harness, kNoKey));
+		putCustomers(harness, kEmptyList);
+		letsNoKeyIn(harness);
+	}
+
+	void customerWithoutKeysLetsNoKeyIn()
+	{
+		EntryHarness harness;
+		start(harness);
+		putCustomers(harness, R"("tenants":[{"name":"bank"}],)");
+		letsNoKeyIn(harness);
+	}
+
+	void emptyListHoldsAfterARestart()
+	{
+		EntryHarness harness;
+		start(harness);
+		putCustomers(harness, kEmptyList);
+		harness.killFirst();
+		harness.start();
+		letsNoKeyIn(harness);
+	}
+
+	void emptyListHoldsWhereTheHubServesTheState()
+	{
+		EntryHarness harness;
+		start(harness);
+		harness.startSecond();
+		harness.store().turnAway(harness.settings().storeAddress);
+		putCustomers(harness, kEmptyList);
+		letsNoKeyIn(harness);
 	}
 
 	void listThatIsNotThereNeedsNoKey()
@@ -72,6 +103,13 @@
 	}
 
 private:
+	static void letsNoKeyIn(const EntryHarness& _harness)
+	{
+		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(_harness, kHeldKey));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(_harness, kUnknownKey));
+		CPPUNIT_ASSERT_EQUAL(uint16_t(401), statusOf(_harness, kNoKey));
+	}
+
 	static void start(EntryHarness& _harness)
 	{
 		_harness.addPlain(
