--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -200,11 +200,11 @@
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		while (clock_.now() < window.deadline() && !isDrained())
+		while (clock_.now() < window.deadline() && !drainServers())
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		end();
+		closeServers();
 	}
 
 	std::string dump() const
@@ -336,10 +336,10 @@
 		return runOnRequestLoop(busy).value_or(true);
 	}
 
-	/// Closes what is at rest. Answers and connections are looked at in one turn of the loop, and nothing is read after
-	/// it: a request that came between two looks would be run and lose its answer.
+	/// Closes the connections at rest. They are checked and closed in one turn of the request loop: a request that
+	/// arrived between a check and the end of the process would be run and lose its answer.
 	/// @returns true once no request can arrive any more and all are answered.
-	bool isDrained()
+	bool drainServers()
 	{
 		const auto drained = [this]
 		{
@@ -350,9 +350,9 @@
 	}
 
 	/// Closes the connections that are left, and logs each request that this cuts off.
-	void end()
+	void closeServers()
 	{
-		const auto cutOff = [this]
+		const auto close = [this]
 		{
 			const uint32_t active = ingress_.active();
 			if (0 < active)
@@ -371,7 +371,7 @@
 			}
 			return true;
 		};
-		if (!runOnRequestLoop(cutOff))
+		if (!runOnRequestLoop(close))
 		{
 			logEvent(LogPart::Node, LogLevel::Warning, "Request loop does not answer at the end of a stop.",
 			         {{"active", std::to_string(ingress_.active())}});
--- a/tests/entry/stoploadproof.cpp
+++ b/tests/entry/stoploadproof.cpp
@@ -28,8 +28,8 @@
 
 constexpr std::size_t kCallers = 3; //!< Of a node.
 
-/// Work of a target on a request, and pause of a caller after an answer: a node is often without requests, but never
-/// for long.
+/// Time that a target takes for a request, and pause of a caller after an answer: a node is often without requests, but
+/// never for long.
 constexpr Millis kWork{2};
 constexpr Millis kPause{2};
 
