--- a/tests/entry/stoploadproof.cpp
+++ b/tests/entry/stoploadproof.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
