--- a/tests/entry/pacedstreams.cpp
+++ b/tests/entry/pacedstreams.cpp
@@ -29,6 +29,12 @@
 	target_ = &_target;
 }
 
+void PacedStreams::setAnswer(uint64_t _events, std::chrono::milliseconds _pace)
+{
+	events_ = _events;
+	pace_ = _pace;
+}
+
 void PacedStreams::begin(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
 {
 	const std::string* const after = _request.head.headers.find("Last-Event-Id");
@@ -36,7 +42,9 @@
 	Stream stream;
 	stream.caller = _caller;
 	stream.next = nullptr == after ? 0 : std::stoull(*after) + 1;
-	stream.end = std::stoull(counts.substr(counts.find(',') + 1));
+	const uint64_t events = events_;
+	stream.end = 0 < events ? events : std::stoull(counts.substr(counts.find(',') + 1));
+	stream.pace = pace_;
 	ResponseStart start;
 	start.headers = signedHeaders(_request);
 	start.framing = BodyFraming::Chunked;
@@ -53,7 +61,7 @@
 		_stream.caller->finish();
 		return;
 	}
-	target_->postAfter(pace_,
+	target_->postAfter(_stream.pace,
 	                   [this, stream = std::move(_stream)]
 	                   {
 		                   bringNext(stream);
--- a/tests/entry/pacedstreams.h
+++ b/tests/entry/pacedstreams.h
@@ -5,6 +5,7 @@
 
 #include "faketarget.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -30,6 +31,10 @@
 	/// Says whose script it is; before the first request.
 	void serveOn(FakeTarget& _target);
 
+	/// Changes the pace, and the events of an answer; 0: as many as the request bounds it to. For streams that begin
+	/// from now on.
+	void setAnswer(uint64_t _events, std::chrono::milliseconds _pace);
+
 private:
 	/// One stream under way.
 	struct Stream
@@ -37,12 +42,14 @@
 		std::shared_ptr<ServerConnection> caller;
 		uint64_t next = 0;
 		uint64_t end = 0;
+		std::chrono::milliseconds pace{};
 	};
 
 	void begin(const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request);
 	void bringNext(Stream _stream);
 
-	std::chrono::milliseconds pace_;
+	std::atomic<std::chrono::milliseconds> pace_;
+	std::atomic<uint64_t> events_{0};
 	FakeTarget* target_ = nullptr;
 };
 
--- /dev/null
+++ b/tests/entry/stoplateproof.cpp
@@ -0,0 +1,224 @@
+// Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
+
+#include "entryharness.h"
+#include "pacedstreams.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sedgecart
+{
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+using Millis = std::chrono::milliseconds;
+
+constexpr uint64_t kMaxTokens = 386;  //!< Of every stream.
+constexpr uint64_t kShortEvents = 40; //!< Of an answer before the stop.
+constexpr Millis kPaceBefore{4};      //!< Time per event before the stop.
+constexpr Millis kPaceAfter{31};
+constexpr int kAnswersBefore = 200; //!< More than the estimates need.
+constexpr int kCallersBefore = 6;   //!< Fewer than a target has slots.
+
+/// Moments at which a request is sent over an open connection, from the stop on: long after the balancer has removed
+/// the node, and early enough that the node is still there.
+constexpr Millis kLateMoments[] = {Millis(3200), Millis(3750), Millis(4300), Millis(5100), Millis(5900)};
+
+/// A request sent at this time keeps the node, which would end early without one.
+constexpr Millis kKeepingMoment{2500};
+
+TestRequest streamOf(const std::string& _id)
+{
+	TestRequest made;
+	made.path = "/stream/";
+	made.id = _id;
+	made.lines.push_back("Token-Counts: 10," + std::to_string(kMaxTokens));
+	return made;
+}
+
+TestRequest callOf(const std::string& _id)
+{
+	TestRequest made;
+	made.id = _id;
+	return made;
+}
+
+/// Requests over connections that were opened before the stop.
+class LateCallers
+{
+public:
+	using Request = TestRequest (*)(const std::string&);
+
+	LateCallers(const EntryHarness& _harness, Request _request) : request_(_request)
+	{
+		for (std::size_t index = 0; index < std::size(kLateMoments); ++index)
+		{
+			callers_.push_back(std::make_unique<TestCaller>(_harness.callerAddress()));
+		}
+		keeping_ = std::make_unique<TestCaller>(_harness.callerAddress());
+	}
+
+	/// Sends each request at its moment. @returns when all have ended.
+	void run(Clock::time_point _stopAt)
+	{
+		std::vector<std::thread> threads;
+		threads.emplace_back(
+		    [this, _stopAt]
+		    {
+			    std::this_thread::sleep_until(_stopAt + kKeepingMoment);
+			    callOnce(*keeping_, "keeping");
+		    });
+		for (std::size_t index = 0; index < callers_.size(); ++index)
+		{
+			threads.emplace_back(
+			    [this, _stopAt, index]
+			    {
+				    std::this_thread::sleep_until(_stopAt + kLateMoments[index]);
+				    const std::string id = "late" + std::to_string(index);
+				    if (!callOnce(*callers_[index], id))
+				    {
+					    const std::lock_guard<std::mutex> lock(mutex_);
+					    unanswered_.push_back(id);
+				    }
+			    });
+		}
+		for (std::thread& thread : threads)
+		{
+			thread.join();
+		}
+	}
+
+	/// @returns late requests that a target was sent and whose caller got no whole answer.
+	std::size_t lostAt(const FakeTarget& _target) const
+	{
+		std::size_t lost = 0;
+		for (const ServerRequest& one : _target.requests())
+		{
+			const std::string* const id = one.head.headers.find("Attempt-Id");
+			lost += nullptr != id && 0 < std::count(unanswered_.begin(), unanswered_.end(), *id) ? 1 : 0;
+		}
+		return lost;
+	}
+
+private:
+	/// @returns false if no whole answer came.
+	bool callOnce(TestCaller& _caller, const std::string& _id) const
+	{
+		try
+		{
+			_caller.send(textOf(request_(_id)));
+			return _caller.receive().whole;
+		}
+		catch (const boost::system::system_error&)
+		{
+			return false; // the node has closed the connection
+		}
+	}
+
+	Request request_;
+	std::vector<std::unique_ptr<TestCaller>> callers_;
+	std::unique_ptr<TestCaller> keeping_;
+	std::mutex mutex_;
+	std::vector<std::string> unanswered_; //!< Ids of requests.
+};
+
+/// Stops the node while callers send requests over open connections.
+void stopUnder(EntryHarness& _harness, LateCallers& _callers)
+{
+	const Clock::time_point stopAt = Clock::now();
+	std::thread stop(
+	    [&_harness]
+	    {
+		    _harness.stop();
+	    });
+	_callers.run(stopAt);
+	stop.join();
+}
+
+void answerBefore(const EntryHarness& _harness, LateCallers::Request _request)
+{
+	std::atomic<int> begun{0};
+	std::vector<std::thread> callers;
+	for (int caller = 0; caller < kCallersBefore; ++caller)
+	{
+		callers.emplace_back(
+		    [&_harness, &begun, _request]
+		    {
+			    for (int number = begun++; number < kAnswersBefore; number = begun++)
+			    {
+				    CPPUNIT_ASSERT_EQUAL(uint16_t(200),
+				                         _harness.call(_request("before" + std::to_string(number))).status);
+			    }
+		    });
+	}
+	for (std::thread& caller : callers)
+	{
+		caller.join();
+	}
+}
+
+} // namespace
+
+/// Requests arrive over open connections after the balancer has removed a node that stops. They take longer than any
+/// that the node has seen.
+class StopLateProof : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(StopLateProof);
+	CPPUNIT_TEST(longStreamsAfterShortOnesAreNotCutByAStop);
+	CPPUNIT_TEST(slowCallsAfterFastOnesAreNotCutByAStop);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	/// Guards against streams that are admitted because earlier answers were short, and cut at the end of the stop.
+	void longStreamsAfterShortOnesAreNotCutByAStop()
+	{
+		PacedStreams streams(kPaceBefore);
+		EntryHarness harness;
+		FakeTarget& target = harness.addEngine(LayerSpan{0, 8}, streams.script());
+		streams.serveOn(target);
+		streams.setAnswer(kShortEvents, kPaceBefore);
+		harness.start();
+		answerBefore(harness, &streamOf);
+		streams.setAnswer(kMaxTokens, kPaceAfter);
+		LateCallers callers(harness, &streamOf);
+		stopUnder(harness, callers);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(target));
+	}
+
+	/// Guards against calls that are admitted because earlier ones were fast, and cut at the end of the stop.
+	void slowCallsAfterFastOnesAreNotCutByAStop()
+	{
+		FakeTarget* target = nullptr;
+		std::atomic<Millis> work{Millis(5)};
+		EntryHarness harness;
+		target = &harness.addPlain(
+		    [&target, &work](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    target->postAfter(work,
+			                      [_caller, _request]
+			                      {
+				                      answerWhole(*_caller, _request, 200, _request.body);
+			                      });
+		    });
+		harness.start();
+		answerBefore(harness, &callOf);
+		work = Millis(3000);
+		LateCallers callers(harness, &callOf);
+		stopUnder(harness, callers);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(*target));
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopLateProof);
+
+} // namespace sedgecart
