The log of a stop tells why a request was admitted

A request that arrives during a stop was logged only when it was refused, and with its estimate alone: the log could not tell whether the expected length, the time per event or a wait was wrong when an admitted one was cut. Both lines now hold the estimate's parts, its bound and how many observations it rests on. No decision changes.

--- a/packages/core/include/core/recentdurations.h
+++ b/packages/core/include/core/recentdurations.h
@@ -21,6 +21,12 @@
 	/// @returns true once there are enough values for `exceededByOneIn` to be used without an initial estimate.
 	bool hasEnough() const;
 
+	/// @returns the number of stored values.
+	std::size_t size() const
+	{
+		return durations_.size();
+	}
+
 	/// @returns a duration that at most one in `_count` values exceeds; 0 if there are no values.
 	Duration exceededByOneIn(std::size_t _count) const;
 
--- a/packages/core/include/core/responsetimeestimator.h
+++ b/packages/core/include/core/responsetimeestimator.h
@@ -7,6 +7,7 @@
 #include <base/units.h>
 #include <core/recentdurations.h>
 #include <core/recentmaximum.h>
+#include <core/responsetimeestimate.h>
 
 #include <cstdint>
 
@@ -54,7 +55,7 @@
 
 	/// @param _maxTokens maximum tokens of a stream's response; 0 if it is not known.
 	/// @returns the estimated maximum time of a request that arrives now.
-	Duration estimate(RequestKind::Enum _kind, uint32_t _maxTokens, EstimateBound::Enum _bound) const;
+	ResponseTimeEstimate estimate(RequestKind::Enum _kind, uint32_t _maxTokens, EstimateBound::Enum _bound) const;
 
 private:
 	void recordInterval(StreamInterval& _mark, uint64_t _events, Time _now);
--- a/packages/core/src/responsetimeestimator.cpp
+++ b/packages/core/src/responsetimeestimator.cpp
@@ -108,19 +108,25 @@
 	return static_cast<uint64_t>(std::ceil(tokens * share));
 }
 
-Duration ResponseTimeEstimator::estimate(RequestKind::Enum _kind, uint32_t _maxTokens, EstimateBound::Enum _bound) const
+ResponseTimeEstimate ResponseTimeEstimator::estimate(RequestKind::Enum _kind, uint32_t _maxTokens,
+                                                     EstimateBound::Enum _bound) const
 {
+	ResponseTimeEstimate made;
 	if (RequestKind::Stream != _kind)
 	{
-		return observedOr(calls_, kOneCallIn, kInitialCall);
+		made.total = observedOr(calls_, kOneCallIn, kInitialCall);
+		made.observations = calls_.size();
+		return made;
 	}
 	const QuantileBounds& bounds = kBounds[_bound];
-	const auto events = static_cast<int64_t>(maxEvents(_maxTokens));
-	const Duration gap = observedOr(gaps_, bounds.intervals, kInitialGap);
-	const Duration firstEvent = observedOr(firstEvents_, bounds.firstEvents, kInitialFirstEvent);
-	const Duration upperBound = firstEvent + Duration{events * gap.micros};
+	made.events = maxEvents(_maxTokens);
+	made.gap = observedOr(gaps_, bounds.intervals, kInitialGap);
+	made.firstEvent = observedOr(firstEvents_, bounds.firstEvents, kInitialFirstEvent);
+	made.observations = gaps_.size();
+	const Duration upperBound = made.firstEvent + Duration{static_cast<int64_t>(made.events) * made.gap.micros};
 	const bool useStreams = EstimateBound::Typical == _bound && streams_.hasEnough();
-	return useStreams ? std::min(upperBound, streams_.exceededByOneIn(kOneStreamIn)) : upperBound;
+	made.total = useStreams ? std::min(upperBound, streams_.exceededByOneIn(kOneStreamIn)) : upperBound;
+	return made;
 }
 
 } // namespace sedgecart
--- a/packages/core/tests/responsetimeestimatortest.cpp
+++ b/packages/core/tests/responsetimeestimatortest.cpp
@@ -110,11 +110,11 @@
 	{
 		const ResponseTimeEstimator estimator;
 		CPPUNIT_ASSERT_EQUAL(int64_t(1500),
-		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 1000 * 14),
-		                     estimator.estimate(RequestKind::Stream, 0, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 0, EstimateBound::Safe).total.millis());
 	}
 
 	void oneSlowStreamCountsImmediately()
@@ -122,7 +122,7 @@
 		ResponseTimeEstimator estimator;
 		recordStreams(estimator, 1, TargetSpeed{millis(900), millis(40)}, 100);
 		CPPUNIT_ASSERT_EQUAL(int64_t(900 + 100 * 40),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	void fastTargetsLowerTheInitialEstimates()
@@ -131,10 +131,10 @@
 		const TargetSpeed fast{millis(50), millis(5)};
 		recordStreams(estimator, 1, fast, 30);
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 		recordStreams(estimator, RecentDurations::kMinDurations, fast, 30);
 		CPPUNIT_ASSERT_EQUAL(int64_t(50 + 100 * 5),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	void callsAreEstimatedSeparately()
@@ -142,9 +142,9 @@
 		ResponseTimeEstimator estimator;
 		estimator.recordCall(millis(2500));
 		CPPUNIT_ASSERT_EQUAL(int64_t(2500),
-		                     estimator.estimate(RequestKind::Idempotent, 0, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Idempotent, 0, EstimateBound::Safe).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	void oldObservationsAreDiscarded()
@@ -158,7 +158,8 @@
 		{
 			estimator.recordCall(millis(60));
 		}
-		CPPUNIT_ASSERT_EQUAL(int64_t(60), estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).millis());
+		CPPUNIT_ASSERT_EQUAL(int64_t(60),
+		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).total.millis());
 	}
 
 	/// One stream in thirty runs on a target that is eight times slower; by events it is one in two hundred.
@@ -178,7 +179,8 @@
 				stream.record(estimator, at(now));
 			}
 		}
-		CPPUNIT_ASSERT(!(estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe) < millis(100 + 100 * 80)));
+		CPPUNIT_ASSERT(
+		    !(estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total < millis(100 + 100 * 80)));
 	}
 
 	void typicalEstimateIgnoresAFewSlowStreams()
@@ -187,7 +189,7 @@
 		recordStreams(estimator, 40, TargetSpeed{millis(100), millis(10)}, 200);
 		recordStreams(estimator, 1, TargetSpeed{millis(100), millis(80)}, 200);
 		CPPUNIT_ASSERT_EQUAL(int64_t(100 + 100 * 10),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Typical).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Typical).total.millis());
 	}
 
 	void typicalEstimateUsesStreamsThatEndEarly()
@@ -195,7 +197,7 @@
 		ResponseTimeEstimator estimator;
 		recordStreams(estimator, 40, TargetSpeed{millis(100), millis(10)}, 51);
 		CPPUNIT_ASSERT_EQUAL(int64_t(100 + 50 * 10),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Typical).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Typical).total.millis());
 	}
 
 	void shortStreamsAreMeasured()
@@ -203,7 +205,7 @@
 		ResponseTimeEstimator estimator;
 		recordStreams(estimator, 1, TargetSpeed{millis(100), millis(60)}, 3);
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 60),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	void aPauseIsAveragedOverAnInterval()
@@ -214,7 +216,7 @@
 		estimator.recordEvents(interval, 2, at(300));
 		estimator.recordEvents(interval, 30, at(600));
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 500 / 29),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	/// Each event contains at least two tokens, so that a maximum of 100 tokens is one of 50 events.
@@ -229,7 +231,7 @@
 			estimator.recordEnd(interval, 50, 100, at(100 + 49 * 20));
 		}
 		CPPUNIT_ASSERT_EQUAL(int64_t(100 + 50 * 20),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
 	}
 
 	/// Streams run on targets of different constant speeds until the node is stopped; each target has served some of
@@ -257,7 +259,7 @@
 		{
 			const Time now = at(kStopAt + *rc::gen::inRange<int64_t>(0, 3000));
 			const auto tokens = *rc::gen::inRange<uint32_t>(1, 1500);
-			if (!window.admits(estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Safe), now))
+			if (!window.admits(estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Safe).total, now))
 			{
 				continue;
 			}
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -218,19 +218,22 @@
 	    context_.mechanisms.isEnabled(Mechanism::StopPace) ? context_.answerDurations : kNoObservations;
 	const Time now = context_.clock.now();
 	const bool afterArrivals = !stopWindow_.callersMayArrive(now);
-	const Duration needed = pace.estimate(_match.route->kind, _caller.maxTokens,
-	                                      afterArrivals ? EstimateBound::Safe : EstimateBound::Typical);
-	if (stopWindow_.admits(needed, now))
-	{
-		return true;
-	}
-	logEvent(LogPart::Requests, LogLevel::Info, "Request would not finish before shutdown completes.",
+	const EstimateBound::Enum bound = afterArrivals ? EstimateBound::Safe : EstimateBound::Typical;
+	const ResponseTimeEstimate needed = pace.estimate(_match.route->kind, _caller.maxTokens, bound);
+	const bool admitted = stopWindow_.admits(needed.total, now);
+	logEvent(LogPart::Requests, LogLevel::Info,
+	         admitted ? "Request is admitted during shutdown." : "Request would not finish before shutdown completes.",
 	         {{"after_signal_ms", std::to_string((now - stopWindow_.signalAt()).millis())},
 	          {"most_tokens", std::to_string(_caller.maxTokens)},
-	          {"needed_ms", std::to_string(needed.millis())},
+	          {"bound", EstimateBound::Safe == bound ? "safe" : "typical"},
+	          {"needed_ms", std::to_string(needed.total.millis())},
+	          {"first_event_ms", std::to_string(needed.firstEvent.millis())},
+	          {"events", std::to_string(needed.events)},
+	          {"gap_us", std::to_string(needed.gap.micros)},
+	          {"observations", std::to_string(needed.observations)},
 	          {"left_ms", std::to_string((stopWindow_.deadline() - now).millis())}},
 	         _caller.id);
-	return false;
+	return admitted;
 }
 
 RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, QueuedRequest&& _queued,
