A stop admits late requests only if their own time limit ends them in time

What callers saw: streams and calls sent over open connections more than 3 s after SIGTERM were run by a target and got no whole answer (55 streams in three deployments).

Cause: the node admitted them by an estimate of earlier responses, which limits nothing for the next one. The estimate of a stream multiplied its maximum tokens by the largest share of it that an earlier answer had used, that of a call was the longest of some two hundred, of all routes together.

Change: once the balancer has removed the node (2.8 s after the signal), StopWindow::decide uses no estimate: a request is admitted if the lesser of its caller's budget and its route's timeout ends before the last answers must be sent, and is refused at once otherwise, as not run. Callers that arrive then hold a connection from before and can open one to another node. Before that moment estimates count as they did. The log tells which of the two decided.

Why it works: the relay ends each request at its time limit with a final answer, whatever its target does.

--- a/packages/core/include/core/stopwindow.h
+++ b/packages/core/include/core/stopwindow.h
@@ -8,8 +8,31 @@
 namespace sedgecart
 {
 
-/// Decides which requests a node that is shutting down still admits: callers arrive until the load balancer has
-/// noticed, some of them later, and admitted requests must end before the process does.
+/// What the admission of a request during a shutdown is decided by.
+struct StopAdmission
+{
+	enum Enum
+	{
+		ByTimeLimit, //!< Admitted: it has its final answer in time, whatever its target does.
+		ByEstimate,  //!< Admitted: it is expected to finish in time.
+		TooLong,     //!< Refused: it is not expected to finish in time.
+		Unbounded,   //!< Refused: nothing makes sure that it has an answer in time.
+
+		Count
+	};
+};
+
+/// @returns the name used in logs, for example "time_limit".
+const char* nameOf(StopAdmission::Enum _admission);
+
+/// @returns true if the request is admitted.
+bool isAdmitted(StopAdmission::Enum _admission);
+
+/// Decides which requests a node that is shutting down still admits. Callers
+/// arrive until the load balancer has noticed. They may find no other node as quickly, so that requests are admitted
+/// until then which are expected to finish. Those that arrive later come over connections that were open before, and
+/// their callers can go to another node at once: none of these may be cut off, and no observation of earlier requests
+/// limits how long the next one takes. They are admitted only if their own time limit ends them in time.
 class StopWindow
 {
 public:
@@ -17,9 +40,10 @@
 	/// @param _bound time from the signal to the kill.
 	StopWindow(Time _signalAt, Duration _bound);
 
-	/// @param _needed longest time that the request may take.
-	/// @returns true if a request that arrives now will end in time.
-	bool admits(Duration _needed, Time _now) const;
+	/// @param _timeLimit time after which the request gets its final answer in any case.
+	/// @param _estimate time that the request is expected to take.
+	/// @returns whether and why a request that arrives now is admitted.
+	StopAdmission::Enum decide(Duration _timeLimit, Duration _estimate, Time _now) const;
 
 	/// @returns when the stop signal arrived.
 	Time signalAt() const
@@ -30,8 +54,8 @@
 	/// @returns true while the load balancer may still send callers to this node.
 	bool callersMayArrive(Time _now) const;
 
-	/// @returns from when on no more requests are read: the last answers need time to reach their callers.
-	Time drainAt() const;
+	/// @returns when the final answers of requests must have been sent, and no more requests are read.
+	Time finalAnswersAt() const;
 
 	/// @returns when all requests must have ended so that the process can exit before the kill.
 	Time deadline() const;
--- a/packages/core/src/stopwindow.cpp
+++ b/packages/core/src/stopwindow.cpp
@@ -14,18 +14,38 @@
 /// Time between the end of the last answer and the kill: a process needs some tens of milliseconds to exit.
 constexpr Duration kExitMargin = Duration::fromMillis(350);
 
-/// Time for the last answers to reach their callers: a round trip, and a retransmission or two of a lost segment.
-constexpr Duration kDrainTime = Duration::fromMillis(500);
+/// Time for the last answers to reach their callers: a round trip, and the retransmission of a lost segment.
+constexpr Duration kDeliveryTime = Duration::fromMillis(250);
+
+constexpr const char* kAdmissionNames[StopAdmission::Count] = {"time_limit", "estimate", "too_long", "unbounded"};
 
 } // namespace
 
+const char* nameOf(StopAdmission::Enum _admission)
+{
+	return kAdmissionNames[_admission];
+}
+
+bool isAdmitted(StopAdmission::Enum _admission)
+{
+	return StopAdmission::ByTimeLimit == _admission || StopAdmission::ByEstimate == _admission;
+}
+
 StopWindow::StopWindow(Time _signalAt, Duration _bound) : signalAt_(_signalAt), bound_(_bound)
 {
 }
 
-bool StopWindow::admits(Duration _needed, Time _now) const
+StopAdmission::Enum StopWindow::decide(Duration _timeLimit, Duration _estimate, Time _now) const
 {
-	return _now + _needed < deadline();
+	if (_now + _timeLimit < finalAnswersAt())
+	{
+		return StopAdmission::ByTimeLimit;
+	}
+	if (!callersMayArrive(_now))
+	{
+		return StopAdmission::Unbounded;
+	}
+	return _now + _estimate < deadline() ? StopAdmission::ByEstimate : StopAdmission::TooLong;
 }
 
 bool StopWindow::callersMayArrive(Time _now) const
@@ -33,9 +53,9 @@
 	return _now < signalAt_ + kBalancerDelay;
 }
 
-Time StopWindow::drainAt() const
+Time StopWindow::finalAnswersAt() const
 {
-	return Time{deadline().micros - kDrainTime.micros};
+	return Time{deadline().micros - kDeliveryTime.micros};
 }
 
 Time StopWindow::deadline() const
--- a/packages/core/tests/responsetimeestimatortest.cpp
+++ b/packages/core/tests/responsetimeestimatortest.cpp
@@ -259,7 +259,8 @@
 		{
 			const Time now = at(kStopAt + *rc::gen::inRange<int64_t>(0, 3000));
 			const auto tokens = *rc::gen::inRange<uint32_t>(1, 1500);
-			if (!window.admits(estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Safe).total, now))
+			const Duration estimate = estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Safe).total;
+			if (!(now + estimate < window.deadline()))
 			{
 				continue;
 			}
--- a/packages/core/tests/stopwindowtest.cpp
+++ b/packages/core/tests/stopwindowtest.cpp
@@ -3,6 +3,7 @@
 #include <core/stopwindow.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 namespace sedgecart
 {
@@ -10,41 +11,82 @@
 class StopWindowTest : public CppUnit::TestFixture
 {
 	CPPUNIT_TEST_SUITE(StopWindowTest);
-	CPPUNIT_TEST(admitsRequestsThatEndBeforeTheKill);
+	CPPUNIT_TEST(estimatesCountWhileCallersMayArrive);
+	CPPUNIT_TEST(noEstimateAdmitsALateRequest);
+	CPPUNIT_TEST(requestsThatTheirTimeLimitEndsAreAdmitted);
 	CPPUNIT_TEST(callersArriveUntilTheBalancerReacts);
-	CPPUNIT_TEST(drainLeavesTimeForTheLastAnswers);
+	CPPUNIT_TEST(finalAnswersHaveTimeToReachTheirCallers);
+	CPPUNIT_TEST(everyLateRequestHasAnAnswerInTheWindow);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
 	/// 350 ms are reserved for the process to exit.
-	void admitsRequestsThatEndBeforeTheKill()
+	void estimatesCountWhileCallersMayArrive()
 	{
-		const StopWindow window(at(1000), Duration::fromMillis(8000));
+		const StopWindow window(at(1000), millis(8000));
 		CPPUNIT_ASSERT_EQUAL(int64_t(8650), window.deadline().micros / 1000);
-		CPPUNIT_ASSERT(window.admits(Duration::fromMillis(7649), at(1000)));
-		CPPUNIT_ASSERT(!window.admits(Duration::fromMillis(7650), at(1000)));
-		CPPUNIT_ASSERT(!window.admits(Duration::fromMillis(7649), at(1001)));
-		CPPUNIT_ASSERT(!window.admits(Duration{}, at(9000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(kUnlimited, millis(7649), at(1000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(kUnlimited, millis(7650), at(1000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(kUnlimited, millis(7649), at(1001)));
+	}
+
+	void noEstimateAdmitsALateRequest()
+	{
+		const StopWindow window(at(1000), millis(8000));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(kUnlimited, millis(1), at(3799)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(kUnlimited, millis(1), at(3800)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(kUnlimited, Duration{}, at(9000)));
+	}
+
+	void requestsThatTheirTimeLimitEndsAreAdmitted()
+	{
+		const StopWindow window(at(1000), millis(8000));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByTimeLimit, window.decide(millis(4399), millis(9000), at(4000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(millis(4400), millis(1), at(4000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByTimeLimit, window.decide(millis(3000), millis(9000), at(1000)));
 	}
 
 	void callersArriveUntilTheBalancerReacts()
 	{
-		const StopWindow window(at(1000), Duration::fromMillis(8000));
+		const StopWindow window(at(1000), millis(8000));
 		CPPUNIT_ASSERT(window.callersMayArrive(at(3799)));
 		CPPUNIT_ASSERT(!window.callersMayArrive(at(3800)));
 	}
 
-	void drainLeavesTimeForTheLastAnswers()
+	void finalAnswersHaveTimeToReachTheirCallers()
 	{
-		const StopWindow window(at(1000), Duration::fromMillis(8000));
-		CPPUNIT_ASSERT_EQUAL(int64_t(500), (window.deadline() - window.drainAt()).millis());
+		const StopWindow window(at(1000), millis(8000));
+		CPPUNIT_ASSERT_EQUAL(int64_t(250), (window.deadline() - window.finalAnswersAt()).millis());
+	}
+
+	/// Streams and calls are cut if an estimate admits them after the balancer has removed the node.
+	void everyLateRequestHasAnAnswerInTheWindow()
+	{
+		CPPUNIT_ASSERT(rc::check("late requests have an answer in the window",
+		                         []
+		                         {
+			                         const StopWindow window(at(0), millis(*rc::gen::inRange<int64_t>(1000, 30000)));
+			                         const Time now = at(*rc::gen::inRange<int64_t>(0, 30000));
+			                         const Duration limit = millis(*rc::gen::inRange<int64_t>(1, 60000));
+			                         const Duration estimate = millis(*rc::gen::inRange<int64_t>(0, 60000));
+			                         RC_PRE(!window.callersMayArrive(now));
+			                         const bool isInTime = now + limit < window.finalAnswersAt();
+			                         RC_ASSERT(isInTime == isAdmitted(window.decide(limit, estimate, now)));
+		                         }));
 	}
 
 private:
+	static constexpr Duration kUnlimited = Duration::fromMillis(60000);
+
 	static Time at(int64_t _millis)
 	{
 		return Time{_millis * 1000};
 	}
+
+	static Duration millis(int64_t _millis)
+	{
+		return Duration::fromMillis(_millis);
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopWindowTest);
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -196,7 +196,7 @@
 		const StopWindow window(clock_.now(), Duration{stopTimeout_.load(std::memory_order_relaxed)});
 		beginStop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(ingress_.active())}});
-		while (window.callersMayArrive(clock_.now()) || (clock_.now() < window.drainAt() && isBusy()))
+		while (window.callersMayArrive(clock_.now()) || (clock_.now() < window.finalAnswersAt() && isBusy()))
 		{
 			sleepFor(kStopCheckInterval);
 		}
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -70,8 +70,8 @@
 	/// Marks the node as ready, with a known desired state, and admits the requests that waited for it. Loop thread.
 	void onReady();
 
-	/// Begins shutdown: each connection is closed after its current answer, and only requests that are expected to
-	/// finish within the window are admitted.
+	/// Begins shutdown: each connection is closed after its current answer, and only requests that the window allows
+	/// are admitted.
 	void stop(const StopWindow& _window);
 
 	/// Logs each unfinished request as cut off by shutdown. Loop thread.
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -52,6 +52,13 @@
 	    RequestParts{customer, _request.head.method, _caller.host, _request.head.target, _request.body});
 }
 
+/// @returns the time after its arrival at which a request gets its final answer in any case.
+Duration timeLimitOf(const HostRoute& _route, const CallerRequest& _caller)
+{
+	const Duration budget = _caller.budget.value_or(kDefaultBudget);
+	return 0 < _route.timeout.micros ? std::min(_route.timeout, budget) : budget;
+}
+
 } // namespace
 
 RequestIngress::RequestIngress(const RelayContext& _context, const EntrySettings& _settings)
@@ -210,22 +217,23 @@
 	return fresh;
 }
 
-/// @returns true if a request that arrives during shutdown is expected to finish before the process exits.
+/// @returns true if a request that arrives during shutdown will have its answer before the process exits.
 bool RequestIngress::finishesBeforeStop(const RouteMatch& _match, const CallerRequest& _caller) const
 {
 	static const ResponseTimeEstimator kNoObservations;
-	const ResponseTimeEstimator& pace =
+	const ResponseTimeEstimator& observed =
 	    context_.mechanisms.isEnabled(Mechanism::StopPace) ? context_.answerDurations : kNoObservations;
 	const Time now = context_.clock.now();
-	const bool afterArrivals = !stopWindow_.callersMayArrive(now);
-	const EstimateBound::Enum bound = afterArrivals ? EstimateBound::Safe : EstimateBound::Typical;
-	const ResponseTimeEstimate needed = pace.estimate(_match.route->kind, _caller.maxTokens, bound);
-	const bool admitted = stopWindow_.admits(needed.total, now);
+	const Duration limit = timeLimitOf(*_match.route, _caller);
+	const ResponseTimeEstimate needed =
+	    observed.estimate(_match.route->kind, _caller.maxTokens, EstimateBound::Typical);
+	const StopAdmission::Enum admission = stopWindow_.decide(limit, needed.total, now);
 	logEvent(LogPart::Requests, LogLevel::Info,
-	         admitted ? "Request is admitted during shutdown." : "Request would not finish before shutdown completes.",
+	         isAdmitted(admission) ? "Request is admitted during shutdown." : "Request is refused during shutdown.",
 	         {{"after_signal_ms", std::to_string((now - stopWindow_.signalAt()).millis())},
+	          {"by", nameOf(admission)},
+	          {"limit_ms", std::to_string(limit.millis())},
 	          {"most_tokens", std::to_string(_caller.maxTokens)},
-	          {"bound", EstimateBound::Safe == bound ? "safe" : "typical"},
 	          {"needed_ms", std::to_string(needed.total.millis())},
 	          {"first_event_ms", std::to_string(needed.firstEvent.millis())},
 	          {"events", std::to_string(needed.events)},
@@ -233,7 +241,7 @@
 	          {"observations", std::to_string(needed.observations)},
 	          {"left_ms", std::to_string((stopWindow_.deadline() - now).millis())}},
 	         _caller.id);
-	return admitted;
+	return isAdmitted(admission);
 }
 
 RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, QueuedRequest&& _queued,
@@ -265,12 +273,7 @@
 	plan.wasHandedOver = _queued.wasHandedOver;
 	plan.facts.maxRuns = _queued.wasHandedOver ? 1 : plan.facts.maxRuns;
 	plan.arrivedAt = _queued.arrivedAt;
-	Duration budget = _caller.budget.value_or(kDefaultBudget);
-	if (0 < route.timeout.micros && route.timeout < budget)
-	{
-		budget = route.timeout;
-	}
-	plan.deadline = plan.arrivedAt + budget;
+	plan.deadline = plan.arrivedAt + timeLimitOf(route, _caller);
 	plan.request = std::move(_queued.request);
 	plan.caller = std::move(_caller);
 	return plan;
