A node that stops closes connections at rest once the balancer has removed it

What callers saw: over connections that were open before the stop they sent requests for 7 s after the signal to a node that refuses or cuts them, as long as one other request kept the process.

Cause: the servers were drained at the first moment without requests, which a single long stream puts off to the end.

Change: draining begins when the balancer has removed the node. A connection is closed as soon as it is at rest, in one turn of the request loop with the check, so that a request that has arrived is still read; the listening socket is closed. The look at active requests from outside goes.

--- a/packages/core/include/core/stopwindow.h
+++ b/packages/core/include/core/stopwindow.h
@@ -28,7 +28,7 @@
 /// @returns true if the request is admitted.
 bool isAdmitted(StopAdmission::Enum _admission);
 
-/// Decides which requests a node that is shutting down still admits. Callers
+/// Decides which requests a node that is shutting down still admits, and when it ends those that are left. Callers
 /// arrive until the load balancer has noticed. They may find no other node as quickly, so that requests are admitted
 /// until then which are expected to finish. Those that arrive later come over connections that were open before, and
 /// their callers can go to another node at once: none of these may be cut off, and no observation of earlier requests
@@ -51,10 +51,11 @@
 		return signalAt_;
 	}
 
-	/// @returns true while the load balancer may still send callers to this node.
+	/// @returns true while the load balancer may still send callers to this node. Connections at rest are closed
+	/// afterwards.
 	bool callersMayArrive(Time _now) const;
 
-	/// @returns when the final answers of requests must have been sent, and no more requests are read.
+	/// @returns when requests whose answer has not begun get an error response.
 	Time finalAnswersAt() const;
 
 	/// @returns when all requests must have ended so that the process can exit before the kill.
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -196,14 +196,11 @@
 		const StopWindow window(clock_.now(), Duration{stopTimeout_.load(std::memory_order_relaxed)});
 		beginStop(window);
 		logEvent(LogPart::Node, LogLevel::Info, "Node stops.", {{"active", std::to_string(ingress_.active())}});
-		while (window.callersMayArrive(clock_.now()) || (clock_.now() < window.finalAnswersAt() && isBusy()))
-		{
-			sleepFor(kStopCheckInterval);
-		}
-		while (clock_.now() < window.deadline() && !drainServers())
+		while (window.callersMayArrive(clock_.now()))
 		{
 			sleepFor(kStopCheckInterval);
 		}
+		drainUntil(window.deadline());
 		closeServers();
 	}
 
@@ -325,15 +322,17 @@
 		return result.get();
 	}
 
-	/// @returns true while a request is received or handled, or an answer is delivered: bytes that the kernel has not
-	/// delivered are lost with the VM.
-	bool isBusy()
+	/// Drains the servers until a time, or until they are drained.
+	/// @returns true once they are.
+	bool drainUntil(Time _end)
 	{
-		const auto busy = [this]
+		bool drained = drainServers();
+		while (!drained && clock_.now() < _end)
 		{
-			return 0 < ingress_.active() || callerServer_.isBusy() || (handoverServer_ && handoverServer_->isBusy());
-		};
-		return runOnRequestLoop(busy).value_or(true);
+			sleepFor(kStopCheckInterval);
+			drained = drainServers();
+		}
+		return drained;
 	}
 
 	/// Closes the connections at rest. They are checked and closed in one turn of the request loop: a request that
--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -34,6 +34,11 @@
 /// the node, and early enough that the node is still there.
 constexpr Millis kLateMoments[] = {Millis(3200), Millis(3750), Millis(4300), Millis(5100), Millis(5900)};
 
+/// Time until the balancer has removed a node: it probes every second and acts on the second failure.
+constexpr Millis kBalancerTime{2800};
+
+constexpr uint64_t kKeepingEvents = 200; //!< Of a stream that ends well after that.
+
 /// A request sent at this time keeps the node, which would end early without one.
 constexpr Millis kKeepingMoment{2500};
 
@@ -176,6 +181,7 @@
 	CPPUNIT_TEST_SUITE(StopLateProof);
 	CPPUNIT_TEST(longStreamsAfterShortOnesAreNotCutByAStop);
 	CPPUNIT_TEST(slowCallsAfterFastOnesAreNotCutByAStop);
+	CPPUNIT_TEST(restingConnectionsAreClosedOnceTheBalancerHasRemovedTheNode);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +223,34 @@
 		stopUnder(harness, callers);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(*target));
 	}
+
+	/// Guards against callers that send requests to a node which refuses them, while it ends others.
+	void restingConnectionsAreClosedOnceTheBalancerHasRemovedTheNode()
+	{
+		PacedStreams streams(kPaceAfter);
+		EntryHarness harness;
+		FakeTarget& target = harness.addEngine(LayerSpan{0, 8}, streams.script());
+		streams.serveOn(target);
+		streams.setAnswer(kKeepingEvents, kPaceAfter);
+		harness.start();
+		TestCaller keeping(harness.callerAddress());
+		keeping.send(textOf(streamOf("keeping")));
+		keeping.receiveUntil(eventText(0));
+		TestCaller resting(harness.callerAddress());
+		const Clock::time_point stopAt = Clock::now();
+		std::thread stop(
+		    [&harness]
+		    {
+			    harness.stop();
+		    });
+		CPPUNIT_ASSERT(!resting.receive().whole);
+		const Clock::duration open = Clock::now() - stopAt;
+		const bool isKeepingWhole = keeping.receive().whole;
+		stop.join();
+		CPPUNIT_ASSERT(isKeepingWhole);
+		CPPUNIT_ASSERT(kBalancerTime <= open);
+		CPPUNIT_ASSERT(open < kBalancerTime + Millis(500));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopLateProof);
