A stop ends requests whose answer has not begun with an error response

What callers saw: a closed connection in place of an answer, for calls that a target still worked on and for requests that still waited when the process ended.

Cause: at its end a stop closed all connections that were left, whatever their requests were doing.

Requests that wait for a node to become ready are decided when the stop begins. Streams under way go on to the end.

--- a/packages/base/include/base/errorkind.h
+++ b/packages/base/include/base/errorkind.h
@@ -40,6 +40,7 @@
 		LogUnavailable,    //!< The log is unavailable, so a keyed call cannot be claimed.
 		CatchingUp,        //!< This node has not yet read the log far enough.
 		Stopping,          //!< This node shuts down before the request could finish.
+		StoppedRunning,    //!< This node shuts down while the request is running.
 		ClaimInProgress,   //!< Another call with this key is running.
 		ClaimUnknown,      //!< A call with this key was sent, and its outcome is not known.
 		ClaimOutcomeLost,  //!< A call with this key was executed, but its answer was too large to store.
--- a/packages/base/src/errorkind.cpp
+++ b/packages/base/src/errorkind.cpp
@@ -26,6 +26,7 @@
 	{ErrorKind::LogUnavailable,            "log_out",            503, Executed::No,      true,  "The log is unavailable, and keyed calls require it."},
 	{ErrorKind::CatchingUp,        "catching_up",        503, Executed::No,      true,  "This node is still reading the log."},
 	{ErrorKind::Stopping,          "stopping",           503, Executed::No,      true,  "This node shuts down before the request could finish."},
+	{ErrorKind::StoppedRunning,    "stopped_running",    504, Executed::Unknown, false, "This node shuts down while the request is running."},
 	{ErrorKind::ClaimInProgress,   "claim_in_progress",  409, Executed::Unknown, true,  "A call with this key is in progress."},
 	{ErrorKind::ClaimUnknown,      "claim_unknown",      409, Executed::Unknown, false, "A call with this key was sent; its outcome is unknown."},
 	{ErrorKind::ClaimOutcomeLost,  "claim_outcome_lost", 409, Executed::Yes,     false, "A call with this key was executed; its answer was not stored."},
--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -76,6 +76,7 @@
 		TurnedAway,     //!< Several targets in a row refused the request.
 		TimeUp,         //!< The deadline of the request has passed.
 		Blocked,        //!< The request is blocked because targets crash while they run it.
+		Stopping,       //!< This node exits.
 
 		Count
 	};
@@ -200,6 +201,10 @@
 	/// Reports that the deadline of the request has passed.
 	void onDeadline();
 
+	/// Reports that this node exits. A response that has begun may still be completed; otherwise the caller gets an
+	/// error response.
+	void onShutdown();
+
 	/// @returns true once the final response was sent or the caller has disconnected.
 	bool done() const
 	{
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -20,8 +20,8 @@
 constexpr uint32_t kImmediateRefusals = 1;
 
 constexpr const char* kNoRetryReasonNames[NoRetryReason::Count] = {
-    "none",       "not_repeatable", "runs_spent",  "sends_spent", "allowance_spent",
-    "no_targets", "no_room",        "turned_away", "time_up",     "blocked",
+    "none",    "not_repeatable", "runs_spent", "sends_spent", "allowance_spent", "no_targets",
+    "no_room", "turned_away",    "time_up",    "blocked",     "stopping",
 };
 
 constexpr const char* kFailureNames[SendFailure::Count] = {"not_sent", "broken", "silent"};
@@ -434,6 +434,19 @@
 	fail(ran ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineTooShort);
 }
 
+void RelayMachine::onShutdown()
+{
+	if (done_ || headForwarded_)
+	{
+		return;
+	}
+	const bool ran = mayHaveRun();
+	noRetryReason_ = NoRetryReason::Stopping;
+	actions_.cancelSend();
+	cancelSuspectedSend();
+	fail(ran ? ErrorKind::StoppedRunning : ErrorKind::Stopping);
+}
+
 void RelayMachine::fail(ErrorKind::Enum _kind)
 {
 	if (suspectedSend_)
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -200,7 +200,15 @@
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		drainUntil(window.deadline());
+		if (!drainUntil(window.finalAnswersAt()))
+		{
+			asio::post(requestLoop_,
+			           [this]
+			           {
+				           ingress_.endUnanswered();
+			           });
+			drainUntil(window.deadline());
+		}
 		closeServers();
 	}
 
@@ -301,6 +309,7 @@
 		           [this]
 		           {
 			           admission_.stop();
+			           ingress_.onStopping();
 		           });
 	}
 
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -74,6 +74,12 @@
 	/// are admitted.
 	void stop(const StopWindow& _window);
 
+	/// Admits or refuses the requests that wait for this node to become ready. After `stop`; loop thread.
+	void onStopping();
+
+	/// Sends an error response for each request whose answer has not begun. After `stop`; loop thread.
+	void endUnanswered();
+
 	/// Logs each unfinished request as cut off by shutdown. Loop thread.
 	void logCutOff() const;
 
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -128,6 +128,24 @@
 	closing_.store(true, std::memory_order_release);
 }
 
+void RequestIngress::onStopping()
+{
+	startQueue_->releaseAll();
+}
+
+void RequestIngress::endUnanswered()
+{
+	std::vector<std::shared_ptr<RequestRelay>> relays; // each that ends is removed from the map
+	for (const auto& row : relays_)
+	{
+		relays.push_back(row.second);
+	}
+	for (const auto& relay : relays)
+	{
+		relay->endUnanswered();
+	}
+}
+
 void RequestIngress::logCutOff() const
 {
 	for (const auto& row : relays_)
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -105,6 +105,12 @@
 	finishIfDone();
 }
 
+void RequestRelay::endUnanswered()
+{
+	machine_.onShutdown();
+	finishIfDone();
+}
+
 void RequestRelay::logCutOff(Time _signal) const
 {
 	log_.cutOff(_signal);
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -50,6 +50,9 @@
 	void begin();
 	void onCallerGone();
 
+	/// Sends an error response, unless the answer has begun: this node exits.
+	void endUnanswered();
+
 	/// Logs that shutdown ends the request before it is answered.
 	/// @param _signal time of the stop signal.
 	void logCutOff(Time _signal) const;
--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -182,6 +182,7 @@
 	CPPUNIT_TEST(longStreamsAfterShortOnesAreNotCutByAStop);
 	CPPUNIT_TEST(slowCallsAfterFastOnesAreNotCutByAStop);
 	CPPUNIT_TEST(restingConnectionsAreClosedOnceTheBalancerHasRemovedTheNode);
+	CPPUNIT_TEST(aCallThatIsStillRunningAtTheEndOfAStopGetsAnErrorResponse);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,24 +205,15 @@
 	/// Guards against calls that are admitted because earlier ones were fast, and cut at the end of the stop.
 	void slowCallsAfterFastOnesAreNotCutByAStop()
 	{
-		FakeTarget* target = nullptr;
 		std::atomic<Millis> work{Millis(5)};
 		EntryHarness harness;
-		target = &harness.addPlain(
-		    [&target, &work](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
-		    {
-			    target->postAfter(work,
-			                      [_caller, _request]
-			                      {
-				                      answerWhole(*_caller, _request, 200, _request.body);
-			                      });
-		    });
+		FakeTarget& target = addCallTarget(harness, work);
 		harness.start();
 		answerBefore(harness, &callOf);
 		work = Millis(3000);
 		LateCallers callers(harness, &callOf);
 		stopUnder(harness, callers);
-		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(*target));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(target));
 	}
 
 	/// Guards against callers that send requests to a node which refuses them, while it ends others.
@@ -251,6 +243,44 @@
 		CPPUNIT_ASSERT(kBalancerTime <= open);
 		CPPUNIT_ASSERT(open < kBalancerTime + Millis(500));
 	}
+
+	/// Guards against connections that are closed without an answer to a call that was admitted before the stop.
+	void aCallThatIsStillRunningAtTheEndOfAStopGetsAnErrorResponse()
+	{
+		std::atomic<Millis> work{Millis(15000)};
+		EntryHarness harness;
+		addCallTarget(harness, work);
+		harness.start();
+		TestCaller caller(harness.callerAddress());
+		caller.send(textOf(callOf("running")));
+		std::thread stop(
+		    [&harness]
+		    {
+			    harness.stop();
+		    });
+		const CallerAnswer answer = caller.receive();
+		stop.join();
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(504), answer.status); // 503 would promise that it has not run
+	}
+
+private:
+	/// Adds a target that works on each call for some time.
+	static FakeTarget& addCallTarget(EntryHarness& _harness, const std::atomic<Millis>& _work)
+	{
+		const auto self = std::make_shared<FakeTarget*>(nullptr);
+		FakeTarget& target = _harness.addPlain(
+		    [self, &_work](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    (*self)->postAfter(_work,
+			                       [_caller, _request]
+			                       {
+				                       answerWhole(*_caller, _request, 200, _request.body);
+			                       });
+		    });
+		*self = &target;
+		return target;
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopLateProof);
