--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -150,6 +150,8 @@
 	CPPUNIT_TEST(gapInAContinuationIsNotForwarded);
 	CPPUNIT_TEST(streamEndingWithinAnEventIsIncomplete);
 	CPPUNIT_TEST(deadlineErrorTellsWhetherItMayHaveRun);
+	CPPUNIT_TEST(shutdownErrorTellsWhetherItMayHaveRun);
+	CPPUNIT_TEST(shutdownLeavesAResponseThatHasBegun);
 	CPPUNIT_TEST(exhaustedBudgetFailsImmediately);
 	CPPUNIT_TEST(suspectedSendIsRetriedElsewhere);
 	CPPUNIT_TEST(suspicionOfTheLastRunKeepsTheSend);
@@ -339,6 +341,37 @@
 		CPPUNIT_ASSERT(ErrorKind::DeadlineTooShort == unsent.refusals.at(0));
 	}
 
+	void shutdownErrorTellsWhetherItMayHaveRun()
+	{
+		RecordedActions sent;
+		RelayMachine first(traits(RequestKind::AtMostOnce, false, 1), sent);
+		first.start();
+		first.onSent();
+		first.onShutdown();
+		CPPUNIT_ASSERT(ErrorKind::StoppedRunning == sent.refusals.at(0));
+		RecordedActions unsent;
+		RelayMachine second(traits(RequestKind::AtMostOnce, false, 1), unsent);
+		second.start();
+		second.onShutdown();
+		CPPUNIT_ASSERT(ErrorKind::Stopping == unsent.refusals.at(0));
+	}
+
+	void shutdownLeavesAResponseThatHasBegun()
+	{
+		RecordedActions actions;
+		RelayMachine machine(traits(RequestKind::Stream, true, 2), actions);
+		machine.start();
+		machine.onSent();
+		machine.onHead(ResponseHead{200, false, false});
+		machine.onShutdown();
+		CPPUNIT_ASSERT(!machine.done());
+		machine.onBody(event(0));
+		machine.onComplete();
+		CPPUNIT_ASSERT(machine.done());
+		CPPUNIT_ASSERT(actions.refusals.empty());
+		CPPUNIT_ASSERT_EQUAL(0U, actions.aborts);
+	}
+
 	void exhaustedBudgetFailsImmediately()
 	{
 		RecordedActions actions;
