A stop admits no stream by its time limit

What callers saw: a stream that states 100,000 tokens was admitted during a stop of 30 s, since its own 20 s end before; EntryProof::requestsDuringAStopEndWhole failed (200 for 503) since.

Cause: the time limit of a call gives its caller a complete error response; that of a stream breaks it off.

Change: the limit counts for requests that have a complete answer by then. A stream is admitted by its estimate while callers may arrive, and not at all later.

--- a/packages/core/include/core/stopwindow.h
+++ b/packages/core/include/core/stopwindow.h
@@ -5,6 +5,8 @@
 
 #include <base/units.h>
 
+#include <optional>
+
 namespace sedgecart
 {
 
@@ -13,7 +15,7 @@
 {
 	enum Enum
 	{
-		ByTimeLimit, //!< Admitted: it has its final answer in time, whatever its target does.
+		ByTimeLimit, //!< Admitted: it has a complete answer in time, whatever its target does.
 		ByEstimate,  //!< Admitted: it is expected to finish in time.
 		TooLong,     //!< Refused: it is not expected to finish in time.
 		Unbounded,   //!< Refused: nothing makes sure that it has an answer in time.
@@ -40,10 +42,10 @@
 	/// @param _bound time from the signal to the kill.
 	StopWindow(Time _signalAt, Duration _bound);
 
-	/// @param _timeLimit time after which the request gets its final answer in any case.
+	/// @param _timeLimit time after which the request has a complete answer in any case; none if nothing ensures one.
 	/// @param _estimate time that the request is expected to take.
 	/// @returns whether and why a request that arrives now is admitted.
-	StopAdmission::Enum decide(Duration _timeLimit, Duration _estimate, Time _now) const;
+	StopAdmission::Enum decide(std::optional<Duration> _timeLimit, Duration _estimate, Time _now) const;
 
 	/// @returns when the stop signal arrived.
 	Time signalAt() const
--- a/packages/core/src/stopwindow.cpp
+++ b/packages/core/src/stopwindow.cpp
@@ -35,9 +35,9 @@
 {
 }
 
-StopAdmission::Enum StopWindow::decide(Duration _timeLimit, Duration _estimate, Time _now) const
+StopAdmission::Enum StopWindow::decide(std::optional<Duration> _timeLimit, Duration _estimate, Time _now) const
 {
-	if (_now + _timeLimit < finalAnswersAt())
+	if (_timeLimit && _now + *_timeLimit < finalAnswersAt())
 	{
 		return StopAdmission::ByTimeLimit;
 	}
--- a/packages/core/tests/stopwindowtest.cpp
+++ b/packages/core/tests/stopwindowtest.cpp
@@ -25,17 +25,17 @@
 	{
 		const StopWindow window(at(1000), millis(8000));
 		CPPUNIT_ASSERT_EQUAL(int64_t(8650), window.deadline().micros / 1000);
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(kUnlimited, millis(7649), at(1000)));
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(kUnlimited, millis(7650), at(1000)));
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(kUnlimited, millis(7649), at(1001)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(std::nullopt, millis(7649), at(1000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(std::nullopt, millis(7650), at(1000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::TooLong, window.decide(std::nullopt, millis(7649), at(1001)));
 	}
 
 	void noEstimateAdmitsALateRequest()
 	{
 		const StopWindow window(at(1000), millis(8000));
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(kUnlimited, millis(1), at(3799)));
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(kUnlimited, millis(1), at(3800)));
-		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(kUnlimited, Duration{}, at(9000)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::ByEstimate, window.decide(std::nullopt, millis(1), at(3799)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(std::nullopt, millis(1), at(3800)));
+		CPPUNIT_ASSERT_EQUAL(StopAdmission::Unbounded, window.decide(std::nullopt, Duration{}, at(9000)));
 	}
 
 	void requestsThatTheirTimeLimitEndsAreAdmitted()
@@ -67,17 +67,17 @@
 		                         {
 			                         const StopWindow window(at(0), millis(*rc::gen::inRange<int64_t>(1000, 30000)));
 			                         const Time now = at(*rc::gen::inRange<int64_t>(0, 30000));
-			                         const Duration limit = millis(*rc::gen::inRange<int64_t>(1, 60000));
+			                         const Duration spent = millis(*rc::gen::inRange<int64_t>(1, 60000));
+			                         const std::optional<Duration> limit =
+			                             *rc::gen::inRange(0, 2) == 0 ? std::nullopt : std::optional<Duration>(spent);
 			                         const Duration estimate = millis(*rc::gen::inRange<int64_t>(0, 60000));
 			                         RC_PRE(!window.callersMayArrive(now));
-			                         const bool isInTime = now + limit < window.finalAnswersAt();
+			                         const bool isInTime = limit && now + *limit < window.finalAnswersAt();
 			                         RC_ASSERT(isInTime == isAdmitted(window.decide(limit, estimate, now)));
 		                         }));
 	}
 
 private:
-	static constexpr Duration kUnlimited = Duration::fromMillis(60000);
-
 	static Time at(int64_t _millis)
 	{
 		return Time{_millis * 1000};
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -59,6 +59,14 @@
 	return 0 < _route.timeout.micros ? std::min(_route.timeout, budget) : budget;
 }
 
+/// @returns the time after which a request has a complete answer in any case; none for a stream, which its time limit
+/// breaks off.
+std::optional<Duration> answerLimitOf(const HostRoute& _route, const CallerRequest& _caller)
+{
+	const bool isStream = RequestKind::Stream == _route.kind;
+	return isStream ? std::nullopt : std::optional<Duration>(timeLimitOf(_route, _caller));
+}
+
 } // namespace
 
 RequestIngress::RequestIngress(const RelayContext& _context, const EntrySettings& _settings)
@@ -242,7 +250,7 @@
 	const ResponseTimeEstimator& observed =
 	    context_.mechanisms.isEnabled(Mechanism::StopPace) ? context_.answerDurations : kNoObservations;
 	const Time now = context_.clock.now();
-	const Duration limit = timeLimitOf(*_match.route, _caller);
+	const std::optional<Duration> limit = answerLimitOf(*_match.route, _caller);
 	const ResponseTimeEstimate needed =
 	    observed.estimate(_match.route->kind, _caller.maxTokens, EstimateBound::Typical);
 	const StopAdmission::Enum admission = stopWindow_.decide(limit, needed.total, now);
@@ -250,7 +258,7 @@
 	         isAdmitted(admission) ? "Request is admitted during shutdown." : "Request is refused during shutdown.",
 	         {{"after_signal_ms", std::to_string((now - stopWindow_.signalAt()).millis())},
 	          {"by", nameOf(admission)},
-	          {"limit_ms", std::to_string(limit.millis())},
+	          {"limit_ms", limit ? std::to_string(limit->millis()) : "none"},
 	          {"most_tokens", std::to_string(_caller.maxTokens)},
 	          {"needed_ms", std::to_string(needed.total.millis())},
 	          {"first_event_ms", std::to_string(needed.firstEvent.millis())},
