Response times are observed by service

What callers saw: on a node that stops, calls of 3 s were admitted as calls of 15 ms and cut, since a fast service was busy beside the slow one. Cause: one ResponseTimeEstimator held the recent observations of all services together; a service with fewer than one in 200 of them did not show. A route's requests were estimated by what other routes did.

--- a/packages/core/include/core/recentdurations.h
+++ b/packages/core/include/core/recentdurations.h
@@ -16,6 +16,9 @@
 class RecentDurations
 {
 public:
+	/// Allocates the space for all values, so that `add` never allocates.
+	RecentDurations();
+
 	void add(Duration _span);
 
 	/// @returns true once there are enough values for `exceededByOneIn` to be used without an initial estimate.
--- a/packages/core/src/recentdurations.cpp
+++ b/packages/core/src/recentdurations.cpp
@@ -7,6 +7,11 @@
 namespace sedgecart
 {
 
+RecentDurations::RecentDurations()
+{
+	durations_.reserve(kMaxDurations);
+}
+
 void RecentDurations::add(Duration _span)
 {
 	if (durations_.size() < kMaxDurations)
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -8,8 +8,8 @@
 #include <aio/server.h>
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
-#include <core/responsetimeestimator.h>
 #include <core/resumeadmission.h>
+#include <core/serviceresponsetimes.h>
 #include <core/stopwindow.h>
 #include <crash/crashdetector.h>
 #include <fleet/fleetview.h>
@@ -415,8 +415,8 @@
 	FleetCell cell_;
 	Metrics metrics_;
 	SeededRandom random_;
-	ResponseTimeEstimator responseTimes_; //!< Used by the request loop.
-	ResumeAdmission resumeAdmission_;     //!< Used by the request loop.
+	ServiceResponseTimes responseTimes_; //!< Used by the request loop.
+	ResumeAdmission resumeAdmission_;    //!< Used by the request loop.
 	TargetConnectionPool pool_;
 	ServiceRetryBudgets retries_;
 	TargetRateLimiter rates_;
--- a/packages/relay/include/relay/relaycontext.h
+++ b/packages/relay/include/relay/relaycontext.h
@@ -12,7 +12,6 @@
 {
 
 class AdmissionController;
-class ResponseTimeEstimator;
 class ClockI;
 class CrashDetector;
 class LinkUtilization;
@@ -23,6 +22,7 @@
 class ReachabilityMonitor;
 class TargetRateLimiter;
 class ResumeAdmission;
+class ServiceResponseTimes;
 class ServiceRetryBudgets;
 class RunnerOrdersI;
 class TargetConnectionPool;
@@ -44,7 +44,7 @@
 	PathWatch& watch;
 	RunnerOrdersI& orders;
 	const Mechanisms& mechanisms;
-	ResponseTimeEstimator& answerDurations;
+	ServiceResponseTimes& answerDurations;
 	CrashDetector& crashes;
 	ResumeAdmission& resumes;
 	TargetRateLimiter& rates;
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -8,8 +8,8 @@
 
 #include <base/clock.h>
 #include <base/random.h>
-#include <core/responsetimeestimator.h>
 #include <core/resumeadmission.h>
+#include <core/serviceresponsetimes.h>
 #include <crash/crashdetector.h>
 #include <fleet/fleetview.h>
 #include <logging/logging.h>
@@ -246,13 +246,13 @@
 /// @returns true if a request that arrives during shutdown will have its answer before the process exits.
 bool RequestIngress::finishesBeforeStop(const RouteMatch& _match, const CallerRequest& _caller) const
 {
-	static const ResponseTimeEstimator kNoObservations;
-	const ResponseTimeEstimator& observed =
+	static const ServiceResponseTimes kNoObservations;
+	const ServiceResponseTimes& observed =
 	    context_.mechanisms.isEnabled(Mechanism::StopPace) ? context_.answerDurations : kNoObservations;
 	const Time now = context_.clock.now();
 	const std::optional<Duration> limit = answerLimitOf(*_match.route, _caller);
 	const ResponseTimeEstimate needed =
-	    observed.estimate(_match.route->kind, _caller.maxTokens, EstimateBound::Typical);
+	    observed.estimate(_match.route->services, _match.route->kind, _caller.maxTokens, EstimateBound::Typical);
 	const StopAdmission::Enum admission = stopWindow_.decide(limit, needed.total, now);
 	logEvent(LogPart::Requests, LogLevel::Info,
 	         isAdmitted(admission) ? "Request is admitted during shutdown." : "Request is refused during shutdown.",
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -3,6 +3,7 @@
 #include "requestrelay_p.h"
 
 #include <base/clock.h>
+#include <core/serviceresponsetimes.h>
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
 #include <loads/reachabilitymonitor.h>
@@ -284,7 +285,7 @@
 {
 	context_.crashes.onAnswered(plan_.identity);
 	path_.onComplete();
-	context_.answerDurations.recordEnd(mark_, machine_.events(), plan_.caller.maxTokens, forwarder_.lastReceivedAt());
+	responseTimes().recordEnd(mark_, machine_.events(), plan_.caller.maxTokens, forwarder_.lastReceivedAt());
 	forwarder_.forwardEnd(send_->head.status);
 }
 
@@ -376,7 +377,7 @@
 			_send.hasBegun = true;
 			context_.crashes.onBegun(plan_.promptParts);
 		}
-		context_.answerDurations.recordEvents(mark_, machine_.events(), forwarder_.lastReceivedAt());
+		responseTimes().recordEvents(mark_, machine_.events(), forwarder_.lastReceivedAt());
 		path_.onEvents(machine_.lastEvent());
 		finishIfDone();
 		return;
@@ -403,11 +404,16 @@
 	}
 }
 
+ResponseTimeEstimator& RequestRelay::responseTimes()
+{
+	return context_.answerDurations.of(plan_.service);
+}
+
 void RequestRelay::recordDuration()
 {
 	if (RequestKind::Stream != plan_.facts.kind)
 	{
-		context_.answerDurations.recordCall(context_.clock.now() - plan_.arrivedAt);
+		responseTimes().recordCall(context_.clock.now() - plan_.arrivedAt);
 	}
 }
 
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -101,6 +101,7 @@
 	void retire(std::shared_ptr<RelaySend>&& _send);
 	void resendElsewhere(const FleetTarget& _suspect);
 	bool changePath(const FleetTarget& _suspect);
+	ResponseTimeEstimator& responseTimes();
 	void recordProgress();
 	void recordDuration();
 	void endCapacityWait();
--- a/packages/relay/tests/requestpathtest.cpp
+++ b/packages/relay/tests/requestpathtest.cpp
@@ -9,8 +9,8 @@
 #include <base/seededrandom.h>
 #include <base/steadyclock.h>
 #include <core/layoutplan.h>
-#include <core/responsetimeestimator.h>
 #include <core/resumeadmission.h>
+#include <core/serviceresponsetimes.h>
 #include <crash/crashdetector.h>
 #include <loads/pathwatch.h>
 #include <loads/reachabilitymonitor.h>
@@ -182,7 +182,7 @@
 	Metrics metrics_;
 	PathWatch watch_{loop_, clock_, orders_, metrics_};
 	Mechanisms mechanisms_;
-	ResponseTimeEstimator pace_;
+	ServiceResponseTimes pace_;
 	ResumeAdmission resumes_{Time{}};
 	NullCrashSink sink_;
 	CrashDetector crashes_{loop_, clock_, orders_, cell_, sink_};
