A node that stops refuses waiting requests as stopping, not as overloaded

What callers saw: a request that waited for capacity when its node stopped got 429 "overloaded", with a Retry-After by the forecast of capacity, as if the fleet could not take it. Another node may take it at once. Cause: WaitEnd::Stopping ended in RelayMachine::onWaitEnded, which knew one reason only. Change: onWaitEnded is given what the caller is told if no target has run the request: "stopping" (503, usual Retry-After) when the node stops, else "overloaded". A request that may have run gets target_lost as before.

--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -193,7 +193,8 @@
 	void onCapacityAvailable();
 
 	/// Reports that the wait for capacity has ended without any.
-	void onWaitEnded();
+	/// @param _notRun what the caller is told if no target has run the request.
+	void onWaitEnded(ErrorKind::Enum _notRun);
 
 	/// Reports that the caller disconnected.
 	void onCallerDisconnected();
--- a/packages/relay/src/requestwait.cpp
+++ b/packages/relay/src/requestwait.cpp
@@ -76,7 +76,7 @@
 void RequestRelay::onWaitEnded(WaitEnd::Enum _reason)
 {
 	admission_.onWaitEnded(_reason);
-	machine_.onWaitEnded();
+	machine_.onWaitEnded(WaitEnd::Stopping == _reason ? ErrorKind::Stopping : ErrorKind::Overloaded);
 	finishIfDone();
 }
 
