A drain closes a connection only after it has been idle for some round trips

What callers saw: a request that they sent right after the answer to the one before met a closed connection, during a stop.

Cause: the connection was closed with the end of the answer if the node stopped meanwhile, or at the next look of the drain. Callers that are not told of a close send the next request a round trip later.

Change: such a connection stays open, and a drain closes it once it has been idle for 20 ms. The request is read and answered; that answer tells of the close.

--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -23,6 +23,10 @@
 /// meanwhile. It is short compared to a response, and connections on which reading is paused are rare.
 constexpr Duration kPausedCheckInterval = Duration::fromMillis(100);
 
+/// Minimum time for which a connection has been idle before a drain closes it: callers that were not told of the close
+/// send the next request a round trip after the last response, and would find it unread.
+constexpr Duration kMinIdleTime = Duration::fromMillis(20);
+
 /// Intervals between checks of how much the caller has acknowledged, while its response is being made and after.
 constexpr Duration kAnsweringCheckInterval = Duration::fromMillis(1000);
 constexpr Duration kIdleCheckInterval = Duration::fromMillis(250);
@@ -230,7 +234,7 @@
 	{
 		return;
 	}
-	if (closeAfterResponse_ || handler_.closing())
+	if (closeAfterResponse_)
 	{
 		linger();
 		return;
@@ -280,7 +284,9 @@
 
 void AcceptedConnection::closeAtRest()
 {
-	if (!isBusy() && socket_.isOpenWithoutInput())
+	const bool mayBeUsed =
+	    Phase::Idle == phase_ && BootClock::now() < idleSince_ + std::chrono::microseconds(kMinIdleTime.micros);
+	if (!mayBeUsed && !isBusy() && socket_.isOpenWithoutInput())
 	{
 		closeNow();
 	}
@@ -289,6 +295,7 @@
 void AcceptedConnection::becomeIdle()
 {
 	phase_ = Phase::Idle;
+	idleSince_ = BootClock::now();
 	awaitDelivery();
 }
 
--- a/packages/aio/src/acceptedconnection_p.h
+++ b/packages/aio/src/acceptedconnection_p.h
@@ -8,6 +8,7 @@
 
 #include <aio/serverconnection.h>
 #include <aio/timer.h>
+#include <base/bootclock.h>
 
 #include <functional>
 #include <memory>
@@ -98,6 +99,7 @@
 	std::string unparsed_;       //!< Received bytes that were not parsed yet.
 	bool readingPaused_ = false; //!< Reading is paused until some of the received bytes are parsed.
 	Phase::Enum phase_ = Phase::Idle;
+	BootClock::time_point idleSince_;
 	bool chunked_ = false;
 	bool noBody_ = false;
 	bool closeAfterResponse_ = false; //!< The connection is closed after the current response.
--- a/packages/aio/tests/serverdraintest.cpp
+++ b/packages/aio/tests/serverdraintest.cpp
@@ -78,7 +78,24 @@
 	}
 	bool closing() const override
 	{
-		return true;
+		return closing_;
+	}
+
+	/// Begins the response to the request that was held back, before the server is told to close.
+	void beginHeld()
+	{
+		closing_ = false;
+		ResponseStart start;
+		start.length = 4;
+		held_->start(start, "do");
+		closing_ = true;
+	}
+
+	void endHeld()
+	{
+		held_->send("ne");
+		held_->finish();
+		held_.reset();
 	}
 
 private:
@@ -92,6 +109,7 @@
 
 	boost::asio::io_context loop_;
 	std::shared_ptr<ServerConnection> held_;
+	bool closing_ = true;
 	Server server_;
 };
 
@@ -111,6 +129,7 @@
 	CPPUNIT_TEST(requestThatArrivedBeforeTheDrainIsAnswered);
 	CPPUNIT_TEST(requestThatIsBeingReceivedIsAnswered);
 	CPPUNIT_TEST(requestThatIsBeingHandledIsAnswered);
+	CPPUNIT_TEST(requestAfterAResponseThatBeganBeforeTheStopIsAnswered);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +195,21 @@
 		isAnswered(server, caller);
 	}
 
+	/// Guards against closing a connection that its caller believes to be kept, while the next request is on the way.
+	void requestAfterAResponseThatBeganBeforeTheStopIsAnswered()
+	{
+		DrainedServer server;
+		PlainCaller caller(server.endpoint());
+		caller.send(requestOf("/held"));
+		server.settle();
+		server.beginHeld();
+		server.endHeld();
+		CPPUNIT_ASSERT_EQUAL(1U, server.drain());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), caller.receive("done").find("HTTP/1.1 200"));
+		caller.send(requestOf("/done"));
+		isAnswered(server, caller);
+	}
+
 private:
 	/// The caller gets its answer, and no connection is left after it.
 	static void isAnswered(DrainedServer& _server, PlainCaller& _caller)
