--- a/tests/entry/entryharness.cpp
+++ b/tests/entry/entryharness.cpp
@@ -290,40 +290,50 @@
 
 std::string EntryHarness::instanceOf(const FakeTarget& _target)
 {
-	return "i-" + _target.address().substr(_target.address().rfind(':') + 1);
+	return instanceAt(_target.address());
 }
 
-void EntryHarness::putTarget(const FakeTarget& _target, const std::string& _service, LayerSpan _layers,
+std::string EntryHarness::instanceAt(const std::string& _address)
+{
+	return "i-" + _address.substr(_address.rfind(':') + 1);
+}
+
+void EntryHarness::putTarget(const std::string& _address, const std::string& _service, LayerSpan _layers,
                              const char* _state)
 {
-	std::string text = R"({"service":")" + _service + R"(","address":")" + _target.address() + R"(","zone":"h1",)";
+	std::string text = R"({"service":")" + _service + R"(","address":")" + _address + R"(","zone":"h1",)";
 	text += R"("slot_count":8,"kind":"card","state":")" + std::string(_state) + R"(","layers":{"from":)";
 	text += std::to_string(_layers.begin) + R"(,"target_version":)" + std::to_string(_layers.end) + "}}";
-	store_.put(KeyedTopic::Runners, instanceOf(_target), text);
+	store_.put(KeyedTopic::Runners, instanceAt(_address), text);
 }
 
 FakeTarget& EntryHarness::addPlain(TargetScript _script)
 {
 	targets_.push_back(std::make_unique<FakeTarget>(std::move(_script)));
-	putTarget(*targets_.back(), "plain", LayerSpan{}, "ready");
+	putTarget(targets_.back()->address(), "plain", LayerSpan{}, "ready");
 	return *targets_.back();
 }
 
+void EntryHarness::addPlainAt(const std::string& _address)
+{
+	putTarget(_address, "plain", LayerSpan{}, "ready");
+}
+
 FakeTarget& EntryHarness::addEngine(LayerSpan _layers, TargetScript _script)
 {
 	targets_.push_back(std::make_unique<FakeTarget>(std::move(_script)));
-	putTarget(*targets_.back(), "engine", _layers, "ready");
+	putTarget(targets_.back()->address(), "engine", _layers, "ready");
 	return *targets_.back();
 }
 
 void EntryHarness::drain(const FakeTarget& _target)
 {
-	putTarget(_target, "plain", LayerSpan{}, "draining");
+	putTarget(_target.address(), "plain", LayerSpan{}, "draining");
 }
 
 void EntryHarness::drainEngine(const FakeTarget& _target, LayerSpan _layers)
 {
-	putTarget(_target, "engine", _layers, "draining");
+	putTarget(_target.address(), "engine", _layers, "draining");
 }
 
 void EntryHarness::end(FakeTarget& _target)
--- a/tests/entry/entryharness.h
+++ b/tests/entry/entryharness.h
@@ -100,6 +100,9 @@
 	/// Adds a target of the plain service.
 	FakeTarget& addPlain(TargetScript _script);
 
+	/// Adds a target of the plain service at an address that the test itself listens on.
+	void addPlainAt(const std::string& _address);
+
 	/// Adds a target of the engine that holds layers.
 	FakeTarget& addEngine(LayerSpan _layers, TargetScript _script);
 
@@ -180,11 +183,14 @@
 	/// @returns the instance id of a target.
 	static std::string instanceOf(const FakeTarget& _target);
 
+	/// @returns the same for a target at an address.
+	static std::string instanceAt(const std::string& _address);
+
 private:
 	class Ports;
 
 	EntrySettings settingsOf(const std::string& _name) const;
-	void putTarget(const FakeTarget& _target, const std::string& _service, LayerSpan _layers, const char* _state);
+	void putTarget(const std::string& _address, const std::string& _service, LayerSpan _layers, const char* _state);
 
 	MemoryStore store_;
 	EntrySettings settings_;
