The size line of a chunk and the trailer fields of a message are bounded

A target that sent the size line of a chunk without end had the node collect it until the node went over its memory limit and was killed, with all its callers; where it did not get so far, the caller was held until its route's timeout. The same bytes in a request did the same.

The parser bounds the head and the body, but neither the line before a chunk nor the fields after the last one.

--- a/packages/aio/include/aio/messagereader.h
+++ b/packages/aio/include/aio/messagereader.h
@@ -42,7 +42,7 @@
 /// Size limits of a reader, bytes.
 struct ReaderLimits
 {
-	uint32_t headerBytes = 16384;
+	uint32_t headerBytes = 16384; //!< Also of the size line of a chunk, and of the trailer fields.
 	uint64_t bodyBytes = UINT64_MAX;
 };
 
--- a/packages/aio/src/messagereader.cpp
+++ b/packages/aio/src/messagereader.cpp
@@ -61,7 +61,7 @@
 class MessageReader::BeastParser : public MessageReader::Parser, private http::basic_parser<isRequest>
 {
 public:
-	explicit BeastParser(const ReaderLimits& _limits)
+	explicit BeastParser(const ReaderLimits& _limits) : lineBytes_(_limits.headerBytes)
 	{
 		this->eager(true);
 		this->header_limit(_limits.headerBytes);
@@ -77,6 +77,10 @@
 		}
 		beast::error_code error;
 		_used = this->put(boost::asio::const_buffer(_bytes.data(), _bytes.size()), error);
+		if (http::error::need_more == error && this->is_header_done() && lineBytes_ < _bytes.size() - _used)
+		{
+			return ReadState::Malformed; // Beast bounds the head, but no line after it
+		}
 		if (error)
 		{
 			return stateOf(error);
@@ -152,6 +156,8 @@
 	void on_finish_impl(beast::error_code&) override
 	{
 	}
+
+	uint32_t lineBytes_; //!< Most that the size line of a chunk, or all trailer fields, may take.
 };
 
 MessageReader::MessageReader(Side::Enum _side, const ReaderLimits& _limits)
--- a/packages/aio/tests/messagereadertest.cpp
+++ b/packages/aio/tests/messagereadertest.cpp
@@ -51,12 +51,35 @@
 	CPPUNIT_TEST(nextMessageIsLeft);
 	CPPUNIT_TEST(ambiguousLengthsAreMalformed);
 	CPPUNIT_TEST(boundsHold);
+	CPPUNIT_TEST(linesBetweenChunksAreBounded);
 	CPPUNIT_TEST(bodyOfKnownLengthTakesNoMoreMemory);
 	CPPUNIT_TEST(claimedLengthTakesBoundedMemory);
 	CPPUNIT_TEST(answerUntilClose);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
+	/// Guards against collecting a size line or trailer fields without end, which the parser itself does not bound.
+	void linesBetweenChunksAreBounded()
+	{
+		const std::string heads[Side::Count] = {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		                                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+		const std::string endless(2UL * ReaderLimits{}.headerBytes, '0');
+		for (uint32_t side = 0; side < Side::Count; ++side)
+		{
+			for (const std::string& start : {heads[side], heads[side] + "1\r\na\r\n", heads[side] + "0\r\nX: "})
+			{
+				for (const std::size_t piece : {std::size_t(100), endless.size()})
+				{
+					MessageReader reader(static_cast<Side::Enum>(side), ReaderLimits{});
+					std::string rest;
+					const ReadState::Enum state = readInPieces(reader, start + endless, piece, rest);
+					CPPUNIT_ASSERT_EQUAL(int(ReadState::Malformed), int(state));
+					CPPUNIT_ASSERT(rest.size() <= endless.size());
+				}
+			}
+		}
+	}
+
 	void requestInAnyPieces()
 	{
 		const std::string text = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
