What comes ahead of an answer is bounded

Answers to earlier requests that come late, and interim ones, are discarded while the answer to the request is awaited. A target that sent nothing else was read for as long as the route's timeout. More than 512 KB of these in one exchange now counts as bytes that are no answer.

--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -25,6 +25,9 @@
 /// Interval between checks of how much of a request the peer has acknowledged.
 constexpr Duration kDeliveryCheckInterval = Duration::fromMillis(1000);
 
+/// Most that may come ahead of the answer to a request: interim answers, and late ones to earlier requests, bytes.
+constexpr uint64_t kMaxSkippedBytes = 512ULL * 1024;
+
 /// Assumed for a peer that names no timeout in a Keep-Alive field.
 constexpr Duration kDefaultKeepAlive = Duration::fromMillis(24L * 3600 * 1000);
 
@@ -77,6 +80,7 @@
 	{
 		handler_ = &_handler;
 		reader_ = makeReader();
+		skippedBytes_ = 0;
 		request_ = std::move(_request);
 		if (connected_)
 		{
@@ -292,6 +296,11 @@
 			{
 				return std::string();
 			}
+			if (skipping_ && !countSkipped(used))
+			{
+				fail(ExchangeFailure::Malformed);
+				return std::string();
+			}
 			if (ReadState::Done == state)
 			{
 				onMessageDone(!_bytes.empty());
@@ -304,6 +313,13 @@
 		return std::string(_bytes);
 	}
 
+	/// @returns false if more was skipped than a peer in order ever sends.
+	bool countSkipped(std::size_t _bytes)
+	{
+		skippedBytes_ += _bytes;
+		return skippedBytes_ <= kMaxSkippedBytes;
+	}
+
 	/// @returns false if the handler closed the connection.
 	bool forwardHead()
 	{
@@ -405,6 +421,7 @@
 	std::string request_;
 	std::string unparsed_; //!< Received bytes that the reader needs more of before it can consume them.
 	Duration keepAliveTimeout_ = kDefaultKeepAlive;
+	uint64_t skippedBytes_ = 0; //!< During this exchange.
 	bool connected_ = false;
 	bool closed_ = false;
 	bool keepAlive_ = true;
