A head that comes in small pieces without end is ended

A target that sent one line of a head each 5 ms held its caller until the head exceeded its limit, which takes minutes at that pace, or until the route's timeout. A head, or a line between chunks, is now taken as endless once it is not whole after 250 ms and more than 32 pieces. A target that is merely silent in the middle of a head sends few pieces and is waited for as before.

--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -6,6 +6,7 @@
 #include "nonblockingsocket_p.h"
 #include "tcpendpoint_p.h"
 
+#include <base/bootclock.h>
 #include <base/config.h>
 
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,11 @@
 /// Most that may come ahead of the answer to a request: interim answers, and late ones to earlier requests, bytes.
 constexpr uint64_t kMaxSkippedBytes = 512ULL * 1024;
 
+/// A head, or a line between chunks, that is not whole after this time and this many pieces counts as endless. Both
+/// must be exceeded: a target that falls silent in the middle of a head, or whose packets are lost, sends few pieces.
+constexpr Duration kMaxLineDuration = Duration::fromMillis(250);
+constexpr uint32_t kMaxLinePieces = 32;
+
 /// Assumed for a peer that names no timeout in a Keep-Alive field.
 constexpr Duration kDefaultKeepAlive = Duration::fromMillis(24L * 3600 * 1000);
 
@@ -81,6 +87,7 @@
 		handler_ = &_handler;
 		reader_ = makeReader();
 		skippedBytes_ = 0;
+		linePieces_ = 0;
 		request_ = std::move(_request);
 		if (connected_)
 		{
@@ -271,11 +278,34 @@
 		if (unparsed_.empty())
 		{
 			unparsed_ = parse(_bytes);
+		}
+		else
+		{
+			unparsed_.append(_bytes);
+			const std::string all = std::move(unparsed_);
+			unparsed_ = parse(all);
+		}
+		checkLine();
+	}
+
+	/// Ends an exchange whose peer keeps sending pieces of a head, or of a line between chunks, that never ends.
+	void checkLine()
+	{
+		const bool isInLine = nullptr != handler_ && (!reader_->hasHead() || !unparsed_.empty());
+		if (!isInLine)
+		{
+			linePieces_ = 0;
 			return;
 		}
-		unparsed_.append(_bytes);
-		const std::string all = std::move(unparsed_);
-		unparsed_ = parse(all);
+		if (0 == linePieces_++)
+		{
+			lineStart_ = BootClock::now();
+		}
+		const bool isLong = std::chrono::microseconds(kMaxLineDuration.micros) < BootClock::now() - lineStart_;
+		if (isLong && kMaxLinePieces < linePieces_)
+		{
+			fail(ExchangeFailure::Malformed);
+		}
 	}
 
 	/// Feeds received bytes to the reader and forwards what it has parsed to the handler.
@@ -296,6 +326,10 @@
 			{
 				return std::string();
 			}
+			if (0 < used && reader_->hasHead())
+			{
+				linePieces_ = 0; // the line has ended, and another one may have begun
+			}
 			if (skipping_ && !countSkipped(used))
 			{
 				fail(ExchangeFailure::Malformed);
@@ -421,7 +455,9 @@
 	std::string request_;
 	std::string unparsed_; //!< Received bytes that the reader needs more of before it can consume them.
 	Duration keepAliveTimeout_ = kDefaultKeepAlive;
-	uint64_t skippedBytes_ = 0; //!< During this exchange.
+	uint64_t skippedBytes_ = 0;       //!< During this exchange.
+	BootClock::time_point lineStart_; //!< When the first piece of the line that is not whole came.
+	uint32_t linePieces_ = 0;         //!< Pieces of that line; 0: there is none.
 	bool connected_ = false;
 	bool closed_ = false;
 	bool keepAlive_ = true;
