--- a/tests/entry/nodeprocess.cpp
+++ b/tests/entry/nodeprocess.cpp
@@ -72,9 +72,9 @@
 	process_->signal(_signal);
 }
 
-bool NodeProcess::hasEnded()
+bool NodeProcess::hasEnded() const
 {
-	return !process_ || process_->hasEnded();
+	return !process_ || !process_->running();
 }
 
 } // namespace sedgecart
--- a/tests/entry/nodeprocess.h
+++ b/tests/entry/nodeprocess.h
@@ -29,7 +29,7 @@
 	void signal(int _signal) const;
 
 	/// @returns true unless it runs.
-	bool hasEnded();
+	bool hasEnded() const;
 
 	const std::string& callerAddress() const
 	{
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -81,14 +81,12 @@
 	return await();
 }
 
-bool Process::hasEnded()
+bool Process::running() const
 {
-	int status = 0;
-	if (0 < id_ && ::waitpid(id_, &status, WNOHANG) == id_)
-	{
-		id_ = 0;
-	}
-	return id_ <= 0;
+	siginfo_t info{};
+	// Without WNOWAIT its exit code would be gone for `await`.
+	return 0 < id_ && 0 == ::waitid(P_PID, static_cast<id_t>(id_), &info, WEXITED | WNOHANG | WNOWAIT) &&
+	       0 == info.si_pid;
 }
 
 int Process::await()
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -32,8 +32,8 @@
 	/// @returns the exit code, -1 if a signal ended it.
 	int stop();
 
-	/// @returns true once it has ended, for whatever reason. Does not wait.
-	bool hasEnded();
+	/// @returns false once it has ended; `stop` and `kill` then return at once.
+	bool running() const;
 
 	pid_t id() const
 	{
