A stop of packages/node ends what is left before its bound, with an answer

Cause: after its last look at the registry of requests the node took its server down, which waits for every request that was read, up to that request's own deadline.

Change: 250 ms before the bound all waits for targets end (Cancellation, polled beside each socket), waiting requests and claims are refused. A request that a target may have run gets 504 stopped_running, a stream as its last event, any other 503 stopping; targets are not blamed for it. A command doesn't wait for other nodes' confirmation during a stop. The server is taken down within the stop, so that its end is logged.

Not measured: the cost of the second descriptor in each poll.

--- a/packages/http/include/http/httpclient.h
+++ b/packages/http/include/http/httpclient.h
@@ -14,6 +14,8 @@
 namespace sedgecart
 {
 
+class Cancellation;
+
 /// A request to be sent.
 struct HttpCall
 {
@@ -64,7 +66,8 @@
 class HttpClient
 {
 public:
-	explicit HttpClient(const Endpoint& _endpoint);
+	/// @param _cancellation ends each step as if the connection broke, once it is cancelled; outlives the client.
+	explicit HttpClient(const Endpoint& _endpoint, const Cancellation* _cancellation = nullptr);
 	~HttpClient();
 
 	HttpClient(const HttpClient&) = delete;
--- a/packages/http/src/boundedstream.cpp
+++ b/packages/http/src/boundedstream.cpp
@@ -3,10 +3,12 @@
 #include "boundedstream_p.h"
 
 #include <base/bootclock.h>
+#include <http/cancellation.h>
 #include <poll.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -52,8 +54,15 @@
 	{
 		const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(bound_ - BootClock::now());
 		const auto wait = std::max(std::chrono::milliseconds(0), left + kRoundUp);
-		pollfd entry{socket_.native_handle(), _events, 0};
-		const int ready = ::poll(&entry, 1, static_cast<int>(wait.count()));
+		// A negative descriptor is passed over.
+		const int cancelled = nullptr == cancellation_ ? -1 : cancellation_->descriptor();
+		pollfd entries[] = {{socket_.native_handle(), _events, 0}, {cancelled, POLLIN, 0}};
+		const int ready = ::poll(entries, std::size(entries), static_cast<int>(wait.count()));
+		if (0 < ready && 0 != entries[1].revents)
+		{
+			_error = boost::asio::error::operation_aborted;
+			return false;
+		}
 		if (0 < ready)
 		{
 			_error = {};
--- a/packages/http/src/boundedstream_p.h
+++ b/packages/http/src/boundedstream_p.h
@@ -15,6 +15,8 @@
 namespace sedgecart
 {
 
+class Cancellation;
+
 /// A TCP stream whose blocking steps end at a point in time, as Beast's synchronous algorithms want it. One poll and
 /// one read a step: an asynchronous stream with its timers cost a node 179 us a token, this one 142 (scripts/bench
 /// capacity).
@@ -23,7 +25,8 @@
 public:
 	using ErrorCode = boost::system::error_code;
 
-	BoundedStream() : socket_(context_)
+	/// @param _cancellation steps end with boost::asio::error::operation_aborted once it is cancelled; may be null.
+	explicit BoundedStream(const Cancellation* _cancellation) : socket_(context_), cancellation_(_cancellation)
 	{
 	}
 
@@ -78,7 +81,7 @@
 	static const short kReadable;
 	static const short kWritable;
 
-	/// Waits until the socket is ready or the bound is reached.
+	/// Waits until the socket is ready, the bound is reached or the stream is cancelled.
 	bool await(short _events, ErrorCode& _error);
 
 	template <typename Buffers>
@@ -95,6 +98,7 @@
 
 	boost::asio::io_context context_{1};
 	boost::asio::ip::tcp::socket socket_;
+	const Cancellation* cancellation_;
 	BootClock::time_point bound_;
 };
 
--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -36,7 +36,7 @@
 class HttpClient::Impl
 {
 public:
-	explicit Impl(const Endpoint& _endpoint) : endpoint_(_endpoint)
+	Impl(const Endpoint& _endpoint, const Cancellation* _cancellation) : endpoint_(_endpoint), stream_(_cancellation)
 	{
 	}
 
@@ -225,7 +225,8 @@
 	bool connected_ = false;
 };
 
-HttpClient::HttpClient(const Endpoint& _endpoint) : impl_(std::make_unique<Impl>(_endpoint))
+HttpClient::HttpClient(const Endpoint& _endpoint, const Cancellation* _cancellation)
+    : impl_(std::make_unique<Impl>(_endpoint, _cancellation))
 {
 }
 
--- a/packages/node/src/admission.cpp
+++ b/packages/node/src/admission.cpp
@@ -26,6 +26,10 @@
 Result<Chain> Admission::acquire(Submission _submission)
 {
 	std::unique_lock<std::mutex> lock(mutex_);
+	if (refusing_)
+	{
+		return Error{ErrorKind::Stopping, {}, {}};
+	}
 	_submission.id = ++nextId_;
 	Decision decision;
 	{
@@ -99,6 +103,21 @@
 	}
 }
 
+void Admission::refuseAll()
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	refusing_ = true;
+	for (const auto& entry : pending_)
+	{
+		dispatcher_.cancel(entry.first);
+		Decision decision;
+		decision.error = Error{ErrorKind::Stopping, {}, {}};
+		entry.second->decision = decision;
+		entry.second->decided.notify_one();
+	}
+	pending_.clear();
+}
+
 std::size_t Admission::waiting(const std::string& _route) const
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
--- a/packages/node/src/admission_p.h
+++ b/packages/node/src/admission_p.h
@@ -48,6 +48,9 @@
 	/// Starts or refuses waiting submissions. Called periodically by the control thread.
 	void dispatchWaiting();
 
+	/// Refuses what waits and all later submissions, as not run because of the stop.
+	void refuseAll();
+
 	/// @returns the number of requests waiting for a route.
 	std::size_t waiting(const std::string& _route) const;
 
@@ -66,6 +69,7 @@
 	Dispatcher dispatcher_;
 	SeededRandom random_;
 	uint64_t nextId_ = 0;
+	bool refusing_ = false;
 	std::unordered_map<uint64_t, Pending*> pending_;
 };
 
--- a/packages/node/src/attempt.cpp
+++ b/packages/node/src/attempt.cpp
@@ -7,6 +7,7 @@
 #include "context_p.h"
 #include "control_p.h"
 #include "fasterchainfinder_p.h"
+#include "stopstate_p.h"
 
 #include <base/config.h>
 #include <logging/logging.h>
@@ -54,8 +55,12 @@
 	_order.start = sequence_.next();
 	_order.chain = chain_;
 	sequence_.startAttempt(_order.attempt, chain_);
-	HttpEngineStream stream;
+	HttpEngineStream stream(context_.stop.cut());
 	const OpenOutcome outcome = stream.open(_order);
+	if (OpenState::Lost == outcome.state && context_.stop.areRequestsCut())
+	{
+		return makeReport(AttemptEnd::CutOff);
+	}
 	if (OpenState::Opened != outcome.state)
 	{
 		return onRefused(outcome);
@@ -100,7 +105,7 @@
 		}
 		if (EventState::Ended == state)
 		{
-			return onStreamEnded();
+			return context_.stop.areRequestsCut() ? makeReport(AttemptEnd::CutOff) : onStreamEnded();
 		}
 		if (!event.failedTarget.empty())
 		{
--- a/packages/node/src/attempt_p.h
+++ b/packages/node/src/attempt_p.h
@@ -32,6 +32,7 @@
 		NotStarted, //!< A stage refused the stream or the head was unreachable: nothing was executed.
 		Broken,     //!< Failed, possibly after it was executed; the stream can continue on another chain.
 		DeadlinePassed,
+		CutOff,  //!< By the node's stop, possibly after it was executed.
 		TooSlow, //!< A faster chain is reserved; the stream continues on it.
 
 		Count
--- a/packages/node/src/claimlog.cpp
+++ b/packages/node/src/claimlog.cpp
@@ -105,14 +105,19 @@
 		queue_.push_back(_claim);
 		queued_.notify_one();
 	}
-	if (!applied_.wait_for(lock, std::chrono::milliseconds(SEDGECART_CONFIG_CLAIM_WAIT_MS), decided))
+	applied_.wait_for(lock, std::chrono::milliseconds(SEDGECART_CONFIG_CLAIM_WAIT_MS),
+	                  [this, &decided]
+	                  {
+		                  return refusing_ || decided();
+	                  });
+	if (!decided())
 	{
 		// The claim may still be appended to the log, so an abandon record is queued after it.
 		ClaimRecord abandon = _claim;
 		abandon.verb = ClaimVerb::Abandon;
 		queue_.push_back(abandon);
 		queued_.notify_one();
-		return logUnavailable();
+		return refusing_ ? Error{ErrorKind::Stopping, {}, {}} : logUnavailable();
 	}
 	ClaimResult result;
 	result.entry = table_.at(_claim.key);
@@ -120,6 +125,15 @@
 	return result;
 }
 
+void ClaimLog::refuseWaiting()
+{
+	{
+		const std::lock_guard<std::mutex> lock(mutex_);
+		refusing_ = true;
+	}
+	applied_.notify_all();
+}
+
 void ClaimLog::recordOutcome(const ClaimRecord& _record)
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
--- a/packages/node/src/claimlog_p.h
+++ b/packages/node/src/claimlog_p.h
@@ -41,6 +41,9 @@
 	/// @returns LogUnavailable or CatchingUp if it was not decided; the call must not be made then.
 	Result<ClaimResult> claim(const ClaimRecord& _claim);
 
+	/// Refuses claims that wait for the log, because of the stop; they may still be appended, and are abandoned then.
+	void refuseWaiting();
+
 	/// Queues the outcome of a won claim and returns immediately. The record is appended once the log accepts it.
 	void recordOutcome(const ClaimRecord& _record);
 
@@ -68,6 +71,7 @@
 	Offset nextOffset_;
 	std::deque<ClaimRecord> queue_;
 	std::atomic<bool> appendHealthy_{true};
+	bool refusing_ = false;
 	bool stopping_ = false;
 	std::thread thread_;
 	LogTailer tailer_; //!< Declared last: it calls back as soon as it is constructed.
--- a/packages/node/src/commandexecutor.cpp
+++ b/packages/node/src/commandexecutor.cpp
@@ -6,6 +6,7 @@
 #include "configwriter_p.h"
 #include "context_p.h"
 #include "control_p.h"
+#include "stopstate_p.h"
 #include "tables_p.h"
 
 #include <base/bootclock.h>
@@ -165,7 +166,8 @@
 {
 	const auto deadline = BootClock::now() + std::chrono::milliseconds(std::min(_waitMs, kMaxWaitMs));
 	std::vector<std::string> missing = unconfirmedNodes(_next);
-	while (!missing.empty() && BootClock::now() < deadline)
+	// A stop does not wait for other nodes; the reply names those that have not confirmed.
+	while (!missing.empty() && BootClock::now() < deadline && !context_.stop.isStopping())
 	{
 		std::this_thread::sleep_for(kCheckInterval);
 		missing = unconfirmedNodes(_next);
--- a/packages/node/src/generation.cpp
+++ b/packages/node/src/generation.cpp
@@ -52,9 +52,7 @@
 		const Result<Chain> chain = nextChain();
 		if (!chain.has_value())
 		{
-			// A started stream may have been executed, so it must not fail with an error that says it was not.
-			fail(mayHaveRun_ ? Error{ErrorKind::StreamBroken, "No chain is available to continue the stream.", {}}
-			                 : chain.error());
+			fail(mayHaveRun_ ? withoutChain(chain.error()) : chain.error());
 			return;
 		}
 		AttemptReport report = runAttempt(chain.value());
@@ -67,6 +65,16 @@
 	}
 }
 
+/// A started stream may have been executed, so it must not fail with an error that says it was not.
+Error Generation::withoutChain(const Error& _error)
+{
+	if (ErrorKind::Stopping == _error.kind)
+	{
+		return Error{ErrorKind::StoppedRunning, {}, {}};
+	}
+	return Error{ErrorKind::StreamBroken, "No chain is available to continue the stream.", {}};
+}
+
 Result<Chain> Generation::nextChain()
 {
 	if (!fasterChain_)
@@ -124,6 +132,8 @@
 	case AttemptEnd::TooSlow:
 		onTooSlow(_report, _chain);
 		return std::nullopt;
+	case AttemptEnd::CutOff:
+		return Error{ErrorKind::StoppedRunning, {}, {}};
 	case AttemptEnd::DeadlinePassed:
 	case AttemptEnd::Count:
 		break;
--- a/packages/node/src/generation_p.h
+++ b/packages/node/src/generation_p.h
@@ -51,6 +51,8 @@
 	                                    const RemainingStream& _remaining) override;
 	/// @returns a chain with its slots reserved: the faster one found by the last attempt, else one from admission.
 	Result<Chain> nextChain();
+	/// @returns the error of a started stream for which admission gave this error.
+	static Error withoutChain(const Error& _error);
 	/// Waits with jittered exponential backoff from the third attempt on, so that retries do not overload faulty
 	/// targets. The second attempt starts at once.
 	void pauseBeforeRetry() const;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -104,17 +104,18 @@
 		const Duration delay = Duration::fromMillis(settings_.stopDelayMs);
 		const Time lateFrom = clock_.now() + delay;
 		const Time end = lateFrom + Duration::fromMillis(settings_.stopBoundMs);
-		stopState_.begin(lateFrom, Time{end.micros - kDeliveryTime.micros});
+		const Time lastAnswersAt{end.micros - kDeliveryTime.micros};
+		stopState_.begin(lateFrom, lastAnswersAt);
 		peers_.setStopping();
 		logLine(LogPart::Node, LogLevel::Info, "Node is stopping; the health check fails.");
 		std::this_thread::sleep_for(std::chrono::milliseconds(settings_.stopDelayMs));
-		const auto deadline = BootClock::now() + std::chrono::milliseconds(settings_.stopBoundMs);
-		while (0 < registry_.size() && BootClock::now() < deadline)
+		while (0 < registry_.size() && !stopState_.areRequestsCut())
 		{
 			std::this_thread::sleep_for(kTick);
 		}
-		logLine(LogPart::Node, LogLevel::Info,
-		        "Stopped with " + std::to_string(registry_.size()) + " requests in flight.");
+		// Waits for the requests that were read; the ticks end those that are left at the last moment for answers.
+		server_.reset();
+		logLine(LogPart::Node, LogLevel::Info, "Node has stopped.");
 	}
 
 	std::string dump() const
@@ -123,6 +124,16 @@
 	}
 
 private:
+	/// Gives each request that is left its final answer: nothing bounds those that came before the balancer reacted.
+	void endRequests()
+	{
+		logLine(LogPart::Node, LogLevel::Warning,
+		        std::to_string(registry_.size()) + " requests are ended by the stop.");
+		stopState_.cutRequests();
+		admission_.refuseAll();
+		claims_.refuseWaiting();
+	}
+
 	void runTicks()
 	{
 		Offset reported;
@@ -130,6 +141,10 @@
 		{
 			control_.tick();
 			admission_.dispatchWaiting();
+			if (stopState_.mustCut(clock_.now()))
+			{
+				endRequests();
+			}
 			// A new config offset is sent at once, not with the next periodic heartbeat: operators wait for it.
 			const Offset next = control_.configNext();
 			if (0 == tick % kTicksPerHeartbeat || reported < next)
--- a/packages/node/src/servicerelay.cpp
+++ b/packages/node/src/servicerelay.cpp
@@ -8,6 +8,7 @@
 #include "context_p.h"
 #include "control_p.h"
 #include "reply_p.h"
+#include "stopstate_p.h"
 
 #include <base/config.h>
 #include <base/digest.h>
@@ -155,7 +156,7 @@
 	call.request = caller_.requestId;
 	call.key = request_.idempotencyKey;
 	call.timeout = caller_.deadline - now;
-	HttpPlainService service;
+	HttpPlainService service(context_.stop.cut());
 	ServiceOutcome outcome = service.call(call);
 	if (ServiceState::Answered == outcome.state)
 	{
@@ -178,11 +179,15 @@
 		--attempts_;
 		return std::nullopt;
 	}
+	const bool lost = ServiceState::Lost == _outcome.state;
+	if (context_.stop.areRequestsCut())
+	{
+		return Error{lost ? ErrorKind::StoppedRunning : ErrorKind::Stopping, {}, {}};
+	}
 	avoided_.push_back(target);
 	context_.control.targets().onFailure(target, context_.clock.now());
 	logLine(LogPart::Requests, LogLevel::Warning,
 	        "Call to " + _chain.stages.front().name + " got no response: " + _outcome.detail + ".", caller_.requestId);
-	const bool lost = ServiceState::Lost == _outcome.state;
 	const bool isSafeToRepeat = !lost || caller_.route.repeatable;
 	if (isSafeToRepeat && attempts_ < SEDGECART_CONFIG_MAX_ATTEMPTS && context_.retries.spend())
 	{
--- a/packages/node/src/stopstate.cpp
+++ b/packages/node/src/stopstate.cpp
@@ -22,4 +22,19 @@
 	return !stopping_ || _now < lateFrom_ || _deadline < lastAnswersAt_;
 }
 
+bool StopState::mustCut(Time _now) const
+{
+	return stopping_ && !areRequestsCut() && !(_now < lastAnswersAt_);
+}
+
+void StopState::cutRequests()
+{
+	cut_.cancel();
+}
+
+bool StopState::areRequestsCut() const
+{
+	return cut_.isCancelled();
+}
+
 } // namespace sedgecart
--- a/packages/node/src/stopstate_p.h
+++ b/packages/node/src/stopstate_p.h
@@ -4,6 +4,7 @@
 #define SEDGECART_NODE_STOPSTATE_P_H_HEADER_GUARD
 
 #include <base/units.h>
+#include <http/cancellation.h>
 
 #include <atomic>
 
@@ -27,11 +28,27 @@
 	/// @returns false for a late request that nothing ends within the stop.
 	bool admits(Time _now, Time _deadline) const;
 
+	/// @returns true when the requests that are left need their answers now, until they are cut.
+	bool mustCut(Time _now) const;
+
+	/// Ends what requests wait for at targets.
+	void cutRequests();
+
+	/// @returns true once what was left was cut.
+	bool areRequestsCut() const;
+
+	/// @returns what ends the waits for targets.
+	const Cancellation& cut() const
+	{
+		return cut_;
+	}
+
 private:
 	// Written before `stopping_`, and read after it.
 	Time lateFrom_;
 	Time lastAnswersAt_;
 	std::atomic<bool> stopping_{false};
+	Cancellation cut_;
 };
 
 } // namespace sedgecart
--- a/packages/target/include/target/httpenginestream.h
+++ b/packages/target/include/target/httpenginestream.h
@@ -10,19 +10,22 @@
 namespace sedgecart
 {
 
+class Cancellation;
 class HttpClient;
 
 /// A stream over HTTP and server-sent events.
 class HttpEngineStream : public EngineStreamI
 {
 public:
-	HttpEngineStream();
+	/// @param _cancellation ends the stream.
+	explicit HttpEngineStream(const Cancellation& _cancellation);
 	~HttpEngineStream() override;
 
 	OpenOutcome open(const StreamOrder& _order) override;
 	EventState::Enum next(Duration _timeout, StreamEvent& _event) override;
 
 private:
+	const Cancellation& cancellation_;
 	std::unique_ptr<HttpClient> client_;
 };
 
--- a/packages/target/src/httpenginestream.cpp
+++ b/packages/target/src/httpenginestream.cpp
@@ -68,13 +68,16 @@
 
 } // namespace
 
-HttpEngineStream::HttpEngineStream() = default;
+HttpEngineStream::HttpEngineStream(const Cancellation& _cancellation) : cancellation_(_cancellation)
+{
+}
+
 HttpEngineStream::~HttpEngineStream() = default;
 
 OpenOutcome HttpEngineStream::open(const StreamOrder& _order)
 {
 	const ChainStage& head = _order.chain.stages.front();
-	client_ = std::make_unique<HttpClient>(parseEndpoint(head.address));
+	client_ = std::make_unique<HttpClient>(parseEndpoint(head.address), &cancellation_);
 	HttpCall call;
 	call.method = "POST";
 	call.target = "/v1/streams";
--- a/packages/target/src/httpplainservice.cpp
+++ b/packages/target/src/httpplainservice.cpp
@@ -35,9 +35,13 @@
 
 } // namespace
 
+HttpPlainService::HttpPlainService(const Cancellation& _cancellation) : cancellation_(_cancellation)
+{
+}
+
 ServiceOutcome HttpPlainService::call(const ServiceCall& _call)
 {
-	HttpClient client(parseEndpoint(_call.address));
+	HttpClient client(parseEndpoint(_call.address), &cancellation_);
 	HttpCall call;
 	call.method = _call.method;
 	call.target = _call.path;
--- a/tests/proof/nodestopproof.cpp
+++ b/tests/proof/nodestopproof.cpp
@@ -33,7 +33,8 @@
 constexpr int kStops = 5;
 constexpr int kCallers = 6;
 constexpr int kMostPauseMicros = 15000; // between the requests of a caller, so that the node is idle at moments
-constexpr uint32_t kLongTokens = 3000;  // takes far longer than the whole stop
+constexpr uint64_t kLongCallMillis = 30000;
+constexpr uint32_t kLongTokens = 3000; // takes far longer than the whole stop
 
 std::vector<std::string> stopOptions()
 {
@@ -144,26 +145,45 @@
 		CPPUNIT_ASSERT(0 < refusals);
 	}
 
-	/// A request that outlasts the bound must not keep the process until the platform kills it.
+	/// Requests that outlast the bound must not keep the process until the platform kills it, unanswered.
 	void processEndsWithinItsBound()
 	{
-		Answer answer;
-		std::thread caller(
-		    [this, &answer]
+		for (const std::string& service : services())
+		{
+			cluster_.setSwitch(service, "delay_ms", kLongCallMillis);
+		}
+		Answer whole;
+		Answer stream;
+		Answer call;
+		std::vector<std::thread> callers;
+		callers.emplace_back(
+		    [this, &whole]
 		    {
-			    Ask ask;
-			    ask.tokens = kLongTokens;
-			    ask.stream = false;
-			    ask.deadlineMs = 60000;
-			    answer = complete(cluster_.at("n1"), ask);
+			    whole = askLong(false);
+		    });
+		callers.emplace_back(
+		    [this, &stream]
+		    {
+			    stream = askLong(true);
+		    });
+		callers.emplace_back(
+		    [this, &call]
+		    {
+			    call = callService(cluster_.at("n1"), "filing", "", "outlasts the stop");
 		    });
 		std::this_thread::sleep_for(kBeforeSignal);
 		node().signal(SIGTERM);
 		const bool ended = awaitEnd(kDelay + kBound + kSlack);
 		node().kill();
-		caller.join();
+		for (std::thread& caller : callers)
+		{
+			caller.join();
+		}
 		CPPUNIT_ASSERT(ended);
-		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), answer.errorKind);
+		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), whole.errorKind);
+		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), stream.errorKind);
+		CPPUNIT_ASSERT(!stream.whole);
+		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), call.errorKind);
 	}
 
 private:
@@ -172,6 +192,15 @@
 		return *cluster_.node("n1").process;
 	}
 
+	Answer askLong(bool _stream)
+	{
+		Ask ask;
+		ask.tokens = kLongTokens;
+		ask.stream = _stream;
+		ask.deadlineMs = 60000;
+		return complete(cluster_.at("n1"), ask);
+	}
+
 	/// @returns true if the process has ended by itself within the time.
 	bool awaitEnd(milliseconds _most)
 	{
