From the stop signal on, each answer of packages/node closes its connection

What callers saw: over a connection that they kept they sent requests until the node's server was gone, and met a closed connection.

Cause: the node answered with a kept connection to the last, and cxxtools closes connections at rest only with the whole server.

Change: HttpServer::closeAfterAnswers, called by the stop: answers carry Connection: close. Streams and errors before the body did already.

Evidence: NodeStopProof::keptConnectionsAreClosedByAnAnswer, six callers, 5 stops a run.

--- a/packages/http/include/http/httpserver.h
+++ b/packages/http/include/http/httpserver.h
@@ -34,6 +34,10 @@
 	/// Stops: no new connections, then waits for requests in flight.
 	~HttpServer();
 
+	/// From here on each answer ends its connection, as its header says, so that few callers meet the server's end over
+	/// a connection that they keep.
+	void closeAfterAnswers();
+
 	HttpServer(const HttpServer&) = delete;
 	HttpServer& operator=(const HttpServer&) = delete;
 
--- a/packages/http/src/httpserver.cpp
+++ b/packages/http/src/httpserver.cpp
@@ -16,6 +16,7 @@
 #include <cxxtools/net/tcpsocket.h>
 #include <cxxtools/regex.h>
 
+#include <atomic>
 #include <thread>
 
 namespace sedgecart
@@ -32,10 +33,12 @@
 class HandlerResponder : public cxxtools::http::Responder
 {
 public:
-	HandlerResponder(cxxtools::http::Service& _owner, HttpHandlerI& _handler, std::size_t _maxBodyBytes)
+	HandlerResponder(cxxtools::http::Service& _owner, HttpHandlerI& _handler, std::size_t _maxBodyBytes,
+	                 const std::atomic<bool>& _closing)
 	    : cxxtools::http::Responder(_owner),
 	      handler_(_handler),
-	      maxBodyBytes_(_maxBodyBytes)
+	      maxBodyBytes_(_maxBodyBytes),
+	      closing_(_closing)
 	{
 	}
 
@@ -65,6 +68,10 @@
 
 	void reply(std::ostream& /*_out*/, cxxtools::http::Request& _incoming, cxxtools::http::Reply& _reply) override
 	{
+		if (closing_)
+		{
+			_reply.setHeader("Connection", "close");
+		}
 		SocketExchange exchange(*socket_, _incoming, &_reply, std::move(body_));
 		if (tooLarge_)
 		{
@@ -77,6 +84,7 @@
 private:
 	HttpHandlerI& handler_;
 	std::size_t maxBodyBytes_;
+	const std::atomic<bool>& closing_;
 	cxxtools::net::TcpSocket* socket_ = nullptr;
 	std::string body_;
 	bool tooLarge_ = false;
@@ -90,10 +98,15 @@
 	{
 	}
 
+	void closeAfterAnswers()
+	{
+		closing_ = true;
+	}
+
 protected:
 	cxxtools::http::Responder* createResponder(const cxxtools::http::Request& /*_request*/) override
 	{
-		return new HandlerResponder(*this, handler_, maxBodyBytes_);
+		return new HandlerResponder(*this, handler_, maxBodyBytes_, closing_);
 	}
 
 	void releaseResponder(cxxtools::http::Responder* _responder) override
@@ -104,6 +117,7 @@
 private:
 	HttpHandlerI& handler_;
 	std::size_t maxBodyBytes_;
+	std::atomic<bool> closing_{false};
 };
 
 } // namespace
@@ -134,6 +148,11 @@
 		thread_.join();
 	}
 
+	void closeAfterAnswers()
+	{
+		service_.closeAfterAnswers();
+	}
+
 	Impl(const Impl&) = delete;
 	Impl& operator=(const Impl&) = delete;
 
@@ -151,4 +170,9 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::closeAfterAnswers()
+{
+	impl_->closeAfterAnswers();
+}
+
 } // namespace sedgecart
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -106,6 +106,7 @@
 		const Time end = lateFrom + Duration::fromMillis(settings_.stopBoundMs);
 		const Time lastAnswersAt{end.micros - kDeliveryTime.micros};
 		stopState_.begin(lateFrom, lastAnswersAt);
+		server_->closeAfterAnswers();
 		peers_.setStopping();
 		logLine(LogPart::Node, LogLevel::Info, "Node is stopping; the health check fails.");
 		std::this_thread::sleep_for(std::chrono::milliseconds(settings_.stopDelayMs));
--- a/tests/proof/nodestopproof.cpp
+++ b/tests/proof/nodestopproof.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kSlack{5000};       // for its threads to end, which wait for changes of the log and the VM list
 constexpr milliseconds kBeforeSignal{150}; // callers are under way when the signal comes
 constexpr int kStops = 5;
+constexpr int kStopsForEachUnread = 5; // stops for each request that may be closed unread
 constexpr int kCallers = 6;
 constexpr int kMostPauseMicros = 15000; // between the requests of a caller, so that the node is idle at moments
 constexpr uint64_t kLongCallMillis = 30000;
@@ -49,6 +50,7 @@
 	CPPUNIT_TEST(shortCallsAreAnsweredUntilTheProcessIsGone);
 	CPPUNIT_TEST(lateGenerationsAreNotRunAndCut);
 	CPPUNIT_TEST(processEndsWithinItsBound);
+	CPPUNIT_TEST(keptConnectionsAreClosedByAnAnswer);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +188,34 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), call.errorKind);
 	}
 
+	/// Callers that keep their connection must not meet the end of the process over it, with a request that is unread.
+	void keptConnectionsAreClosedByAnAnswer()
+	{
+		std::atomic<int> unread{0};
+		for (int stop = 0; stop < kStops; ++stop)
+		{
+			std::vector<std::thread> callers;
+			for (int caller = 0; caller < kCallers; ++caller)
+			{
+				callers.emplace_back(
+				    [this, stop, caller, &unread]
+				    {
+					    unread += callUntilClosed(stop, caller) ? 0 : 1;
+				    });
+			}
+			std::this_thread::sleep_for(kBeforeSignal);
+			node().signal(SIGTERM);
+			CPPUNIT_ASSERT(awaitEnd(kDelay + kBound + kSlack));
+			node().kill();
+			for (std::thread& caller : callers)
+			{
+				caller.join();
+			}
+			restart();
+		}
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(unread) + " closed unread", unread * kStopsForEachUnread <= kStops);
+	}
+
 private:
 	Process& node()
 	{
@@ -244,6 +274,26 @@
 		}
 	}
 
+	/// @returns false if the connection that it keeps ended under a request.
+	bool callUntilClosed(int _stop, int _caller)
+	{
+		std::mt19937 random(static_cast<uint32_t>(_stop * kCallers + _caller));
+		HttpClient client(cluster_.at("n1"));
+		do
+		{
+			HttpCall call;
+			call.target = "/v1/routes/filing/acknowledge";
+			call.headers.push_back({"Authorization", "Bearer caller-key-1"});
+			const CallState::Enum state = client.call(call, Duration::fromMillis(10000)).state;
+			if (CallState::Replied != state)
+			{
+				return CallState::NotSent == state; // it had no connection yet
+			}
+			std::this_thread::sleep_for(std::chrono::microseconds(random() % kMostPauseMicros));
+		} while (client.reusable());
+		return true;
+	}
+
 	void note(const std::string& _body, bool _answered)
 	{
 		const std::lock_guard<std::mutex> lock(mutex_);
