EstimateBound::Cautious instead of Safe, which promised what nothing can keep

Its doc said that almost no response takes longer, on any target. What recent requests did bounds nothing for the next one. The name and the doc say now what it is: few recent responses took longer. No change of behaviour; the product has no user of it.

--- a/packages/core/include/core/responsetimeestimator.h
+++ b/packages/core/include/core/responsetimeestimator.h
@@ -23,13 +23,14 @@
 	Time arrivedAt;        //!< When the request arrived.
 };
 
-/// How reliable an upper bound of the time of a response has to be.
+/// Which of the recent responses an estimate is to cover. It bounds no response to come: those may be longer or slower
+/// than all that were observed.
 struct EstimateBound
 {
 	enum Enum
 	{
-		Typical, //!< Most responses take no longer.
-		Safe,    //!< Almost no response takes longer, on any target.
+		Typical,  //!< Most recent responses took no longer.
+		Cautious, //!< Few recent responses took longer.
 
 		Count
 	};
--- a/packages/core/src/responsetimeestimator.cpp
+++ b/packages/core/src/responsetimeestimator.cpp
@@ -33,10 +33,8 @@
 };
 
 /// A stream that is admitted and does not complete in time is reset, while one that is refused may be refused by other
-/// nodes as well. Estimating shortly after the stop signal with the slowest of two hundred intervals and with responses
-/// of maximum length refuses many requests that would have completed, which costs more than the resets when all nodes
-/// restart. Callers that arrive long after the signal can go to another node at once, so that none of their requests
-/// may be lost.
+/// nodes as well. Estimating with the slowest of two hundred intervals and with responses of maximum length refuses
+/// many requests that would have completed, which costs more than the resets when all nodes restart.
 constexpr QuantileBounds kBounds[EstimateBound::Count] = {{20, 4}, {200, 200}};
 constexpr std::size_t kOneCallIn = 200;
 
--- a/packages/core/tests/responsetimeestimatortest.cpp
+++ b/packages/core/tests/responsetimeestimatortest.cpp
@@ -118,11 +118,11 @@
 	{
 		const ResponseTimeEstimator estimator;
 		CPPUNIT_ASSERT_EQUAL(int64_t(1500),
-		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Cautious).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 1000 * 14),
-		                     estimator.estimate(RequestKind::Stream, 0, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 0, EstimateBound::Cautious).total.millis());
 	}
 
 	void oneSlowStreamCountsImmediately()
@@ -130,7 +130,7 @@
 		ResponseTimeEstimator estimator;
 		recordStreams(estimator, 1, TargetSpeed{millis(900), millis(40)}, 100);
 		CPPUNIT_ASSERT_EQUAL(int64_t(900 + 100 * 40),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	void fastTargetsLowerTheInitialEstimates()
@@ -139,10 +139,10 @@
 		const TargetSpeed fast{millis(50), millis(5)};
 		recordStreams(estimator, 1, fast, 30);
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 		recordStreams(estimator, RecentDurations::kMinDurations, fast, 30);
 		CPPUNIT_ASSERT_EQUAL(int64_t(50 + 100 * 5),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	void callsAreEstimatedSeparately()
@@ -150,9 +150,9 @@
 		ResponseTimeEstimator estimator;
 		estimator.recordCall(millis(2500));
 		CPPUNIT_ASSERT_EQUAL(int64_t(2500),
-		                     estimator.estimate(RequestKind::Idempotent, 0, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Idempotent, 0, EstimateBound::Cautious).total.millis());
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 14),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	void oldObservationsAreDiscarded()
@@ -167,7 +167,7 @@
 			estimator.recordCall(millis(60));
 		}
 		CPPUNIT_ASSERT_EQUAL(int64_t(60),
-		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::AtMostOnce, 0, EstimateBound::Cautious).total.millis());
 	}
 
 	/// One stream in thirty runs on a target that is eight times slower; by events it is one in two hundred.
@@ -188,7 +188,7 @@
 			}
 		}
 		CPPUNIT_ASSERT(
-		    !(estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total < millis(100 + 100 * 80)));
+		    !(estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total < millis(100 + 100 * 80)));
 	}
 
 	void typicalEstimateIgnoresAFewSlowStreams()
@@ -213,7 +213,7 @@
 		ResponseTimeEstimator estimator;
 		recordStreams(estimator, 1, TargetSpeed{millis(100), millis(60)}, 3);
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 60),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	void aPauseIsAveragedOverAnInterval()
@@ -224,7 +224,7 @@
 		estimator.recordEvents(interval, 2, at(300));
 		estimator.recordEvents(interval, 30, at(600));
 		CPPUNIT_ASSERT_EQUAL(int64_t(600 + 100 * 500 / 29),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	/// Each event contains at least two tokens, so that a maximum of 100 tokens is one of 50 events.
@@ -239,7 +239,7 @@
 			estimator.recordEnd(interval, 50, 100, at(100 + 49 * 20));
 		}
 		CPPUNIT_ASSERT_EQUAL(int64_t(100 + 50 * 20),
-		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Safe).total.millis());
+		                     estimator.estimate(RequestKind::Stream, 100, EstimateBound::Cautious).total.millis());
 	}
 
 	/// Streams run on targets of different constant speeds until the node is stopped; each target has served some of
@@ -275,7 +275,7 @@
 		{
 			const Time now = at(kStopAt + *rc::gen::inRange<int64_t>(0, 3000));
 			const auto tokens = *rc::gen::inRange<uint32_t>(1, 1500);
-			const Duration estimate = estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Safe).total;
+			const Duration estimate = estimator.estimate(RequestKind::Stream, tokens, EstimateBound::Cautious).total;
 			if (!(now + estimate < window.deadline()))
 			{
 				continue;
--- a/packages/core/tests/serviceresponsetimestest.cpp
+++ b/packages/core/tests/serviceresponsetimestest.cpp
@@ -27,7 +27,7 @@
 		{
 			recordStream(times, "fast", Duration::fromMillis(5));
 		}
-		for (const EstimateBound::Enum bound : {EstimateBound::Typical, EstimateBound::Safe})
+		for (const EstimateBound::Enum bound : {EstimateBound::Typical, EstimateBound::Cautious})
 		{
 			CPPUNIT_ASSERT(!(times.estimate({{"slow"}}, RequestKind::Idempotent, 0, bound).total < kSlow));
 			CPPUNIT_ASSERT_EQUAL(kFast.micros,
