A target that sends bytes that are no answer three times in a row is left out

A target that answered nothing but bytes that are no answer was avoided for 1.5 s after each failure and then called again, for as long as it did so.

After three such failures in a row with no success between them the target is left out where there is another one. Other failures (resets, refusals, silence) are handled as before.

--- a/packages/fleet/include/fleet/fleetview.h
+++ b/packages/fleet/include/fleet/fleetview.h
@@ -51,6 +51,8 @@
 	std::atomic<uint32_t> remoteRequests{0};      //!< From the other nodes, by their last report.
 	std::atomic<uint64_t> remoteTokenLayers{0};   //!< From the other nodes, by their last report.
 	std::atomic<int64_t> avoidedUntil{0};         //!< Steady clock, microseconds; set after a recent failure.
+	std::atomic<uint32_t> worthlessInRow{0};      //!< Failures by bytes that are no answer since the last success.
+	std::atomic<bool> leftOut{false};             //!< After several of these, until it answers a probe.
 	std::atomic<uint32_t> suspicion{0};           //!< This node's suspicion; expires at `suspectedUntil`.
 	std::atomic<int64_t> suspectedUntil{0};       //!< Steady clock, microseconds.
 	std::atomic<uint32_t> remoteSuspicion{0};     //!< Sum of the other nodes' suspicions, by their last report.
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -2,6 +2,8 @@
 
 #include "requestrelay_p.h"
 
+#include "targetprobation_p.h"
+
 #include <base/clock.h>
 #include <core/serviceresponsetimes.h>
 #include <crash/crashdetector.h>
@@ -452,6 +454,10 @@
 	{
 		context_.crashes.onBegun(plan_.promptParts);
 	}
+	if (_send.hasSucceeded())
+	{
+		_send.target.load->worthlessInRow.store(0, std::memory_order_relaxed);
+	}
 	path_.release();
 	context_.pool.release(path_.head().record, _send.takeConnection(), path_.maxIdleConnections());
 	if (_send.isToPeer && _send.answer.notExecuted)
@@ -491,6 +497,11 @@
 		return;
 	}
 	path_.release();
+	const bool isWorthless = ExchangeFailure::Malformed == _how || ExchangeFailure::Rejected == _how;
+	if (isWorthless && !_send.isToPeer)
+	{
+		TargetProbation::recordWorthless(context_, _send.target);
+	}
 	failureHandler_.onFailure(_send.answer, nameOf(_how));
 	machine_.onSendFailed(isUnsent(_how) ? SendFailure::NotSent : SendFailure::Broken);
 	finishIfDone();
--- a/packages/relay/src/targetchooser.cpp
+++ b/packages/relay/src/targetchooser.cpp
@@ -64,7 +64,9 @@
 
 bool isAvoided(const FleetTarget& _target, Time _now)
 {
-	return _now.micros < _target.load->avoidedUntil.load(std::memory_order_relaxed);
+	const TargetLoad& load = *_target.load;
+	return load.leftOut.load(std::memory_order_relaxed) ||
+	       _now.micros < load.avoidedUntil.load(std::memory_order_relaxed);
 }
 
 /// @returns true if a target is excluded for the request, or its record is known to be outdated, which happens because
--- a/tests/entry/endlessbytesproof.cpp
+++ b/tests/entry/endlessbytesproof.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -85,6 +86,7 @@
 	CPPUNIT_TEST(trailerWithoutEnd);
 	CPPUNIT_TEST(headLineEachFewMilliseconds);
 	CPPUNIT_TEST(slowHeadOfAnAnswerIsServed);
+	CPPUNIT_TEST(targetIsLeftOutAndComesBack);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -163,7 +165,53 @@
 		CPPUNIT_ASSERT_EQUAL(uint32_t(1), target.requests());
 	}
 
+	/// Guards against calling a target again and again that has sent no answer for a while, and against leaving it out
+	/// for good.
+	void targetIsLeftOutAndComesBack()
+	{
+		const Millis avoided{1500};
+		RawTarget target(reply("", repeated("no answer")));
+		EntryHarness harness;
+		harness.addPlainAt(target.address());
+		harness.addPlain(
+		    [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    answerWhole(*_caller, _request, 200, "");
+		    });
+		harness.start();
+		callWhile(harness, 10 * avoided,
+		          [&target]
+		          {
+			          return target.requests() < 3;
+		          });
+		CPPUNIT_ASSERT_EQUAL(uint32_t(3), target.requests());
+		callWhile(harness, 2 * avoided,
+		          []
+		          {
+			          return true;
+		          });
+		CPPUNIT_ASSERT_EQUAL(uint32_t(3), target.requests());
+		target.setReply(reply(kSound + "Content-Length: 0\r\n\r\n", ""));
+		callWhile(harness, 10 * avoided,
+		          [&target]
+		          {
+			          return target.requests() < 5;
+		          });
+		CPPUNIT_ASSERT_EQUAL(uint32_t(5), target.requests());
+	}
+
 private:
+	/// Calls one after the other, for a time at most. Each call is to succeed.
+	static void callWhile(const EntryHarness& _harness, Millis _time, const std::function<bool()>& _condition)
+	{
+		const auto end = std::chrono::steady_clock::now() + _time;
+		while (_condition() && std::chrono::steady_clock::now() < end)
+		{
+			CPPUNIT_ASSERT_EQUAL(uint16_t(200), _harness.call(request()).status);
+			std::this_thread::sleep_for(Millis(5));
+		}
+	}
+
 	/// The time that a test waits for a close that does not come.
 	static constexpr Millis kGiveUp{2000};
 
--- a/tests/entry/rawtarget.cpp
+++ b/tests/entry/rawtarget.cpp
@@ -104,7 +104,7 @@
 	std::string id;
 	while (readRequest(_socket, id))
 	{
-		++requests_;
+		requests_ += id.empty() ? 0 : 1;
 		flood(_socket, id);
 	}
 }
--- a/tests/entry/rawtarget.h
+++ b/tests/entry/rawtarget.h
@@ -46,7 +46,7 @@
 	/// Replaces the reply to requests from now on.
 	void setReply(RawReply _reply);
 
-	/// @returns requests so far.
+	/// @returns requests of callers so far: they have an id, which questions have not.
 	uint32_t requests() const
 	{
 		return requests_.load();
