--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -8,6 +8,7 @@
 #include "../../packages/peer/src/peermessage_p.h"
 #include "../../platform/src/recordcodec_p.h"
 
+#include <aio/messagereader.h>
 #include <base/endpointtext.h>
 #include <core/routetable.h>
 #include <crash/crashupdate.h>
@@ -273,6 +274,36 @@
 	}
 }
 
+/// Feeds the bytes as a connection does: in pieces, together with what was not consumed before.
+void runMessage(MessageReader::Side::Enum _side, const std::string& _bytes)
+{
+	constexpr std::size_t kPiece = 7;
+	ReaderLimits limits;
+	limits.headerBytes = 64; // small, so that the bound matters for small inputs
+	MessageReader reader(_side, limits);
+	std::string unparsed;
+	ReadState::Enum state = ReadState::More;
+	for (std::size_t at = 0; at < _bytes.size() && ReadState::More == state; at += kPiece)
+	{
+		unparsed += _bytes.substr(at, kPiece);
+		std::size_t used = 1;
+		while (ReadState::More == state && 0 < used && !unparsed.empty())
+		{
+			state = reader.feed(unparsed, used);
+			require(used <= unparsed.size(), "no more is consumed than is there");
+			unparsed.erase(0, used);
+		}
+		require(ReadState::More != state || unparsed.size() <= limits.headerBytes, "what is kept unread is bounded");
+	}
+	require(reader.body().size() <= _bytes.size(), "a body is no longer than what came");
+}
+
+void runAnswer(const std::string& _bytes)
+{
+	runMessage(MessageReader::Side::Response, _bytes);
+	runMessage(MessageReader::Side::Request, _bytes);
+}
+
 } // namespace
 
 const std::vector<FuzzDecoder>& fuzzDecoders()
@@ -282,7 +313,7 @@
 	static const std::vector<FuzzDecoder> list = {
 	    {"runner", runRunner},   {"state", runState},       {"logpage", runLogPage}, {"newest", runNewest},
 	    {"pack", runPack},       {"layout", runLayout},     {"node", runNode},       {"peer", runPeer},
-	    {"blocked", runBlocked}, {"capacity", runCapacity},
+	    {"blocked", runBlocked}, {"capacity", runCapacity}, {"answer", runAnswer},
 	};
 	return list;
 }
