proof.stopprocess: halls side by side for long runs, callers of a node that starts

A new case lets 16 callers connect to one node from before its start until it serves: none of their connections may be closed unread.

--- a/tests/entry/stopprocessproof.cpp
+++ b/tests/entry/stopprocessproof.cpp
@@ -1,12 +1,16 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
+#include "entryharness.h"
 #include "nodeprocess.h"
 #include "nodestop.h"
 #include "stopsite.h"
 #include "stoptally.h"
 
+#include <boost/system/system_error.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -31,6 +35,7 @@
 constexpr std::size_t kNodes = 3;
 constexpr Millis kCallersConnect{500}; //!< Before the first stop.
 constexpr Millis kPlayInterval{1};
+constexpr int kCallersAtStart = 16;
 
 /// Times between two stops of a rolling restart: less than a stop takes.
 constexpr int64_t kShortestGapMs = 1500;
@@ -84,6 +89,7 @@
 	CPPUNIT_TEST(aStopOfOneNodeLeavesNoLateRequestUnanswered);
 	CPPUNIT_TEST(moreSignalsOnTheWayLeaveNoLateRequestUnanswered);
 	CPPUNIT_TEST(stopsOfAllNodesThatOverlapLeaveNoLateRequestUnanswered);
+	CPPUNIT_TEST(connectionsToANodeThatStartsAreNotClosedUnread);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,7 +111,61 @@
 		check("all nodes", kNodes, false);
 	}
 
+	/// Guards against connections that a starting process accepts and closes: callers arrive at once where no node is
+	/// in.
+	void connectionsToANodeThatStartsAreNotClosedUnread()
+	{
+		StopTally tally;
+		const CaseFolder folder("starts");
+		StopSite site(1, folder.path());
+		std::atomic<bool> over{false};
+		std::vector<std::thread> callers;
+		const Clock::time_point startAt = Clock::now();
+		for (int caller = 0; caller < kCallersAtStart; ++caller)
+		{
+			callers.emplace_back(
+			    [&, caller]
+			    {
+				    callWithNewConnections(site, "c" + std::to_string(caller), startAt, over, tally);
+			    });
+		}
+		site.start();
+		const bool isReady = site.awaitReady();
+		std::this_thread::sleep_for(kCallersConnect);
+		over = true;
+		for (std::thread& caller : callers)
+		{
+			caller.join();
+		}
+		CPPUNIT_ASSERT(isReady);
+		CPPUNIT_ASSERT(0 < tally.all(StopOutcome::Served));
+		CPPUNIT_ASSERT_EQUAL(uint32_t(0), tally.all(StopOutcome::Unread));
+	}
+
 private:
+	static void callWithNewConnections(StopSite& _site, const std::string& _caller, Clock::time_point _startAt,
+	                                   const std::atomic<bool>& _over, StopTally& _tally)
+	{
+		for (int number = 0; !_over; ++number)
+		{
+			StopRequest request;
+			request.id = _caller + '-' + std::to_string(number);
+			const Clock::time_point sentAt = Clock::now();
+			StopAnswer answer;
+			try
+			{
+				TestCaller caller(_site.node(0).callerAddress());
+				answer = sendRest(caller, request, request.text(), _site);
+			}
+			catch (const boost::system::system_error&)
+			{
+				// Nobody listens yet.
+			}
+			_tally.add(answer, request, std::chrono::duration_cast<Millis>(sentAt - _startAt));
+			std::this_thread::sleep_for(kPlayInterval);
+		}
+	}
+
 	/// Plays the case with each seed and prints what was seen.
 	/// @param _stops nodes of each hall that are stopped.
 	static void check(const std::string& _case, std::size_t _stops, bool _isDisturbed)
@@ -133,10 +193,9 @@
 			const std::string place = folder.path() + "/h" + std::to_string(site);
 			std::filesystem::create_directories(place);
 			sites.push_back(std::make_unique<StopSite>(kNodes, place));
-			CPPUNIT_ASSERT(sites.back()->start());
-			CPPUNIT_ASSERT_EQUAL(uint32_t(0), sites.back()->answerBefore());
-			sites.back()->slowDown();
+			sites.back()->start();
 		}
+		CPPUNIT_ASSERT_EQUAL(uint32_t(0), answerBefore(sites));
 		std::mt19937_64 random(_seed);
 		std::vector<std::unique_ptr<NodeStop>> stops;
 		for (const auto& site : sites)
@@ -146,6 +205,32 @@
 		playToTheEnd(stops);
 	}
 
+	/// Lets all halls answer requests at the same time, and slows their targets down.
+	/// @returns requests that were not served.
+	static uint32_t answerBefore(const std::vector<std::unique_ptr<StopSite>>& _sites)
+	{
+		std::atomic<uint32_t> notServed{0};
+		std::vector<std::thread> threads;
+		for (const auto& site : _sites)
+		{
+			CPPUNIT_ASSERT(site->awaitReady());
+		}
+		for (const auto& site : _sites)
+		{
+			threads.emplace_back(
+			    [&notServed, &site]
+			    {
+				    notServed += site->answerBefore();
+				    site->slowDown();
+			    });
+		}
+		for (std::thread& thread : threads)
+		{
+			thread.join();
+		}
+		return notServed;
+	}
+
 	/// Adds stops of the first nodes of a hall, one after the other.
 	static void addStops(StopSite& _site, std::size_t _count, bool _isDisturbed, std::mt19937_64& _random,
 	                     std::vector<std::unique_ptr<NodeStop>>& _stops, StopTally& _tally)
--- a/tests/entry/stopsite.cpp
+++ b/tests/entry/stopsite.cpp
@@ -89,12 +89,16 @@
 	targets_.clear();
 }
 
-bool StopSite::start()
+void StopSite::start()
 {
 	for (const auto& node : nodes_)
 	{
 		node->start();
 	}
+}
+
+bool StopSite::awaitReady() const
+{
 	const auto end = std::chrono::steady_clock::now() + kFarTooLong;
 	while (!isReady() && std::chrono::steady_clock::now() < end)
 	{
--- a/tests/entry/stopsite.h
+++ b/tests/entry/stopsite.h
@@ -31,9 +31,11 @@
 	StopSite(const StopSite&) = delete;
 	StopSite& operator=(const StopSite&) = delete;
 
-	/// Starts the nodes.
-	/// @returns false unless all get ready.
-	bool start();
+	/// Starts the nodes, by a thread that outlives them.
+	void start();
+
+	/// @returns false if a node does not get ready.
+	bool awaitReady() const;
 
 	/// Sends each node more requests than its estimates need, over several connections at a time.
 	/// @returns those that were not served.
--- a/tests/entry/stoptally.cpp
+++ b/tests/entry/stoptally.cpp
@@ -46,6 +46,12 @@
 	return late_[_outcome];
 }
 
+uint32_t StopTally::all(StopOutcome::Enum _outcome) const
+{
+	const std::lock_guard<std::mutex> lock(mutex_);
+	return early_[_outcome] + late_[_outcome];
+}
+
 uint32_t StopTally::brokenPromises() const
 {
 	const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/entry/stoptally.h
+++ b/tests/entry/stoptally.h
@@ -27,6 +27,9 @@
 	/// @returns requests sent so late that their node may not leave them without a whole answer, and that ended so.
 	uint32_t late(StopOutcome::Enum _outcome) const;
 
+	/// @returns all requests that ended so.
+	uint32_t all(StopOutcome::Enum _outcome) const;
+
 	uint32_t brokenPromises() const;
 	uint32_t killed() const;
 
