NodeStopProof: more signals during a stop cut nothing

A test alone: a second SIGTERM, a SIGHUP and a SIGINT during a stop stay pending until the process ends, as all threads block them and the main thread no longer waits for them.

--- a/tests/proof/nodestopproof.cpp
+++ b/tests/proof/nodestopproof.cpp
@@ -50,6 +50,7 @@
 	CPPUNIT_TEST(shortCallsAreAnsweredUntilTheProcessIsGone);
 	CPPUNIT_TEST(lateGenerationsAreNotRunAndCut);
 	CPPUNIT_TEST(processEndsWithinItsBound);
+	CPPUNIT_TEST(moreSignalsCutNothing);
 	CPPUNIT_TEST(keptConnectionsAreClosedByAnAnswer);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,46 @@
 
 	/// Requests that outlast the bound must not keep the process until the platform kills it, unanswered.
 	void processEndsWithinItsBound()
+	{
+		outlastTheBound({});
+	}
+
+	/// An operator's haste must not cut requests that the stop still gives time.
+	void moreSignalsCutNothing()
+	{
+		outlastTheBound({SIGTERM, SIGHUP, SIGINT, SIGTERM});
+	}
+
+	/// Callers that keep their connection must not meet the end of the process over it, with a request that is unread.
+	void keptConnectionsAreClosedByAnAnswer()
+	{
+		std::atomic<int> unread{0};
+		for (int stop = 0; stop < kStops; ++stop)
+		{
+			std::vector<std::thread> callers;
+			for (int caller = 0; caller < kCallers; ++caller)
+			{
+				callers.emplace_back(
+				    [this, stop, caller, &unread]
+				    {
+					    unread += callUntilClosed(stop, caller) ? 0 : 1;
+				    });
+			}
+			std::this_thread::sleep_for(kBeforeSignal);
+			node().signal(SIGTERM);
+			CPPUNIT_ASSERT(awaitEnd(kDelay + kBound + kSlack));
+			node().kill();
+			for (std::thread& caller : callers)
+			{
+				caller.join();
+			}
+			restart();
+		}
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(unread) + " closed unread", unread * kStopsForEachUnread <= kStops);
+	}
+
+private:
+	void outlastTheBound(const std::vector<int>& _moreSignals)
 	{
 		for (const std::string& service : services())
 		{
@@ -175,6 +216,11 @@
 		    });
 		std::this_thread::sleep_for(kBeforeSignal);
 		node().signal(SIGTERM);
+		for (const int signal : _moreSignals)
+		{
+			std::this_thread::sleep_for(kDelay);
+			node().signal(signal);
+		}
 		const bool ended = awaitEnd(kDelay + kBound + kSlack);
 		node().kill();
 		for (std::thread& caller : callers)
@@ -188,35 +234,6 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("stopped_running"), call.errorKind);
 	}
 
-	/// Callers that keep their connection must not meet the end of the process over it, with a request that is unread.
-	void keptConnectionsAreClosedByAnAnswer()
-	{
-		std::atomic<int> unread{0};
-		for (int stop = 0; stop < kStops; ++stop)
-		{
-			std::vector<std::thread> callers;
-			for (int caller = 0; caller < kCallers; ++caller)
-			{
-				callers.emplace_back(
-				    [this, stop, caller, &unread]
-				    {
-					    unread += callUntilClosed(stop, caller) ? 0 : 1;
-				    });
-			}
-			std::this_thread::sleep_for(kBeforeSignal);
-			node().signal(SIGTERM);
-			CPPUNIT_ASSERT(awaitEnd(kDelay + kBound + kSlack));
-			node().kill();
-			for (std::thread& caller : callers)
-			{
-				caller.join();
-			}
-			restart();
-		}
-		CPPUNIT_ASSERT_MESSAGE(std::to_string(unread) + " closed unread", unread * kStopsForEachUnread <= kStops);
-	}
-
-private:
 	Process& node()
 	{
 		return *cluster_.node("n1").process;
