A stop that is shorter than the balancer's reaction sends its final answers in time

Cause: the stop waited for the balancer's 2.8 s whatever its bound.

Change: callers are expected until the final answers are due, if that is earlier.

Evidence: StopWindowTest::aShortStopLeavesTimeForFinalAnswers holds; it was not run on the code before.

--- a/packages/core/src/stopwindow.cpp
+++ b/packages/core/src/stopwindow.cpp
@@ -50,7 +50,7 @@
 
 bool StopWindow::callersMayArrive(Time _now) const
 {
-	return _now < signalAt_ + kBalancerDelay;
+	return _now < signalAt_ + kBalancerDelay && _now < finalAnswersAt();
 }
 
 Time StopWindow::finalAnswersAt() const
--- a/packages/core/tests/stopwindowtest.cpp
+++ b/packages/core/tests/stopwindowtest.cpp
@@ -15,6 +15,7 @@
 	CPPUNIT_TEST(noEstimateAdmitsALateRequest);
 	CPPUNIT_TEST(requestsThatTheirTimeLimitEndsAreAdmitted);
 	CPPUNIT_TEST(callersArriveUntilTheBalancerReacts);
+	CPPUNIT_TEST(aShortStopLeavesTimeForFinalAnswers);
 	CPPUNIT_TEST(finalAnswersHaveTimeToReachTheirCallers);
 	CPPUNIT_TEST(everyLateRequestHasAnAnswerInTheWindow);
 	CPPUNIT_TEST_SUITE_END();
@@ -53,6 +54,15 @@
 		CPPUNIT_ASSERT(!window.callersMayArrive(at(3800)));
 	}
 
+	/// A stop that is shorter than the balancer's reaction still leaves time for final answers.
+	void aShortStopLeavesTimeForFinalAnswers()
+	{
+		const StopWindow window(at(1000), millis(2000));
+		CPPUNIT_ASSERT(window.callersMayArrive(at(2399)));
+		CPPUNIT_ASSERT(!window.callersMayArrive(at(2400)));
+		CPPUNIT_ASSERT(window.finalAnswersAt() < window.deadline());
+	}
+
 	void finalAnswersHaveTimeToReachTheirCallers()
 	{
 		const StopWindow window(at(1000), millis(8000));
