proof.stoplate: the node has to decide on late requests again

Their first bytes are now sent at 2.5 s and the last one at the moment of the report, so that the node reads them; some must be refused as not run.

--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -4,6 +4,7 @@
 #include "pacedstreams.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <settings/entrysettings.h>
 
 #include <algorithm>
 #include <atomic>
@@ -58,7 +59,8 @@
 	return made;
 }
 
-/// Requests over connections that were opened before the stop.
+/// Requests over connections that were opened before the stop. Their first bytes are sent before connections at rest
+/// are closed, so that the node reads them and has to decide.
 class LateCallers
 {
 public:
@@ -80,17 +82,16 @@
 		threads.emplace_back(
 		    [this, _stopAt]
 		    {
-			    std::this_thread::sleep_until(_stopAt + kKeepingMoment);
-			    callOnce(*keeping_, "keeping");
+			    callOnce(*keeping_, "keeping", _stopAt + kKeepingMoment);
 		    });
 		for (std::size_t index = 0; index < callers_.size(); ++index)
 		{
 			threads.emplace_back(
 			    [this, _stopAt, index]
 			    {
-				    std::this_thread::sleep_until(_stopAt + kLateMoments[index]);
+				    std::this_thread::sleep_until(_stopAt + kKeepingMoment);
 				    const std::string id = "late" + std::to_string(index);
-				    if (!callOnce(*callers_[index], id))
+				    if (!callOnce(*callers_[index], id, _stopAt + kLateMoments[index]))
 				    {
 					    const std::lock_guard<std::mutex> lock(mutex_);
 					    unanswered_.push_back(id);
@@ -103,6 +104,12 @@
 		}
 	}
 
+	/// @returns requests that were refused as not run.
+	uint32_t refused() const
+	{
+		return refused_;
+	}
+
 	/// @returns late requests that a target was sent and whose caller got no whole answer.
 	std::size_t lostAt(const FakeTarget& _target) const
 	{
@@ -116,13 +123,19 @@
 	}
 
 private:
+	/// Sends a request at once but for its last byte, which follows at a time.
 	/// @returns false if no whole answer came.
-	bool callOnce(TestCaller& _caller, const std::string& _id) const
+	bool callOnce(TestCaller& _caller, const std::string& _id, Clock::time_point _lastAt)
 	{
 		try
 		{
-			_caller.send(textOf(request_(_id)));
-			return _caller.receive().whole;
+			const std::string text = textOf(request_(_id));
+			_caller.send(text.substr(0, text.size() - 1));
+			std::this_thread::sleep_until(_lastAt);
+			_caller.send(text.substr(text.size() - 1));
+			const CallerAnswer answer = _caller.receive();
+			refused_ += 503 == answer.status && answer.whole ? 1 : 0;
+			return answer.whole;
 		}
 		catch (const boost::system::system_error&)
 		{
@@ -133,6 +146,7 @@
 	Request request_;
 	std::vector<std::unique_ptr<TestCaller>> callers_;
 	std::unique_ptr<TestCaller> keeping_;
+	std::atomic<uint32_t> refused_{0};
 	std::mutex mutex_;
 	std::vector<std::string> unanswered_; //!< Ids of requests.
 };
@@ -200,6 +214,7 @@
 		LateCallers callers(harness, &streamOf);
 		stopUnder(harness, callers);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(target));
+		CPPUNIT_ASSERT(0 < callers.refused()); // by the admission, not by a closed connection
 	}
 
 	/// Guards against calls that are admitted because earlier ones were fast, and cut at the end of the stop.
@@ -214,6 +229,7 @@
 		LateCallers callers(harness, &callOf);
 		stopUnder(harness, callers);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), callers.lostAt(target));
+		CPPUNIT_ASSERT(0 < callers.refused()); // by the admission, not by a closed connection
 	}
 
 	/// Guards against callers that send requests to a node which refuses them, while it ends others.
