A node that stops declines requests that other nodes hand over

Cause: handed-over requests were admitted by the same estimates as those of callers whom the balancer still sends.

Change: they are declined from the signal on, as not run. The other node chooses one that stays.

Evidence: StopLateProof::aRequestThatAnotherNodeHandsOverIsDeclinedByAStop holds; it was not run on the code before.

--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -315,6 +315,11 @@
 {
 	context_.metrics.add(Counter::HandoversTaken);
 	QueuedRequest queued{_connection, std::move(_request), context_.clock.now(), Time{}, false, true};
+	if (closing())
+	{
+		refuse(queued, ErrorKind::Stopping, std::string()); // the other node can choose one that stays
+		return;
+	}
 	if (!ready_ || context_.cell.isCutOff.load(std::memory_order_relaxed))
 	{
 		refuse(queued, ErrorKind::NoTargets, std::string());
--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -196,6 +196,7 @@
 	CPPUNIT_TEST(longStreamsAfterShortOnesAreNotCutByAStop);
 	CPPUNIT_TEST(slowCallsAfterFastOnesAreNotCutByAStop);
 	CPPUNIT_TEST(restingConnectionsAreClosedOnceTheBalancerHasRemovedTheNode);
+	CPPUNIT_TEST(aRequestThatAnotherNodeHandsOverIsDeclinedByAStop);
 	CPPUNIT_TEST(aCallThatIsStillRunningAtTheEndOfAStopGetsAnErrorResponse);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -260,6 +261,28 @@
 		CPPUNIT_ASSERT(open < kBalancerTime + Millis(500));
 	}
 
+	/// Guards against streams of a node that does not stop, handed over to one that does and cut there.
+	void aRequestThatAnotherNodeHandsOverIsDeclinedByAStop()
+	{
+		std::atomic<Millis> work{Millis(1)};
+		EntryHarness harness;
+		FakeTarget& target = addCallTarget(harness, work);
+		harness.start();
+		TestCaller peer(handoverAddress(harness.settings()));
+		std::thread stop(
+		    [&harness]
+		    {
+			    harness.stop();
+		    });
+		std::this_thread::sleep_for(Millis(500));
+		peer.send(textOf(callOf("handed over")));
+		const CallerAnswer answer = peer.receive();
+		stop.join();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), answer.status);
+		CPPUNIT_ASSERT(nullptr != answer.headers.find("Not-Executed"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), runsOf(target, "handed over"));
+	}
+
 	/// Guards against connections that are closed without an answer to a call that was admitted before the stop.
 	void aCallThatIsStillRunningAtTheEndOfAStopGetsAnErrorResponse()
 	{
@@ -281,6 +304,18 @@
 	}
 
 private:
+	/// @returns how often a request was sent to a target.
+	static std::size_t runsOf(const FakeTarget& _target, const std::string& _id)
+	{
+		std::size_t runs = 0;
+		for (const ServerRequest& one : _target.requests())
+		{
+			const std::string* const id = one.head.headers.find("Attempt-Id");
+			runs += nullptr != id && _id == *id ? 1 : 0;
+		}
+		return runs;
+	}
+
 	/// Adds a target that works on each call for some time.
 	static FakeTarget& addCallTarget(EntryHarness& _harness, const std::atomic<Millis>& _work)
 	{
