A node that stops accepts new callers to the end, and late refusals name no time to wait

Cause: the listening socket was closed with the first connections at rest.

Change: only connections at rest are closed while other requests keep the process; the listening socket goes when nothing is left to do, or when final answers are due. A late refusal carries no Retry-After: a new connection leads to another node.

Evidence: StopLateProof::newCallersAreAnsweredUntilTheEndOfAStop holds, not run on the code before; proof.stop, proof.stopload and the other cases of proof.stoplate hold, one run each.

--- a/packages/aio/include/aio/server.h
+++ b/packages/aio/include/aio/server.h
@@ -40,6 +40,9 @@
 	/// @returns true if a request is being received or handled, or a response is being delivered. Loop thread.
 	bool isBusy() const;
 
+	/// Closes the connections that are at rest, as `drain` does, and goes on to accept new ones. Loop thread.
+	void closeAtRest();
+
 	/// Closes the connections that are at rest: nothing has arrived that was not read, no request is being received or
 	/// handled, and the caller has acknowledged all responses. Accepts those that wait, and none after them. A request
 	/// that arrived before is thus read and answered, and one that arrives later meets a closed connection. To be
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -96,13 +96,18 @@
 		}
 	}
 
-	uint32_t drain()
+	void closeAtRest()
 	{
 		const auto all = connections_; // each connection removes itself
 		for (const auto& row : all)
 		{
 			row.second->closeAtRest();
 		}
+	}
+
+	uint32_t drain()
+	{
+		closeAtRest();
 		acceptWaiting(); // their requests may be on the way: they are closed at rest by a later call
 		closeAcceptor();
 		return static_cast<uint32_t>(connections_.size());
@@ -244,6 +249,11 @@
 	return impl_->isBusy();
 }
 
+void Server::closeAtRest()
+{
+	impl_->closeAtRest();
+}
+
 uint32_t Server::drain()
 {
 	return impl_->drain();
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -200,7 +200,15 @@
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		if (!drainUntil(window.finalAnswersAt()))
+		while (clock_.now() < window.finalAnswersAt() && closeRestingConnections())
+		{
+			sleepFor(kStopCheckInterval);
+		}
+		if (clock_.now() < window.finalAnswersAt())
+		{
+			drainUntil(window.finalAnswersAt());
+		}
+		if (!drainServers())
 		{
 			asio::post(requestLoop_,
 			           [this]
@@ -331,6 +339,25 @@
 		return result.get();
 	}
 
+	/// Closes the connections at rest. New callers are still accepted: the balancer sends them to nodes that stop where
+	/// too few others are ready.
+	/// @returns true while a request is received or handled, or an answer is delivered.
+	bool closeRestingConnections()
+	{
+		const auto close = [this]
+		{
+			callerServer_.closeAtRest();
+			bool isBusy = 0 < ingress_.active() || callerServer_.isBusy();
+			if (handoverServer_)
+			{
+				handoverServer_->closeAtRest();
+				isBusy = isBusy || handoverServer_->isBusy();
+			}
+			return isBusy;
+		};
+		return runOnRequestLoop(close).value_or(true);
+	}
+
 	/// Drains the servers until a time, or until they are drained.
 	/// @returns true once they are.
 	bool drainUntil(Time _end)
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -429,7 +429,9 @@
 	         _id);
 	ResponseStart start;
 	start.status = row.status;
-	start.headers = context_.wire.routerHeaders(_id, row.retry ? kRetryAfter : Duration{});
+	// Once the balancer has removed this node, a new connection leads to another one: there is nothing to wait for.
+	const bool isElsewhere = ErrorKind::Stopping == _kind && !stopWindow_.callersMayArrive(context_.clock.now());
+	start.headers = context_.wire.routerHeaders(_id, row.retry && !isElsewhere ? kRetryAfter : Duration{});
 	if (_queued.wasHandedOver)
 	{
 		context_.wire.addNotExecuted(start.headers); // a node with a newer desired state may still take it
--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -196,6 +196,7 @@
 	CPPUNIT_TEST(longStreamsAfterShortOnesAreNotCutByAStop);
 	CPPUNIT_TEST(slowCallsAfterFastOnesAreNotCutByAStop);
 	CPPUNIT_TEST(restingConnectionsAreClosedOnceTheBalancerHasRemovedTheNode);
+	CPPUNIT_TEST(newCallersAreAnsweredUntilTheEndOfAStop);
 	CPPUNIT_TEST(aRequestThatAnotherNodeHandsOverIsDeclinedByAStop);
 	CPPUNIT_TEST(aCallThatIsStillRunningAtTheEndOfAStopGetsAnErrorResponse);
 	CPPUNIT_TEST_SUITE_END();
@@ -261,6 +262,30 @@
 		CPPUNIT_ASSERT(open < kBalancerTime + Millis(500));
 	}
 
+	/// Guards against refused connections: the balancer sends callers to nodes that stop where too few others are
+	/// ready.
+	void newCallersAreAnsweredUntilTheEndOfAStop()
+	{
+		std::atomic<Millis> work{Millis(5500)};
+		EntryHarness harness;
+		addCallTarget(harness, work);
+		harness.start();
+		TestCaller keeping(harness.callerAddress());
+		keeping.send(textOf(callOf("keeping")));
+		std::thread stop(
+		    [&harness]
+		    {
+			    harness.stop();
+		    });
+		std::this_thread::sleep_for(kLateMoments[0]);
+		const CallerAnswer late = harness.call(callOf("late"));
+		const CallerAnswer kept = keeping.receive();
+		stop.join();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), late.status);
+		CPPUNIT_ASSERT(nullptr == late.headers.find("Retry-After")); // another node may take it at once
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), kept.status);
+	}
+
 	/// Guards against streams of a node that does not stop, handed over to one that does and cut there.
 	void aRequestThatAnotherNodeHandsOverIsDeclinedByAStop()
 	{
