--- a/packages/core/include/core/responsetimeestimate.h
+++ b/packages/core/include/core/responsetimeestimate.h
@@ -19,6 +19,7 @@
 	Duration firstEvent;          //!< From the arrival of a stream to its first event.
 	Duration gap;                 //!< Per event of a stream.
 	uint64_t events = 0;          //!< Of a stream.
+	Duration wholeStream;         //!< Most recent streams took no longer; 0 if too few were observed.
 	std::size_t observations = 0; //!< Recent gaps of streams, or recent other requests.
 };
 
--- a/packages/core/src/responsetimeestimator.cpp
+++ b/packages/core/src/responsetimeestimator.cpp
@@ -122,8 +122,9 @@
 	made.firstEvent = observedOr(firstEvents_, bounds.firstEvents, kInitialFirstEvent);
 	made.observations = gaps_.size();
 	const Duration upperBound = made.firstEvent + Duration{static_cast<int64_t>(made.events) * made.gap.micros};
+	made.wholeStream = streams_.hasEnough() ? streams_.exceededByOneIn(kOneStreamIn) : Duration{};
 	const bool useStreams = EstimateBound::Typical == _bound && streams_.hasEnough();
-	made.total = useStreams ? std::min(upperBound, streams_.exceededByOneIn(kOneStreamIn)) : upperBound;
+	made.total = useStreams ? std::min(upperBound, made.wholeStream) : upperBound;
 	return made;
 }
 
--- a/packages/core/tests/relaymachinetest.cpp
+++ b/packages/core/tests/relaymachinetest.cpp
@@ -152,6 +152,7 @@
 	CPPUNIT_TEST(deadlineErrorTellsWhetherItMayHaveRun);
 	CPPUNIT_TEST(shutdownErrorTellsWhetherItMayHaveRun);
 	CPPUNIT_TEST(shutdownLeavesAResponseThatHasBegun);
+	CPPUNIT_TEST(aContinuationThatAnotherNodeRefusesIsNoRun);
 	CPPUNIT_TEST(exhaustedBudgetFailsImmediately);
 	CPPUNIT_TEST(suspectedSendIsRetriedElsewhere);
 	CPPUNIT_TEST(suspicionOfTheLastRunKeepsTheSend);
@@ -372,6 +373,24 @@
 		CPPUNIT_ASSERT_EQUAL(0U, actions.aborts);
 	}
 
+	/// Guards against streams that end because the node that was to continue them was full.
+	void aContinuationThatAnotherNodeRefusesIsNoRun()
+	{
+		RecordedActions actions;
+		RelayMachine machine(traits(RequestKind::Stream, true, 2), actions);
+		machine.start();
+		stream(machine);
+		machine.onBody(event(0));
+		machine.onSendFailed(SendFailure::Broken);
+		CPPUNIT_ASSERT_EQUAL(2U, actions.sends);
+		actions.mayWait = true;
+		machine.onSent();
+		machine.onHead(ResponseHead{503, false, true});
+		machine.onComplete();
+		CPPUNIT_ASSERT_EQUAL(0U, actions.aborts);
+		CPPUNIT_ASSERT(!machine.done());
+	}
+
 	void exhaustedBudgetFailsImmediately()
 	{
 		RecordedActions actions;
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -264,6 +264,7 @@
 	          {"first_event_ms", std::to_string(needed.firstEvent.millis())},
 	          {"events", std::to_string(needed.events)},
 	          {"gap_us", std::to_string(needed.gap.micros)},
+	          {"whole_stream_ms", std::to_string(needed.wholeStream.millis())},
 	          {"observations", std::to_string(needed.observations)},
 	          {"left_ms", std::to_string((stopWindow_.deadline() - now).millis())}},
 	         _caller.id);
