--- a/tests/entry/keysproof.cpp
+++ b/tests/entry/keysproof.cpp
@@ -49,6 +49,7 @@
 	CPPUNIT_TEST_SUITE(KeysProof);
 	CPPUNIT_TEST(emptyListOfCustomersLetsNoKeyIn);
 	CPPUNIT_TEST(customerWithoutKeysLetsNoKeyIn);
+	CPPUNIT_TEST(emptyKeyOfACustomerLetsNoRequestIn);
 	CPPUNIT_TEST(emptyListHoldsAfterARestart);
 	CPPUNIT_TEST(emptyListHoldsWhereTheHubServesTheState);
 	CPPUNIT_TEST(listThatIsNotThereNeedsNoKey);
@@ -72,6 +73,15 @@
 		letsNoKeyIn(harness);
 	}
 
+	/// Guards against taking a request without a key for one of a customer whose list holds an empty key.
+	void emptyKeyOfACustomerLetsNoRequestIn()
+	{
+		EntryHarness harness;
+		start(harness);
+		putCustomers(harness, R"("tenants":[{"name":"bank","api_keys":[""]}],)");
+		letsNoKeyIn(harness);
+	}
+
 	void emptyListHoldsAfterARestart()
 	{
 		EntryHarness harness;
