proof.stop: an upload that becomes whole late in a stop is answered

An upload that begins 2.5 s after the signal and is whole at 5 s, when the connections at rest are closed, gets 503 over its connection.

A first form sent the second half 3.5 s after the first one and failed by its own fault: callers have 3 s for a request, and get 408 then.

--- a/tests/entry/stopproof.cpp
+++ b/tests/entry/stopproof.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <future>
+#include <string>
 #include <thread>
 
 namespace sedgecart
@@ -35,6 +36,15 @@
 /// Later than a node that has nothing under way ends, and within the bound of the stop.
 constexpr Millis kTakenAfter{3200};
 
+/// Of an upload: more than one read takes, bytes.
+constexpr std::size_t kUpload = 256UL * 1024;
+
+/// Before the balancer has removed the node, so that its connection is still open.
+constexpr Millis kUploadBegins{2500};
+
+/// Within the time that callers have for a request (3 s).
+constexpr Millis kUploadIsWhole{5000};
+
 TestRequest streamOf(uint32_t _events)
 {
 	TestRequest made;
@@ -78,6 +88,7 @@
 	CPPUNIT_TEST(onlyWhatEndsInTimeIsLetIn);
 	CPPUNIT_TEST(switchedOffWhatWasSeenCountsForNothing);
 	CPPUNIT_TEST(anAnswerThatIsStillTakenEndsWhole);
+	CPPUNIT_TEST(uploadThatBecomesWholeLateInAStopIsAnswered);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +159,37 @@
 		CPPUNIT_ASSERT_EQUAL(kLargeBody, answer.body.size());
 	}
 
+	/// Guards against a connection that is closed without an answer to an upload, because it becomes whole when the
+	/// other connections are closed already.
+	void uploadThatBecomesWholeLateInAStopIsAnswered()
+	{
+		EntryHarness harness;
+		harness.addPlain(
+		    [](const std::shared_ptr<ServerConnection>& _caller, const ServerRequest& _request)
+		    {
+			    answerWhole(*_caller, _request, 200, "{}");
+		    });
+		harness.start();
+		TestRequest upload;
+		upload.body = std::string(kUpload, 'x');
+		const std::string text = textOf(upload);
+		TestCaller caller(harness.callerAddress());
+		const auto stopAt = std::chrono::steady_clock::now();
+		auto stopped = std::async(std::launch::async,
+		                          [&harness]
+		                          {
+			                          harness.stop();
+		                          });
+		std::this_thread::sleep_until(stopAt + kUploadBegins);
+		caller.send(text.substr(0, text.size() / 2));
+		std::this_thread::sleep_until(stopAt + kUploadIsWhole);
+		caller.send(text.substr(text.size() / 2));
+		const CallerAnswer answer = caller.receive();
+		stopped.wait();
+		CPPUNIT_ASSERT(answer.whole);
+		CPPUNIT_ASSERT_EQUAL(uint16_t(503), answer.status); // not run: another node may be tried at once
+	}
+
 private:
 	/// @returns what a stream gets that comes during a stop, too long for it at the pace that the node has seen.
 	/// @param _off mechanisms that are off.
