An empty key names no customer

What callers saw: where a customer's list holds an empty key, a request without a key was run for that customer, though keys are required.

Cause: the empty text that stands for no key was looked up like any key.

Change: RouteTable::findCustomer finds nobody for it.

--- a/packages/core/src/routetable.cpp
+++ b/packages/core/src/routetable.cpp
@@ -112,6 +112,10 @@
 
 const KeyHolder* RouteTable::findCustomer(std::string_view _key) const
 {
+	if (_key.empty())
+	{
+		return nullptr; // a request without a key, whatever a customer's list holds
+	}
 	const auto row = byKey_.find(std::string(_key));
 	return byKey_.end() == row ? nullptr : row->second;
 }
