One way to give a request up, and the log of a stop's admission apart from its decision

The deadline and the shutdown ended a request by the same steps twice; a predicate decided and logged; the drain at the end of a stop was called in three ways.

--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -303,6 +303,7 @@
 	void cancelSuspectedSend();
 	void afterNotRun();
 	void afterRun(ErrorKind::Enum _fallback);
+	void giveUp(NoRetryReason::Enum _reason, ErrorKind::Enum _mayHaveRun, ErrorKind::Enum _notRun);
 	void fail(ErrorKind::Enum _kind);
 	void finish();
 
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -423,28 +423,28 @@
 
 void RelayMachine::onDeadline()
 {
-	if (done_)
+	if (!done_)
 	{
-		return;
+		giveUp(NoRetryReason::TimeUp, ErrorKind::DeadlinePassed, ErrorKind::DeadlineTooShort);
 	}
-	const bool ran = mayHaveRun();
-	noRetryReason_ = NoRetryReason::TimeUp;
-	actions_.cancelSend();
-	cancelSuspectedSend();
-	fail(ran ? ErrorKind::DeadlinePassed : ErrorKind::DeadlineTooShort);
 }
 
 void RelayMachine::onShutdown()
 {
-	if (done_ || headForwarded_)
+	if (!done_ && !headForwarded_)
 	{
-		return;
+		giveUp(NoRetryReason::Stopping, ErrorKind::StoppedRunning, ErrorKind::Stopping);
 	}
-	const bool ran = mayHaveRun();
-	noRetryReason_ = NoRetryReason::Stopping;
+}
+
+/// Cancels what runs and sends the final response.
+void RelayMachine::giveUp(NoRetryReason::Enum _reason, ErrorKind::Enum _mayHaveRun, ErrorKind::Enum _notRun)
+{
+	const ErrorKind::Enum kind = mayHaveRun() ? _mayHaveRun : _notRun;
+	noRetryReason_ = _reason;
 	actions_.cancelSend();
 	cancelSuspectedSend();
-	fail(ran ? ErrorKind::StoppedRunning : ErrorKind::Stopping);
+	fail(kind);
 }
 
 void RelayMachine::fail(ErrorKind::Enum _kind)
--- a/packages/entry/src/entrynode.cpp
+++ b/packages/entry/src/entrynode.cpp
@@ -204,11 +204,7 @@
 		{
 			sleepFor(kStopCheckInterval);
 		}
-		if (clock_.now() < window.finalAnswersAt())
-		{
-			drainUntil(window.finalAnswersAt());
-		}
-		if (!drainServers())
+		if (!drainUntil(window.finalAnswersAt()))
 		{
 			asio::post(requestLoop_,
 			           [this]
@@ -358,7 +354,7 @@
 		return runOnRequestLoop(close).value_or(true);
 	}
 
-	/// Drains the servers until a time, or until they are drained.
+	/// Drains the servers, once at least, until a time or until they are drained.
 	/// @returns true once they are.
 	bool drainUntil(Time _end)
 	{
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -26,6 +26,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace sedgecart
@@ -40,6 +41,7 @@
 struct HostRoute;
 struct KeyHolder;
 struct RelayPlan;
+struct ResponseTimeEstimate;
 
 /// Receives callers' requests, resolves route and customer, and admits, queues or refuses them. Used on the loop thread
 /// only, except for `stop` and `active`.
@@ -97,7 +99,9 @@
 	bool matchRoute(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
 	                RouteMatch& _match, ErrorKind::Enum& _fault) const;
 	bool isViewFresh() const;
-	bool finishesBeforeStop(const RouteMatch& _match, const CallerRequest& _caller) const;
+	bool isAdmittedDuringStop(const RouteMatch& _match, const CallerRequest& _caller) const;
+	void logStopAdmission(StopAdmission::Enum _admission, std::optional<Duration> _limit,
+	                      const ResponseTimeEstimate& _needed, const CallerRequest& _caller) const;
 	void admit(QueuedRequest&& _queued);
 	bool queueUntilReady(QueuedRequest& _queued, const CallerRequest& _caller);
 	bool queueResumed(QueuedRequest& _queued, const CallerRequest& _caller);
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -243,32 +243,37 @@
 	return fresh;
 }
 
-/// @returns true if a request that arrives during shutdown will have its answer before the process exits.
-bool RequestIngress::finishesBeforeStop(const RouteMatch& _match, const CallerRequest& _caller) const
+bool RequestIngress::isAdmittedDuringStop(const RouteMatch& _match, const CallerRequest& _caller) const
 {
 	static const ServiceResponseTimes kNoObservations;
 	const ServiceResponseTimes& observed =
 	    context_.mechanisms.isEnabled(Mechanism::StopPace) ? context_.answerDurations : kNoObservations;
-	const Time now = context_.clock.now();
 	const std::optional<Duration> limit = answerLimitOf(*_match.route, _caller);
 	const ResponseTimeEstimate needed =
 	    observed.estimate(_match.route->services, _match.route->kind, _caller.maxTokens, EstimateBound::Typical);
-	const StopAdmission::Enum admission = stopWindow_.decide(limit, needed.total, now);
+	const StopAdmission::Enum admission = stopWindow_.decide(limit, needed.total, context_.clock.now());
+	logStopAdmission(admission, limit, needed, _caller);
+	return isAdmitted(admission);
+}
+
+void RequestIngress::logStopAdmission(StopAdmission::Enum _admission, std::optional<Duration> _limit,
+                                      const ResponseTimeEstimate& _needed, const CallerRequest& _caller) const
+{
+	const Time now = context_.clock.now();
 	logEvent(LogPart::Requests, LogLevel::Info,
-	         isAdmitted(admission) ? "Request is admitted during shutdown." : "Request is refused during shutdown.",
+	         isAdmitted(_admission) ? "Request is admitted during shutdown." : "Request is refused during shutdown.",
 	         {{"after_signal_ms", std::to_string((now - stopWindow_.signalAt()).millis())},
-	          {"by", nameOf(admission)},
-	          {"limit_ms", limit ? std::to_string(limit->millis()) : "none"},
+	          {"by", nameOf(_admission)},
+	          {"limit_ms", _limit ? std::to_string(_limit->millis()) : "none"},
 	          {"most_tokens", std::to_string(_caller.maxTokens)},
-	          {"needed_ms", std::to_string(needed.total.millis())},
-	          {"first_event_ms", std::to_string(needed.firstEvent.millis())},
-	          {"events", std::to_string(needed.events)},
-	          {"gap_us", std::to_string(needed.gap.micros)},
-	          {"whole_stream_ms", std::to_string(needed.wholeStream.millis())},
-	          {"observations", std::to_string(needed.observations)},
+	          {"needed_ms", std::to_string(_needed.total.millis())},
+	          {"first_event_ms", std::to_string(_needed.firstEvent.millis())},
+	          {"events", std::to_string(_needed.events)},
+	          {"gap_us", std::to_string(_needed.gap.micros)},
+	          {"whole_stream_ms", std::to_string(_needed.wholeStream.millis())},
+	          {"observations", std::to_string(_needed.observations)},
 	          {"left_ms", std::to_string((stopWindow_.deadline() - now).millis())}},
 	         _caller.id);
-	return isAdmitted(admission);
 }
 
 RelayPlan RequestIngress::makePlan(const RouteTable& _routes, const RouteMatch& _match, QueuedRequest&& _queued,
@@ -391,7 +396,7 @@
 		refuse(_queued, fault, caller.id);
 		return;
 	}
-	if (closing() && !finishesBeforeStop(match, caller))
+	if (closing() && !isAdmittedDuringStop(match, caller))
 	{
 		refuse(_queued, ErrorKind::Stopping, caller.id);
 		return;
--- a/tests/entry/stoplateproof.cpp
+++ b/tests/entry/stoplateproof.cpp
@@ -151,15 +151,20 @@
 	std::vector<std::string> unanswered_; //!< Ids of requests.
 };
 
-/// Stops the node while callers send requests over open connections.
-void stopUnder(EntryHarness& _harness, LateCallers& _callers)
+std::thread stopInBackground(EntryHarness& _harness)
 {
-	const Clock::time_point stopAt = Clock::now();
-	std::thread stop(
+	return std::thread(
 	    [&_harness]
 	    {
 		    _harness.stop();
 	    });
+}
+
+/// Stops the node while callers send requests over open connections.
+void stopUnder(EntryHarness& _harness, LateCallers& _callers)
+{
+	const Clock::time_point stopAt = Clock::now();
+	std::thread stop = stopInBackground(_harness);
 	_callers.run(stopAt);
 	stop.join();
 }
@@ -248,11 +253,7 @@
 		keeping.receiveUntil(eventText(0));
 		TestCaller resting(harness.callerAddress());
 		const Clock::time_point stopAt = Clock::now();
-		std::thread stop(
-		    [&harness]
-		    {
-			    harness.stop();
-		    });
+		std::thread stop = stopInBackground(harness);
 		CPPUNIT_ASSERT(!resting.receive().whole);
 		const Clock::duration open = Clock::now() - stopAt;
 		const bool isKeepingWhole = keeping.receive().whole;
@@ -272,11 +273,7 @@
 		harness.start();
 		TestCaller keeping(harness.callerAddress());
 		keeping.send(textOf(callOf("keeping")));
-		std::thread stop(
-		    [&harness]
-		    {
-			    harness.stop();
-		    });
+		std::thread stop = stopInBackground(harness);
 		std::this_thread::sleep_for(kLateMoments[0]);
 		const CallerAnswer late = harness.call(callOf("late"));
 		const CallerAnswer kept = keeping.receive();
@@ -294,11 +291,7 @@
 		FakeTarget& target = addCallTarget(harness, work);
 		harness.start();
 		TestCaller peer(handoverAddress(harness.settings()));
-		std::thread stop(
-		    [&harness]
-		    {
-			    harness.stop();
-		    });
+		std::thread stop = stopInBackground(harness);
 		std::this_thread::sleep_for(Millis(500));
 		peer.send(textOf(callOf("handed over")));
 		const CallerAnswer answer = peer.receive();
@@ -317,11 +310,7 @@
 		harness.start();
 		TestCaller caller(harness.callerAddress());
 		caller.send(textOf(callOf("running")));
-		std::thread stop(
-		    [&harness]
-		    {
-			    harness.stop();
-		    });
+		std::thread stop = stopInBackground(harness);
 		const CallerAnswer answer = caller.receive();
 		stop.join();
 		CPPUNIT_ASSERT(answer.whole);
