--- a/tests/entry/pacedstreams.cpp
+++ b/tests/entry/pacedstreams.cpp
@@ -61,7 +61,8 @@
 		_stream.caller->finish();
 		return;
 	}
-	target_->postAfter(_stream.pace,
+	const std::chrono::milliseconds pace = _stream.pace;
+	target_->postAfter(pace,
 	                   [this, stream = std::move(_stream)]
 	                   {
 		                   bringNext(stream);
