--- a/packages/core/src/stopwindow.cpp
+++ b/packages/core/src/stopwindow.cpp
@@ -14,8 +14,8 @@
 /// Time between the end of the last answer and the kill: a process needs some tens of milliseconds to exit.
 constexpr Duration kExitMargin = Duration::fromMillis(350);
 
-/// Time for the last answers to reach their callers: a round trip, and the retransmission of a lost segment.
-constexpr Duration kDeliveryTime = Duration::fromMillis(250);
+/// Time for the last answers to reach their callers: a round trip, and a retransmission or two of a lost segment.
+constexpr Duration kDeliveryTime = Duration::fromMillis(500);
 
 constexpr const char* kAdmissionNames[StopAdmission::Count] = {"time_limit", "estimate", "too_long", "unbounded"};
 
