--- a/review/standin-2/latebeat.cpp
+++ b/review/standin-2/latebeat.cpp
@@ -152,6 +152,7 @@
 
 void callNode(const Node& _node, const std::string& _id)
 {
+	record().line("client sends " + _id + " to " + _node.name());
 	const int fd = connectTo(_node.callerAddress());
 	Message answer;
 	const bool whole = 0 <= fd &&
--- a/review/standin-2/uploads.cpp
+++ b/review/standin-2/uploads.cpp
@@ -71,6 +71,7 @@
 				const std::lock_guard<std::mutex> lock(stateMutex);
 				begunAt[id] = nowMs();
 			}
+			record().line("runner " + id_ + " runs " + id);
 			sleepMs(isUpload ? kWorkMs : 5);
 			if (!writeAll(_fd, answerText(200, "text/plain", "done " + id,
 			                              "Attempt-Id: " + id + "\r\nResponse-Stamp: s." + id_ + '.' + id + "\r\n")))
@@ -101,6 +102,7 @@
 bool call(int _fd, const std::string& _id, std::size_t _body, int64_t _sendMs)
 {
 	static const std::string kPiece(64 * 1024, 'x');
+	record().line("client sends " + _id + ", " + std::to_string(_body) + " bytes");
 	if (!writeAll(_fd, "POST /call/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + _id +
 	                       "\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer key1\r\nContent-Length: " +
 	                       std::to_string(_body) + "\r\n\r\n"))
@@ -125,6 +127,7 @@
 		lostOf[_id] = 1;
 		return false;
 	}
+	record().line("client: " + _id + " gets " + std::to_string(answer.status));
 	(200 == answer.status ? served : refused) += 1;
 	return "close" != answer.header("Connection");
 }
