A request that may run once is not sent twice over one connection

Cause: a target may repeat a refusal late, where the next answer is due. The node sent the refused request again over the connection that it had kept, and the repeated refusal carries the id that is due there.

Change: a connection records the requests that it answered without a success and that may run once; the pool gives those another connection, or a new one in place of an idle one. Requests that may run again are treated as before.

--- a/packages/core/include/core/relaymachine.h
+++ b/packages/core/include/core/relaymachine.h
@@ -24,6 +24,12 @@
 	uint32_t maxRuns = 1;                //!< Maximum number of targets that may run it.
 	std::optional<uint64_t> resumeAfter; //!< The caller resumes a stream after the event with this id.
 	bool mayQueue = false;               //!< It may wait for capacity before its response has started.
+
+	/// @returns true if it may run more than once.
+	bool isRepeatable() const
+	{
+		return RequestKind::Idempotent == kind || (RequestKind::Stream == kind && resumable);
+	}
 };
 
 /// Result of an attempt to send a request.
@@ -289,7 +295,6 @@
 		bool forwarding = false;
 	};
 
-	bool repeatable() const;
 	bool spendRetryBudget();
 	bool mayFailOver();
 	std::optional<uint64_t> resumePoint() const;
--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -45,11 +45,6 @@
 {
 }
 
-bool RelayMachine::repeatable() const
-{
-	return RequestKind::Idempotent == traits_.kind || (RequestKind::Stream == traits_.kind && traits_.resumable);
-}
-
 /// The retry budget covers sends that reach a target after the first one; a failed connection costs nothing.
 bool RelayMachine::spendRetryBudget()
 {
@@ -95,7 +90,7 @@
 /// retry, and nothing is lost.
 bool RelayMachine::mayWait() const
 {
-	const bool mayRunAgain = repeatable() && runs_ < traits_.maxRuns;
+	const bool mayRunAgain = traits_.isRepeatable() && runs_ < traits_.maxRuns;
 	const bool mayRun = headForwarded_ ? mayRunAgain : traits_.mayQueue && (0 == runs_ || mayRunAgain);
 	return mayRun && !suspectedSend_ && 0 < sendsLeft();
 }
@@ -242,7 +237,7 @@
 		return;
 	}
 	const bool mayRetry =
-	    kFirstServerError <= head_.status && !head_.isFinal && repeatable() && runs_ + 1 < traits_.maxRuns;
+	    kFirstServerError <= head_.status && !head_.isFinal && traits_.isRepeatable() && runs_ + 1 < traits_.maxRuns;
 	if (mayRetry && spendRetryBudget())
 	{
 		++runs_;
@@ -316,10 +311,10 @@
 	++runs_;
 	inFlight_ = false;
 	refusals_ = 0;
-	const bool mayRetry = repeatable() && runs_ < traits_.maxRuns;
+	const bool mayRetry = traits_.isRepeatable() && runs_ < traits_.maxRuns;
 	if (!mayRetry)
 	{
-		noRetryReason_ = repeatable() ? NoRetryReason::RunsSpent : NoRetryReason::NotRepeatable;
+		noRetryReason_ = traits_.isRepeatable() ? NoRetryReason::RunsSpent : NoRetryReason::NotRepeatable;
 		fail(_fallback);
 		return;
 	}
@@ -335,8 +330,8 @@
 		noRetryReason_ = NoRetryReason::SendsSpent;
 		return 0 < sendsLeft();
 	}
-	noRetryReason_ = repeatable() ? NoRetryReason::RunsSpent : NoRetryReason::NotRepeatable;
-	return repeatable() && runs_ + 1 < traits_.maxRuns && 0 < sendsLeft();
+	noRetryReason_ = traits_.isRepeatable() ? NoRetryReason::RunsSpent : NoRetryReason::NotRepeatable;
+	return traits_.isRepeatable() && runs_ + 1 < traits_.maxRuns && 0 < sendsLeft();
 }
 
 bool RelayMachine::onSuspected()
--- a/packages/relay/include/relay/targetconnectionpool.h
+++ b/packages/relay/include/relay/targetconnectionpool.h
@@ -3,9 +3,9 @@
 #ifndef SEDGECART_RELAY_TARGETCONNECTIONPOOL_H_HEADER_GUARD
 #define SEDGECART_RELAY_TARGETCONNECTIONPOOL_H_HEADER_GUARD
 
-#include <aio/clientconnection.h>
 #include <base/clock.h>
 #include <base/runner.h>
+#include <relay/targetconnection.h>
 
 #include <cstdint>
 #include <map>
@@ -29,22 +29,25 @@
 	TargetConnectionPool(boost::asio::io_context& _loop, const ClockI& _clock);
 	~TargetConnectionPool();
 
+	/// @param _runsOnce id of the request if it must not run twice: it is not sent over a connection that answered it
+	/// before. Empty for all others.
 	/// @returns a connection for one exchange: an idle one, or a new one that is not connected yet.
-	std::unique_ptr<ClientConnection> acquire(const RunnerRecord& _target);
+	std::unique_ptr<TargetConnection> acquire(const RunnerRecord& _target, const std::string& _runsOnce);
 
 	/// Returns a connection to the pool if it can be reused, or closes it otherwise.
 	/// @param _maxIdle idle connections that the pool may keep to the target.
-	void release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection, uint32_t _maxIdle);
+	void release(const RunnerRecord& _target, std::unique_ptr<TargetConnection> _connection, uint32_t _maxIdle);
 
 private:
 	/// A connection that no request uses.
 	struct IdleConnection
 	{
-		std::unique_ptr<ClientConnection> connection;
+		std::unique_ptr<TargetConnection> connection;
 		Time usableUntil;
 	};
 
-	void remove(const TargetIncarnation& _incarnation, const ClientConnection* _connection);
+	void remove(const TargetIncarnation& _incarnation, const TargetConnection* _connection);
+	bool isUsable(const IdleConnection& _idle) const;
 	void dropOtherIncarnations(const TargetIncarnation& _incarnation);
 
 	boost::asio::io_context& loop_;
--- a/packages/relay/src/relaysend.cpp
+++ b/packages/relay/src/relaysend.cpp
@@ -7,9 +7,9 @@
 namespace sedgecart
 {
 
-RelaySend::RelaySend(RequestRelay& _relay, const FleetTarget& _target, std::unique_ptr<ClientConnection> _connection)
+RelaySend::RelaySend(RequestRelay& _relay, const FleetTarget& _target, std::unique_ptr<TargetConnection> _connection)
     : target(_target),
-      isNewConnection(!_connection->reusable()),
+      isNewConnection(!_connection->client().reusable()),
       relay_(_relay),
       connection_(std::move(_connection))
 {
@@ -17,18 +17,18 @@
 
 void RelaySend::begin(std::string _request, Duration _connectTimeout)
 {
-	connection_->exchange(std::move(_request), *this, _connectTimeout);
+	connection_->client().exchange(std::move(_request), *this, _connectTimeout);
 }
 
 void RelaySend::close()
 {
 	if (connection_)
 	{
-		connection_->close();
+		connection_->client().close();
 	}
 }
 
-std::unique_ptr<ClientConnection> RelaySend::takeConnection()
+std::unique_ptr<TargetConnection> RelaySend::takeConnection()
 {
 	return std::move(connection_);
 }
--- a/packages/relay/src/relaysend_p.h
+++ b/packages/relay/src/relaysend_p.h
@@ -7,6 +7,7 @@
 #include <base/units.h>
 #include <fleet/fleetview.h>
 #include <ports/wireformat.h>
+#include <relay/targetconnection.h>
 
 #include <cstdint>
 #include <memory>
@@ -24,7 +25,7 @@
 public:
 	/// @param _relay must outlive this object.
 	/// @param _target receives the request.
-	RelaySend(RequestRelay& _relay, const FleetTarget& _target, std::unique_ptr<ClientConnection> _connection);
+	RelaySend(RequestRelay& _relay, const FleetTarget& _target, std::unique_ptr<TargetConnection> _connection);
 
 	/// Starts the exchange.
 	/// @param _connectTimeout longest wait for the connection.
@@ -42,7 +43,7 @@
 	}
 
 	/// @returns the connection, to be reused for another request.
-	std::unique_ptr<ClientConnection> takeConnection();
+	std::unique_ptr<TargetConnection> takeConnection();
 
 	void onSent() override;
 	HeadVerdict::Enum onHead(MessageHead& _head) override;
@@ -67,7 +68,7 @@
 
 private:
 	RequestRelay& relay_;
-	std::unique_ptr<ClientConnection> connection_;
+	std::unique_ptr<TargetConnection> connection_;
 };
 
 } // namespace sedgecart
--- a/packages/relay/src/requestrelay.cpp
+++ b/packages/relay/src/requestrelay.cpp
@@ -151,7 +151,8 @@
 {
 	context_.metrics.add(path_.leadsToPeer() ? Counter::Handovers : Counter::Sends);
 	log_.sent(_resumeAfter.has_value());
-	send_ = std::make_shared<RelaySend>(*this, path_.head(), context_.pool.acquire(path_.head().record));
+	const std::string runsOnce = plan_.facts.isRepeatable() ? std::string() : plan_.caller.id;
+	send_ = std::make_shared<RelaySend>(*this, path_.head(), context_.pool.acquire(path_.head().record, runsOnce));
 	send_->isToPeer = path_.leadsToPeer();
 	send_->runNumber = context_.crashes.beginRun();
 	send_->lastProgressAt = context_.clock.now();
--- a/packages/relay/src/requestrelay_p.h
+++ b/packages/relay/src/requestrelay_p.h
@@ -96,6 +96,7 @@
 	}
 
 	bool isBlocked() const;
+	void releaseConnection(RelaySend& _send);
 	void recordLostRun(const RelaySend& _send, const FleetTarget& _target);
 	void startSend(std::optional<uint64_t> _resumeAfter);
 	void retire(std::shared_ptr<RelaySend>&& _send);
--- a/packages/relay/src/requestresponse.cpp
+++ b/packages/relay/src/requestresponse.cpp
@@ -166,7 +166,7 @@
 		_send.target.load->worthlessInRow.store(0, std::memory_order_relaxed);
 	}
 	path_.release();
-	context_.pool.release(path_.head().record, _send.takeConnection(), path_.maxIdleConnections());
+	releaseConnection(_send);
 	if (_send.isToPeer && _send.answer.notExecuted)
 	{
 		context_.metrics.add(Counter::HandoversDeclined);
@@ -187,6 +187,17 @@
 	finishIfDone();
 }
 
+/// Returns the connection of a completed send to the pool.
+void RequestRelay::releaseConnection(RelaySend& _send)
+{
+	std::unique_ptr<TargetConnection> connection = _send.takeConnection();
+	if (!_send.hasSucceeded() && !plan_.facts.isRepeatable())
+	{
+		connection->recordAnswer(plan_.caller.id, plan_.deadline, context_.clock.now());
+	}
+	context_.pool.release(path_.head().record, std::move(connection), path_.maxIdleConnections());
+}
+
 void RequestRelay::onBroken(RelaySend& _send, ExchangeFailure::Enum _how)
 {
 	if (isUnsent(_how) && !_send.isToPeer)
--- a/packages/relay/src/targetconnectionpool.cpp
+++ b/packages/relay/src/targetconnectionpool.cpp
@@ -27,29 +27,44 @@
 
 TargetConnectionPool::~TargetConnectionPool() = default;
 
-std::unique_ptr<ClientConnection> TargetConnectionPool::acquire(const RunnerRecord& _target)
+std::unique_ptr<TargetConnection> TargetConnectionPool::acquire(const RunnerRecord& _target,
+                                                                const std::string& _runsOnce)
 {
 	dropOtherIncarnations(_target.incarnation());
 	std::vector<IdleConnection>& idle = idle_[_target.incarnation()];
-	while (!idle.empty())
+	for (std::size_t at = idle.size(); 0 < at; --at)
 	{
-		IdleConnection last = std::move(idle.back());
-		idle.pop_back();
-		if (last.connection->reusable() && clock_.now() < last.usableUntil)
+		const auto row = idle.begin() + static_cast<std::ptrdiff_t>(at - 1);
+		if (!isUsable(*row))
 		{
-			last.connection->setOnIdleClosed(nullptr);
-			return std::move(last.connection);
+			idle.erase(row);
 		}
+		else if (_runsOnce.empty() || !row->connection->hasAnswered(_runsOnce))
+		{
+			std::unique_ptr<TargetConnection> connection = std::move(row->connection);
+			idle.erase(row);
+			connection->client().setOnIdleClosed(nullptr);
+			return connection;
+		}
+	}
+	if (!idle.empty())
+	{
+		idle.erase(idle.begin()); // the new one replaces it, since targets limit the number of connections
 	}
-	return std::make_unique<ClientConnection>(loop_, _target.address);
+	return std::make_unique<TargetConnection>(std::make_unique<ClientConnection>(loop_, _target.address));
+}
+
+bool TargetConnectionPool::isUsable(const IdleConnection& _idle) const
+{
+	return _idle.connection->client().reusable() && clock_.now() < _idle.usableUntil;
 }
 
-void TargetConnectionPool::release(const RunnerRecord& _target, std::unique_ptr<ClientConnection> _connection,
+void TargetConnectionPool::release(const RunnerRecord& _target, std::unique_ptr<TargetConnection> _connection,
                                    uint32_t _maxIdle)
 {
-	const Time until = clock_.now() + _connection->keepAliveTimeout();
+	const Time until = clock_.now() + _connection->client().keepAliveTimeout();
 	const Time usableUntil{until.micros - kCloseMargin.micros};
-	if (!_connection->reusable() || usableUntil < clock_.now())
+	if (!_connection->client().reusable() || usableUntil < clock_.now())
 	{
 		return;
 	}
@@ -59,8 +74,8 @@
 	{
 		return;
 	}
-	const ClientConnection* const raw = _connection.get();
-	_connection->setOnIdleClosed(
+	const TargetConnection* const raw = _connection.get();
+	_connection->client().setOnIdleClosed(
 	    [this, incarnation, raw]
 	    {
 		    remove(incarnation, raw);
@@ -79,7 +94,7 @@
 	}
 }
 
-void TargetConnectionPool::remove(const TargetIncarnation& _incarnation, const ClientConnection* _connection)
+void TargetConnectionPool::remove(const TargetIncarnation& _incarnation, const TargetConnection* _connection)
 {
 	const auto row = idle_.find(_incarnation);
 	if (idle_.end() == row)
