Each service's layout is planned by itself, and no order exceeds its target's memory

Nothing compared an order with the memory of its target.

Change: ServiceLayout plans one service, with its own hole, settle time and lost layers. OrderDispatcher checks each order against the target's own card before it is sent. The log of lost layers names the service.

--- a/packages/ctl/include/ctl/layerlosslist.h
+++ b/packages/ctl/include/ctl/layerlosslist.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace sedgecart
@@ -51,6 +51,9 @@
 		uint32_t count = 0;
 	};
 
+	/// Hall, service and node.
+	using BegunKey = std::tuple<std::string, std::string, std::string>;
+
 	void takeOrder(const LogRecord& _record);
 	static std::vector<Loss> inOrder(std::vector<Loss> _losses);
 	static bool isWithin(const std::vector<Loss>& _losses, int64_t _at);
@@ -58,8 +61,8 @@
 	Steps stepsOf(const std::string& _phase, const std::string& _hall, const Loss& _loss) const;
 	std::string lineOf(const std::string& _hall, const Loss& _loss, int64_t _from) const;
 
-	std::map<std::string, std::vector<Loss>> ended_;            //!< By hall, as each node saw them.
-	std::map<std::pair<std::string, std::string>, Loss> begun_; //!< By hall and node.
+	std::map<std::string, std::vector<Loss>> ended_; //!< By hall, as each node saw them.
+	std::map<BegunKey, Loss> begun_;
 	std::map<std::string, std::map<std::string, Step>>
 	    stepsByPhase_; //!< By phase, then by the order: target and fence.
 };
--- a/packages/ctl/src/layerlosslist.cpp
+++ b/packages/ctl/src/layerlosslist.cpp
@@ -75,7 +75,7 @@
 
 void LayerLossList::take(const LogRecord& _record)
 {
-	const std::pair<std::string, std::string> key{valueOf(_record, "hall"), _record.node};
+	const BegunKey key{valueOf(_record, "hall"), valueOf(_record, "service"), _record.node};
 	if ("Layers have no holder." == _record.message)
 	{
 		begun_[key] = Loss{_record.micros, 0, valueOf(_record, "layers")};
@@ -85,7 +85,7 @@
 		const auto begun = begun_.find(key);
 		if (begun_.end() != begun)
 		{
-			ended_[key.first].push_back(Loss{begun->second.begin, _record.micros, begun->second.layers});
+			ended_[std::get<0>(key)].push_back(Loss{begun->second.begin, _record.micros, begun->second.layers});
 			begun_.erase(begun);
 		}
 	}
@@ -147,7 +147,7 @@
 	for (const auto& row : begun_)
 	{
 		const bool isFirst = 0 == open.begin || row.second.begin < open.begin;
-		if (_hall == row.first.first && isFirst && !isWithin(losses, row.second.begin))
+		if (_hall == std::get<0>(row.first) && isFirst && !isWithin(losses, row.second.begin))
 		{
 			open = row.second;
 		}
@@ -208,7 +208,7 @@
 	}
 	for (const auto& row : begun_)
 	{
-		halls.insert(row.first.first);
+		halls.insert(std::get<0>(row.first));
 	}
 	std::vector<std::tuple<int64_t, std::string>> lines;
 	for (const std::string& hall : halls)
--- a/packages/fleet/include/fleet/fleetcontroller.h
+++ b/packages/fleet/include/fleet/fleetcontroller.h
@@ -122,6 +122,13 @@
 		return fleetChangedAt_;
 	}
 
+	/// @returns when a target of a service was last added, restarted or removed; 0 if that was long ago.
+	Time changedAt(const std::string& _service) const
+	{
+		const auto row = serviceChangedAt_.find(_service);
+		return serviceChangedAt_.end() == row ? Time{} : row->second;
+	}
+
 	/// @returns when the last read was sent that confirmed the desired state as the newest; 0 if there was none.
 	Time provenAt() const
 	{
@@ -178,6 +185,7 @@
 	bool claimAddress(const RunnerRecord& _read);
 	void skipRecord(const InstanceId& _target, RecordFault::Enum _fault);
 	bool removeTarget(const std::string& _instance);
+	void recordChange(const std::string& _service);
 	void onRecordRemoved(const std::string& _instance);
 	void checkAgainstDesiredState(const RunnerRecord& _record);
 	void retainRemovedServices(const RouteTable& _next);
@@ -214,7 +222,8 @@
 	TargetLog log_;
 	std::set<std::string> lapsed_; //!< Instances whose records lapsed during an outage and may be renewed.
 	Time fleetChangedAt_;
-	bool storeWasUnavailable_ = false; //!< A read failed since the topic was last read to its end.
+	std::map<std::string, Time> serviceChangedAt_; //!< `fleetChangedAt_` of each service.
+	bool storeWasUnavailable_ = false;             //!< A read failed since the topic was last read to its end.
 	bool runnersKnown_ = false;
 	bool lapseGraceEnabled_ = true;
 	bool changed_ = false;
--- a/packages/fleet/src/fleetcontroller.cpp
+++ b/packages/fleet/src/fleetcontroller.cpp
@@ -20,6 +20,10 @@
 /// seconds later and bring the target's record back.
 constexpr Duration kRemovedRetention = Duration::fromMillis(10000);
 
+/// How long the time of the last change of a service's targets is kept. Layouts are planned some seconds after a
+/// change.
+constexpr Duration kChangeRetention = Duration::fromMillis(60000);
+
 /// Nodes that take requests are chosen like the targets of a plain service.
 const ServiceSpec kPeers;
 
@@ -218,6 +222,11 @@
 		{
 			return;
 		}
+		if (known->second.service != record.service)
+		{
+			recordChange(known->second.service);
+			recordChange(record.service);
+		}
 		log_.onChanged(record);
 	}
 	runners_[instance] = record;
@@ -268,7 +277,7 @@
 		loads_[instance] = isSameIncarnation ? removed->second.load : std::make_shared<TargetLoad>();
 	}
 	removedTargets_.erase(instance);
-	fleetChangedAt_ = clock_.now();
+	recordChange(_read.service);
 }
 
 /// Starts a new incarnation of a known target. Nothing of the earlier incarnation's load carries over.
@@ -283,7 +292,18 @@
 	          {"layers_before", layersText(runners_[instance].layers)}});
 	loads_[instance]->ended.store(true, std::memory_order_relaxed);
 	loads_[instance] = std::make_shared<TargetLoad>();
+	recordChange(_read.service);
+}
+
+/// Records that a target of a service arrived, restarted or left.
+void FleetController::recordChange(const std::string& _service)
+{
 	fleetChangedAt_ = clock_.now();
+	for (auto row = serviceChangedAt_.begin(); serviceChangedAt_.end() != row;)
+	{
+		row = row->second + kChangeRetention < fleetChangedAt_ ? serviceChangedAt_.erase(row) : std::next(row);
+	}
+	serviceChangedAt_[_service] = fleetChangedAt_;
 }
 
 /// Takes a target out of use and remembers it for `kRemovedRetention`.
@@ -297,9 +317,9 @@
 	}
 	dropExpiredRemovals();
 	removedTargets_[_instance] = RemovedTarget{known->second, loads_.at(_instance), clock_.now()};
+	recordChange(known->second.service);
 	runners_.erase(known);
 	lastOffsets_.erase(_instance);
-	fleetChangedAt_ = clock_.now();
 	changed_ = true;
 	return true;
 }
--- a/packages/fleet/src/targetrecordcheck.cpp
+++ b/packages/fleet/src/targetrecordcheck.cpp
@@ -13,6 +13,12 @@
 	return _span.begin <= _span.end && _span.end <= _service.engine.layers;
 }
 
+bool fitsMemory(const ServiceSpec& _service, const RunnerRecord& _target, LayerSpan _layers)
+{
+	const AcceleratorKind* const card = findAcceleratorKind(_service.engine, _target.accelerator);
+	return nullptr != card && _layers.size() * _service.engine.layerMb <= card->memoryMb;
+}
+
 RecordFault::Enum checkTargetRecord(const ServiceSpec* _service, const RunnerRecord& _record)
 {
 	if (nullptr == _service)
--- a/packages/layout/include/layout/layerlossreporter.h
+++ b/packages/layout/include/layout/layerlossreporter.h
@@ -14,15 +14,21 @@
 class Metrics;
 struct RunnerRecord;
 
-/// Logs when layers of a data hall lose their last holder and when they have one again. Without it, requests that fail
-/// because no chain is complete cannot be distinguished from requests that fail for lack of capacity.
+/// Logs when layers of a service lose their last holder in a data hall and when they have one again. Without it,
+/// requests that fail because no chain is complete cannot be distinguished from requests that fail for lack of
+/// capacity.
 class LayerLossReporter
 {
 public:
+	explicit LayerLossReporter(const std::string& _service) : service_(_service)
+	{
+	}
+
 	/// Sets where losses are counted from now on.
-	void setMetrics(Metrics& _metrics)
+	/// @param _metrics null: nowhere.
+	void setMetrics(Metrics* _metrics)
 	{
-		metrics_ = &_metrics;
+		metrics_ = _metrics;
 	}
 
 	/// Compares the layers held with those at the last call, and reports what was lost or restored.
@@ -33,6 +39,7 @@
 private:
 	void report(const LayerLossUpdate& _update) const;
 
+	std::string service_;
 	LayerLosses losses_;
 	uint32_t layers_ = 0; //!< Number of layers of the last known model.
 	Metrics* metrics_ = nullptr;
--- a/packages/layout/include/layout/layoutcontroller.h
+++ b/packages/layout/include/layout/layoutcontroller.h
@@ -1,14 +1,15 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Package `layout`: which target holds which layers of the model.
+/// Package `layout`: which target holds which layers of its service's model.
 ///
 /// The nodes whose turn comes first evaluate the fleet five times a second, the others less often (`LayoutController`).
-/// If `core/layoutplan` returns a change, one node at a time, chosen by `core/appendschedule`, appends it to the layout
-/// topic. The fence of the record's orders follows from its offset, so that a later layout always takes precedence at a
-/// target. `OrderDispatcher` sends the orders of this node's records, resends unanswered ones, and completes orders
-/// that other nodes left unfinished; `core/ordertracker` tracks the state of each. `LayerLossReporter` reports layers
-/// without a holder. There is no leader: if two nodes append at the same time, one append is refused.
+/// `ServiceLayout` plans each service by itself. If `core/layoutplan` returns a change, one node at a time, chosen by
+/// `core/appendschedule`, appends it to the layout topic. The fence of the record's orders follows from its offset, so
+/// that a later layout always takes precedence at a target. `OrderDispatcher` sends the orders of this node's records,
+/// resends unanswered ones, and completes orders that other nodes left unfinished; `core/ordertracker` tracks the state
+/// of each. `LayerLossReporter` reports layers without a holder. There is no leader: if two nodes append at the same
+/// time, one append is refused.
 
 #ifndef SEDGECART_LAYOUT_LAYOUTCONTROLLER_H_HEADER_GUARD
 #define SEDGECART_LAYOUT_LAYOUTCONTROLLER_H_HEADER_GUARD
@@ -18,8 +19,10 @@
 #include <base/incarnation.h>
 #include <core/appendschedule.h>
 #include <core/layoutplan.h>
-#include <layout/layerlossreporter.h>
+#include <layout/layoutrecord.h>
+#include <layout/layoutsnapshot.h>
 #include <layout/orderdispatcher.h>
+#include <layout/servicelayout.h>
 #include <ports/keyedlog.h>
 #include <ports/runnerorders.h>
 #include <settings/mechanisms.h>
@@ -27,6 +30,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,11 +42,12 @@
 class Metrics;
 struct EntrySettings;
 
-/// Assigns the layers of the model to the targets and repairs the assignment. Every node runs it; there is no leader. A
-/// change is a record that is appended only if the layout topic still ends where its author has read it, so only one of
-/// two concurrent authors succeeds. The author sends the orders once it reads its own record back, with a fence that
-/// follows from the record's offset: an order that is carried out late cannot undo a later change. Nodes take turns, so
-/// that usually only one of them tries to append; if that one does not, the next one does. Control thread only.
+/// Assigns the layers of each service's model to its targets and repairs the assignment. Every node runs it; there is
+/// no leader. A change is a record that is appended only if the layout topic still ends where its author has read it,
+/// so only one of two concurrent authors succeeds. The author sends the orders once it reads its own record back, with
+/// a fence that follows from the record's offset: an order that is carried out late cannot undo a later change. Nodes
+/// take turns, so that usually only one of them tries to append; if that one does not, the next one does. Control
+/// thread only.
 class LayoutController
 {
 public:
@@ -61,7 +67,7 @@
 	void setMetrics(Metrics& _metrics)
 	{
 		dispatcher_.setMetrics(_metrics);
-		lossReporter_.setMetrics(_metrics);
+		metrics_ = &_metrics;
 	}
 
 	/// Applies a record of the layout topic.
@@ -71,30 +77,28 @@
 	void onCurrent(Offset _end);
 
 private:
-	/// The targets that run a model split into layers, as input for the layout plan.
-	struct Snapshot
-	{
-		const EngineSpec* engine = nullptr; //!< Null if there are no targets.
-		std::vector<RunnerRecord> records;
-		std::vector<LayoutTarget> targets; //!< One for each record.
-		bool anyHeld = false;              //!< True if any target holds layers.
-	};
+	using ServiceSnapshots = std::map<std::string, LayoutSnapshot>; //!< By service.
 
 	void tick();
 	void scheduleTick(Duration _pause);
 	void evaluate(std::size_t _place);
 	using TargetCheck = std::function<bool(const RunnerRecord&)>;
 
-	Snapshot takeSnapshot(const TargetCheck& _uncounted) const;
-	bool isComplete(const Snapshot& _snapshot) const;
-	std::vector<LayoutOrder> withoutUncertainOrders(const Snapshot& _snapshot, std::vector<LayoutOrder> _orders) const;
+	ServiceSnapshots takeSnapshots(const TargetCheck& _uncounted) const;
+	void addTarget(const RunnerRecord& _record, const TargetCheck& _uncounted, const std::set<std::string>& _lost,
+	               ServiceSnapshots& _snapshots) const;
+	void evaluateService(const std::string& _service, const LayoutSnapshot& _seen,
+	                     std::vector<LayoutHoldRecord>& _holds);
+	void dropOtherLayouts();
+	bool isComplete(const LayoutSnapshot& _snapshot) const;
+	std::vector<LayoutOrder> withoutUncertainOrders(const std::string& _service, const LayoutSnapshot& _snapshot,
+	                                                std::vector<LayoutOrder> _orders) const;
 	bool isResendSafe(const TrackedOrder& _order) const;
-	std::vector<LayoutOrder> wantedOrders(const Snapshot& _snapshot);
-	Snapshot withoutRefusingTargets(const Snapshot& _snapshot) const;
-	std::vector<LayoutOrder> withoutRefusedOrders(const Snapshot& _snapshot, std::vector<LayoutOrder> _orders) const;
-	void updateHole(const Snapshot& _snapshot, bool _isUnrepaired, Time _now);
+	LayoutSnapshot withoutRefusingTargets(const LayoutSnapshot& _snapshot) const;
+	std::vector<LayoutOrder> withoutRefusedOrders(const LayoutSnapshot& _snapshot,
+	                                              std::vector<LayoutOrder> _orders) const;
 	std::size_t turnIndex() const;
-	void append(const Snapshot& _snapshot, const std::vector<LayoutOrder>& _orders);
+	void append(std::vector<LayoutHoldRecord> _holds);
 	void onAppended(const KeyedAppend& _outcome);
 	uint64_t tokensAt(const std::string& _target, LayerSpan _held) const;
 
@@ -109,9 +113,9 @@
 	Incarnation incarnation_;
 	Offset end_; //!< End of the layout topic as far as this node has read it.
 	AppendSchedule appendSchedule_;
-	LayerLossReporter lossReporter_;
+	std::map<std::string, ServiceLayout> layouts_; //!< By service.
+	Metrics* metrics_ = nullptr;
 	std::function<void()> onBehind_;
-	Time holeSince_;           //!< Since when only a shift of borders could repair the layout; 0: no need.
 	Time appendedAt_;          //!< Time of this node's last attempt to append.
 	Time evaluatedAt_;         //!< Time of this node's last evaluation.
 	bool isTopicRead_ = false; //!< The layout topic has been read to its end.
--- a/packages/layout/src/layerlossreporter.cpp
+++ b/packages/layout/src/layerlossreporter.cpp
@@ -28,7 +28,8 @@
 {
 	logEvent(LogPart::Layout, _update.ends ? LogLevel::Info : LogLevel::Warning,
 	         _update.ends ? "Layers are held again." : "Layers have no holder.",
-	         {{"hall", _update.hall},
+	         {{"service", service_},
+	          {"hall", _update.hall},
 	          {"layers", spansText(_update.layers)},
 	          {"ms", std::to_string(_update.lasted.millis())}});
 	if (_update.ends && nullptr != metrics_)
--- a/packages/layout/src/layoutcontroller.cpp
+++ b/packages/layout/src/layoutcontroller.cpp
@@ -9,6 +9,8 @@
 #include <fleet/fleetcontroller.h>
 #include <fleet/targetrecordcheck.h>
 #include <layout/layoutrecord.h>
+#include <layout/layoutsnapshot.h>
+#include <layout/servicelayout.h>
 #include <logging/logging.h>
 #include <settings/entrysettings.h>
 
@@ -34,26 +36,21 @@
 /// at most two waits of a second and a hub's answer old.
 constexpr Duration kMaxProofAge = Duration::fromMillis(3000);
 
-/// The first layout is planned once no target has arrived or left for this long, since targets appear within some
-/// seconds of each other.
-constexpr Duration kFleetSettleTime = Duration::fromMillis(1600);
-
 /// Orders are not sent if their author reads its record back later than this after the append: other nodes may have
 /// acted meanwhile.
 constexpr Duration kMaxOrderAge = Duration::fromMillis(3000);
 
-/// Delay before borders between ranges are shifted to cover missing layers: an empty target, such as one that restarts,
-/// can take the range within this time without moving the layers of others.
-constexpr Duration kBorderShiftDelay = Duration::fromMillis(900);
-
-/// Delay after a target arrives or leaves before an empty target that no range needs is given a replica, so that a
-/// target that is being replaced can leave first. Loading costs little, while a longer delay, such as 4 s, withholds
-/// the target's capacity from its hall and lowers the value of what is served when targets fail.
-constexpr Duration kReplicaDelay = Duration::fromMillis(800);
-
 /// The only key of the layout topic; its value is the newest record.
 constexpr const char* kKey = "newest";
 
+/// @returns the snapshot of a service; an empty one if it has no targets.
+const LayoutSnapshot& snapshotOf(const std::map<std::string, LayoutSnapshot>& _snapshots, const std::string& _service)
+{
+	static const LayoutSnapshot kNone;
+	const auto row = _snapshots.find(_service);
+	return _snapshots.end() == row ? kNone : row->second;
+}
+
 } // namespace
 
 LayoutController::LayoutController(boost::asio::io_context& _loop, KeyedLogI& _log, RunnerOrdersI& _orders,
@@ -163,34 +160,44 @@
 	return (own + others) / _held.size();
 }
 
+/// Adds a target to the snapshot of its service if it can hold layers.
 /// @param _uncounted returns true for targets whose orders are ignored: they count as holding what the registry shows.
-LayoutController::Snapshot LayoutController::takeSnapshot(const TargetCheck& _uncounted) const
+void LayoutController::addTarget(const RunnerRecord& _record, const TargetCheck& _uncounted,
+                                 const std::set<std::string>& _lost, ServiceSnapshots& _snapshots) const
 {
-	Snapshot snapshot;
-	std::map<std::string, uint32_t> halls;
+	const ServiceSpec* const service = fleet_.routes()->findService(_record.service);
+	const bool runsLayers =
+	    nullptr != service && service->hasEngine && RecordFault::None == checkTargetRecord(service, _record);
+	const AcceleratorKind* const card =
+	    runsLayers ? findAcceleratorKind(service->engine, _record.accelerator) : nullptr;
+	const bool isLost = 0 < _lost.count(_record.instance.text);
+	if (nullptr == card || _record.draining || isLost || dispatcher_.isOutdated(_record))
+	{
+		return;
+	}
+	LayoutSnapshot& snapshot = _snapshots[service->name];
+	const LayerSpan held = _uncounted(_record) ? _record.layers : dispatcher_.effectiveLayers(_record, *service);
+	snapshot.engine = &service->engine;
+	snapshot.anyHeld = snapshot.anyHeld || 0 < held.size();
+	const LayerSpan serves = commonSpan(_record.layers, held);
+	const auto next = static_cast<uint32_t>(snapshot.halls.size());
+	const uint32_t hall = snapshot.halls.emplace(_record.hall, next).first->second;
+	snapshot.targets.push_back(LayoutTarget{hall, *card, held, tokensAt(_record.instance.text, held), serves});
+	snapshot.records.push_back(_record);
+}
+
+/// @returns a snapshot of each service that has a model and targets. Layouts of services are independent: their models
+/// differ in layers and size, and no target runs two.
+LayoutController::ServiceSnapshots LayoutController::takeSnapshots(const TargetCheck& _uncounted) const
+{
+	ServiceSnapshots snapshots;
 	const bool usesNodeEvidence = mechanisms_.isEnabled(Mechanism::OwnEvidence);
 	const std::set<std::string> lost = usesNodeEvidence ? lostTargets(fleet_, clock_.now()) : std::set<std::string>();
 	for (const auto& row : fleet_.runners())
 	{
-		const RunnerRecord& record = row.second;
-		const ServiceSpec* const service = fleet_.routes()->findService(record.service);
-		const bool runsLayers =
-		    nullptr != service && service->hasEngine && RecordFault::None == checkTargetRecord(service, record);
-		const AcceleratorKind* const card =
-		    runsLayers ? findAcceleratorKind(service->engine, record.accelerator) : nullptr;
-		if (nullptr == card || record.draining || 0 < lost.count(row.first) || dispatcher_.isOutdated(record))
-		{
-			continue;
-		}
-		const uint32_t hall = halls.emplace(record.hall, static_cast<uint32_t>(halls.size())).first->second;
-		const LayerSpan held = _uncounted(record) ? record.layers : dispatcher_.effectiveLayers(record, *service);
-		snapshot.engine = &service->engine;
-		snapshot.anyHeld = snapshot.anyHeld || 0 < held.size();
-		const LayerSpan serves = commonSpan(record.layers, held);
-		snapshot.targets.push_back(LayoutTarget{hall, *card, held, tokensAt(row.first, held), serves});
-		snapshot.records.push_back(record);
+		addTarget(row.second, _uncounted, lost, snapshots);
 	}
-	return snapshot;
+	return snapshots;
 }
 
 /// Checks again before an order is resent, since requests may have started and targets may have left since its record.
@@ -201,11 +208,17 @@
 	{
 		return true;
 	}
-	const Snapshot seen = takeSnapshot(
+	const auto target = fleet_.runners().find(_order.incarnation.instance.text);
+	if (fleet_.runners().end() == target)
+	{
+		return false;
+	}
+	const ServiceSnapshots snapshots = takeSnapshots(
 	    [&_order](const RunnerRecord& _target)
 	    {
 		    return _order.incarnation.instance == _target.instance;
 	    });
+	const LayoutSnapshot& seen = snapshotOf(snapshots, target->second.service);
 	for (std::size_t index = 0; index < seen.records.size(); ++index)
 	{
 		if (seen.records[index].instance == _order.incarnation.instance)
@@ -217,44 +230,6 @@
 	return false; // the target leaves or is considered dead, and the plan assigns its range to others
 }
 
-std::vector<LayoutOrder> LayoutController::wantedOrders(const Snapshot& _snapshot)
-{
-	const Time now = clock_.now();
-	if (nullptr == _snapshot.engine)
-	{
-		return {};
-	}
-	if (!_snapshot.anyHeld)
-	{
-		const bool settled = !(now < fleet_.fleetChangedAt() + kFleetSettleTime);
-		return settled ? planLayout(*_snapshot.engine, _snapshot.targets, policy_) : std::vector<LayoutOrder>();
-	}
-	RepairScope scope;
-	scope.mayShiftBorders = 0 != holeSince_.micros && !(now < holeSince_ + kBorderShiftDelay);
-	scope.mayAddReplicas = !(now < fleet_.fleetChangedAt() + kReplicaDelay);
-	std::vector<LayoutOrder> orders = repairLayout(*_snapshot.engine, _snapshot.targets, policy_, scope);
-	updateHole(_snapshot, orders.empty() && !scope.mayShiftBorders, now);
-	return orders;
-}
-
-/// Records since when only a shift of borders could repair the layout.
-/// @param _isUnrepaired whether planning without a shift found no change.
-void LayoutController::updateHole(const Snapshot& _snapshot, bool _isUnrepaired, Time _now)
-{
-	RepairScope shifting;
-	shifting.mayShiftBorders = true;
-	const bool hasHole =
-	    _isUnrepaired && !repairLayout(*_snapshot.engine, _snapshot.targets, policy_, shifting).empty();
-	if (!hasHole)
-	{
-		holeSince_ = Time{};
-	}
-	else if (0 == holeSince_.micros)
-	{
-		holeSince_ = _now;
-	}
-}
-
 /// @returns this node's index in the order in which nodes try to append. The order is different after each change and
 /// mixes the halls, so that a node or a hall that has failed delays only some changes.
 std::size_t LayoutController::turnIndex() const
@@ -275,32 +250,69 @@
 	                   {
 		                   return isResendSafe(_order);
 	                   });
-	const Snapshot seen = takeSnapshot(
+	const ServiceSnapshots snapshots = takeSnapshots(
 	    [](const RunnerRecord&)
 	    {
 		    return false;
 	    });
-	lossReporter_.update(nullptr != seen.engine ? seen.engine->layers : 0, seen.records, clock_.now());
-	const Snapshot available = withoutRefusingTargets(seen);
-	const std::vector<LayoutOrder> orders =
-	    fleet_.isCutOff() ? std::vector<LayoutOrder>()
-	                      : withoutUncertainOrders(available, withoutRefusedOrders(available, wantedOrders(available)));
 	const Time now = clock_.now();
+	std::vector<LayoutHoldRecord> holds;
+	for (const ServiceSpec& service : fleet_.routes()->state().services)
+	{
+		if (service.hasEngine)
+		{
+			evaluateService(service.name, snapshotOf(snapshots, service.name), holds);
+		}
+	}
+	dropOtherLayouts();
 	const bool hasUnpublished = dispatcher_.hasUnpublished();
 	appendSchedule_.setContenders(_place, fleet_.nodes().size());
-	appendSchedule_.setWanted(hasUnpublished || !orders.empty(), now);
+	appendSchedule_.setWanted(hasUnpublished || !holds.empty(), now);
 	// No other node can publish what only this node knows, so it does not wait for its turn.
 	if (appendSchedule_.isDue(hasUnpublished ? 0 : _place, now))
 	{
-		append(available, orders);
+		append(std::move(holds));
+	}
+}
+
+/// Adds to `_holds` what targets of a service are to hold from now on.
+void LayoutController::evaluateService(const std::string& _service, const LayoutSnapshot& _seen,
+                                       std::vector<LayoutHoldRecord>& _holds)
+{
+	const Time now = clock_.now();
+	ServiceLayout& layout = layouts_.try_emplace(_service, _service).first->second;
+	layout.setMetrics(metrics_);
+	layout.reportLosses(_seen, now);
+	if (fleet_.isCutOff())
+	{
+		return;
+	}
+	const LayoutSnapshot available = withoutRefusingTargets(_seen);
+	std::vector<LayoutOrder> orders =
+	    withoutRefusedOrders(available, layout.wantedOrders(available, policy_, fleet_.changedAt(_service), now));
+	orders = withoutUncertainOrders(_service, available, std::move(orders));
+	for (const LayoutOrder& order : orders)
+	{
+		const RunnerRecord& target = available.records[order.target];
+		_holds.push_back(LayoutHoldRecord{target.instance, target.startTime, order.layers});
+	}
+}
+
+/// Drops the state of services that the desired state does not contain any more.
+void LayoutController::dropOtherLayouts()
+{
+	for (auto row = layouts_.begin(); layouts_.end() != row;)
+	{
+		const ServiceSpec* const service = fleet_.routes()->findService(row->first);
+		row = nullptr == service || !service->hasEngine ? layouts_.erase(row) : std::next(row);
 	}
 }
 
 /// @returns the targets without those that recently refused an order and that no range needs, so that the plan assigns
 /// what they were ordered to hold to other targets at once.
-LayoutController::Snapshot LayoutController::withoutRefusingTargets(const Snapshot& _snapshot) const
+LayoutSnapshot LayoutController::withoutRefusingTargets(const LayoutSnapshot& _snapshot) const
 {
-	Snapshot remaining = _snapshot;
+	LayoutSnapshot remaining = _snapshot;
 	for (std::size_t index = remaining.targets.size(); 0 < index; --index)
 	{
 		if (dispatcher_.hasRefused(remaining.records[index - 1]) && isSpare(remaining.targets, index - 1))
@@ -314,7 +326,7 @@
 }
 
 /// @returns the orders without those that their target recently refused.
-std::vector<LayoutOrder> LayoutController::withoutRefusedOrders(const Snapshot& _snapshot,
+std::vector<LayoutOrder> LayoutController::withoutRefusedOrders(const LayoutSnapshot& _snapshot,
                                                                 std::vector<LayoutOrder> _orders) const
 {
 	const auto refused =
@@ -329,7 +341,8 @@
 
 /// Handles orders in effect that may be hours old, of which it is unknown whether they were carried out.
 /// @returns the given orders if a change is needed in either case, else none.
-std::vector<LayoutOrder> LayoutController::withoutUncertainOrders(const Snapshot& _snapshot,
+std::vector<LayoutOrder> LayoutController::withoutUncertainOrders(const std::string& _service,
+                                                                  const LayoutSnapshot& _snapshot,
                                                                   std::vector<LayoutOrder> _orders) const
 {
 	const auto isUncertain = [this](const RunnerRecord& _target)
@@ -337,7 +350,7 @@
 		return dispatcher_.isTrackedOnly(_target);
 	};
 	const bool hasUncertain = std::any_of(_snapshot.records.begin(), _snapshot.records.end(), isUncertain);
-	if (!_orders.empty() && hasUncertain && isComplete(takeSnapshot(isUncertain)))
+	if (!_orders.empty() && hasUncertain && isComplete(snapshotOf(takeSnapshots(isUncertain), _service)))
 	{
 		_orders.clear();
 	}
@@ -345,21 +358,18 @@
 }
 
 /// @returns true if the layout is complete, so that no change would improve it.
-bool LayoutController::isComplete(const Snapshot& _snapshot) const
+bool LayoutController::isComplete(const LayoutSnapshot& _snapshot) const
 {
 	constexpr RepairScope kAll{true, true};
 	return _snapshot.anyHeld && repairLayout(*_snapshot.engine, _snapshot.targets, policy_, kAll).empty();
 }
 
-void LayoutController::append(const Snapshot& _snapshot, const std::vector<LayoutOrder>& _orders)
+/// @param _holds what targets are to hold from now on; may be empty if this node has outcomes of orders to publish.
+void LayoutController::append(std::vector<LayoutHoldRecord> _holds)
 {
 	LayoutRecord change;
 	change.author = incarnation_.text();
-	for (const LayoutOrder& order : _orders)
-	{
-		const RunnerRecord& target = _snapshot.records[order.target];
-		change.holds.push_back(LayoutHoldRecord{target.instance, target.startTime, order.layers});
-	}
+	change.holds = std::move(_holds);
 	dispatcher_.addKnownOrders(change);
 	const OmittedOrders omitted = fitLayoutRecord(change);
 	if (0 < omitted.holds || 0 < omitted.reportedOrders)
--- a/packages/layout/src/orderdispatcher.cpp
+++ b/packages/layout/src/orderdispatcher.cpp
@@ -209,7 +209,7 @@
 }
 
 /// @returns false if the target has left or restarted since the order was issued, its registry record is outdated, or
-/// its model does not have the layers.
+/// its model does not have the layers, or it lacks the memory for them.
 bool OrderDispatcher::maySend(const TrackedOrder& _order) const
 {
 	const auto row = fleet_.runners().find(_order.incarnation.instance.text);
@@ -228,7 +228,20 @@
 		return false;
 	}
 	const ServiceSpec* const service = serviceOf(row->second);
-	return nullptr != service && isValidSpan(*service, _order.layers);
+	if (nullptr == service || !isValidSpan(*service, _order.layers))
+	{
+		return false;
+	}
+	if (!fitsMemory(*service, row->second, _order.layers))
+	{
+		logEvent(LogPart::Layout, LogLevel::Error, "Order is not sent, its target lacks the memory for the layers.",
+		         {{"target", _order.incarnation.instance.text},
+		          {"service", service->name},
+		          {"card", row->second.accelerator},
+		          {"layers", spanText(_order.layers)}});
+		return false;
+	}
+	return true;
 }
 
 void OrderDispatcher::send(const TrackedOrder& _order)
