A response that HTTP does not define is no answer

A caller got a target's response with status 000 as an answer. The same held for 099, 600, 999, two ids or signatures, an empty signature, a continued header line, an unknown transfer coding, an encoded body, and an id and a signature that stood in the trailer only.

Cause: the reader of messages took for an answer whatever Boost.Beast's parser accepts, and the adapter took the first of two fields.

Change: MessageReader accepts statuses from 100 to 599, no continued lines in responses, no transfer coding but chunked, and drops trailer fields; HttpClient checks the status. The adapter refuses ambiguous and encoded answers, and nothing in them is trusted.

Names with a blank or a control byte were refused before too.

--- a/packages/aio/src/messagereader.cpp
+++ b/packages/aio/src/messagereader.cpp
@@ -2,11 +2,15 @@
 
 #include <aio/messagereader.h>
 
+#include <base/httpstatus.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace sedgecart
 {
@@ -42,6 +46,20 @@
 	return ReadState::Malformed;
 }
 
+/// @returns true if a header line is continued on the next one, which the parser would join to one value.
+bool hasContinuedLine(std::string_view _head)
+{
+	return std::string_view::npos != _head.find("\r\n ") || std::string_view::npos != _head.find("\r\n\t");
+}
+
+/// @returns true if the transfer codings are "chunked" alone, the only ones that are decoded here.
+bool isChunkedOnly(beast::string_view _codings)
+{
+	const http::token_list codings(_codings);
+	const auto first = codings.begin();
+	return codings.end() != first && beast::iequals(*first, "chunked") && codings.end() == std::next(first);
+}
+
 } // namespace
 
 /// Common interface of the request and the response parser.
@@ -76,7 +94,13 @@
 			return this->is_done() ? ReadState::Done : ReadState::More;
 		}
 		beast::error_code error;
+		const bool hadHead = this->is_header_done();
 		_used = this->put(boost::asio::const_buffer(_bytes.data(), _bytes.size()), error);
+		const bool endsHead = !hadHead && this->is_header_done(); // the parser takes a head as a whole
+		if (!isRequest && endsHead && hasContinuedLine(_bytes.substr(0, _bytes.find("\r\n\r\n"))))
+		{
+			return ReadState::Malformed;
+		}
 		if (http::error::need_more == error && this->is_header_done() && lineBytes_ < _bytes.size() - _used)
 		{
 			return ReadState::Malformed; // Beast bounds the head, but no line after it
@@ -112,18 +136,35 @@
 		head_.target = std::string(toStringView(_target));
 	}
 
-	void on_response_impl(int _status, beast::string_view, int, beast::error_code&) override
+	void on_response_impl(int _status, beast::string_view, int, beast::error_code& _error) override
 	{
+		if (!isHttpStatus(static_cast<unsigned>(_status)))
+		{
+			_error = http::error::bad_status;
+			return;
+		}
 		head_.status = static_cast<uint16_t>(_status);
 	}
 
-	void on_field_impl(http::field, beast::string_view _name, beast::string_view _value, beast::error_code&) override
+	void on_field_impl(http::field _field, beast::string_view _name, beast::string_view _value,
+	                   beast::error_code& _error) override
 	{
+		if (hasAllHeaders_)
+		{
+			return; // of the trailer
+		}
+		const bool isCoding = http::field::transfer_encoding == _field;
+		if (isCoding && (!isChunkedOnly(_value) || nullptr != head_.headers.find("Transfer-Encoding")))
+		{
+			_error = http::error::bad_transfer_encoding;
+			return;
+		}
 		head_.headers.add(toStringView(_name), toStringView(_value));
 	}
 
 	void on_header_impl(beast::error_code&) override
 	{
+		hasAllHeaders_ = true;
 		head_.keepAlive = this->keep_alive();
 		head_.untilClose = !isRequest && this->need_eof();
 	}
@@ -157,6 +198,7 @@
 	{
 	}
 
+	bool hasAllHeaders_ = false;
 	uint32_t lineBytes_; //!< Most that the size line of a chunk, or all trailer fields, may take.
 };
 
--- a/packages/aio/tests/messagereadertest.cpp
+++ b/packages/aio/tests/messagereadertest.cpp
@@ -55,9 +55,67 @@
 	CPPUNIT_TEST(bodyOfKnownLengthTakesNoMoreMemory);
 	CPPUNIT_TEST(claimedLengthTakesBoundedMemory);
 	CPPUNIT_TEST(answerUntilClose);
+	CPPUNIT_TEST(answersThatAreNoneAreMalformed);
+	CPPUNIT_TEST(trailerFieldsDoNotChangeTheHead);
+	CPPUNIT_TEST(requestsInOtherCodingsAreMalformed);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
+	/// Each of these reached a caller as an answer, or might have.
+	void answersThatAreNoneAreMalformed()
+	{
+		const std::string end = "Content-Length: 2\r\n\r\nok";
+		for (const char* const status : {"000", "099", "600", "999", "20", "2000", "2x0", "-20", ""})
+		{
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(
+			    status, int(ReadState::Malformed),
+			    int(readAll(Side::Response, "HTTP/1.1 " + std::string(status) + " X\r\n" + end)));
+		}
+		for (const std::string& line :
+		     {std::string("A B: c"), std::string("A\tB: c"), std::string("A\x01: c"), std::string("A\x7f: c"),
+		      std::string("A\0: c", 5), std::string("A\x80: c"), std::string("A : c"), std::string("A\t: c"),
+		      std::string(": c"), std::string("A"), std::string("A: \x01"), std::string("A: b\r\n c"),
+		      std::string("A: b\r\n\tc"), std::string("Transfer-Encoding: gzip"),
+		      std::string("Transfer-Encoding: gzip, chunked"), std::string("Transfer-Encoding: chunked, chunked"),
+		      std::string("Transfer-Encoding: identity")})
+		{
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(line, int(ReadState::Malformed),
+			                             int(readAll(Side::Response, "HTTP/1.1 200 OK\r\n" + line + "\r\n" + end)));
+		}
+		for (const char* const status : {"200", "404", "500", "599"})
+		{
+			CPPUNIT_ASSERT_EQUAL(int(ReadState::Done),
+			                     int(readAll(Side::Response, "HTTP/1.1 " + std::string(status) + " X\r\n" + end)));
+		}
+	}
+
+	/// An id or a signature that stands in the trailer only would count as one of the head, if both come at once.
+	void trailerFieldsDoNotChangeTheHead()
+	{
+		const std::string body = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nLate: 1\r\n\r\n";
+		const std::string starts[Side::Count] = {"POST / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\n"};
+		for (uint32_t side = 0; side < Side::Count; ++side)
+		{
+			MessageReader reader(static_cast<Side::Enum>(side), ReaderLimits{});
+			std::string left;
+			const ReadState::Enum state = readInPieces(reader, starts[side] + body, 1000, left);
+			CPPUNIT_ASSERT_EQUAL(int(ReadState::Done), int(state));
+			CPPUNIT_ASSERT_EQUAL(std::string("ok"), reader.body());
+			CPPUNIT_ASSERT(nullptr == reader.head().headers.find("Late"));
+		}
+	}
+
+	/// The body would be passed on without its coding being named.
+	void requestsInOtherCodingsAreMalformed()
+	{
+		for (const char* const coding : {"gzip", "gzip, chunked", "chunked, gzip", "x"})
+		{
+			const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n";
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, int(ReadState::Malformed),
+			                             int(readAll(Side::Request, head + "0\r\n\r\n")));
+		}
+	}
+
 	/// Guards against collecting a size line or trailer fields without end, which the parser itself does not bound.
 	void linesBetweenChunksAreBounded()
 	{
--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 sedgecart maintainers. SPDX-License-Identifier: Apache-2.0
 
 #include <base/bootclock.h>
+#include <base/httpstatus.h>
 #include <http/httpclient.h>
 
 #include "boundedstream_p.h"
@@ -172,6 +173,10 @@
 	bool readHeader(ErrorCode& _error)
 	{
 		beast::http::read_header(stream_, buffer_, *parser_, _error);
+		if (!_error && !isHttpStatus(parser_->get().result_int()))
+		{
+			_error = beast::http::error::bad_status;
+		}
 		return !_error;
 	}
 
--- a/packages/ports/include/ports/wireformat.h
+++ b/packages/ports/include/ports/wireformat.h
@@ -82,7 +82,8 @@
 	bool notExecuted = false;   //!< The target reports that it did not run the request, and will not.
 	bool layersNotHeld = false; //!< The stage at fault does not hold its layers, or is not the expected instance.
 	bool isSigned = false;      //!< It carries the signature that an answer needs to count as a success.
-	std::string atFault;        //!< "ip:port" of the stage that refused; empty if it names none.
+	bool isInvalid = false; //!< It names its request or its signature twice, or its body is encoded: it is no answer.
+	std::string atFault;    //!< "ip:port" of the stage that refused; empty if it names none.
 	RateNotice::Enum rateNotice = RateNotice::None;
 	RequestRate rateLimit; //!< Rate limit of the answering target, if named.
 	BackoffNotice::Enum backoffNotice = BackoffNotice::None;
--- a/packages/relay/src/requestresponse.cpp
+++ b/packages/relay/src/requestresponse.cpp
@@ -53,6 +53,10 @@
 		logOutcome("Surplus answer is discarded.", LogLevel::Info, answer.id);
 		return HeadVerdict::Skip;
 	}
+	if (answer.isInvalid)
+	{
+		return HeadVerdict::Reject; // nothing in it is to be trusted, neither that the request did not run
+	}
 	if (!_send.isToPeer)
 	{
 		notices_.apply(_send.target, answer);
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -10,6 +10,7 @@
 
 #include <aio/messagereader.h>
 #include <base/endpointtext.h>
+#include <base/httpstatus.h>
 #include <core/routetable.h>
 #include <crash/crashupdate.h>
 #include <fleet/nodeaddress.h>
@@ -23,6 +24,7 @@
 
 #include <boost/log/core.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
@@ -274,6 +276,28 @@
 	}
 }
 
+/// What a head holds is passed on, to callers or to targets.
+void requireSound(MessageReader::Side::Enum _side, const MessageHead& _head)
+{
+	require(MessageReader::Side::Request == _side || isHttpStatus(_head.status), "a status is one of HTTP's");
+	for (const HeaderField& field : _head.headers.fields())
+	{
+		const bool isName =
+		    !field.name.empty() && std::all_of(field.name.begin(), field.name.end(),
+		                                       [](char _letter)
+		                                       {
+			                                       return ' ' < _letter && _letter < 127 && ':' != _letter;
+		                                       });
+		const bool isValue =
+		    std::all_of(field.value.begin(), field.value.end(),
+		                [](char _letter)
+		                {
+			                return '\t' == _letter || (127 != _letter && !(0 <= _letter && _letter < ' '));
+		                });
+		require(isName && isValue, "a field is valid");
+	}
+}
+
 /// Feeds the bytes as a connection does: in pieces, together with what was not consumed before.
 void runMessage(MessageReader::Side::Enum _side, const std::string& _bytes)
 {
@@ -296,6 +320,10 @@
 		require(ReadState::More != state || unparsed.size() <= limits.headerBytes, "what is kept unread is bounded");
 	}
 	require(reader.body().size() <= _bytes.size(), "a body is no longer than what came");
+	if (reader.hasHead() && ReadState::Malformed != state)
+	{
+		requireSound(_side, reader.head());
+	}
 }
 
 void runAnswer(const std::string& _bytes)
