--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -172,6 +172,7 @@
 	CPPUNIT_TEST(keyTakenAwayIsRefused);
 	CPPUNIT_TEST(readyAndMetricsAreServed);
 	CPPUNIT_TEST(entriesOfOthersNameNoTarget);
+	CPPUNIT_TEST(entriesOfOthersDoNotStopTheReading);
 	CPPUNIT_TEST(aTargetWhoseEntryBreaksGetsNothingMore);
 	CPPUNIT_TEST(badInputHarmsNobody);
 	CPPUNIT_TEST(routeTimeEndsTheWait);
@@ -743,6 +744,38 @@
 		}
 	}
 
+	/// Guards against a node that ends, or reads no further, at an entry that is nested deeply or holds what no number
+	/// is.
+	void entriesOfOthersDoNotStopTheReading()
+	{
+		EntryHarness harness;
+		const FakeTarget& first = harness.addPlain(answers(200, "body"));
+		harness.start();
+		FakeTarget foreign(answers(200, "body"));
+		std::vector<std::string> texts = entriesOfOthers(foreign.address());
+		const std::string sound = entryOf(first.address(), "ready", "8");
+		for (const char* const field : {"sequence", "born", "cold_left_ms"})
+		{
+			texts.push_back(sound.substr(0, sound.size() - 1) + ",\"" + field + "\":1e400}");
+			texts.push_back(sound.substr(0, sound.size() - 1) + ",\"" + field + "\":" + std::string(10000, '[') +
+			                std::string(10000, ']') + "}");
+		}
+		uint32_t number = 0;
+		for (const std::string& text : texts)
+		{
+			harness.store().put(KeyedTopic::Runners, "odd-" + std::to_string(++number), text);
+			CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+		}
+		FakeTarget& next = harness.addPlain(answers(200, "body"));
+		waitUntil(
+		    [&harness, &next]
+		    {
+			    return 0 < sharedOut(harness, next);
+		    });
+		CPPUNIT_ASSERT(0 < sharedOut(harness, next));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), foreign.requests().size());
+	}
+
 	/// The entry of a target in use turns into bytes that cannot be read: it names no target any more, so that the
 	/// other one gets all requests. The target's next own entry brings it back.
 	void aTargetWhoseEntryBreaksGetsNothingMore()
@@ -897,6 +930,17 @@
 		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"instance_id":"another"})");
 		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"layers":{"from":5,"target_version":2}})");
 		entries.push_back(sound.substr(0, sound.size() - 1) + R"(,"later":")" + std::string(100000, 'x') + R"("})");
+		for (const std::size_t depth : {10000UL, 100000UL})
+		{
+			const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+			entries.push_back(nested);
+			entries.push_back(entryOf(_address, "ready", nested.c_str()));
+		}
+		const std::string host = _address.substr(0, _address.rfind(':') + 1);
+		for (const char* const port : {"0", "65536", "99999", "-1", "4294967376", "1e3", ""})
+		{
+			entries.push_back(entryOf(host + port, "ready", "8"));
+		}
 		return entries;
 	}
 
