A node whose record is replaced by an earlier one writes it again

Other nodes would hand requests to addresses of a node's earlier start, for as long as the node runs.

Cause: as with targets' records, the store may carry out an unanswered write of the earlier start after the present one's, and a node writes its address once.

Change: a node that reads other addresses under its name, within the time for which a write may be pending after its own, announces itself again.

Evidence: EntryProof::aLateRecordOfAnEarlierStartIsReplaced failed before (30 s without the node's own record) and passes in half a second. Also the form of one header.

--- a/packages/aio/include/aio/messagereader.h
+++ b/packages/aio/include/aio/messagereader.h
@@ -47,9 +47,9 @@
 };
 
 /// Incremental reader of one HTTP/1.1 message, on Boost.Beast's parser. Malformed are conflicting lengths, a length
-/// together with chunked encoding, any other transfer coding, and bare line feeds; of a response also a status that HTTP
-/// does not define, and header lines that are continued on the next line. Body bytes are returned without chunk framing,
-/// trailer fields are dropped: what arrives after the body must not change its head.
+/// together with chunked encoding, any other transfer coding, and bare line feeds; of a response also a status that
+/// HTTP does not define, and header lines that are continued on the next line. Body bytes are returned without chunk
+/// framing, trailer fields are dropped: what arrives after the body must not change its head.
 class MessageReader
 {
 public:
--- a/packages/entry/src/entrycontrol.cpp
+++ b/packages/entry/src/entrycontrol.cpp
@@ -172,6 +172,7 @@
 		{
 			control_.exchange_.onNodesChanged();
 		}
+		control_.checkOwnRecord();
 		control_.startFollowing();
 	}
 
@@ -244,6 +245,7 @@
                            RunnerOrdersI& _orders, const DocumentParserI& _documents, const ClockI& _clock,
                            FleetCell& _cell, std::function<void()> _onReady)
     : settings_(_settings),
+      clock_(_clock),
       cache_(_documents),
       log_(_log, _clock, cache_, _settings.name),
       fleet_(_documents, _cell, _clock, _settings.hall),
@@ -330,18 +332,28 @@
 	blockedFollower_.restartRead();
 }
 
+NodeAddress EntryControl::ownAddress() const
+{
+	return NodeAddress{peerAddress(settings_), settings_.hall, settings_.cpuShare, handoverAddress(settings_)};
+}
+
 void EntryControl::announce()
 {
+	const NodeAddress own = ownAddress();
 	wire::NodePlace place;
-	place.set_address(peerAddress(settings_));
-	place.set_hall(settings_.hall);
-	place.set_cpu_share(settings_.cpuShare);
-	place.set_handover_address(handoverAddress(settings_));
+	place.set_address(own.address);
+	place.set_hall(own.hall);
+	place.set_cpu_share(own.cpuShare);
+	place.set_handover_address(own.handoverAddress);
+	isAnnouncing_ = true;
 	log_.append(KeyedTopic::Nodes, settings_.name, place.SerializeAsString(), std::nullopt,
 	            [this](const KeyedAppend& _outcome)
 	            {
 		            if (StoreState::Done == _outcome.state)
 		            {
+			            isAnnouncing_ = false;
+			            announcedAt_ = announcedAt_.value_or(clock_.now());
+			            announcedOffset_ = _outcome.offset;
 			            return;
 		            }
 		            announceTimer_.expires_after(std::chrono::microseconds(kAnnounceRetry.micros));
@@ -356,6 +368,23 @@
 	            });
 }
 
+/// Announces this node again if a later record of the registry names other addresses. A write of an earlier start of
+/// this node that got no answer may be carried out after this start's own, and others would then not reach this node.
+/// Only while such a write may be pending: two processes of one name must not write in turns for ever.
+void EntryControl::checkOwnRecord()
+{
+	const bool mayBePending = announcedAt_ && clock_.now() < *announcedAt_ + RecordOrder::kPendingWriteLimit;
+	const bool hasRead = announcedOffset_ < nodeFollower_.end();
+	const auto known = fleet_.nodes().find(settings_.name);
+	if (isAnnouncing_ || !mayBePending || !hasRead || fleet_.nodes().end() == known || known->second == ownAddress())
+	{
+		return;
+	}
+	logEvent(LogPart::Store, LogLevel::Warning, "This node's record names other addresses and is written again.",
+	         {{"address", known->second.address}, {"handover", known->second.handoverAddress}});
+	announce();
+}
+
 void EntryControl::scheduleDropLapsed()
 {
 	lapseTimer_.expires_after(std::chrono::microseconds(FleetController::kLapseGrace.micros));
--- a/packages/entry/src/entrycontrol_p.h
+++ b/packages/entry/src/entrycontrol_p.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sedgecart
 {
@@ -63,13 +64,16 @@
 	class LayoutHandler;
 	class BlockedHandler;
 
+	NodeAddress ownAddress() const;
 	void announce();
+	void checkOwnRecord();
 	void checkReady();
 	void startFollowing();
 	void renewLongReads();
 	void scheduleDropLapsed();
 
 	EntrySettings settings_;
+	const ClockI& clock_;
 	TopicCache cache_;
 	HallLog log_;
 	FleetController fleet_;
@@ -89,7 +93,10 @@
 	SlowdownPoll slowdownPoll_;
 	Timer announceTimer_;
 	Timer lapseTimer_;
-	bool isFollowing_ = false; //!< The topics other than that of the nodes are followed.
+	std::optional<Time> announcedAt_; //!< When this node's record was first stored.
+	Offset announcedOffset_;          //!< Of the last one stored.
+	bool isAnnouncing_ = false;       //!< A record is being written.
+	bool isFollowing_ = false;        //!< The topics other than that of the nodes are followed.
 	std::function<void()> onReady_;
 };
 
--- a/packages/fleet/include/fleet/nodeaddress.h
+++ b/packages/fleet/include/fleet/nodeaddress.h
@@ -19,6 +19,12 @@
 	std::string handoverAddress; //!< "ip:port" that takes callers' requests from other nodes; empty: none.
 };
 
+inline bool operator==(const NodeAddress& _a, const NodeAddress& _b)
+{
+	return _a.address == _b.address && _a.hall == _b.hall && _a.cpuShare == _b.cpuShare &&
+	       _a.handoverAddress == _b.handoverAddress;
+}
+
 /// Parses a record of the nodes' topic.
 /// @param _node set if there is no fault.
 /// @returns why the record is unusable; RecordFault::None: it is valid.
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -2,6 +2,8 @@
 
 #include "entryharness.h"
 
+#include <wire/sedgecart.pb.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -173,6 +175,7 @@
 	CPPUNIT_TEST(readyAndMetricsAreServed);
 	CPPUNIT_TEST(entriesOfOthersNameNoTarget);
 	CPPUNIT_TEST(entriesOfOthersDoNotStopTheReading);
+	CPPUNIT_TEST(aLateRecordOfAnEarlierStartIsReplaced);
 	CPPUNIT_TEST(aTargetWhoseEntryBreaksGetsNothingMore);
 	CPPUNIT_TEST(badInputHarmsNobody);
 	CPPUNIT_TEST(routeTimeEndsTheWait);
@@ -776,6 +779,36 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), foreign.requests().size());
 	}
 
+	/// The store carries out a write of the node's earlier start late: other nodes would hand requests to addresses
+	/// that nobody listens on, for as long as this node runs.
+	void aLateRecordOfAnEarlierStartIsReplaced()
+	{
+		EntryHarness harness;
+		harness.addPlain(answers(200, "body"));
+		harness.start();
+		const auto newest = [&harness]
+		{
+			const std::vector<KeyedRecord> records = harness.store().records(KeyedTopic::Nodes);
+			return records.empty() ? std::string() : records.back().value;
+		};
+		waitUntil(
+		    [&newest]
+		    {
+			    return !newest().empty();
+		    });
+		const std::string own = newest();
+		wire::NodePlace earlier;
+		CPPUNIT_ASSERT(earlier.ParseFromString(own));
+		earlier.set_handover_address("127.0.0.1:9");
+		harness.store().put(KeyedTopic::Nodes, harness.settings().name, earlier.SerializeAsString());
+		waitUntil(
+		    [&newest, &own]
+		    {
+			    return own == newest();
+		    });
+		CPPUNIT_ASSERT(own == newest());
+	}
+
 	/// The entry of a target in use turns into bytes that cannot be read: it names no target any more, so that the
 	/// other one gets all requests. The target's next own entry brings it back.
 	void aTargetWhoseEntryBreaksGetsNothingMore()
