Bodies of requests have bounded memory

Cause: nothing bounded the bytes of the bodies that a node holds; each connection read its whole body as soon as it came.

Change: BodyMemory reserves memory for a whole body before it is read, three quarters of the new setting memory-mb (256 if missing). What does not fit waits unread for a second at most, or is refused at once with 429 where too much waits already. Memory of a body is taken from the allocator only when its bytes come.

--- a/packages/aio/include/aio/messagereader.h
+++ b/packages/aio/include/aio/messagereader.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -85,6 +86,9 @@
 
 	MessageHead& head();
 
+	/// @returns the length of the body, if its head names one; none for a body in chunks.
+	std::optional<uint64_t> bodyLength() const;
+
 	/// @returns the body bytes received so far; the caller may clear the string once it has consumed them.
 	std::string& body();
 
--- a/packages/aio/include/aio/serverconnection.h
+++ b/packages/aio/include/aio/serverconnection.h
@@ -13,11 +13,15 @@
 namespace sedgecart
 {
 
+class BodyLease;
+class BodyMemory;
+
 /// A request that has been read completely.
 struct ServerRequest
 {
 	MessageHead head;
 	std::string body;
+	std::shared_ptr<const BodyLease> lease; //!< Memory of the body; null if it is small.
 };
 
 /// How a response's body is framed.
@@ -81,6 +85,19 @@
 	/// @returns the status of the response; the connection is closed after it.
 	virtual uint16_t onBadRequest(ReadState::Enum _reason) = 0;
 
+	/// @returns what bounds the memory of bodies; null: nothing.
+	virtual BodyMemory* bodyMemory()
+	{
+		return nullptr;
+	}
+
+	/// There is no memory for the body of a request, which was not read. The handler responds to it.
+	virtual void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head)
+	{
+		static_cast<void>(_head);
+		_connection->abort();
+	}
+
 	/// Connections were closed before anything was read from them, since the server gets more than it can read.
 	virtual void onClosedUnread(uint32_t _count) = 0;
 
--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -27,6 +27,12 @@
 /// send the next request a round trip after the last response, and would find it unread.
 constexpr Duration kMinIdleTime = Duration::fromMillis(20);
 
+/// Longest wait for memory for a body. Callers that find their request unread for a second send it elsewhere.
+constexpr Duration kMaxMemoryWait = Duration::fromMillis(1000);
+
+/// Memory for a body in chunks is reserved in steps of this size, bytes.
+constexpr uint64_t kChunkedStep = 256ULL * 1024;
+
 /// Intervals between checks of how much the caller has acknowledged, while its response is being made and after.
 constexpr Duration kAnsweringCheckInterval = Duration::fromMillis(1000);
 constexpr Duration kIdleCheckInterval = Duration::fromMillis(250);
@@ -57,10 +63,16 @@
 
 void AcceptedConnection::waitReadable()
 {
+	if (isReadArmed_ || waitsForMemory_)
+	{
+		return;
+	}
+	isReadArmed_ = true;
 	const auto self = shared_from_this();
 	socket_.waitReadable(
 	    [self](const boost::system::error_code& _error)
 	    {
+		    self->isReadArmed_ = false;
 		    if (!_error && Phase::Closed != self->phase_)
 		    {
 			    self->onReadable();
@@ -127,7 +139,7 @@
 		return;
 	}
 	unparsed_.append(_bytes);
-	if (Phase::Answering != phase_)
+	if (Phase::Answering != phase_ && !waitsForMemory_)
 	{
 		parse();
 	}
@@ -142,6 +154,7 @@
 	if (Phase::Idle == phase_)
 	{
 		phase_ = Phase::Reading;
+		isBodyAdmitted_ = false;
 		reader_ = std::make_unique<MessageReader>(MessageReader::Side::Request, handler_.limits());
 		setTimer(handler_.readTimeout());
 	}
@@ -157,6 +170,82 @@
 	{
 		refuse(state);
 	}
+	else if (reader_->hasHead())
+	{
+		reserveBody();
+	}
+}
+
+/// Reserves memory for the body before more of it is read.
+void AcceptedConnection::reserveBody()
+{
+	BodyMemory* const memory = handler_.bodyMemory();
+	if (nullptr == memory || isBodyAdmitted_)
+	{
+		return;
+	}
+	const std::optional<uint64_t> length = reader_->bodyLength();
+	if (!length)
+	{
+		reserveChunks();
+		return;
+	}
+	isBodyAdmitted_ = true;
+	if (*length <= BodyMemory::kMaxUnreserved)
+	{
+		return;
+	}
+	const BodyMemory::Admission::Enum admission = memory->reserve(*length, weak_from_this(), lease_);
+	if (BodyMemory::Admission::Refuse == admission)
+	{
+		refuseForMemory();
+	}
+	else if (BodyMemory::Admission::Wait == admission)
+	{
+		waitsForMemory_ = true;
+		setTimer(kMaxMemoryWait);
+	}
+}
+
+void AcceptedConnection::reserveChunks()
+{
+	const uint64_t reserved = lease_ ? lease_->bytes() : BodyMemory::kMaxUnreserved;
+	if (reserved < reader_->body().size() && !handler_.bodyMemory()->extend(kChunkedStep, lease_))
+	{
+		refuseForMemory();
+	}
+}
+
+bool AcceptedConnection::waitsForMemory() const
+{
+	return waitsForMemory_ && Phase::Reading == phase_;
+}
+
+void AcceptedConnection::onBodyMemory(std::shared_ptr<BodyLease> _lease)
+{
+	waitsForMemory_ = false;
+	lease_ = std::move(_lease);
+	setTimer(handler_.readTimeout());
+	parse();
+	if (Phase::Closed != phase_ && !readingPaused_)
+	{
+		waitReadable();
+	}
+}
+
+void AcceptedConnection::refuseForMemory()
+{
+	waitsForMemory_ = false;
+	phase_ = Phase::Answering;
+	closeAfterResponse_ = true; // the body is not read
+	const MessageHead head = std::move(reader_->head());
+	reader_.reset();
+	lease_.reset();
+	handler_.onNoBodyMemory(shared_from_this(), head);
+	if (Phase::Closed != phase_)
+	{
+		waitReadable(); // what the caller still sends is discarded until it has read the response
+	}
 }
 
 void AcceptedConnection::onRequestDone()
@@ -166,6 +255,7 @@
 	ServerRequest request;
 	request.head = std::move(reader_->head());
 	request.body = std::move(reader_->body());
+	request.lease = std::move(lease_);
 	reader_.reset();
 	scheduleResponseCheck();
 	closeAfterResponse_ = !request.head.keepAlive;
@@ -180,6 +270,7 @@
 void AcceptedConnection::refuseWith(uint16_t _status)
 {
 	phase_ = Phase::Answering;
+	lease_.reset();
 	ResponseStart response;
 	response.status = _status;
 	response.closeAfter = true;
@@ -332,7 +423,7 @@
 	}
 	else if (Phase::Reading == phase_)
 	{
-		refuseWith(kRequestTimeout);
+		waitsForMemory_ ? refuseForMemory() : refuseWith(kRequestTimeout);
 	}
 	else if (isIdleOrLingering())
 	{
@@ -487,6 +578,7 @@
 	}
 	const auto self = shared_from_this();
 	phase_ = Phase::Closed;
+	lease_.reset();
 	timer_.cancel();
 	socket_.close();
 	onClosed_(this);
--- a/packages/aio/src/acceptedconnection_p.h
+++ b/packages/aio/src/acceptedconnection_p.h
@@ -6,6 +6,7 @@
 #include "deliverymonitor_p.h"
 #include "nonblockingsocket_p.h"
 
+#include <aio/bodymemory.h>
 #include <aio/serverconnection.h>
 #include <aio/timer.h>
 #include <base/bootclock.h>
@@ -17,7 +18,9 @@
 {
 
 /// Connection accepted by a server: reads requests from a caller and writes the responses.
-class AcceptedConnection : public ServerConnection, public std::enable_shared_from_this<AcceptedConnection>
+class AcceptedConnection : public ServerConnection,
+                           public BodyWaiterI,
+                           public std::enable_shared_from_this<AcceptedConnection>
 {
 public:
 	/// @param _onClosed called once, when the connection is closed.
@@ -36,6 +39,8 @@
 	void finish() override;
 	void abort() override;
 	std::size_t backlog() const override;
+	bool waitsForMemory() const override;
+	void onBodyMemory(std::shared_ptr<BodyLease> _lease) override;
 
 	/// @returns true while the caller has not acknowledged all bytes written.
 	bool isDelivering();
@@ -67,6 +72,9 @@
 	void onBytes(std::string_view _bytes);
 	void parse();
 	void onRequestDone();
+	void reserveBody();
+	void reserveChunks();
+	void refuseForMemory();
 	void refuse(ReadState::Enum _reason);
 	void refuseWith(uint16_t _status);
 	void becomeIdle();
@@ -94,10 +102,14 @@
 	ServerHandlerI& handler_;
 	std::function<void(AcceptedConnection*)> onClosed_;
 	std::unique_ptr<MessageReader> reader_;
+	std::shared_ptr<BodyLease> lease_; //!< Memory of the body that is being received; null if it is small.
 	DeliveryMonitor delivery_;
-	Duration checkInterval_;     //!< Interval before the next check of the delivery.
-	std::string unparsed_;       //!< Received bytes that were not parsed yet.
-	bool readingPaused_ = false; //!< Reading is paused until some of the received bytes are parsed.
+	Duration checkInterval_;      //!< Interval before the next check of the delivery.
+	std::string unparsed_;        //!< Received bytes that were not parsed yet.
+	bool readingPaused_ = false;  //!< Reading is paused until some of the received bytes are parsed.
+	bool isReadArmed_ = false;    //!< A wait for the socket to become readable is pending.
+	bool isBodyAdmitted_ = false; //!< The body of a length that is known may be read.
+	bool waitsForMemory_ = false; //!< The body is not read until there is memory for it.
 	Phase::Enum phase_ = Phase::Idle;
 	BootClock::time_point idleSince_;
 	bool chunked_ = false;
--- a/packages/aio/src/messagereader.cpp
+++ b/packages/aio/src/messagereader.cpp
@@ -70,6 +70,7 @@
 	virtual ReadState::Enum feed(std::string_view _bytes, std::size_t& _used) = 0;
 	virtual ReadState::Enum feedEnd() = 0;
 	virtual bool hasHead() const = 0;
+	virtual std::optional<uint64_t> bodyLength() const = 0;
 
 	MessageHead head_;
 	std::string body_;
@@ -94,9 +95,9 @@
 			return this->is_done() ? ReadState::Done : ReadState::More;
 		}
 		beast::error_code error;
-		const bool hadHead = this->is_header_done();
+		hadHead_ = this->is_header_done();
 		_used = this->put(boost::asio::const_buffer(_bytes.data(), _bytes.size()), error);
-		const bool endsHead = !hadHead && this->is_header_done(); // the parser takes a head as a whole
+		const bool endsHead = !hadHead_ && this->is_header_done(); // the parser takes a head as a whole
 		if (!isRequest && endsHead && hasContinuedLine(_bytes.substr(0, _bytes.find("\r\n\r\n"))))
 		{
 			return ReadState::Malformed;
@@ -128,6 +129,16 @@
 		return this->is_header_done();
 	}
 
+	std::optional<uint64_t> bodyLength() const override
+	{
+		if (!this->is_header_done() || this->chunked())
+		{
+			return std::nullopt;
+		}
+		const auto length = this->content_length();
+		return length ? *length : 0;
+	}
+
 private:
 	void on_request_impl(http::verb, beast::string_view _method, beast::string_view _target, int,
 	                     beast::error_code&) override
@@ -169,17 +180,20 @@
 		head_.untilClose = !isRequest && this->need_eof();
 	}
 
-	/// Reserves the memory of a body once: a string that grows by doubling takes up to twice as much.
 	void on_body_init_impl(const boost::optional<uint64_t>& _length, beast::error_code&) override
 	{
-		if (isRequest && _length)
-		{
-			body_.reserve(std::min(*_length, kMaxReserved));
-		}
+		unreserved_ = isRequest && _length ? std::min(*_length, kMaxReserved) : 0;
 	}
 
+	/// Reserves the memory of a body once: a string that grows by doubling takes up to twice as much. Not before bytes
+	/// come after the head: a body may be refused, or have to wait, once its length is known.
 	std::size_t on_body_impl(beast::string_view _bytes, beast::error_code&) override
 	{
+		if (hadHead_ && 0 < unreserved_)
+		{
+			body_.reserve(unreserved_);
+			unreserved_ = 0;
+		}
 		body_.append(_bytes.data(), _bytes.size());
 		return _bytes.size();
 	}
@@ -199,7 +213,9 @@
 	}
 
 	bool hasAllHeaders_ = false;
-	uint32_t lineBytes_; //!< Most that the size line of a chunk, or all trailer fields, may take.
+	bool hadHead_ = false;    //!< The head was read before the bytes that are fed now.
+	uint64_t unreserved_ = 0; //!< Memory to reserve for the body, bytes.
+	uint32_t lineBytes_;      //!< Most that the size line of a chunk, or all trailer fields, may take.
 };
 
 MessageReader::MessageReader(Side::Enum _side, const ReaderLimits& _limits)
@@ -236,6 +252,11 @@
 	return parser_->head_;
 }
 
+std::optional<uint64_t> MessageReader::bodyLength() const
+{
+	return parser_->bodyLength();
+}
+
 std::string& MessageReader::body()
 {
 	return parser_->body_;
--- a/packages/relay/include/relay/handoveringress.h
+++ b/packages/relay/include/relay/handoveringress.h
@@ -24,6 +24,8 @@
 	void onCallerDisconnected(const ServerConnection& _connection) override;
 	uint16_t onBadRequest(ReadState::Enum _why) override;
 	void onClosedUnread(uint32_t _count) override;
+	BodyMemory* bodyMemory() override;
+	void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
 	Duration idleTimeout() const override;
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -17,6 +17,7 @@
 #ifndef SEDGECART_RELAY_REQUESTINGRESS_H_HEADER_GUARD
 #define SEDGECART_RELAY_REQUESTINGRESS_H_HEADER_GUARD
 
+#include <aio/bodymemory.h>
 #include <aio/serverconnection.h>
 #include <base/errorkind.h>
 #include <core/startwait.h>
@@ -58,6 +59,8 @@
 	void onHandover(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request);
 	uint16_t onBadRequest(ReadState::Enum _why) override;
 	void onClosedUnread(uint32_t _count) override;
+	BodyMemory* bodyMemory() override;
+	void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head) override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
 	Duration idleTimeout() const override;
@@ -96,6 +99,7 @@
 		const KeyHolder* holder = nullptr; //!< Null if the route needs no key.
 	};
 
+	static uint64_t bodyMemoryLimit(const EntrySettings& _settings);
 	bool matchRoute(const RouteTable& _routes, const ServerRequest& _request, const CallerRequest& _caller,
 	                RouteMatch& _match, ErrorKind::Enum& _fault) const;
 	bool isViewFresh() const;
@@ -114,6 +118,7 @@
 
 	RelayContext context_;
 	EntrySettings settings_;
+	BodyMemory bodyMemory_{context_.loop, bodyMemoryLimit(settings_)};
 	std::unordered_map<const ServerConnection*, std::shared_ptr<RequestRelay>> relays_;
 	StartWait startWait_;
 	uint32_t closedUnread_ = 0;                   //!< Connections closed unread since the last log line on them.
--- a/packages/relay/src/handoveringress.cpp
+++ b/packages/relay/src/handoveringress.cpp
@@ -35,6 +35,16 @@
 	ingress_.onClosedUnread(_count);
 }
 
+BodyMemory* HandoverIngress::bodyMemory()
+{
+	return ingress_.bodyMemory();
+}
+
+void HandoverIngress::onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head)
+{
+	ingress_.onNoBodyMemory(_connection, _head);
+}
+
 ReaderLimits HandoverIngress::limits() const
 {
 	ReaderLimits limits = ingress_.limits();
--- a/packages/settings/src/entrysettings.cpp
+++ b/packages/settings/src/entrysettings.cpp
@@ -61,6 +61,12 @@
 		return read;
 	}
 
+	/// @returns `_default` if the setting is missing.
+	double numberOr(const char* _name, double _min, double _max, double _default)
+	{
+		return 0 == values_.count(_name) ? _default : number(_name, _min, _max);
+	}
+
 	Duration millis(const char* _name)
 	{
 		constexpr double kDayMs = 24.0 * 3600 * 1000;
@@ -162,7 +168,7 @@
 	for (const char* const name :
 	     {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports", "store-address", "retry-ratio",
 	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s", "cpu-share", "link-mbps",
-	      "switched-off", "never-blocked"})
+	      "memory-mb", "switched-off", "never-blocked"})
 	{
 		all.add_options()(name, options::value<std::string>());
 	}
@@ -202,6 +208,7 @@
 	addIfChanged(ports, "peer-ports");
 	addIfChanged(_before.cpuShare != _after.cpuShare, "cpu-share");
 	addIfChanged(_before.linkMbps != _after.linkMbps, "link-mbps");
+	addIfChanged(_before.memoryMb != _after.memoryMb, "memory-mb");
 	addIfChanged(_before.mechanisms.disabledNames() != _after.mechanisms.disabledNames(), "switched-off");
 	return names;
 }
@@ -246,6 +253,9 @@
 	constexpr double kMinLinkMbps = 0.1;
 	constexpr double kMaxLinkMbps = 1e6;
 	_settings.linkMbps = reader.number("link-mbps", kMinLinkMbps, kMaxLinkMbps);
+	constexpr double kMinMemoryMb = 32;
+	constexpr double kMaxMemoryMb = 1e6;
+	_settings.memoryMb = reader.numberOr("memory-mb", kMinMemoryMb, kMaxMemoryMb, EntrySettings{}.memoryMb);
 	reader.disabledMechanisms("switched-off", _settings.mechanisms);
 	reader.identities("never-blocked", _settings.neverBlocked);
 	return reader.valid();
--- a/packages/settings/tests/settingsfiletest.cpp
+++ b/packages/settings/tests/settingsfiletest.cpp
@@ -33,6 +33,7 @@
 {
 	CPPUNIT_TEST_SUITE(SettingsFileTest);
 	CPPUNIT_TEST(readsTheFileAndDetectsChanges);
+	CPPUNIT_TEST(readsTheMemoryOfTheNode);
 	CPPUNIT_TEST(theErrorNamesTheInvalidSetting);
 	CPPUNIT_TEST(anInvalidFileLeavesTheSettingsUnchanged);
 	CPPUNIT_TEST(namesSettingsThatRequireARestart);
@@ -61,6 +62,7 @@
 		CPPUNIT_ASSERT(file.read(settings_, message_));
 		CPPUNIT_ASSERT_EQUAL(0.25, settings_.cpuShare);
 		CPPUNIT_ASSERT_EQUAL(20.5, settings_.linkMbps);
+		CPPUNIT_ASSERT_EQUAL(256.0, settings_.memoryMb);
 		CPPUNIT_ASSERT(!file.changed());
 		write(replaced("retry-slack=100", "retry-slack=50"));
 		CPPUNIT_ASSERT(file.changed());
@@ -69,6 +71,16 @@
 		CPPUNIT_ASSERT(!file.changed());
 	}
 
+	void readsTheMemoryOfTheNode()
+	{
+		write(std::string(kText) + "memory-mb=512\n");
+		CPPUNIT_ASSERT(SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT_EQUAL(512.0, settings_.memoryMb);
+		write(std::string(kText) + "memory-mb=1\n");
+		CPPUNIT_ASSERT(!SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT(std::string::npos != message_.find("memory-mb"));
+	}
+
 	void theErrorNamesTheInvalidSetting()
 	{
 		write(replaced("key-bound-ms=5000", "key-bound-ms=soon"));
