A continuation that another node refuses has not run

A stream was broken off when the node that was to continue it refused it, though its caller still waited and another target might have had room.

Cause: every error answer to a continuation counted as a run of a target. A node's own refusal names no run, and spent the last one allowed.

Change: such a refusal counts as one of a target that did not run the stream: it is sent elsewhere, and waits for capacity after the second.

--- a/packages/core/src/relaymachine.cpp
+++ b/packages/core/src/relaymachine.cpp
@@ -232,8 +232,8 @@
 	}
 	if (headForwarded_)
 	{
-		// A target answered a continuation with an error.
-		afterRun(ErrorKind::StreamBroken);
+		// A target answered a continuation with an error, or another node refused it: then no target has run it.
+		head_.isFinal ? afterNotRun() : afterRun(ErrorKind::StreamBroken);
 		return;
 	}
 	const bool mayRetry =
@@ -285,7 +285,7 @@
 void RelayMachine::afterNotRun()
 {
 	inFlight_ = false;
-	refusals_ += head_.notRun ? 1 : 0; // an unreachable target does not indicate a lack of capacity
+	refusals_ += head_.notRun || head_.isFinal ? 1 : 0; // an unreachable target does not indicate a lack of capacity
 	const ErrorKind::Enum otherwise = 0 < runs_ ? ErrorKind::TargetLost : ErrorKind::TargetRefused;
 	if (0 == sendsLeft())
 	{
