--- a/packages/aio/src/clientconnection.cpp
+++ b/packages/aio/src/clientconnection.cpp
@@ -123,6 +123,7 @@
 	{
 		handler_ = nullptr;
 		onIdleClosed_ = nullptr;
+		request_.body.reset();
 		connected_ = false;
 		closed_ = true;
 		timer_.cancel();
--- a/packages/core/include/core/recordorder.h
+++ b/packages/core/include/core/recordorder.h
@@ -38,9 +38,6 @@
 	/// @returns true if the target wrote the record before one that was taken earlier, or before it was restarted.
 	bool isOutdated(const RunnerRecord& _record, Time _now);
 
-	/// Forgets all records.
-	void clear();
-
 	/// @returns the number of targets of which a record is known.
 	std::size_t size() const
 	{
--- a/packages/core/src/recordorder.cpp
+++ b/packages/core/src/recordorder.cpp
@@ -48,11 +48,6 @@
 	return false;
 }
 
-void RecordOrder::clear()
-{
-	rows_.clear();
-}
-
 bool RecordOrder::isSame(const Start& _a, const Start& _b)
 {
 	return _a.time.isKnown() && _b.time.isKnown() ? _a.time == _b.time : _a.address == _b.address;
--- a/packages/hall/include/hall/renewalfilter.h
+++ b/packages/hall/include/hall/renewalfilter.h
@@ -18,9 +18,8 @@
 struct RunnerRecord;
 
 /// Detects records of targets that only renew the previous record of the same target, or were written before it. A hub
-/// does not forward these:
-/// targets renew their records every few seconds whether or not anything changed, so that forwarding all of them to all
-/// nodes takes traffic that grows with the product of nodes and targets.
+/// does not forward these: targets renew their records every few seconds whether or not anything changed, so that
+/// forwarding all of them to all nodes takes traffic that grows with the product of nodes and targets.
 ///
 /// While several targets claim one address, no record of them counts as a renewal, since nodes decide by the number of
 /// claims which of them owns the address (`fleet/addressclaims`). Not thread-safe.
@@ -40,7 +39,8 @@
 		return 0 < rows_.count(_target);
 	}
 
-	/// Forgets all records: the next record of each target counts as a change.
+	/// Forgets what the records hold: the next record of each target counts as a change, unless it is older than one
+	/// before it.
 	void clear();
 
 private:
--- a/packages/hall/src/renewalfilter.cpp
+++ b/packages/hall/src/renewalfilter.cpp
@@ -68,7 +68,6 @@
 {
 	rows_.clear();
 	claims_.clear();
-	order_.clear();
 }
 
 RenewalFilter::Row RenewalFilter::rowOf(RecordFault::Enum _fault, const RunnerRecord& _record)
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -66,6 +66,10 @@
 	Duration idleTimeout() const override;
 	bool closing() const override;
 
+	/// Refuses a request whose body was not read, because there is no memory for it.
+	void refuseUnread(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head,
+	                  bool _wasHandedOver);
+
 	/// Applies changed settings. Loop thread.
 	void setSettings(const EntrySettings& _settings)
 	{
--- a/packages/relay/src/bodyadmission.cpp
+++ b/packages/relay/src/bodyadmission.cpp
@@ -38,11 +38,18 @@
 
 void RequestIngress::onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head)
 {
-	context_.metrics.add(Counter::Requests);
+	refuseUnread(_connection, _head, false);
+}
+
+void RequestIngress::refuseUnread(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head,
+                                  bool _wasHandedOver)
+{
+	context_.metrics.add(_wasHandedOver ? Counter::HandoversTaken : Counter::Requests);
 	QueuedRequest queued;
 	queued.connection = _connection;
 	queued.request.head = _head;
 	queued.arrivedAt = context_.clock.now();
+	queued.wasHandedOver = _wasHandedOver;
 	CallerRequest caller;
 	const bool isValid = context_.wire.parseRequest(queued.request, caller);
 	logEvent(LogPart::Requests, LogLevel::Warning, "There is no memory for the body of a request.",
--- a/packages/relay/src/handoveringress.cpp
+++ b/packages/relay/src/handoveringress.cpp
@@ -42,7 +42,7 @@
 
 void HandoverIngress::onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head)
 {
-	ingress_.onNoBodyMemory(_connection, _head);
+	ingress_.refuseUnread(_connection, _head, true);
 }
 
 ReaderLimits HandoverIngress::limits() const
