NotRunProof: the first node knows the others before the routes are added

It asked the second node for a route that the first had reported in force on every node it knew. Traced by printing the first node's list: it held no other node yet, in passing runs neither, so that the second one had confirmed nothing.

--- a/tests/proof/notrunproof.cpp
+++ b/tests/proof/notrunproof.cpp
@@ -150,7 +150,9 @@
 
 	void routeOfTheOtherSide()
 	{
-		// n2 is asked once it has confirmed the routes: a busy machine may take longer than the usual wait.
+		// n1 waits for the nodes that it knows. n2 is asked once it has confirmed the routes: a busy machine may take
+		// longer than the usual wait.
+		CPPUNIT_ASSERT(cluster_.awaitPeers());
 		constexpr uint32_t kWaitMs = 60000;
 		for (const char* const route : {"add route payments kind=service model=filing holder=new",
 		                                "add route answers model=draft-7b layers=32 holder=new"})
