--- a/packages/aio/include/aio/serverconnection.h
+++ b/packages/aio/include/aio/serverconnection.h
@@ -92,9 +92,8 @@
 	}
 
 	/// There is no memory for the body of a request, which was not read. The handler responds to it.
-	virtual void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head)
+	virtual void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& /*_head*/)
 	{
-		static_cast<void>(_head);
 		_connection->abort();
 	}
 
--- a/packages/aio/src/bodymemory.cpp
+++ b/packages/aio/src/bodymemory.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-/// Share of the limit that may be waited for. A body takes its memory for some seconds, callers wait one.
-constexpr uint64_t kWaitingShare = 4;
+/// The limit divided by this is what bodies may wait for together. A body keeps its memory for some seconds, while
+/// callers wait for one: more than a part of the limit does not become free in that time.
+constexpr uint64_t kLimitPerWaiting = 4;
 
 } // namespace
 
@@ -62,7 +63,7 @@
 	Admission::Enum wait(uint64_t _bytes, std::weak_ptr<BodyWaiterI>&& _waiter)
 	{
 		dropGone();
-		if (limit_ / kWaitingShare < waitingBytes_ + _bytes)
+		if (limit_ / kLimitPerWaiting < waitingBytes_ + _bytes)
 		{
 			return Admission::Refuse;
 		}
