JSON nested more than 32 deep is refused before it is parsed

Cause: protobuf's JSON parser limits the nesting of objects (100) but not of arrays, and reading deep arrays into a Struct takes more than quadratic time. Measured with protobuf 3.21 on this machine: 5,000 levels 0.46 s, 20,000 levels 18.8 s, 60,000 levels 215 s; 64 KB, the largest entry that is parsed, hold 32,000 levels. A registry entry that is not as targets write it is read as a Struct, on the thread that loads the registry: a node that starts knows no target until that is over, and does the same again at each new record of the entry. Nodes that were running kept what they had, so the earlier test (EntryProof::entriesOfOthersDoNotStopTheReading, 10,000 levels) passed.

fromJson counts the depth in one pass over the text and refuses what is deeper than 32; documents of the platform nest six deep, and a Struct of more than 33 could never be read. The count covers everything read from the store as JSON (entries, desired state, pages), answers of targets and requests of callers. Strings in single quotes, which the parser takes too, are counted the same way. 64 KB of the slowest text up to that depth take 33 ms. Messages of protobuf's own encoding have a limit on depth already (parseBounded, the library's own).

--- a/packages/wire/include/wire/json.h
+++ b/packages/wire/include/wire/json.h
@@ -3,6 +3,7 @@
 #ifndef SEDGECART_WIRE_JSON_H_HEADER_GUARD
 #define SEDGECART_WIRE_JSON_H_HEADER_GUARD
 
+#include <cstddef>
 #include <string>
 
 namespace google
@@ -16,6 +17,10 @@
 namespace sedgecart
 {
 
+/// Maximum nesting of arrays and objects in a text that is read. Protobuf's parser does not limit the nesting of
+/// arrays, and takes more than quadratic time to read deep ones into a Struct. Documents of the platform nest six deep.
+constexpr std::size_t kMaxJsonDepth = 32;
+
 /// @returns the message as one line of JSON, by protobuf's own mapping, with the field names of the .proto file.
 /// @param _defaults also writes fields that hold their default.
 std::string toJson(const google::protobuf::Message& _message, bool _defaults = false);
@@ -24,7 +29,7 @@
 std::string toWireJson(const google::protobuf::Message& _message);
 
 /// Reads a message from JSON. Fields that are not known are passed over.
-/// @returns false if the text is no such message.
+/// @returns false if the text is no such message, or is nested more than kMaxJsonDepth deep.
 bool fromJson(const std::string& _text, google::protobuf::Message& _message);
 
 } // namespace sedgecart
--- a/tests/entry/entryproof.cpp
+++ b/tests/entry/entryproof.cpp
@@ -175,6 +175,7 @@
 	CPPUNIT_TEST(readyAndMetricsAreServed);
 	CPPUNIT_TEST(entriesOfOthersNameNoTarget);
 	CPPUNIT_TEST(entriesOfOthersDoNotStopTheReading);
+	CPPUNIT_TEST(aDeeplyNestedEntryDoesNotHoldAStartUp);
 	CPPUNIT_TEST(aLateRecordOfAnEarlierStartIsReplaced);
 	CPPUNIT_TEST(aTargetWhoseEntryBreaksGetsNothingMore);
 	CPPUNIT_TEST(badInputHarmsNobody);
@@ -779,6 +780,23 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), foreign.requests().size());
 	}
 
+	/// Guards against nodes that serve nothing after a restart while an entry is nested thousands of levels deep.
+	void aDeeplyNestedEntryDoesNotHoldAStartUp()
+	{
+		EntryHarness harness;
+		const FakeTarget& first = harness.addPlain(answers(200, "body"));
+		const std::string sound = entryOf(first.address(), "ready", "8");
+		constexpr std::size_t kDepth = 32000;
+		const std::string arrays = std::string(kDepth, '[') + std::string(kDepth, ']');
+		harness.store().put(KeyedTopic::Runners, "odd-1", "{\"later\":" + arrays + '}');
+		harness.store().put(KeyedTopic::Runners, "odd-2",
+		                    sound.substr(0, sound.size() - 1) + ",\"later\":" + arrays + '}');
+		harness.store().put(KeyedTopic::Runners, "odd-3", std::string(2 * kDepth, '['));
+		harness.store().put(KeyedTopic::Operator, "odd-4", "{\"later\":" + arrays + '}');
+		harness.start();
+		CPPUNIT_ASSERT_EQUAL(uint16_t(200), harness.call(request("/plain/")).status);
+	}
+
 	/// The store carries out a write of the node's earlier start late: other nodes would hand requests to addresses
 	/// that nobody listens on, for as long as this node runs.
 	void aLateRecordOfAnEarlierStartIsReplaced()
