--- a/tests/entry/nodeprocess.cpp
+++ b/tests/entry/nodeprocess.cpp
@@ -49,6 +49,16 @@
 	                                 "switched-off=capacity-leases\n";
 }
 
+void NodeProcess::addSetting(const std::string& _line) const
+{
+	std::ofstream(settingsPath(), std::ios::app) << _line << '\n';
+}
+
+pid_t NodeProcess::id() const
+{
+	return process_->id();
+}
+
 void NodeProcess::start()
 {
 	process_ = std::make_unique<Process>(std::vector<std::string>{programPath(), "entry", "--settings", settingsPath()},
--- a/tests/entry/nodeprocess.h
+++ b/tests/entry/nodeprocess.h
@@ -21,6 +21,9 @@
 	/// @param _store address of the platform's store.
 	NodeProcess(const std::string& _name, const std::string& _folder, const std::string& _store);
 
+	/// Adds a line to its settings.
+	void addSetting(const std::string& _line) const;
+
 	/// Starts it, by a thread that outlives it: a child ends with the thread that started it.
 	void start();
 
@@ -39,6 +42,8 @@
 	/// @returns true unless it runs.
 	bool hasEnded() const;
 
+	pid_t id() const;
+
 	const std::string& callerAddress() const
 	{
 		return callerAddress_;
