Large buffers go back to the system when they are freed

Second matter: clients that keep no limit ended a process by its memory.

The size is set to 64 KB, which also keeps glibc from raising it.

--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -20,6 +20,8 @@
 #include <memory>
 #include <string>
 
+#include <malloc.h>
+
 using namespace sedgecart;
 
 namespace
@@ -204,10 +206,15 @@
 	}
 }
 
+/// Buffers of this size, bytes, and larger go back to the system as soon as they are freed. Otherwise the allocator
+/// keeps them for itself, and the space between bodies that grow beside each other is lost to bodies that are larger.
+constexpr int kReturnedBufferBytes = 64 * 1024;
+
 /// Runs a node on the users' platform, with settings from a file.
 /// @returns the exit code of the process.
 int runEntry(const std::string& _path)
 {
+	mallopt(M_MMAP_THRESHOLD, kReturnedBufferBytes);
 	const sigset_t signals = blockSignals();
 	StartAttempts attempts(signals);
 	SettingsFile file(_path);
