Connections of callers are limited, and a node without descriptors goes on

Second matter, clients that stay open: a crowd that connects and sends nothing whole took every descriptor of a node. Ordinary callers were not accepted until its time to send was over, and the node's loop ran without a pause meanwhile, since a failed accept was tried again at once.

Cause: the number of connections had no limit, and a failure to accept was taken for one of that connection alone.

One more connection closes those on which no request is handled and that have been silent for longest, first those that never sent a whole request, a sixteenth at a time; where every connection is being answered, the new one is closed unread. When an accept fails, silent connections make room and the next attempt follows after 50 ms. The address of readiness and metrics takes 64 connections.

--- a/packages/aio/include/aio/serverconnection.h
+++ b/packages/aio/include/aio/serverconnection.h
@@ -6,6 +6,8 @@
 #include <aio/messagereader.h>
 #include <base/units.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -97,9 +99,20 @@
 		_connection->abort();
 	}
 
+	/// @returns the maximum number of connections. One more closes those that have been silent for longest.
+	virtual std::size_t maxConnections() const
+	{
+		return SIZE_MAX;
+	}
+
 	/// Connections were closed before anything was read from them, since the server gets more than it can read.
 	virtual void onClosedUnread(uint32_t _count) = 0;
 
+	/// Connections on which no request was being handled were closed, to make room for others.
+	virtual void onEvicted(uint32_t /*_count*/)
+	{
+	}
+
 	/// @returns the size limits that apply to the next request.
 	virtual ReaderLimits limits() const = 0;
 
--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -144,6 +144,7 @@
 	{
 		return;
 	}
+	readAt_ = BootClock::now();
 	unparsed_.append(_bytes);
 	if (Phase::Answering != phase_ && !waitsForMemory_)
 	{
@@ -362,6 +363,7 @@
 	{
 		return;
 	}
+	hasAnswered_ = true;
 	if (closeAfterResponse_)
 	{
 		linger();
@@ -420,6 +422,22 @@
 	}
 }
 
+bool AcceptedConnection::isEvictable() const
+{
+	return Phase::Idle == phase_ || Phase::Reading == phase_;
+}
+
+bool AcceptedConnection::evict()
+{
+	const bool mayBeUsed = Phase::Idle == phase_ && (!unparsed_.empty() || !socket_.isOpenWithoutInput());
+	if (!isEvictable() || mayBeUsed || isDelivering())
+	{
+		return false;
+	}
+	closeNow();
+	return true;
+}
+
 void AcceptedConnection::becomeIdle()
 {
 	phase_ = Phase::Idle;
--- a/packages/aio/src/acceptedconnection_p.h
+++ b/packages/aio/src/acceptedconnection_p.h
@@ -53,6 +53,25 @@
 	/// Closes the connection unless it is busy or has input that was not read.
 	void closeAtRest();
 
+	/// @returns true if the connection may be closed to make room for another one: no request is being handled.
+	bool isEvictable() const;
+
+	/// Closes the connection unless a response is being delivered, or a request has arrived that was not read.
+	/// @returns false if it stays open.
+	bool evict();
+
+	/// @returns true if a request was answered.
+	bool hasAnswered() const
+	{
+		return hasAnswered_;
+	}
+
+	/// @returns the time at which something was read last; of the accept, if nothing was.
+	BootClock::time_point readAt() const
+	{
+		return readAt_;
+	}
+
 private:
 	/// State of the connection.
 	struct Phase
@@ -117,6 +136,8 @@
 	bool waitsForMemory_ = false; //!< The body is not read until there is memory for it.
 	Phase::Enum phase_ = Phase::Idle;
 	BootClock::time_point idleSince_;
+	BootClock::time_point readAt_ = BootClock::now();
+	bool hasAnswered_ = false;
 	bool chunked_ = false;
 	bool noBody_ = false;
 	bool closeAfterResponse_ = false; //!< The connection is closed after the current response.
--- a/packages/aio/src/server.cpp
+++ b/packages/aio/src/server.cpp
@@ -4,6 +4,9 @@
 
 #include "acceptedconnection_p.h"
 #include "acceptqueue_p.h"
+#include "evictionorder_p.h"
+
+#include <aio/timer.h>
 
 #include <base/steadyclock.h>
 
@@ -12,7 +15,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <unordered_map>
+#include <vector>
 
 namespace sedgecart
 {
@@ -26,6 +31,14 @@
 /// Maximum length of the accept queue: many callers connect at once after a restart.
 constexpr int kAcceptBacklog = 1024;
 
+/// Pause before the next attempt to accept when there is no descriptor for a connection: until one is closed, each
+/// attempt fails at once.
+constexpr std::chrono::milliseconds kAcceptRetryPause{50};
+
+/// Share of the connections, one in so many, that is closed at once when there are too many: looking for those costs
+/// more than closing them.
+constexpr std::size_t kEvictedPart = 16;
+
 /// @returns the endpoint to bind.
 /// @remarks Throws std::exception if the text is not "ip:port".
 Tcp::endpoint parseEndpoint(const std::string& _address)
@@ -53,6 +66,7 @@
 	Impl(asio::io_context& _loop, const std::string& _address, ServerHandlerI& _handler)
 	    : loop_(_loop),
 	      acceptor_(_loop),
+	      retryTimer_(_loop),
 	      handler_(_handler)
 	{
 		const Tcp::endpoint endpoint = parseEndpoint(_address);
@@ -79,7 +93,7 @@
 			    }
 			    if (_error)
 			    {
-				    self->accept();
+				    self->onAcceptFailed();
 				    return;
 			    }
 			    self->onAccepted(std::move(_socket));
@@ -137,10 +151,64 @@
 	}
 
 private:
+	/// Mostly out of descriptors: connections that are silent make room.
+	void onAcceptFailed()
+	{
+		evict(std::max<std::size_t>(1, connections_.size() / kEvictedPart));
+		retryTimer_.expires_after(kAcceptRetryPause);
+		retryTimer_.async_wait(
+		    [weak = weak_from_this()](const boost::system::error_code& _error)
+		    {
+			    const auto self = weak.lock();
+			    if (!_error && self)
+			    {
+				    self->accept();
+			    }
+		    });
+	}
+
+	/// Closes connections on which no request is being handled.
+	void evict(std::size_t _count)
+	{
+		std::vector<EvictionCandidate> candidates;
+		for (const auto& row : connections_)
+		{
+			if (row.second->isEvictable())
+			{
+				candidates.push_back(EvictionCandidate{row.first, row.second->hasAnswered(), row.second->readAt()});
+			}
+		}
+		sortForEviction(candidates);
+		uint32_t evicted = 0;
+		for (const EvictionCandidate& candidate : candidates)
+		{
+			if (evicted < _count && candidate.connection->evict())
+			{
+				++evicted;
+			}
+		}
+		if (0 < evicted)
+		{
+			handler_.onEvicted(evicted);
+		}
+	}
+
+	/// @returns true if there is room for one more connection.
+	bool makeRoom()
+	{
+		const std::size_t limit = handler_.maxConnections();
+		if (limit <= connections_.size())
+		{
+			evict(std::max<std::size_t>(1, limit / kEvictedPart));
+		}
+		return connections_.size() < limit;
+	}
+
 	void closeAcceptor()
 	{
 		boost::system::error_code ignored; // the socket is not used any more
 		acceptor_.close(ignored);
+		retryTimer_.cancel();
 	}
 
 	/// Accepts one more connection in a later turn of the loop, between the work on those that are open.
@@ -202,6 +270,11 @@
 
 	void add(Tcp::socket _socket)
 	{
+		if (!makeRoom())
+		{
+			handler_.onClosedUnread(1);
+			return;
+		}
 		const std::weak_ptr<Impl> weak = weak_from_this();
 		const auto connection = std::make_shared<AcceptedConnection>(std::move(_socket), handler_,
 		                                                             [weak](AcceptedConnection* _closed)
@@ -217,6 +290,7 @@
 
 	asio::io_context& loop_;
 	Tcp::acceptor acceptor_;
+	Timer retryTimer_;
 	ServerHandlerI& handler_;
 	SteadyClock clock_;
 	AcceptQueue queue_;
--- a/packages/entry/src/readinesshandler.cpp
+++ b/packages/entry/src/readinesshandler.cpp
@@ -75,6 +75,12 @@
 {
 }
 
+std::size_t ReadinessHandler::maxConnections() const
+{
+	constexpr std::size_t kMaxConnections = 64; // balancers and readers of metrics are few
+	return kMaxConnections;
+}
+
 ReaderLimits ReadinessHandler::limits() const
 {
 	ReaderLimits limits;
--- a/packages/entry/src/readinesshandler_p.h
+++ b/packages/entry/src/readinesshandler_p.h
@@ -30,6 +30,7 @@
 	void onCallerDisconnected(const ServerConnection& _connection) override;
 	uint16_t onBadRequest(ReadState::Enum _reason) override;
 	void onClosedUnread(uint32_t _count) override;
+	std::size_t maxConnections() const override;
 	ReaderLimits limits() const override;
 	Duration readTimeout() const override;
 	Duration idleTimeout() const override;
--- a/packages/metrics/include/metrics/metrics.h
+++ b/packages/metrics/include/metrics/metrics.h
@@ -72,6 +72,7 @@
 		HandoversTaken,       //!< Requests taken over from other nodes.
 		RetriesDenied,        //!< Retries that were not sent because the retry budget was exhausted.
 		ClosedUnread,         //!< Callers' connections closed unread because the node gets more than it can read.
+		EvictedCallers,       //!< Callers' silent connections closed to make room for others.
 
 		Count
 	};
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -66,6 +66,7 @@
     "handovers_taken",
     "retries_denied",
     "closed_unread",
+    "evicted_callers",
 };
 static_assert(Counter::Count == sizeof(kCounterNames) / sizeof(kCounterNames[0]), "each counter needs its name");
 
--- a/packages/relay/include/relay/requestingress.h
+++ b/packages/relay/include/relay/requestingress.h
@@ -59,6 +59,8 @@
 	void onHandover(const std::shared_ptr<ServerConnection>& _connection, ServerRequest&& _request);
 	uint16_t onBadRequest(ReadState::Enum _why) override;
 	void onClosedUnread(uint32_t _count) override;
+	void onEvicted(uint32_t _count) override;
+	std::size_t maxConnections() const override;
 	BodyMemory* bodyMemory() override;
 	void onNoBodyMemory(const std::shared_ptr<ServerConnection>& _connection, const MessageHead& _head) override;
 	ReaderLimits limits() const override;
--- a/packages/relay/src/requestingress.cpp
+++ b/packages/relay/src/requestingress.cpp
@@ -191,6 +191,20 @@
 	return ReadState::BodyTooLarge == _why ? kBodyTooLarge : kBadRequest;
 }
 
+void RequestIngress::onEvicted(uint32_t _count)
+{
+	context_.metrics.add(Counter::EvictedCallers, _count);
+	logEvent(LogPart::Requests, LogLevel::Info, "Silent connections of callers are closed to make room for others.",
+	         {{"connections", std::to_string(_count)}, {"active", std::to_string(active())}});
+}
+
+/// Half of the descriptors: each request may need one more, to its target.
+std::size_t RequestIngress::maxConnections() const
+{
+	constexpr uint32_t kDescriptorsPerCaller = 2;
+	return settings_.maxDescriptors / kDescriptorsPerCaller;
+}
+
 void RequestIngress::onClosedUnread(uint32_t _count)
 {
 	context_.metrics.add(Counter::ClosedUnread, _count);
--- a/packages/settings/src/entrysettings.cpp
+++ b/packages/settings/src/entrysettings.cpp
@@ -168,7 +168,7 @@
 	for (const char* const name :
 	     {"name", "hall", "caller-address", "ready-address", "ip", "peer-ports", "store-address", "retry-ratio",
 	      "retry-slack", "retry-window-s", "key-bound-ms", "key-bound-strict", "stop-bound-s", "cpu-share", "link-mbps",
-	      "memory-mb", "switched-off", "never-blocked"})
+	      "memory-mb", "max-descriptors", "switched-off", "never-blocked"})
 	{
 		all.add_options()(name, options::value<std::string>());
 	}
@@ -256,6 +256,10 @@
 	constexpr double kMinMemoryMb = 32;
 	constexpr double kMaxMemoryMb = 1e6;
 	_settings.memoryMb = reader.numberOr("memory-mb", kMinMemoryMb, kMaxMemoryMb, EntrySettings{}.memoryMb);
+	constexpr double kMinDescriptors = 64;
+	constexpr double kMaxDescriptors = 1e7;
+	_settings.maxDescriptors = static_cast<uint32_t>(
+	    reader.numberOr("max-descriptors", kMinDescriptors, kMaxDescriptors, EntrySettings{}.maxDescriptors));
 	reader.disabledMechanisms("switched-off", _settings.mechanisms);
 	reader.identities("never-blocked", _settings.neverBlocked);
 	return reader.valid();
--- a/packages/settings/tests/settingsfiletest.cpp
+++ b/packages/settings/tests/settingsfiletest.cpp
@@ -34,6 +34,7 @@
 	CPPUNIT_TEST_SUITE(SettingsFileTest);
 	CPPUNIT_TEST(readsTheFileAndDetectsChanges);
 	CPPUNIT_TEST(readsTheMemoryOfTheNode);
+	CPPUNIT_TEST(readsTheDescriptorsOfTheNode);
 	CPPUNIT_TEST(theErrorNamesTheInvalidSetting);
 	CPPUNIT_TEST(anInvalidFileLeavesTheSettingsUnchanged);
 	CPPUNIT_TEST(namesSettingsThatRequireARestart);
@@ -81,6 +82,16 @@
 		CPPUNIT_ASSERT(std::string::npos != message_.find("memory-mb"));
 	}
 
+	void readsTheDescriptorsOfTheNode()
+	{
+		write(std::string(kText) + "max-descriptors=4200\n");
+		CPPUNIT_ASSERT(SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT_EQUAL(4200U, settings_.maxDescriptors);
+		write(std::string(kText) + "max-descriptors=3\n");
+		CPPUNIT_ASSERT(!SettingsFile(path_).read(settings_, message_));
+		CPPUNIT_ASSERT(std::string::npos != message_.find("max-descriptors"));
+	}
+
 	void theErrorNamesTheInvalidSetting()
 	{
 		write(replaced("key-bound-ms=5000", "key-bound-ms=soon"));
