Tests: a response that is cut in its head reaches no caller

Another operator reported that a runner which stopped in the middle of its answer's head made clients get a 200 with an empty or short body, framed as whole.

- NoAnswerProof::aHeadThatIsCutReachesNoCaller: the same through a node, at each fifteenth byte of the head and its last three, for a request that may run once and one that may run again: 502 without a signature or a body.

Answers that another node relays come over the same reader and relay; that path has no test of its own.

--- a/packages/aio/tests/messagereadertest.cpp
+++ b/packages/aio/tests/messagereadertest.cpp
@@ -61,6 +61,7 @@
 	CPPUNIT_TEST(bodyOfKnownLengthTakesNoMoreMemory);
 	CPPUNIT_TEST(claimedLengthTakesBoundedMemory);
 	CPPUNIT_TEST(answerUntilClose);
+	CPPUNIT_TEST(aResponseThatIsCutIsNotComplete);
 	CPPUNIT_TEST(answersThatAreNoneAreMalformed);
 	CPPUNIT_TEST(trailerFieldsDoNotChangeTheHead);
 	CPPUNIT_TEST(requestsInOtherCodingsAreMalformed);
@@ -244,6 +245,25 @@
 		CPPUNIT_ASSERT(ReadState::More == readInPieces(cut, shorter, shorter.size(), left));
 		CPPUNIT_ASSERT(ReadState::Malformed == cut.feedEnd());
 	}
+
+	/// Guards against a response whose sender stopped in the middle of its head, passed on as a whole one.
+	void aResponseThatIsCutIsNotComplete()
+	{
+		const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nResponse-Stamp: s\r\n";
+		const std::string untilClose = head + "\r\n";
+		for (const std::string& text : {head + "Content-Length: 2\r\n\r\nok", untilClose,
+		                                head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+		{
+			for (std::size_t size = 0; size < text.size(); ++size)
+			{
+				MessageReader reader(Side::Response, ReaderLimits{});
+				std::string left;
+				const std::string cut = text.substr(0, size);
+				CPPUNIT_ASSERT_MESSAGE(cut, ReadState::More == readInPieces(reader, cut, 7, left));
+				CPPUNIT_ASSERT_MESSAGE(cut, ReadState::Malformed == reader.feedEnd());
+			}
+		}
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageReaderTest);
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -90,6 +90,7 @@
 	CPPUNIT_TEST_SUITE(HttpClientTest);
 	CPPUNIT_TEST(aStatusThatHttpDoesNotDefineIsNoReply);
 	CPPUNIT_TEST(aNameWithABlankOrControlByteIsNoReply);
+	CPPUNIT_TEST(aReplyThatIsCutIsNoReply);
 	CPPUNIT_TEST(bytesWithoutEndTakeBoundedMemory);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +118,22 @@
 		}
 	}
 
+	/// Guards against a reply whose sender stopped in the middle of its head or body, taken for a whole one.
+	void aReplyThatIsCutIsNoReply()
+	{
+		const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: a\r\n";
+		for (const std::string& text : {head + "Content-Length: 2\r\n\r\nok", head + "\r\n",
+		                                head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+		{
+			for (std::size_t size = 0; size < text.size(); ++size)
+			{
+				const std::string cut = text.substr(0, size);
+				CPPUNIT_ASSERT_MESSAGE(cut, CallState::Replied != outcomeOf(cut).state);
+			}
+			CPPUNIT_ASSERT_EQUAL(int(CallState::Replied), int(outcomeOf(text).state));
+		}
+	}
+
 	/// Guards against a node that collects what a faulty target sends until its memory is exhausted.
 	void bytesWithoutEndTakeBoundedMemory()
 	{
--- a/tests/entry/noanswerproof.cpp
+++ b/tests/entry/noanswerproof.cpp
@@ -27,10 +27,12 @@
 }
 
 /// @returns what a caller gets if its target sends these bytes.
-CallerAnswer answerTo(const std::string& _bytes, const std::string& _path)
+/// @param _closes the target closes the connection then.
+CallerAnswer answerTo(const std::string& _bytes, const std::string& _path, bool _closes = false)
 {
 	RawReply reply;
 	reply.head = _bytes;
+	reply.closes = _closes;
 	RawTarget target(reply);
 	EntryHarness harness;
 	harness.addPlainAt(target.address());
@@ -50,6 +52,7 @@
 	CPPUNIT_TEST(anInvalidHeadReachesNoCaller);
 	CPPUNIT_TEST(whatStandsInTheTrailerSignsNothing);
 	CPPUNIT_TEST(anInvalidRefusalIsNoPromise);
+	CPPUNIT_TEST(aHeadThatIsCutReachesNoCaller);
 	CPPUNIT_TEST(validAnswersReachTheirCaller);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +95,30 @@
 		                     answerTo(response("503", refusal + "Response-Stamp: other\r\n"), "/plain/").status);
 	}
 
+	/// Guards against a 200 with an empty or short body, framed as whole, for a target that stopped in its head.
+	void aHeadThatIsCutReachesNoCaller()
+	{
+		const std::string head = "HTTP/1.1 200 OK\r\n" + kNames;
+		std::vector<std::string> cuts;
+		for (const std::string& text :
+		     {head + kBody, head + "\r\n", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"})
+		{
+			const std::size_t headSize = text.find("\r\n\r\n") + 4;
+			for (std::size_t size = 1; size < headSize; size += 15)
+			{
+				cuts.push_back(text.substr(0, size));
+			}
+			for (const std::size_t left : {1U, 2U, 3U})
+			{
+				cuts.push_back(text.substr(0, headSize - left));
+			}
+		}
+		for (const std::string& cut : cuts)
+		{
+			reachesNoCaller(cut, true);
+		}
+	}
+
 	void validAnswersReachTheirCaller()
 	{
 		for (const char* const status : {"200", "201", "404", "500", "599"})
@@ -105,11 +132,11 @@
 
 private:
 	/// Checks that a request that may run once ends with a failure of the node, and one that may run again as well.
-	static void reachesNoCaller(const std::string& _bytes)
+	static void reachesNoCaller(const std::string& _bytes, bool _closes = false)
 	{
 		for (const char* const path : {"/plain/", "/again/"})
 		{
-			const CallerAnswer answer = answerTo(_bytes, path);
+			const CallerAnswer answer = answerTo(_bytes, path, _closes);
 			CPPUNIT_ASSERT_EQUAL_MESSAGE(_bytes, uint16_t(502), answer.status);
 			CPPUNIT_ASSERT_MESSAGE(_bytes, nullptr == answer.headers.find("Response-Stamp"));
 			CPPUNIT_ASSERT_MESSAGE(_bytes, answer.body.empty());
--- a/tests/entry/rawtarget.cpp
+++ b/tests/entry/rawtarget.cpp
@@ -154,6 +154,10 @@
 		{
 			if (reply.piece.empty())
 			{
+				if (reply.closes)
+				{
+					shutdown(_socket, SHUT_RDWR);
+				}
 				return;
 			}
 			std::this_thread::sleep_for(reply.pause);
--- a/tests/entry/rawtarget.h
+++ b/tests/entry/rawtarget.h
@@ -21,6 +21,7 @@
 	std::string head;                   //!< Sent first. "$ID" stands for the id of the request.
 	std::string piece;                  //!< Sent again and again until the caller closes; empty: nothing more is sent.
 	std::chrono::milliseconds pause{0}; //!< Before each piece.
+	bool closes = false;                //!< The connection is closed when no piece is left to send.
 };
 
 /// What one connection received after a request.
