Bodies in chunks are read in small steps, so that other callers get their turns

Chunks of one byte cost the parser some hundred times as much per byte as large ones; 64 KB of them were parsed in one turn of the loop, so that with 300 such connections an ordinary caller waited longer than the second in which a connection has to come up.

Now 8 KB of a body in chunks are read at once. Bodies whose length is told are read as before.

--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -20,6 +20,10 @@
 
 constexpr uint16_t kRequestTimeout = 408;
 
+/// Bytes that are read at once of a body in chunks. Chunks may be as small as a byte each: parsing more of them in one
+/// turn of the loop would hold up the requests of other callers.
+constexpr std::size_t kChunkedReadBytes = 8UL * 1024;
+
 /// Interval between checks while reading is paused: bounds how long targets work on for a caller that has disconnected
 /// meanwhile. It is short compared to a response, and connections on which reading is paused are rare.
 constexpr Duration kPausedCheckInterval = Duration::fromMillis(100);
@@ -119,8 +123,15 @@
 
 std::size_t AcceptedConnection::readSize() const
 {
-	const bool isBody = Phase::Reading == phase_ && reader_->hasHead();
-	return isBody || Phase::Lingering == phase_ ? SEDGECART_CONFIG_SCRATCH_BYTES : kHeadReadBytes;
+	if (Phase::Lingering == phase_)
+	{
+		return SEDGECART_CONFIG_SCRATCH_BYTES;
+	}
+	if (Phase::Reading != phase_ || !reader_->hasHead())
+	{
+		return kHeadReadBytes;
+	}
+	return reader_->bodyLength() ? SEDGECART_CONFIG_SCRATCH_BYTES : kChunkedReadBytes;
 }
 
 bool AcceptedConnection::canBufferMore() const
