--- a/packages/node/main/sedgecartd.cpp
+++ b/packages/node/main/sedgecartd.cpp
@@ -208,7 +208,7 @@
 
 /// Buffers of this size, bytes, and larger go back to the system as soon as they are freed. Otherwise the allocator
 /// keeps them for itself, and the space between bodies that grow beside each other is lost to bodies that are larger.
-constexpr int kReturnedBufferBytes = 64 * 1024;
+constexpr int kReturnedBufferBytes = 32 * 1024;
 
 /// Runs a node on the users' platform, with settings from a file.
 /// @returns the exit code of the process.
