A connection is not refused as stalled while it parses

A body in chunks that had been pipelined behind another request was parsed more than a second after it had come; where there was no memory for it, its own connection counted as stalled and was refused, with its parser, from within that parser.

Cause: the time of the last progress was that of the last read, and a connection parses later than it reads while a request is handled or memory is waited for.

Now progress is what is parsed. MemoryShortageTest::aBodyThatIsParsedHasNotStalled ends the process of the code before (signal 11) and passes now.

--- a/packages/aio/src/acceptedconnection.cpp
+++ b/packages/aio/src/acceptedconnection.cpp
@@ -156,7 +156,6 @@
 	{
 		return;
 	}
-	readAt_ = BootClock::now();
 	unparsed_.append(_bytes);
 	if (Phase::Answering != phase_ && !waitsForMemory_)
 	{
@@ -185,6 +184,7 @@
 
 void AcceptedConnection::parse()
 {
+	readAt_ = BootClock::now();
 	if (unparsed_.empty())
 	{
 		return;
@@ -306,7 +306,6 @@
 {
 	waitsForMemory_ = false;
 	lease_ = std::move(_lease);
-	readAt_ = BootClock::now(); // until now this node did not read
 	setTimer(handler_.readTimeout());
 	parse();
 	if (Phase::Closed != phase_ && !readingPaused_)
--- a/packages/aio/src/acceptedconnection_p.h
+++ b/packages/aio/src/acceptedconnection_p.h
@@ -73,7 +73,7 @@
 		return hasAnswered_;
 	}
 
-	/// @returns the time at which something was read last; of the accept, if nothing was.
+	/// @returns the time at which something was parsed last, or could have been; of the accept, if nothing was.
 	BootClock::time_point readAt() const
 	{
 		return readAt_;
